rollout: version moves as records, a chart and a sequential comparison

Cause: a new version has to take over by its deadline or be taken back, with no instance set aside for control and no growth while the platform is out. Ruled out: a lease for the mover (lapses while its holder is paused, and a write is checked by version anyway); comparing totals after a fixed time (blames the new version for faults of both). Change: `Rollout` steps over records, reports, stops and ticks; the splitter bounds a share by a credit counter; doubt is an e-process over strata of one instance, route and interval; proof is a sequential likelihood ratio. Conclusion: the API is complete enough to be driven by the node.

--- /dev/null
+++ b/crates/rollout/src/error.rs
@@ -0,0 +1,25 @@
+//! The error of planning a move or a drain.
+
+use snafu::Snafu;
+
+/// A plan that can't be accepted; the message names the remedy.
+#[derive(Debug, Snafu)]
+pub struct Error(Kind);
+
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Kind {
+    #[snafu(display("{source}"))]
+    Chart { source: corianderway_chart::Error },
+    #[snafu(display("service {service}: both versions are {version}; name another version"))]
+    SameVersion { service: String, version: String },
+    #[snafu(display("service {service}: the deadline is not after the start; give a later one"))]
+    Deadline { service: String },
+    #[snafu(display("service {service}: {field} is {value}; give {remedy}"))]
+    Range {
+        service: String,
+        field: &'static str,
+        value: f64,
+        remedy: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/rollout/src/judge.rs
@@ -0,0 +1,296 @@
+//! The judgement on a new version, from the reports of all instances.
+
+use std::time::Duration;
+
+use corianderway_model::InstanceId;
+use corianderway_model::RouteName;
+use corianderway_model::Time;
+
+use crate::doubt::Sample;
+use crate::doubt::Stratum;
+use crate::evidence::Evidence;
+use crate::evidence::Fault;
+use crate::evidence::FaultKind;
+use crate::scope::Scope;
+use crate::tally::Report;
+use crate::tally::RouteTally;
+use crate::tally::Tally;
+use crate::tally::MAX_ROUTES;
+
+/// The probability of condemning a version that is no worse, over a whole move.
+pub const CONDEMN_ERROR: f64 = 0.001;
+/// The probability of holding a version that is no worse, over a whole move.
+pub const SUSPECT_ERROR: f64 = 0.05;
+/// The probability of passing a version that is worse by the margin.
+pub const PASS_ERROR: f64 = 0.01;
+/// The same for each later step, which needs its own evidence.
+pub const STEP_ERROR: f64 = 0.1;
+
+/// The parts of an error probability for the whole service and for one route,
+/// each for one kind of fault.
+const WHOLE_PART: f64 = 0.25;
+const ROUTE_PART: f64 = 0.25 / MAX_ROUTES as f64;
+/// Answers of the old version before its tail is known.
+const TAIL_SAMPLES: u64 = 100;
+/// The tail of the old version's latency that counts as slow.
+const TAIL: f64 = 0.05;
+/// Requests after which a stratum is closed, also with one version missing.
+const STRATUM_MOST: u64 = 200;
+
+/// What the judgement needs to know of a move.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// The ratio above the old version's that counts as a fault.
+    pub margin: f64,
+    /// The time from the start of the move to its deadline.
+    pub span: Duration,
+    /// From when on slowness counts, after cold starts.
+    pub warm: Time,
+}
+
+/// Compares two versions that run side by side.
+///
+/// Reports may come in any order, repeatedly, or not at all.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    terms: Terms,
+    start: Time,
+    // Sorted by instance.
+    sources: Vec<Source>,
+    // Sorted by route.
+    routes: Vec<RouteScope>,
+    whole: Scope,
+    evidence: Evidence,
+}
+
+#[derive(Clone, Debug)]
+struct Source {
+    instance: InstanceId,
+    sequence: u64,
+    // The counts at the end of the last stratum, sorted by route.
+    closed: Vec<RouteTally>,
+}
+
+#[derive(Clone, Debug)]
+struct RouteScope {
+    route: RouteName,
+    scope: Scope,
+    // What the old version did, for the tail of its latency.
+    old: Tally,
+}
+
+impl Judge {
+    /// Makes a judge that has seen nothing.
+    pub fn new(terms: Terms, now: Time) -> Self {
+        Self {
+            terms,
+            start: now,
+            sources: Vec::new(),
+            routes: Vec::new(),
+            whole: Scope::new(terms.margin, terms.span, now),
+            evidence: Evidence::default(),
+        }
+    }
+
+    /// Begins the comparison: forgets the counts, but not who has reported.
+    pub fn begin(&mut self, terms: Terms, now: Time) {
+        let mut sources = std::mem::take(&mut self.sources);
+        for source in &mut sources {
+            source.closed.clear();
+        }
+        *self = Self::new(terms, now);
+        self.sources = sources;
+    }
+
+    /// Takes in the counts of this instance, without a report.
+    pub fn take_own(&mut self, now: Time, own: &Report) {
+        let at = self.source_at(own, Source::empty);
+        self.take_tallies(now, at, own);
+    }
+
+    /// Takes in a report; an old or repeated one changes nothing.
+    ///
+    /// Of an instance that is first heard of in the middle of its work, only
+    /// what it counts from here on is used.
+    pub fn take(&mut self, now: Time, report: &Report) {
+        let at = self.source_at(report, Source::first);
+        if report.sequence > self.sources[at].sequence {
+            self.sources[at].sequence = report.sequence;
+            self.take_tallies(now, at, report);
+        }
+    }
+
+    fn source_at(&mut self, report: &Report, make: impl Fn(&Report) -> Source) -> usize {
+        let instance = &report.instance;
+        match self.sources.binary_search_by(|s| s.instance.cmp(instance)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.sources.insert(at, make(report));
+                at
+            }
+        }
+    }
+
+    fn take_tallies(&mut self, now: Time, at: usize, report: &Report) {
+        for tally in &report.routes {
+            if let Some(fresh) = self.sources[at].close(tally) {
+                self.judge(now, &fresh);
+            }
+        }
+    }
+
+    /// The fault that is certain enough to take the version back.
+    pub fn condemned(&self) -> Option<Fault> {
+        self.fault(CONDEMN_ERROR)
+    }
+
+    /// The fault that is likely enough to stop growth.
+    pub fn suspected(&self) -> Option<Fault> {
+        self.fault(SUSPECT_ERROR)
+    }
+
+    /// Whether the service as a whole is proven to this error probability.
+    pub fn is_proven(&self, error: f64) -> bool {
+        self.whole.proof() >= -error.ln()
+    }
+
+    /// Whether each route is proven to this error probability.
+    pub fn is_each_proven(&self, error: f64) -> bool {
+        let mut routes = self.routes.iter();
+        routes.all(|r| r.scope.proof() >= -error.ln())
+    }
+
+    /// Asks for new proof, as after a step of the share.
+    pub fn restart_proof(&mut self) {
+        self.whole.restart_proof();
+        for route in &mut self.routes {
+            route.scope.restart_proof();
+        }
+    }
+
+    /// Sums up what was seen.
+    pub fn evidence(&self) -> Evidence {
+        Evidence {
+            proof: self.whole.proof(),
+            doubt: self.strongest_doubt(),
+            fault: self.suspected(),
+            ..self.evidence.clone()
+        }
+    }
+
+    fn judge(&mut self, now: Time, fresh: &RouteTally) {
+        self.sum(fresh);
+        let warm = now >= self.terms.warm;
+        let at = self.route_at(&fresh.route);
+        let errors = stratum(fresh, |t| (t.total, t.failed));
+        let tail = self.routes[at].tail().filter(|_| warm);
+        let slow = tail.map(|b| stratum(fresh, |t| (t.answered(), t.above(b))));
+        self.routes[at].old.merge(&fresh.old);
+        for scope in [&mut self.routes[at].scope, &mut self.whole] {
+            scope.take(now, FaultKind::Errors, errors);
+            if let Some(slow) = slow {
+                scope.take(now, FaultKind::Slowness, slow);
+            }
+        }
+    }
+
+    fn sum(&mut self, fresh: &RouteTally) {
+        self.evidence.old_total += fresh.old.total;
+        self.evidence.old_failed += fresh.old.failed;
+        self.evidence.new_total += fresh.new.total;
+        self.evidence.new_failed += fresh.new.failed;
+    }
+
+    fn route_at(&mut self, route: &RouteName) -> usize {
+        match self.routes.binary_search_by(|r| r.route.cmp(route)) {
+            Ok(at) => at,
+            Err(at) => {
+                let scope = Scope::new(self.terms.margin, self.terms.span, self.start);
+                let entry = RouteScope {
+                    route: route.clone(),
+                    scope,
+                    old: Tally::default(),
+                };
+                self.routes.insert(at, entry);
+                at
+            }
+        }
+    }
+
+    fn fault(&self, error: f64) -> Option<Fault> {
+        let whole = self.whole.fault(error * WHOLE_PART);
+        if let Some(kind) = whole {
+            return Some(Fault { kind, route: None });
+        }
+        self.routes.iter().find_map(|r| {
+            let kind = r.scope.fault(error * ROUTE_PART)?;
+            let route = Some(r.route.clone());
+            Some(Fault { kind, route })
+        })
+    }
+
+    fn strongest_doubt(&self) -> f64 {
+        let routes = self.routes.iter().map(|r| r.scope.doubt());
+        routes.fold(self.whole.doubt(), f64::max)
+    }
+}
+
+impl Source {
+    fn empty(report: &Report) -> Self {
+        Self {
+            instance: report.instance.clone(),
+            sequence: 0,
+            closed: Vec::new(),
+        }
+    }
+
+    // The first report of an instance counts from zero; a later one shows
+    // where to begin.
+    fn first(report: &Report) -> Self {
+        if report.sequence <= 1 {
+            return Self::empty(report);
+        }
+        Self {
+            instance: report.instance.clone(),
+            sequence: report.sequence,
+            closed: report.routes.clone(),
+        }
+    }
+
+    // Closes the stratum of a route if it tells enough. The rule looks at how
+    // many requests there were, never at how they ended.
+    fn close(&mut self, tally: &RouteTally) -> Option<RouteTally> {
+        let found = self.closed.binary_search_by(|r| r.route.cmp(&tally.route));
+        let fresh = match found {
+            Ok(at) => tally.since(&self.closed[at]),
+            Err(_) => tally.clone(),
+        };
+        let (old, new) = (fresh.old.total, fresh.new.total);
+        if (old == 0 || new == 0) && old + new < STRATUM_MOST {
+            return None;
+        }
+        match found {
+            Ok(at) => self.closed[at] = tally.clone(),
+            Err(at) => self.closed.insert(at, tally.clone()),
+        }
+        Some(fresh)
+    }
+}
+
+impl RouteScope {
+    fn tail(&self) -> Option<u8> {
+        let known = self.old.answered() >= TAIL_SAMPLES;
+        known.then(|| self.old.tail_bucket(TAIL)).flatten()
+    }
+}
+
+fn stratum(tally: &RouteTally, pick: impl Fn(&Tally) -> (u64, u64)) -> Stratum {
+    let sample = |tally| {
+        let (total, bad) = pick(tally);
+        Sample { total, bad }
+    };
+    Stratum {
+        old: sample(&tally.old),
+        new: sample(&tally.new),
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,1 +1,120 @@
-//! Placeholder.
+//! Version moves: who gets the new version, and when it is taken back.
+//!
+//! Every instance holds a [`Rollout`]. It is told of records, reports of the
+//! other instances, ended requests and the passing of time, and answers with
+//! what to write, send and log. It opens no socket, reads no clock and draws
+//! no random number of its own.
+//!
+//! Any instance may advance a move: they take turns in an order that each
+//! computes alike, a write names the version that it replaces, and a lost
+//! answer is settled by reading back. Shares grow only by such a write; an
+//! instance that sees a fault stops the new version at once and by itself.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use corianderway_model::VersionPolicy;
+//! use corianderway_rollout::Action;
+//! use corianderway_rollout::Event;
+//! use corianderway_rollout::Moment;
+//! use corianderway_rollout::Move;
+//! use corianderway_rollout::Plan;
+//! use corianderway_rollout::Rollout;
+//! use corianderway_rollout::Share;
+//! use corianderway_rollout::State;
+//! use corianderway_rollout::Stored;
+//!
+//! let plan = Plan {
+//!     service: "finder".try_into()?,
+//!     from: "v1".try_into()?,
+//!     to: "v2".try_into()?,
+//!     wall: 0,
+//!     policy: VersionPolicy {
+//!         share: 0.05,
+//!         deadline: Duration::from_secs(1800),
+//!         margin: 0.05,
+//!     },
+//!     who: "operator".into(),
+//! };
+//! let service = plan.service.clone();
+//! let to = plan.to.clone();
+//! let record = Move::try_from(plan)?;
+//!
+//! let mut rollout = Rollout::new("entry-1".try_into()?)?;
+//! let mut actions = Vec::new();
+//! let at = Moment::default();
+//! rollout.step(at, Event::Record(Stored { value: record, version: 1 }), &mut actions);
+//! assert_eq!(rollout.choose(&service, 0).unwrap().as_str(), "v1");
+//!
+//! let share = Share::ONE;
+//! rollout.step(at, Event::Room { service, version: to, share }, &mut actions);
+//! rollout.step(at, Event::Tick, &mut actions);
+//! let write = actions.iter().find_map(|action| match action {
+//!     Action::Write { record, expect } => Some((record, *expect)),
+//!     _ => None,
+//! });
+//! let (record, expect) = write.unwrap();
+//! assert_eq!((record.state, expect), (State::Trial, 1));
+//! assert_eq!(record.share, Share::from_ratio(0.05));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod doubt;
+mod error;
+mod event;
+mod evidence;
+mod judge;
+mod machine;
+mod mover;
+mod proof;
+mod quiet;
+mod rank;
+mod record;
+mod rollout;
+mod schedule;
+mod scope;
+mod share;
+mod splitter;
+mod tally;
+mod track;
+
+pub use crate::error::Error;
+pub use crate::event::Action;
+pub use crate::event::Decision;
+pub use crate::event::Event;
+pub use crate::event::Moment;
+pub use crate::event::Stop;
+pub use crate::event::Stored;
+pub use crate::evidence::Evidence;
+pub use crate::evidence::Fault;
+pub use crate::evidence::FaultKind;
+pub use crate::judge::Judge;
+pub use crate::judge::Terms;
+pub use crate::judge::CONDEMN_ERROR;
+pub use crate::judge::PASS_ERROR;
+pub use crate::judge::STEP_ERROR;
+pub use crate::judge::SUSPECT_ERROR;
+pub use crate::machine::Effect;
+pub use crate::machine::Guard;
+pub use crate::machine::MoveChart;
+pub use crate::machine::State;
+pub use crate::machine::Trigger;
+pub use crate::machine::MOVE_CHART;
+pub use crate::record::Author;
+pub use crate::record::Move;
+pub use crate::record::MoveKey;
+pub use crate::record::Plan;
+pub use crate::record::Standing;
+pub use crate::rollout::Rollout;
+pub use crate::rollout::Standpoint;
+pub use crate::share::Share;
+pub use crate::splitter::Arm;
+pub use crate::splitter::Splitter;
+pub use crate::tally::Outcome;
+pub use crate::tally::Report;
+pub use crate::tally::RouteTally;
+pub use crate::tally::Tally;
+pub use crate::tally::MAX_ROUTES;
+pub use crate::tally::OTHER_ROUTES;
--- /dev/null
+++ b/crates/rollout/src/record.rs
@@ -0,0 +1,200 @@
+//! The record of a version move, as the platform keeps it.
+
+use std::sync::Arc;
+
+use corianderway_model::Service;
+use corianderway_model::Version;
+use corianderway_model::VersionPolicy;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ensure;
+
+use crate::error::DeadlineSnafu;
+use crate::error::Error;
+use crate::error::RangeSnafu;
+use crate::error::SameVersionSnafu;
+use crate::evidence::Evidence;
+use crate::machine::Effect;
+use crate::machine::Guard;
+use crate::machine::MoveChart;
+use crate::machine::State;
+use crate::machine::Trigger;
+use crate::schedule;
+use crate::share::Share;
+
+/// What an operator asks for when starting a move.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The service.
+    pub service: Service,
+    /// The version in service.
+    pub from: Version,
+    /// The version that takes over.
+    pub to: Version,
+    /// The wall clock, in milliseconds since the Unix epoch.
+    pub wall: u64,
+    /// The policy of the contract.
+    pub policy: VersionPolicy,
+    /// Who asks.
+    pub who: Arc<str>,
+}
+
+/// A version move: the object `moves/<service>` of the platform.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Move {
+    /// The service.
+    pub service: Service,
+    /// The version in service before the move.
+    pub from: Version,
+    /// The version that takes over.
+    pub to: Version,
+    /// Where the move stands.
+    pub state: State,
+    /// The share of requests for the new version, in parts per million.
+    pub share: Share,
+    /// The share until the new version is proven, in parts per million.
+    pub limit: Share,
+    /// The ratio above the old version's that counts as a fault.
+    pub margin: f64,
+    /// The start, in milliseconds since the Unix epoch.
+    pub started: u64,
+    /// The end at the latest, in milliseconds since the Unix epoch.
+    pub deadline: u64,
+    /// The last change of state or share, in milliseconds since the Unix epoch.
+    pub changed: u64,
+    /// Who wrote this revision.
+    pub who: Arc<str>,
+    /// How often the record was written.
+    pub revision: u64,
+    /// What the writer had seen.
+    pub evidence: Evidence,
+}
+
+/// The identity of one move, the same over all its revisions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MoveKey {
+    /// The service.
+    pub service: Service,
+    /// The version that takes over.
+    pub to: Version,
+    /// The start, in milliseconds since the Unix epoch.
+    pub started: u64,
+}
+
+/// What the guards of the move chart are answered from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether the new version is shown to be no worse at this share.
+    pub proven: bool,
+}
+
+/// Who writes a revision, when, and on what evidence.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Author {
+    /// The instance or operator.
+    pub who: Arc<str>,
+    /// The wall clock, in milliseconds since the Unix epoch.
+    pub wall: u64,
+    /// What the writer has seen.
+    pub evidence: Evidence,
+}
+
+impl Move {
+    /// The identity of the move.
+    pub fn key(&self) -> MoveKey {
+        MoveKey {
+            service: self.service.clone(),
+            to: self.to.clone(),
+            started: self.started,
+        }
+    }
+
+    /// Whether the move has ended.
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, State::Done | State::Withdrawn)
+    }
+
+    /// The next revision after a trigger, if the chart answers it with a change.
+    pub fn advance(
+        &self,
+        chart: &MoveChart,
+        trigger: Trigger,
+        standing: Standing,
+        author: Author,
+    ) -> Option<Self> {
+        let step = chart.step(self.state, trigger, |guard| self.holds(guard, standing));
+        if step.to == self.state && step.actions.is_empty() {
+            return None;
+        }
+        let share = step
+            .actions
+            .iter()
+            .fold(self.share, |share, effect| match effect {
+                Effect::SetTrial => self.limit,
+                Effect::Raise => schedule::next_share(share),
+                Effect::Finish => Share::ONE,
+                Effect::SetZero => Share::ZERO,
+            });
+        Some(Self {
+            state: step.to,
+            share,
+            changed: author.wall,
+            who: author.who,
+            revision: self.revision + 1,
+            evidence: author.evidence,
+            ..self.clone()
+        })
+    }
+
+    fn holds(&self, guard: Guard, standing: Standing) -> bool {
+        match guard {
+            Guard::Proven => standing.proven,
+            Guard::Complete => standing.proven && self.share >= schedule::LAST_SHARE,
+            Guard::Raised => self.share > self.limit,
+        }
+    }
+}
+
+impl TryFrom<Plan> for Move {
+    type Error = Error;
+
+    fn try_from(plan: Plan) -> Result<Self, Error> {
+        let service = plan.service.as_str();
+        let version = plan.to.as_str();
+        ensure!(plan.from != plan.to, SameVersionSnafu { service, version });
+        let span = plan.policy.deadline.as_millis() as u64;
+        ensure!(span > 0, DeadlineSnafu { service });
+        range(service, "share", plan.policy.share)?;
+        range(service, "margin", plan.policy.margin)?;
+        Ok(Self {
+            state: State::Planned,
+            share: Share::ZERO,
+            limit: Share::from_ratio(plan.policy.share),
+            margin: plan.policy.margin,
+            started: plan.wall,
+            deadline: plan.wall + span,
+            changed: plan.wall,
+            who: plan.who,
+            revision: 1,
+            evidence: Evidence::default(),
+            service: plan.service,
+            from: plan.from,
+            to: plan.to,
+        })
+    }
+}
+
+fn range(service: &str, field: &'static str, value: f64) -> Result<(), Error> {
+    let remedy = "a ratio above 0, at most 0.5";
+    let fits = value > 0.0 && value <= 0.5;
+    ensure!(
+        fits,
+        RangeSnafu {
+            service,
+            field,
+            value,
+            remedy
+        }
+    );
+    Ok(())
+}
