routing: backend servers by state chart, and the choice among them

Cause: nothing decided which backend server runs a request. Change: a table of backend servers merged from the instance list, health and load endpoints, drain plans and own observations, each one following charts/server.yaml; a router that takes region, version and backend server, bounded by slots; the retry step of one request.

--- /dev/null
+++ b/crates/routing/src/error.rs
@@ -0,0 +1,28 @@
+//! The error of building the tables of this package.
+
+use snafu::Snafu;
+
+/// A table that can't be built; the message names the remedy.
+#[derive(Debug, Snafu)]
+pub struct Error(Kind);
+
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Kind {
+    #[snafu(display("charts/server.yaml: {source}"))]
+    Chart { source: corianderway_chart::Error },
+    #[snafu(display("prefix {text:?} can't be read; write an address, a slash and a length"))]
+    Prefix { text: String },
+    #[snafu(display("prefix {text:?} has bits set past its length; clear them"))]
+    HostBits { text: String },
+    #[snafu(display("prefix {text:?} is listed twice; list it once"))]
+    Repeated { text: String },
+    #[snafu(display("site {site:?} is unknown; add it to the list of sites"))]
+    UnknownSite { site: String },
+    #[snafu(display("site {site:?} is listed twice; list it once"))]
+    RepeatedSite { site: String },
+    #[snafu(display("the list of sites is empty or longer than 65,535; list at least one"))]
+    Sites,
+    #[snafu(display("site {site:?} has weight {weight}; give a number above zero"))]
+    Weight { site: String, weight: f64 },
+}
--- /dev/null
+++ b/crates/routing/src/fleet.rs
@@ -0,0 +1,389 @@
+//! The table of backend servers, merged from every source.
+
+use std::time::Duration;
+
+use corianderway_model::Region;
+use corianderway_model::ServerId;
+use corianderway_model::Service;
+use corianderway_model::Time;
+use snafu::ResultExt;
+
+use crate::error::ChartSnafu;
+use crate::error::Error;
+use crate::group::counted_part;
+use crate::group::Group;
+use crate::group::Occupancy;
+use crate::group::Pool;
+use crate::lifecycle::Event;
+use crate::lifecycle::Lifecycle;
+use crate::lifecycle::State;
+use crate::lifecycle::SERVER_CHART;
+use crate::server::Server;
+
+// At least this part of a pool's slots stays in use, whatever the evidence.
+const KEPT_PART: f64 = 0.5;
+// Ejection also leaves the known requests at most this part of the slots kept.
+const KEPT_FILL: f64 = 0.8;
+
+/// A backend server's place in the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Handle(pub(crate) u32);
+
+/// One request in flight; given back when it ends.
+#[derive(Debug)]
+#[must_use = "a request that is never finished counts as in flight for ever"]
+pub struct Ticket {
+    pub(crate) handle: Handle,
+}
+
+impl Ticket {
+    /// The backend server that runs the request.
+    pub fn server(&self) -> Handle {
+        self.handle
+    }
+}
+
+/// How a request ended, as this instance saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer came; the span runs from sending to the answer's head.
+    Answered(Duration),
+    /// The connection was refused, so no byte was accepted.
+    Refused,
+    /// An error answer, a cut connection or a timeout.
+    Failed,
+    /// The caller went away or the request was cancelled.
+    Cancelled,
+}
+
+/// What the health and load endpoints of a backend server say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// Well.
+    Healthy,
+    /// Not well.
+    Failing,
+    /// About to stop.
+    Leaving,
+    /// Requests in flight there, from all instances.
+    Load(u32),
+}
+
+/// A change of state that a log line should show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The backend server.
+    pub server: Handle,
+    /// The state before.
+    pub from: State,
+    /// The state now.
+    pub to: State,
+}
+
+/// The backend servers that one instance knows.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub(crate) chart: Lifecycle,
+    pub(crate) servers: Vec<Option<Server>>,
+    pub(crate) vacant: Vec<u32>,
+    // Sorted by identity.
+    pub(crate) ids: Vec<(ServerId, u32)>,
+    pub(crate) groups: Vec<Group>,
+    // Places in `groups`, sorted by service and region.
+    pub(crate) index: Vec<u32>,
+    pub(crate) changes: Vec<Change>,
+    pub(crate) instances: f64,
+    pub(crate) last_tick: Time,
+    pub(crate) is_synced: bool,
+}
+
+impl Fleet {
+    /// Makes an empty table.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the chart of backend servers doesn't load.
+    pub fn new() -> Result<Self, Error> {
+        let chart = Lifecycle::parse(SERVER_CHART).context(ChartSnafu)?;
+        Ok(Self {
+            chart,
+            servers: Vec::new(),
+            vacant: Vec::new(),
+            ids: Vec::new(),
+            groups: Vec::new(),
+            index: Vec::new(),
+            changes: Vec::new(),
+            instances: 1.0,
+            last_tick: Time::ZERO,
+            is_synced: false,
+        })
+    }
+
+    /// Sets how many entry instances share the backend servers, this one included.
+    pub fn set_instances(&mut self, count: usize) {
+        self.instances = count.max(1) as f64;
+    }
+
+    /// Finds a backend server by its identity.
+    pub fn find(&self, id: &ServerId) -> Option<Handle> {
+        let at = self.ids.binary_search_by(|(known, _)| known.cmp(id)).ok()?;
+        self.ids.get(at).map(|(_, server)| Handle(*server))
+    }
+
+    /// The record of a backend server.
+    pub fn server(&self, handle: Handle) -> Option<&Server> {
+        self.servers.get(handle.0 as usize)?.as_ref()
+    }
+
+    /// All backend servers, in no particular order.
+    pub fn servers(&self) -> impl Iterator<Item = (Handle, &Server)> {
+        let places = self.servers.iter().enumerate();
+        places.filter_map(|(at, s)| Some((Handle(at as u32), s.as_ref()?)))
+    }
+
+    /// Backend servers that refused a connection and wait for a probe.
+    pub fn probes(&self) -> impl Iterator<Item = (Handle, &Server)> {
+        self.servers().filter(|(_, s)| s.state == State::Refusing)
+    }
+
+    /// How full a service is in a region.
+    pub fn occupancy(&self, service: &Service, region: &Region) -> Option<Occupancy> {
+        let groups = self.groups_of(service).iter();
+        let mut groups = groups.map(|at| &self.groups[*at as usize]);
+        let group = groups.find(|g| g.region == *region)?;
+        Some(group.occupancy(self.instances))
+    }
+
+    /// Takes the changes of state since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Counts a request that is about to be sent.
+    pub fn begin(&mut self, handle: Handle) -> Ticket {
+        if let Some(server) = self.servers[handle.0 as usize].as_mut() {
+            server.own += 1;
+            let group = &mut self.groups[server.group as usize];
+            group.own += 1.0;
+            group.blind += 1.0 - server.trust;
+        }
+        Ticket { handle }
+    }
+
+    /// Counts the end of a request and learns from it.
+    pub fn finish(&mut self, ticket: Ticket, outcome: Outcome, now: Time) {
+        let handle = ticket.handle;
+        let Some(server) = self.servers[handle.0 as usize].as_mut() else {
+            return;
+        };
+        server.own = server.own.saturating_sub(1);
+        let group = &mut self.groups[server.group as usize];
+        group.own = (group.own - 1.0).max(0.0);
+        group.blind = (group.blind - (1.0 - server.trust)).max(0.0);
+        match outcome {
+            Outcome::Answered(latency) => {
+                server.note_success(latency, now);
+                self.step(handle, Event::Succeeded, now);
+            }
+            Outcome::Refused => self.step(handle, Event::Refused, now),
+            Outcome::Failed => {
+                server.note_failure(now);
+                self.step(handle, Event::Failed, now);
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+
+    /// Takes a report of a backend server's health or load endpoint.
+    pub fn report(&mut self, id: &ServerId, report: Report, now: Time) {
+        let Some(handle) = self.find(id) else { return };
+        let Some(server) = self.servers[handle.0 as usize].as_mut() else {
+            return;
+        };
+        match report {
+            Report::Healthy => {
+                server.note_health(true, now);
+                self.step(handle, Event::ReportHealthy, now);
+            }
+            Report::Failing => {
+                server.note_health(false, now);
+                self.step(handle, Event::ReportFailing, now);
+            }
+            Report::Leaving => self.step(handle, Event::Leaving, now),
+            Report::Load(total) => {
+                server.note_load(total, now);
+                let group = server.group;
+                self.recount(group);
+            }
+        }
+    }
+
+    /// Takes the result of a connection attempt that carried no request.
+    pub fn probe(&mut self, handle: Handle, connected: bool, now: Time) {
+        let event = if connected {
+            Event::ProbePassed
+        } else {
+            Event::Refused
+        };
+        self.step(handle, event, now);
+    }
+
+    /// Marks a backend server as covered by a drain plan, or no longer so.
+    pub fn plan_drain(&mut self, id: &ServerId, planned: bool, now: Time) {
+        let Some(handle) = self.find(id) else { return };
+        let event = if planned {
+            Event::Planned
+        } else {
+            Event::Reinstated
+        };
+        self.step(handle, event, now);
+    }
+
+    /// Brings everything that depends on the time up to date; call it a few
+    /// times a second.
+    pub fn tick(&mut self, now: Time) {
+        let step = now.since(self.last_tick);
+        self.last_tick = now;
+        for at in 0..self.servers.len() {
+            if self.servers[at].is_some() {
+                self.step(Handle(at as u32), Event::Tick, now);
+            }
+        }
+        for server in self.servers.iter_mut().flatten() {
+            let pool = &self.groups[server.group as usize].pools[server.pool as usize];
+            server.forget(pool.latency, step, now);
+            server.refresh(now);
+        }
+        for group in 0..self.groups.len() {
+            self.recount(group as u32);
+        }
+        self.sweep(now);
+    }
+
+    pub(crate) fn groups_of(&self, service: &Service) -> &[u32] {
+        let name = |at: &u32| &self.groups[*at as usize].service;
+        let start = self.index.partition_point(|at| name(at) < service);
+        let count = self.index[start..].partition_point(|at| name(at) == service);
+        &self.index[start..start + count]
+    }
+
+    pub(crate) fn step(&mut self, handle: Handle, event: Event, now: Time) {
+        let at = handle.0 as usize;
+        let Some(server) = self.servers[at].as_ref() else {
+            return;
+        };
+        let from = server.state;
+        let spare = event == Event::Failed || event == Event::ReportFailing;
+        let spare = spare && self.has_spare(server);
+        let step = self
+            .chart
+            .step(from, event, |g| server.holds(g, now, spare));
+        if step.to == from && step.actions.is_empty() {
+            return;
+        }
+        let Some(server) = self.servers[at].as_mut() else {
+            return;
+        };
+        for action in step.actions {
+            server.act(*action, now);
+        }
+        server.state = step.to;
+        server.refresh(now);
+        if step.to != from {
+            let (group, pool) = (server.group, server.pool);
+            self.changes.push(Change {
+                server: handle,
+                from,
+                to: step.to,
+            });
+            self.settle(group, pool, now);
+        }
+    }
+
+    // Brings a pool's list of usable members up to date after a change, and
+    // takes ejected ones back while too few are left.
+    fn settle(&mut self, group: u32, pool: u32, now: Time) {
+        let servers = &self.servers;
+        let place = &mut self.groups[group as usize].pools[pool as usize];
+        let usable = |at: &u32| {
+            let server = servers[*at as usize].as_ref();
+            server.is_some_and(|s| s.state.is_usable())
+        };
+        let members = place.members.iter().copied();
+        place.usable.clear();
+        place.usable.extend(members.filter(usable));
+        self.recount(group);
+        let place = &self.groups[group as usize].pools[pool as usize];
+        if let Some(ejected) = self.ejected_beyond_bound(place) {
+            self.step(Handle(ejected), Event::Recalled, now);
+        }
+    }
+
+    pub(crate) fn recount(&mut self, group: u32) {
+        let group = &mut self.groups[group as usize];
+        (group.own, group.others, group.blind) = (0.0, 0.0, 0.0);
+        (group.slots, group.usable) = (0.0, 0);
+        for pool in &mut group.pools {
+            group.usable += pool.usable.len();
+            let (mut sum, mut count) = (0.0, 0.0);
+            for at in &pool.members {
+                let Some(server) = self.servers[*at as usize].as_ref() else {
+                    continue;
+                };
+                group.own += f64::from(server.own);
+                group.blind += f64::from(server.own) * (1.0 - server.trust);
+                if server.state.is_usable() {
+                    group.others += server.others * server.trust;
+                    group.slots += server.slots() * counted_part(server.weight);
+                }
+                if server.latency > 0.0 {
+                    sum += server.latency;
+                    count += 1.0;
+                }
+            }
+            pool.latency = if count > 0.0 { sum / count } else { 0.0 };
+        }
+    }
+
+    // Whether the rest of its pool can carry the work without this one.
+    fn has_spare(&self, server: &Server) -> bool {
+        let pool = &self.groups[server.group as usize].pools[server.pool as usize];
+        let tally = self.tally(pool);
+        let kept = tally.usable - server.slots();
+        kept >= KEPT_PART * (tally.usable + tally.ejected) && tally.taken <= KEPT_FILL * kept
+    }
+
+    fn ejected_beyond_bound(&self, pool: &Pool) -> Option<u32> {
+        let tally = self.tally(pool);
+        if tally.usable >= KEPT_PART * (tally.usable + tally.ejected) {
+            return None;
+        }
+        let state = |at: &u32| self.servers[*at as usize].as_ref().map(|s| s.state);
+        let mut members = pool.members.iter().copied();
+        members.find(|at| state(at) == Some(State::Ejected))
+    }
+
+    fn tally(&self, pool: &Pool) -> Tally {
+        let mut tally = Tally::default();
+        let members = pool.members.iter();
+        for server in members.filter_map(|at| self.servers[*at as usize].as_ref()) {
+            match server.state {
+                State::Ejected => tally.ejected += server.slots(),
+                state if state.is_usable() => {
+                    tally.usable += server.slots();
+                    tally.taken += f64::from(server.own) + server.trust * server.others;
+                }
+                _ => {}
+            }
+        }
+        tally
+    }
+}
+
+// Slots of a pool by use, and the requests known to take them.
+#[derive(Debug, Default)]
+struct Tally {
+    usable: f64,
+    ejected: f64,
+    taken: f64,
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,88 @@
-//! Placeholder.
+//! Which region, backend server, entry instance and site a request goes to.
+//!
+//! Everything here decides and does nothing else: the time and a random
+//! number are handed in, and a decision with its reason comes back.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use corianderway_model::Backend;
+//! use corianderway_model::Presence;
+//! use corianderway_model::Priority;
+//! use corianderway_model::Time;
+//! use corianderway_routing::Fleet;
+//! use corianderway_routing::Outcome;
+//! use corianderway_routing::Query;
+//! use corianderway_routing::Router;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let backend = Backend {
+//!     id: "finder-1".try_into()?,
+//!     addr: "10.0.0.1:80".parse()?,
+//!     service: "finder".try_into()?,
+//!     version: "v1".try_into()?,
+//!     region: "north".try_into()?,
+//!     domain: "north-a".try_into()?,
+//!     slots: 4,
+//!     presence: Presence::Live,
+//! };
+//! let mut fleet = Fleet::new()?;
+//! fleet.sync(&[backend.clone()], Time::ZERO);
+//!
+//! let router = Router::new(backend.region.clone(), backend.domain.clone());
+//! let query = Query {
+//!     service: &backend.service,
+//!     home: &backend.region,
+//!     versions: &[],
+//!     priority: Priority::Normal,
+//!     remaining: Duration::from_secs(2),
+//!     tried: &[],
+//! };
+//! let decision = router.route(&fleet, &query, 7, |_region| false)?;
+//! assert_eq!(fleet.server(decision.server).unwrap().id(), &backend.id);
+//!
+//! let ticket = fleet.begin(decision.server);
+//! let latency = Duration::from_millis(5);
+//! fleet.finish(ticket, Outcome::Answered(latency), Time::from_millis(5));
+//! # Ok(())
+//! # }
+//! ```
+
+mod attempts;
+mod choice;
+mod error;
+mod fleet;
+mod group;
+mod hash;
+mod lifecycle;
+mod query;
+mod router;
+mod server;
+mod sync;
+
+pub use crate::attempts::Attempts;
+pub use crate::attempts::Failure;
+pub use crate::attempts::Retry;
+pub use crate::attempts::Stop;
+pub use crate::error::Error;
+pub use crate::fleet::Change;
+pub use crate::fleet::Fleet;
+pub use crate::fleet::Handle;
+pub use crate::fleet::Outcome;
+pub use crate::fleet::Report;
+pub use crate::fleet::Ticket;
+pub use crate::group::Occupancy;
+pub use crate::lifecycle::State;
+pub use crate::lifecycle::SERVER_CHART;
+pub use crate::query::Decision;
+pub use crate::query::Explain;
+pub use crate::query::Query;
+pub use crate::query::Reach;
+pub use crate::query::Refusal;
+pub use crate::query::Share;
+pub use crate::query::Why;
+pub use crate::router::Router;
+pub use crate::server::Server;
+pub use crate::sync::Sync;
--- /dev/null
+++ b/crates/routing/src/server.rs
@@ -0,0 +1,292 @@
+//! The record of one backend server: evidence, load and weight.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderway_model::Backend;
+use corianderway_model::FailureDomain;
+use corianderway_model::Region;
+use corianderway_model::ServerId;
+use corianderway_model::Service;
+use corianderway_model::Time;
+use corianderway_model::Version;
+
+use crate::lifecycle::Action;
+use crate::lifecycle::Guard;
+use crate::lifecycle::State;
+
+/// Time in which the weight of a cold backend server grows to one.
+pub(crate) const RAMP: Duration = Duration::from_secs(10);
+
+const FIRST_WEIGHT: f64 = 0.1;
+const SUSPECT_WEIGHT: f64 = 0.25;
+const FIRST_HOLD: Duration = Duration::from_secs(2);
+const LONGEST_HOLD: Duration = Duration::from_mins(1);
+// A success this recent outweighs failing health reports.
+const VOUCH: Duration = Duration::from_secs(3);
+const FAILURE_GAIN: f64 = 0.15;
+const DOUBTFUL_FAILURES: f64 = 0.3;
+const CONDEMNED_FAILURES: f64 = 0.55;
+const CONDEMNED_REPORTS: u32 = 3;
+const RISE_GAIN: f64 = 0.3;
+const FALL_GAIN: f64 = 0.1;
+// After this time without an answer a latency counts half.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
+// A load report this old counts half.
+const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+// A report lies when it shows less than this part of the caller's own requests.
+const PLAUSIBLE_PART: f64 = 0.5;
+const LIE_FACTOR: f64 = 0.5;
+const TRUTH_GAIN: f64 = 0.1;
+
+/// A backend server as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub(crate) backend: Backend,
+    pub(crate) state: State,
+    pub(crate) group: u32,
+    pub(crate) pool: u32,
+    pub(crate) own: u32,
+    pub(crate) others: f64,
+    pub(crate) trust: f64,
+    pub(crate) weight: f64,
+    pub(crate) latency: f64,
+    pub(crate) misses: u32,
+    pub(crate) missing: bool,
+    pub(crate) listed: Time,
+    touched: Time,
+    failures: f64,
+    reports: u32,
+    vouched: Option<Time>,
+    ramp: Time,
+    hold: Duration,
+    until: Time,
+    marked: bool,
+    shut: bool,
+    reported: f64,
+    report: Option<Time>,
+    honesty: f64,
+}
+
+impl Server {
+    pub(crate) fn new(backend: Backend, state: State, place: (u32, u32), now: Time) -> Self {
+        let (group, pool) = place;
+        let mut server = Self {
+            backend,
+            state,
+            group,
+            pool,
+            own: 0,
+            others: 0.0,
+            trust: 0.0,
+            weight: 0.0,
+            latency: 0.0,
+            misses: 0,
+            missing: false,
+            listed: now,
+            touched: now,
+            failures: 0.0,
+            reports: 0,
+            vouched: None,
+            ramp: now,
+            hold: FIRST_HOLD,
+            until: now,
+            marked: false,
+            shut: false,
+            reported: 0.0,
+            report: None,
+            honesty: 1.0,
+        };
+        server.refresh(now);
+        server
+    }
+
+    /// The identity.
+    pub fn id(&self) -> &ServerId {
+        &self.backend.id
+    }
+
+    /// Where it takes requests.
+    pub fn addr(&self) -> SocketAddr {
+        self.backend.addr
+    }
+
+    /// The service it runs.
+    pub fn service(&self) -> &Service {
+        &self.backend.service
+    }
+
+    /// The version it runs.
+    pub fn version(&self) -> &Version {
+        &self.backend.version
+    }
+
+    /// Its region.
+    pub fn region(&self) -> &Region {
+        &self.backend.region
+    }
+
+    /// Its failure domain.
+    pub fn domain(&self) -> &FailureDomain {
+        &self.backend.domain
+    }
+
+    /// What this instance thinks of it.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Requests of this instance in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.own
+    }
+
+    /// The part of full work that it gets, 0 to 1.
+    pub fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// The latency expected of it, in seconds; zero when nothing was measured.
+    pub fn latency(&self) -> f64 {
+        self.latency
+    }
+
+    // Whether a row of the instance list describes this run of it.
+    pub(crate) fn is_same(&self, row: &Backend) -> bool {
+        let known = &self.backend;
+        known.addr == row.addr
+            && known.service == row.service
+            && known.version == row.version
+            && known.region == row.region
+    }
+
+    pub(crate) fn slots(&self) -> f64 {
+        f64::from(self.backend.slots.max(1))
+    }
+
+    // Requests of all instances, as far as known, over the slots in use.
+    pub(crate) fn load(&self, instances: f64) -> f64 {
+        let blind = f64::from(self.own) * instances;
+        let seen = f64::from(self.own) + self.others;
+        let total = self.trust * seen + (1.0 - self.trust) * blind;
+        (total + 1.0) / (self.slots() * self.weight)
+    }
+
+    // Whether what is known for certain fills every slot.
+    pub(crate) fn is_full(&self) -> bool {
+        f64::from(self.own) + self.trust * self.others >= self.slots()
+    }
+
+    pub(crate) fn holds(&self, guard: Guard, now: Time, spare: bool) -> bool {
+        match guard {
+            Guard::Vouched => self.is_vouched(now),
+            Guard::Condemned => spare && self.is_condemned(now),
+            Guard::Doubtful => self.failures >= DOUBTFUL_FAILURES || self.reports > 0,
+            Guard::Ramped => now.since(self.ramp) >= RAMP,
+            Guard::Held => now < self.until,
+            Guard::Marked => self.marked,
+            Guard::Shut => self.shut,
+            Guard::Departed => self.missing && self.own == 0,
+        }
+    }
+
+    pub(crate) fn act(&mut self, action: Action, now: Time) {
+        match action {
+            Action::Hold => {
+                self.until = now + self.hold;
+                self.hold = (self.hold * 2).min(LONGEST_HOLD);
+            }
+            Action::Ramp => self.ramp = now,
+            Action::Clear => {
+                self.failures = 0.0;
+                self.reports = 0;
+            }
+            Action::Forgive => self.hold = FIRST_HOLD,
+            Action::Mark => self.marked = true,
+            Action::Shut => self.shut = true,
+            Action::Reopen => self.shut = false,
+        }
+    }
+
+    pub(crate) fn note_success(&mut self, latency: Duration, now: Time) {
+        let sample = latency.as_secs_f64();
+        let gain = match self.latency {
+            known if known <= 0.0 => 1.0,
+            known if sample > known => RISE_GAIN,
+            _ => FALL_GAIN,
+        };
+        self.latency += gain * (sample - self.latency);
+        self.failures -= FAILURE_GAIN * self.failures;
+        self.reports = 0;
+        self.vouched = Some(now);
+        self.touched = now;
+    }
+
+    pub(crate) fn note_failure(&mut self, now: Time) {
+        self.failures += FAILURE_GAIN * (1.0 - self.failures);
+        self.touched = now;
+    }
+
+    pub(crate) fn note_health(&mut self, healthy: bool, now: Time) {
+        if healthy {
+            self.reports = 0;
+        } else if !self.is_vouched(now) {
+            self.reports += 1;
+        }
+    }
+
+    // Takes a report of all requests in flight there; one that shows fewer
+    // than this instance's own lowers the trust in later ones.
+    pub(crate) fn note_load(&mut self, total: u32, now: Time) {
+        let own = f64::from(self.own);
+        let total = f64::from(total);
+        if own >= 2.0 && total < own * PLAUSIBLE_PART {
+            self.honesty *= LIE_FACTOR;
+        } else if own >= 1.0 {
+            self.honesty = (self.honesty + TRUTH_GAIN).min(1.0);
+        }
+        self.reported = (total - own).clamp(0.0, 2.0 * self.slots());
+        self.report = Some(now);
+        self.refresh(now);
+    }
+
+    // Brings the values that depend on the time up to date.
+    pub(crate) fn refresh(&mut self, now: Time) {
+        let fresh = self
+            .report
+            .map_or(0.0, |at| decay(now.since(at), REPORT_HALF_LIFE));
+        self.trust = fresh * self.honesty;
+        self.others = self.reported;
+        self.weight = match self.state {
+            State::Cold => {
+                let part = now.since(self.ramp).as_secs_f64() / RAMP.as_secs_f64();
+                (FIRST_WEIGHT + (1.0 - FIRST_WEIGHT) * part).min(1.0)
+            }
+            State::Warm => 1.0,
+            State::Suspect => SUSPECT_WEIGHT,
+            _ => 0.0,
+        };
+    }
+
+    // Moves a latency that is no longer measured towards that of the pool, so
+    // that a backend server which was slow once is tried again.
+    pub(crate) fn forget(&mut self, mean: f64, step: Duration, now: Time) {
+        if self.own == 0 && now.since(self.touched) >= LATENCY_HALF_LIFE {
+            let kept = decay(step, LATENCY_HALF_LIFE);
+            self.latency = mean + (self.latency - mean) * kept;
+        }
+    }
+
+    fn is_vouched(&self, now: Time) -> bool {
+        self.vouched.is_some_and(|at| now.since(at) < VOUCH)
+    }
+
+    fn is_condemned(&self, now: Time) -> bool {
+        let told = self.reports >= CONDEMNED_REPORTS && !self.is_vouched(now);
+        self.failures >= CONDEMNED_FAILURES || told
+    }
+}
+
+fn decay(age: Duration, half_life: Duration) -> f64 {
+    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
+}
