standins: platform and backend server stand-ins, and the test harness

Cause: tests of the path need a platform, backend servers and real processes. Ruled out: stand-ins inside the test process; they could not be frozen, killed or cut off from one instance alone. Change: examples `platform` and `backend` over deciding parts without sockets or clocks, each on a thread of its own behind a bounded ring; the backend server's admission follows charts/backend.yaml. The harness starts programs of the workspace, reads their ready line, signals them by process id, and ends them on drop; a blocking HTTP/1.1 client, a wait with a deadline and a TCP link that can be cut, delayed and closed after a number of bytes come with it.

--- /dev/null
+++ b/crates/standins/src/backend/answer.rs
@@ -0,0 +1,84 @@
+//! Answers of a backend server stand-in, whole and cut.
+
+use std::net::Shutdown;
+
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+use serde_json::Value;
+
+use crate::backend::faults::Cut;
+use crate::backend::plan::Plan;
+use crate::backend::settings::Settings;
+use crate::serve;
+
+/// An answer that nobody asked for.
+const STRAY: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray";
+
+/// How long the receiving side of a half-closed connection stays open.
+const HALF_OPEN: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// What the server says of a request that ran.
+pub(crate) fn describe(settings: &Settings, request: &Request, bytes: u64) -> Value {
+    let headers = request.iter().flat_map(|(name, values)| {
+        let pair = move |v: &http_types::headers::HeaderValue| json!([name.as_str(), v.as_str()]);
+        values.iter().map(pair)
+    });
+    json!({
+        "id": settings.id,
+        "service": settings.service,
+        "version": settings.version,
+        "method": request.method().to_string(),
+        "path": request.url().path(),
+        "query": request.url().query(),
+        "bytes": bytes,
+        "headers": headers.collect::<Vec<_>>(),
+    })
+}
+
+/// Refuses a request that has not run.
+pub(crate) fn shed(status: StatusCode, reason: &str) -> http_types::Result<Response> {
+    let mut response = serve::answer(status, &json!({ "error": reason, "ran": false }))?;
+    response.insert_header("retry-after", "1");
+    response.insert_header("x-standin-ran", "no");
+    Ok(response)
+}
+
+/// Sends an answer by hand, cut as planned, and ends the connection.
+pub(crate) async fn cut(
+    mut stream: TcpStream,
+    plan: Plan,
+    body: &Value,
+) -> http_types::Result<Response> {
+    let text = body.to_string();
+    let size = text.len();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {size}\r\n\r\n"
+    );
+    let (first, rest) = text.as_bytes().split_at(size / 2);
+    if plan.cut != Cut::Before {
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(first).await?;
+        stream.flush().await?;
+    }
+    match plan.cut {
+        Cut::Late => {
+            async_std::task::sleep(plan.late).await;
+            stream.write_all(rest).await?;
+        }
+        Cut::Stray => {
+            stream.write_all(rest).await?;
+            async_std::task::sleep(plan.late).await;
+            stream.write_all(STRAY).await?;
+        }
+        Cut::HalfClose => {
+            stream.shutdown(Shutdown::Write)?;
+            async_std::task::sleep(HALF_OPEN).await;
+        }
+        Cut::No | Cut::Before | Cut::Within => {}
+    }
+    Err(serve::refused(StatusCode::BadGateway, "the answer is cut"))
+}
--- /dev/null
+++ b/crates/standins/src/backend/front.rs
@@ -0,0 +1,105 @@
+//! HTTP for a backend server stand-in.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use async_std::net::TcpStream;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+
+use crate::backend::duty;
+use crate::backend::duty::Answer;
+use crate::backend::duty::Event;
+use crate::backend::runner::Runner;
+use crate::backend::runner::State;
+use crate::backend::settings::Settings;
+use crate::backend::work::Server;
+use crate::duty::Ring;
+use crate::serve;
+
+/// Runs a backend server stand-in until the process ends.
+///
+/// Texts in `secrets` count as a caller's key wherever a request holds one.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound or the history file can't be opened.
+pub async fn run(settings: Settings, secrets: Vec<String>) -> io::Result<()> {
+    let listen = settings.listen;
+    let runner = Runner::new(duty::wall_clock(), settings.clone())?;
+    let (ring, calls) = Ring::open();
+    crate::duty::spawn("runner", move || duty::run(runner, calls));
+    let server = Rc::new(Server {
+        settings,
+        runner: ring,
+        next: Cell::new(1),
+        secrets,
+    });
+    serve::run(listen, move |request, stream| {
+        handle(server.clone(), request, stream)
+    })
+    .await
+}
+
+async fn handle(
+    server: Rc<Server>,
+    mut request: Request,
+    stream: TcpStream,
+) -> http_types::Result<Response> {
+    let event = match event(&mut request).await {
+        Ok(Some(event)) => event,
+        Ok(None) => return server.execute(request, stream).await,
+        Err(error) => {
+            let remedy = error.to_string();
+            return serve::answer(error.status(), &json!({ "error": remedy }));
+        }
+    };
+    match server.runner.ask(event).await {
+        Some(answer) => encode(answer),
+        None => silence(&stream).await,
+    }
+}
+
+async fn event(request: &mut Request) -> http_types::Result<Option<Event>> {
+    let path = request.url().path().to_owned();
+    Ok(Some(match (request.method(), path.as_str()) {
+        (Method::Get, "/health") => Event::Health,
+        (Method::Get, "/load") => Event::Load,
+        (Method::Get, "/standin/history") => Event::History,
+        (Method::Put, "/standin/faults") => Event::SetFaults(serve::json(request).await?),
+        (Method::Put, "/standin/drain") => Event::Drain(true),
+        (Method::Delete, "/standin/drain") => Event::Drain(false),
+        (_, other) if other.starts_with("/standin/") => {
+            return Err(serve::refused(StatusCode::NotFound, "no such control"));
+        }
+        _ => return Ok(None),
+    }))
+}
+
+fn encode(answer: Answer) -> http_types::Result<Response> {
+    match answer {
+        Answer::Health(state) => {
+            let status = match state {
+                State::Cold | State::Live => StatusCode::Ok,
+                State::Draining => StatusCode::ServiceUnavailable,
+            };
+            serve::answer(status, &json!({ "state": state }))
+        }
+        Answer::Load(load) => serve::answer(StatusCode::Ok, &load),
+        Answer::History(records) => serve::answer(StatusCode::Ok, &records),
+        Answer::Run(_) | Answer::Shed | Answer::Done => serve::answer(StatusCode::Ok, &json!({})),
+    }
+}
+
+// Says nothing until the caller leaves.
+async fn silence(stream: &TcpStream) -> http_types::Result<Response> {
+    crate::backend::stream::gone(stream).await;
+    Err(serve::refused(
+        StatusCode::RequestTimeout,
+        "the caller left",
+    ))
+}
--- /dev/null
+++ b/crates/standins/src/backend/settings.rs
@@ -0,0 +1,53 @@
+//! What a backend server stand-in is told at its start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The settings of one backend server stand-in.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its identity.
+    pub id: String,
+    /// The service it runs.
+    pub service: String,
+    /// The version it runs.
+    pub version: String,
+    /// Its region.
+    pub region: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Requests that wait for a slot before it sheds load.
+    pub queue: u32,
+    /// The seed of its random choices.
+    pub seed: u64,
+    /// The mean time to run a request once warm.
+    pub service_time: Duration,
+    /// The time from the start until it is warm.
+    pub cold_start: Duration,
+    /// A file that receives each record of its history, and outlives a crash.
+    pub history: Option<PathBuf>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            id: "backend-1".into(),
+            service: "finder".into(),
+            version: "v1".into(),
+            region: "north".into(),
+            domain: "north-a".into(),
+            slots: 4,
+            queue: 32,
+            seed: 1,
+            service_time: Duration::from_millis(2),
+            cold_start: Duration::ZERO,
+            history: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/harness/process.rs
@@ -0,0 +1,259 @@
+//! Child processes that end with the test.
+
+use std::collections::VecDeque;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use snafu::ResultExt;
+
+use crate::harness::error::Error;
+use crate::harness::error::SystemSnafu;
+use crate::harness::wait;
+
+/// Lines of output kept for each process.
+const KEPT_LINES: usize = 50_000;
+
+/// The longest wait for the `ready` line.
+const START: Duration = Duration::from_secs(20);
+
+/// A child process; dropping it ends the process.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    ready: String,
+    lines: Lines,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lines(Arc<Mutex<VecDeque<String>>>);
+
+impl Process {
+    /// Starts a program of this workspace and waits for its `ready` line.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program is not built, ends or stays silent.
+    pub fn start(name: &str, args: &[&str]) -> Result<Self, Error> {
+        let mut process = Self::spawn(name, args)?;
+        // A process that ends without the line is reported like a silent one.
+        drop(wait::until("the ready line", START, || process.look()));
+        if process.ready.is_empty() {
+            let name = name.to_owned();
+            let output = process.lines().join("\n");
+            return Err(Error::NotReady { name, output });
+        }
+        Ok(process)
+    }
+
+    /// Starts a program of this workspace and waits for nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program is not built or can't be started.
+    pub fn spawn(name: &str, args: &[&str]) -> Result<Self, Error> {
+        let path = find(name)?;
+        let mut command = Command::new(path);
+        command.args(args);
+        command.stdin(Stdio::null());
+        command.stdout(Stdio::piped());
+        command.stderr(Stdio::piped());
+        let mut child = command.spawn().context(SystemSnafu { what: name })?;
+        let lines = Lines::default();
+        let (out, err) = (child.stdout.take(), child.stderr.take());
+        let process = Self {
+            name: name.into(),
+            child,
+            ready: String::new(),
+            lines: lines.clone(),
+        };
+        out.into_iter().try_for_each(|o| lines.collect(o))?;
+        err.into_iter().try_for_each(|e| lines.collect(e))?;
+        Ok(process)
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// The program.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The `ready` line.
+    pub fn ready(&self) -> &str {
+        &self.ready
+    }
+
+    /// A field of the `ready` line.
+    pub fn field(&self, field: &str) -> Option<&str> {
+        let pairs = self.ready.split_whitespace();
+        pairs
+            .filter_map(|p| p.split_once('='))
+            .find(|(n, _)| *n == field)
+            .map(|(_, v)| v)
+    }
+
+    /// An address of the `ready` line.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the line has no such field or it is no address.
+    pub fn addr(&self, field: &str) -> Result<SocketAddr, Error> {
+        let addr = self.field(field).and_then(|v| v.parse().ok());
+        addr.ok_or_else(|| Error::Field {
+            field: field.to_owned(),
+            line: self.ready.clone(),
+        })
+    }
+
+    /// What the process has printed so far, at most the last 50,000 lines.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().iter().cloned().collect()
+    }
+
+    /// Ends the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn kill(&mut self) -> Result<(), Error> {
+        let what = &self.name;
+        self.child.kill().context(SystemSnafu { what })?;
+        self.child.wait().context(SystemSnafu { what })?;
+        Ok(())
+    }
+
+    /// Stops the process from running until it is thawed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn freeze(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGSTOP)
+    }
+
+    /// Lets a frozen process run on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn thaw(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGCONT)
+    }
+
+    /// Asks the process to stop (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn terminate(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGTERM)
+    }
+
+    /// The exit status, if the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>, Error> {
+        let what = &self.name;
+        self.child.try_wait().context(SystemSnafu { what })
+    }
+
+    /// Waits until the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the deadline passes first.
+    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, Error> {
+        let what = format!("end of {}", self.name);
+        wait::until(&what, limit, || self.ended().transpose())?
+    }
+
+    fn signal(&mut self, signal: libc::c_int) -> Result<(), Error> {
+        // The id of a process that was waited for may belong to another one.
+        if self.ended()?.is_some() {
+            return Ok(());
+        }
+        let id = self.child.id() as libc::pid_t;
+        #[expect(
+            unsafe_code,
+            reason = "the standard library sends no signal but SIGKILL"
+        )]
+        // SAFETY: kill takes two integers and touches no memory of this process.
+        let status = unsafe { libc::kill(id, signal) };
+        if status == 0 {
+            return Ok(());
+        }
+        let what = format!("signal {signal} to {}", self.name);
+        Err(std::io::Error::last_os_error()).context(SystemSnafu { what })
+    }
+
+    // Takes the ready line; `None` while there is none and the process runs.
+    fn look(&mut self) -> Option<()> {
+        let ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        let lines = self.lines.lock();
+        if let Some(line) = lines.iter().find(|l| l.starts_with("ready ")) {
+            self.ready.clone_from(line);
+            return Some(());
+        }
+        ended.then_some(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Err(error) = self.kill() {
+            log::warn!("event=child-left name={} error={error:?}", self.name);
+        }
+    }
+}
+
+impl Lines {
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    // Keeps the lines of a stream on a thread of its own.
+    fn collect(&self, stream: impl Read + Send + 'static) -> Result<(), Error> {
+        let lines = self.clone();
+        let thread = std::thread::Builder::new().name("output".into());
+        let spawned = thread.spawn(move || {
+            for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                lines.push(line);
+            }
+        });
+        spawned.map(drop).context(SystemSnafu { what: "thread" })
+    }
+
+    fn push(&self, line: String) {
+        let mut lines = self.lock();
+        lines.push_back(line);
+        if lines.len() > KEPT_LINES {
+            lines.pop_front();
+        }
+    }
+}
+
+// Programs are in the build folder of this program or in its `examples`.
+fn find(name: &str) -> Result<PathBuf, Error> {
+    let here = std::env::current_exe().context(SystemSnafu { what: name })?;
+    let places = here.ancestors().skip(1).take(3);
+    let paths = places.flat_map(|d| [d.join(name), d.join("examples").join(name)]);
+    let found = paths.into_iter().find(|p| p.is_file());
+    found.ok_or_else(|| Error::Program { name: name.into() })
+}
--- /dev/null
+++ b/crates/standins/src/platform/calls.rs
@@ -0,0 +1,51 @@
+//! Counts of calls, as the platform bills them.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The count of calls of one method on one kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// The method: `get`, `put`, `delete`, `list`, `watch` or `instances`.
+    pub method: Arc<str>,
+    /// The kind of object; the list of kinds for a watch.
+    pub kind: Arc<str>,
+    /// Calls since the start.
+    pub calls: u64,
+}
+
+/// All counts, sorted by method and kind.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Calls {
+    /// The counts.
+    pub counts: Vec<Count>,
+    /// Watches that wait now.
+    pub waiting: usize,
+}
+
+impl Calls {
+    /// Counts one call.
+    pub fn add(&mut self, method: &str, kind: &str) {
+        let key = |c: &Count| (&*c.method, &*c.kind).cmp(&(method, kind));
+        match self.counts.binary_search_by(key) {
+            Ok(at) => self.counts[at].calls += 1,
+            Err(at) => self.counts.insert(at, first(method, kind)),
+        }
+    }
+
+    /// Calls of one method over all kinds.
+    pub fn of(&self, method: &str) -> u64 {
+        let same = self.counts.iter().filter(|c| &*c.method == method);
+        same.map(|c| c.calls).sum()
+    }
+}
+
+fn first(method: &str, kind: &str) -> Count {
+    Count {
+        method: method.into(),
+        kind: kind.into(),
+        calls: 1,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/front.rs
@@ -0,0 +1,164 @@
+//! HTTP for the platform stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+
+use crate::duty::Ring;
+use crate::platform::duty;
+use crate::platform::duty::Answer;
+use crate::platform::objects::Object;
+use crate::platform::operation::Condition;
+use crate::platform::operation::Control;
+use crate::platform::operation::Operation;
+use crate::platform::operation::Reply;
+use crate::platform::operation::Watch;
+use crate::serve;
+
+/// Runs the platform stand-in until the process ends.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub async fn run(listen: SocketAddr) -> io::Result<()> {
+    let store = duty::start();
+    serve::run(listen, move |request, stream| {
+        handle(store.clone(), request, stream)
+    })
+    .await
+}
+
+async fn handle(
+    store: Ring<Operation, Answer>,
+    mut request: Request,
+    _stream: TcpStream,
+) -> http_types::Result<Response> {
+    let operation = match decode(&mut request).await {
+        Ok(operation) => operation,
+        Err(error) => {
+            let remedy = error.to_string();
+            return serve::answer(error.status(), &json!({ "error": remedy }));
+        }
+    };
+    let Some((reply, delay)) = store.ask(operation).await else {
+        return Err(serve::refused(StatusCode::ServiceUnavailable, "call again"));
+    };
+    if !delay.is_zero() {
+        async_std::task::sleep(delay).await;
+    }
+    encode(reply)
+}
+
+async fn decode(request: &mut Request) -> http_types::Result<Operation> {
+    let path = request.url().path().to_owned();
+    let parts = path.trim_matches('/').split('/').collect::<Vec<_>>();
+    let condition = condition(request)?;
+    match (request.method(), parts.as_slice()) {
+        (Method::Get, ["objects", kind, name]) => {
+            Ok(Operation::Get((*kind).into(), (*name).into()))
+        }
+        (Method::Put, ["objects", kind, name]) => {
+            let value = serve::json(request).await?;
+            let (kind, name) = ((*kind).into(), (*name).into());
+            Ok(Operation::Put(kind, name, condition, Arc::new(value)))
+        }
+        (Method::Delete, ["objects", kind, name]) => {
+            let (kind, name) = ((*kind).into(), (*name).into());
+            Ok(Operation::Delete(kind, name, condition))
+        }
+        (Method::Get, ["objects", kind]) => Ok(Operation::List((*kind).into())),
+        (Method::Get, ["watch"]) => watch(request).map(Operation::Watch),
+        (Method::Get, ["instances"]) => Ok(Operation::Instances),
+        (method, ["standin", rest @ ..]) => {
+            let control = control(method, rest, request).await?;
+            Ok(Operation::Control(control))
+        }
+        _ => Err(serve::refused(StatusCode::NotFound, "see the protocol")),
+    }
+}
+
+async fn control(
+    method: Method,
+    path: &[&str],
+    request: &mut Request,
+) -> http_types::Result<Control> {
+    Ok(match (method, path) {
+        (Method::Put, ["entries", _]) => Control::PutEntry(serve::json(request).await?),
+        (Method::Put, ["backends", _]) => Control::PutBackend(serve::json(request).await?),
+        (Method::Delete, ["entries", id]) => Control::DropEntry((*id).into()),
+        (Method::Delete, ["backends", id]) => Control::DropBackend((*id).into()),
+        (Method::Put, ["faults"]) => Control::SetFaults(serve::json(request).await?),
+        (Method::Get, ["calls"]) => Control::Calls,
+        (Method::Get, ["dump"]) => Control::Dump,
+        _ => return Err(serve::refused(StatusCode::NotFound, "no such control")),
+    })
+}
+
+fn condition(request: &Request) -> http_types::Result<Option<Condition>> {
+    if let Some(value) = request.header("if-match") {
+        let digits = value.as_str().trim().trim_matches('"');
+        let bad = |_| serve::refused(StatusCode::BadRequest, "give If-Match a quoted version");
+        return Ok(Some(Condition::Version(digits.parse().map_err(bad)?)));
+    }
+    let absent = request.header("if-none-match");
+    Ok(absent.and_then(|v| (v.as_str().trim() == "*").then_some(Condition::Absent)))
+}
+
+fn watch(request: &Request) -> http_types::Result<Watch> {
+    let mut watch = Watch {
+        kinds: Vec::new(),
+        since: 0,
+        wait: Duration::ZERO,
+    };
+    for (name, value) in request.url().query_pairs() {
+        let number = || {
+            let bad = |_| serve::refused(StatusCode::BadRequest, "give a number");
+            value.parse::<u64>().map_err(bad)
+        };
+        match &*name {
+            "kinds" => watch.kinds = value.split(',').map(Arc::from).collect(),
+            "since" => watch.since = number()?,
+            "wait_ms" => watch.wait = Duration::from_millis(number()?),
+            _ => return Err(serve::refused(StatusCode::BadRequest, "unknown parameter")),
+        }
+    }
+    Ok(watch)
+}
+
+fn encode(reply: Reply) -> http_types::Result<Response> {
+    match reply {
+        Reply::Object(object) => tagged(&object),
+        Reply::Missing => serve::answer(StatusCode::NotFound, &json!(null)),
+        Reply::Written(version) => serve::answer(StatusCode::Ok, &json!({ "version": version })),
+        Reply::Conflict(object) => serve::answer(StatusCode::PreconditionFailed, &object),
+        Reply::Unconditional => {
+            let remedy = json!({ "error": "send If-Match or If-None-Match" });
+            serve::answer(StatusCode::PreconditionRequired, &remedy)
+        }
+        Reply::Objects(revision, objects) => {
+            let body = json!({ "revision": revision, "objects": objects });
+            serve::answer(StatusCode::Ok, &body)
+        }
+        Reply::Gone => {
+            let remedy = json!({ "error": "list the objects and watch from there" });
+            serve::answer(StatusCode::Gone, &remedy)
+        }
+        Reply::Instances(list) => serve::answer(StatusCode::Ok, &list),
+        Reply::Calls(calls) => serve::answer(StatusCode::Ok, &calls),
+        Reply::Done => serve::answer(StatusCode::Ok, &json!({})),
+    }
+}
+
+fn tagged(object: &Object) -> http_types::Result<Response> {
+    let mut response = serve::answer(StatusCode::Ok, object)?;
+    response.insert_header("etag", format!("\"{}\"", object.version));
+    Ok(response)
+}
