limits: shares of a limit that are lent between homes of an epoch

Cause: rate and burst hold for all instances together, and there is nothing that all instances can ask in the time of one request. Ruled out: rate divided by instances (wrongful refusals as soon as callers crowd on one instance); transfers for good (a crashed holder loses its share until somebody proves what it held, for each of 5,000 accounts). Change: a membership epoch gives floors to at most 16 homes of each limit; homes lend what they can spare for a term within their own lease.

--- /dev/null
+++ b/crates/limits/src/entry.rs
@@ -0,0 +1,365 @@
+//! One limit as one instance holds it: a bucket, loans taken and loans given.
+
+use std::time::Duration;
+
+use corianderway_model::InstanceId;
+use corianderway_model::Time;
+
+use crate::bucket::Amount;
+use crate::bucket::Bucket;
+use crate::bucket::Tokens;
+use crate::bucket::Verdict;
+use crate::group::Group;
+use crate::group::Use;
+use crate::limit::Limit;
+use crate::loan::Book;
+use crate::loan::Demand;
+use crate::loan::Loan;
+use crate::loan::Open;
+use crate::message::Ask;
+use crate::message::Grant;
+use crate::message::Release;
+use crate::parts::Parts;
+use crate::ranking::Ranking;
+
+/// Shares are wanted for this many times the demand seen, over two.
+const MARGIN_HALVES: u64 = 3;
+/// Requests that a wanted share holds at least in its bucket.
+const LEAST_BURST: u64 = 2;
+const NEVER: Time = Time::from_nanos(u64::MAX);
+
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) limit: Limit,
+    key: u64,
+    amount: Amount,
+    bucket: Bucket,
+    // The epoch and the generation of the floors that the share was set from.
+    number: u64,
+    generation: u64,
+    floor: Parts,
+    book: Book,
+    loans: Vec<Loan>,
+    // When the first loan held ends.
+    next: Time,
+    demand: Demand,
+    // The largest request of late.
+    cost: u64,
+    hungry: bool,
+    width: usize,
+    homes: Vec<InstanceId>,
+    ranked: u64,
+    pub(crate) active: bool,
+}
+
+/// What an entry asks of its homes, or gives back to them.
+#[derive(Debug)]
+pub(crate) enum Plea {
+    Ask(InstanceId, Ask),
+    Release(InstanceId, Release),
+}
+
+impl Entry {
+    pub(crate) fn new(now: Time, limit: Limit, amount: Amount) -> Self {
+        Self {
+            key: limit.hash(),
+            limit,
+            amount,
+            bucket: Bucket::new(now),
+            number: 0,
+            generation: 0,
+            floor: Parts::NONE,
+            book: Book::default(),
+            loans: vec![],
+            next: NEVER,
+            demand: Demand::default(),
+            cost: Tokens::ONE.get(),
+            hungry: false,
+            width: 0,
+            homes: vec![],
+            ranked: 0,
+            active: false,
+        }
+    }
+
+    pub(crate) fn set_amount(&mut self, now: Time, amount: Amount) {
+        if amount != self.amount {
+            self.amount = amount;
+            self.bucket.set(now, self.bucket.share(), amount);
+        }
+    }
+
+    pub(crate) fn share(&self) -> Parts {
+        self.bucket.share()
+    }
+
+    pub(crate) fn lent(&self) -> Parts {
+        self.book.lent()
+    }
+
+    pub(crate) fn tokens(&self) -> Tokens {
+        self.bucket.tokens()
+    }
+
+    /// Brings the share up to date; allocation free.
+    pub(crate) fn refresh(&mut self, now: Time, group: &Group) {
+        if self.generation != group.generation() {
+            self.set_floor(now, group);
+        }
+        if now >= self.next {
+            self.set_share(now);
+        }
+    }
+
+    // Tokens of an epoch that was not followed by the current one are void:
+    // its share may have been in other hands since.
+    fn set_floor(&mut self, now: Time, group: &Group) {
+        let followed = match group.number() - self.number {
+            0 => true,
+            1 => group.previous().is_some(),
+            _ => false,
+        };
+        if !followed {
+            self.bucket.empty(now);
+        }
+        self.floor = floor(self.key, group);
+        (self.number, self.generation) = (group.number(), group.generation());
+        self.set_share(now);
+    }
+
+    fn set_share(&mut self, now: Time) {
+        let held = self.loans.iter().filter(|l| !l.ended(now));
+        self.next = held.clone().map(|l| l.until).min().unwrap_or(NEVER);
+        let borrowed: Parts = held.map(|l| l.parts).sum();
+        let share = self.floor.less(self.book.lent()) + borrowed;
+        self.bucket.set(now, share, self.amount);
+    }
+
+    /// Spends tokens; the caller has refreshed the entry.
+    pub(crate) fn admit(&mut self, now: Time, cost: Tokens, again: bool) -> Verdict {
+        if !again {
+            self.demand.add(cost.get());
+        }
+        self.cost = self.cost.max(cost.get());
+        let verdict = self.bucket.admit(now, cost);
+        self.hungry |= verdict != Verdict::Admitted;
+        verdict
+    }
+
+    // The share that would serve the demand of late.
+    fn want(&mut self, now: Time) -> Parts {
+        let rate = self.demand.rate(now);
+        if rate == 0 {
+            return Parts::NONE;
+        }
+        let rate = Parts::ratio(
+            rate.saturating_mul(MARGIN_HALVES) / 2,
+            self.amount.rate.get(),
+        );
+        let burst = Parts::ratio(
+            self.cost.saturating_mul(LEAST_BURST),
+            self.amount.burst.get(),
+        );
+        rate.max(burst)
+    }
+
+    /// Asks for loans, renews them, or gives them back; false once there is
+    /// nothing to look after.
+    pub(crate) fn plan(
+        &mut self,
+        now: Time,
+        group: &Group,
+        seq: &mut u64,
+        out: &mut Vec<Plea>,
+    ) -> bool {
+        self.refresh(now, group);
+        self.book.expire(now);
+        self.set_share(now);
+        let need = self.want(now).less(self.floor.less(self.book.lent()));
+        if need == Parts::NONE {
+            self.give_back(now, out);
+        } else {
+            self.borrow(now, need, group, seq, out);
+        }
+        self.hungry = false;
+        !self.loans.is_empty() || !self.book.is_empty() || need != Parts::NONE
+    }
+
+    /// Gives all loans back.
+    pub(crate) fn give_back(&mut self, now: Time, out: &mut Vec<Plea>) {
+        for loan in self.loans.drain(..) {
+            let seq = loan.open.map_or(loan.seq, |open| open.seq);
+            let limit = self.limit.clone();
+            out.push(Plea::Release(loan.home, Release { limit, seq }));
+        }
+        self.width = 0;
+        self.set_share(now);
+    }
+
+    fn borrow(
+        &mut self,
+        now: Time,
+        need: Parts,
+        group: &Group,
+        seq: &mut u64,
+        out: &mut Vec<Plea>,
+    ) {
+        self.rank(group);
+        let answer = group.terms.answer;
+        for loan in &mut self.loans {
+            loan.open = loan.open.filter(|open| now.since(open.sent) < answer);
+        }
+        self.loans.retain(|l| l.open.is_some() || !l.ended(now));
+        let held: Parts = self.loans.iter().map(|l| l.parts).sum();
+        let waits = self.loans.iter().any(|l| l.open.is_some());
+        self.widen(need, held, waits);
+        let each = Parts::new(need.get().div_ceil(self.width.max(1) as u64));
+        for at in 0..self.width {
+            self.ask(now, at, each, group.terms.loan, seq, out);
+        }
+    }
+
+    // Asks more homes while fewer give too little.
+    fn widen(&mut self, need: Parts, held: Parts, waits: bool) {
+        let homes = self.homes.len();
+        let part = Parts::WHOLE.get() / homes.max(1) as u64;
+        let least = 1 + (need.get() / part.max(1)) as usize;
+        if self.width < least {
+            self.width = least;
+        } else if held < need && !waits && self.hungry {
+            self.width *= 2;
+        }
+        self.width = self.width.min(homes);
+    }
+
+    fn ask(
+        &mut self,
+        now: Time,
+        at: usize,
+        want: Parts,
+        term: Duration,
+        seq: &mut u64,
+        out: &mut Vec<Plea>,
+    ) {
+        let home = &self.homes[at];
+        let found = self.loans.binary_search_by(|l| l.home.cmp(home));
+        let at = found.unwrap_or_else(|at| {
+            self.loans.insert(at, Loan::new(home.clone()));
+            at
+        });
+        let loan = &mut self.loans[at];
+        let short = self.hungry && loan.parts < want;
+        let late = loan.until < now + term / 2;
+        if loan.open.is_some() || !(short || late) {
+            return;
+        }
+        *seq += 1;
+        loan.open = Some(Open {
+            seq: *seq,
+            sent: now,
+        });
+        let ask = Ask {
+            limit: self.limit.clone(),
+            seq: *seq,
+            have: loan.seq,
+            want,
+        };
+        out.push(Plea::Ask(loan.home.clone(), ask));
+    }
+
+    // Lists the other homes; each instance begins elsewhere in the list.
+    fn rank(&mut self, group: &Group) {
+        if self.ranked == group.number() {
+            return;
+        }
+        let Some(known) = &group.current else { return };
+        self.homes = known.ranking.homes(self.key);
+        let start = Ranking::start(&group.me, self.homes.len());
+        self.homes.rotate_left(start);
+        self.homes.retain(|h| *h != group.me);
+        self.ranked = group.number();
+    }
+
+    /// Lends to an asker what the floor has to spare; `None` for a repeat.
+    pub(crate) fn lend(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        ask: &Ask,
+        group: &Group,
+    ) -> Option<Grant> {
+        self.refresh(now, group);
+        self.book.expire(now);
+        self.set_share(now);
+        if !self.book.note(from, ask) {
+            return None;
+        }
+        let term = group.terms.loan.min(group.until().since(now));
+        let before = self.book.most(from);
+        let parts = self.spare(now, from, ask.want);
+        let tokens = self.bucket.split(parts.less(before));
+        let until = now + term + group.terms.drift;
+        self.book.lend(from, ask.seq, parts, until);
+        self.set_share(now);
+        Some(Grant {
+            limit: ask.limit.clone(),
+            seq: ask.seq,
+            parts,
+            tokens,
+            term,
+        })
+    }
+
+    // Divides the floor by demand when it is short.
+    fn spare(&mut self, now: Time, from: &InstanceId, want: Parts) -> Parts {
+        let own = self.want(now).min(self.floor).get();
+        let total = own.saturating_add(self.book.wanted());
+        let fair = if total > self.floor.get() {
+            self.floor.scale(want.get(), total)
+        } else {
+            want
+        };
+        let others = self.book.lent().less(self.book.most(from));
+        fair.min(self.floor.less(others))
+    }
+
+    /// Takes a loan if it answers the newest ask.
+    pub(crate) fn take(&mut self, now: Time, from: &InstanceId, grant: &Grant, group: &Group) {
+        self.refresh(now, group);
+        let Ok(at) = self.loans.binary_search_by(|l| l.home.cmp(from)) else {
+            return;
+        };
+        let loan = &mut self.loans[at];
+        let Some(open) = loan.open.take_if(|open| open.seq == grant.seq) else {
+            return;
+        };
+        loan.seq = grant.seq;
+        loan.parts = grant.parts;
+        loan.until = open.sent + grant.term;
+        self.set_share(now);
+        self.bucket.add(grant.tokens);
+    }
+
+    pub(crate) fn release(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        release: &Release,
+        group: &Group,
+    ) {
+        self.refresh(now, group);
+        self.book.release(from, release.seq);
+        self.book.expire(now);
+        self.set_share(now);
+    }
+}
+
+fn floor(key: u64, group: &Group) -> Parts {
+    let now = group.current.as_ref().map(|k| k.ranking.floor(key));
+    let then = group.previous().map(|r| r.floor(key));
+    match group.basis() {
+        Use::Nothing => Parts::NONE,
+        Use::Least => now.min(then).unwrap_or_default(),
+        Use::Floor => now.unwrap_or_default(),
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,1 +1,102 @@
-//! Placeholder.
+//! Every limit of a contract as a quota that all instances share.
+//!
+//! A limit is divided into [`Parts`], and each instance admits by a [`Bucket`]
+//! over the parts it holds. The parts that all instances may use never sum to
+//! more than the whole, whatever is lost, late, paused or restarted, so the
+//! total admitted in any span `T` is at most `rate * T + burst`.
+//!
+//! The membership [`Epoch`], one object in the platform, says which members
+//! own which floor of a limit. A member uses its floors while its lease is
+//! fresh: while it has evidence, no older than the lease, that the epoch is
+//! current. What it does not need it lends to instances that ask, for a term
+//! that ends no later than its own lease.
+//!
+//! [`Quota`] takes events and gives back actions. It reads no clock, opens no
+//! socket and draws randomness only from the seed it is given.
+//!
+//! # Example
+//!
+//! ```
+//! use corianderway_limits::Action;
+//! use corianderway_limits::Amount;
+//! use corianderway_limits::Event;
+//! use corianderway_limits::Limit;
+//! use corianderway_limits::Outcome;
+//! use corianderway_limits::Quota;
+//! use corianderway_limits::Terms;
+//! use corianderway_limits::Tokens;
+//! use corianderway_limits::Verdict;
+//! use corianderway_model::Account;
+//! use corianderway_model::InstanceId;
+//! use corianderway_model::Time;
+//!
+//! let me = InstanceId::try_from("entry-1")?;
+//! let limit = Limit::Rate(Account::try_from("finder")?);
+//! let mut quota = Quota::new(me.clone(), Terms::default(), 7);
+//! let mut out = vec![];
+//! quota.step(Time::ZERO, Event::Live(vec![me]), &mut out);
+//! let limits = vec![(limit.clone(), Amount::new(200.0, 400.0))];
+//! quota.step(Time::ZERO, Event::Limits(limits), &mut out);
+//!
+//! // The caller carries out the actions; here the platform holds nothing yet.
+//! for millis in (0..5_000).step_by(50) {
+//!     let now = Time::from_millis(millis);
+//!     quota.step(now, Event::Tick, &mut out);
+//!     for action in std::mem::take(&mut out) {
+//!         let event = match action {
+//!             Action::Read { nonce } => Event::Read { nonce, stored: None },
+//!             Action::Propose { nonce, .. } => {
+//!                 let outcome = Outcome::Written(1);
+//!                 Event::Proposed { nonce, outcome }
+//!             }
+//!             Action::Send(_) => continue,
+//!         };
+//!         quota.step(now, event, &mut out);
+//!     }
+//! }
+//! let verdict = quota.admit(Time::from_millis(5_000), &limit, Tokens::ONE);
+//! assert_eq!(verdict, Verdict::Admitted);
+//! # Ok::<(), corianderway_model::Error>(())
+//! ```
+
+mod bucket;
+mod chart;
+mod entry;
+mod epoch;
+mod event;
+mod group;
+mod lease;
+mod limit;
+mod loan;
+mod message;
+mod parts;
+mod proposal;
+mod quota;
+mod ranking;
+mod terms;
+
+pub use crate::bucket::Amount;
+pub use crate::bucket::Bucket;
+pub use crate::bucket::Tokens;
+pub use crate::bucket::Verdict;
+pub use crate::chart::Standing;
+pub use crate::chart::CHART;
+pub use crate::epoch::Basis;
+pub use crate::epoch::Epoch;
+pub use crate::epoch::HOMES;
+pub use crate::event::Action;
+pub use crate::event::Event;
+pub use crate::event::Outcome;
+pub use crate::limit::Limit;
+pub use crate::message::Ask;
+pub use crate::message::Body;
+pub use crate::message::Grant;
+pub use crate::message::Message;
+pub use crate::message::Query;
+pub use crate::message::Release;
+pub use crate::message::Stored;
+pub use crate::message::Vouch;
+pub use crate::parts::Parts;
+pub use crate::quota::Holding;
+pub use crate::quota::Quota;
+pub use crate::terms::Terms;
--- /dev/null
+++ b/crates/limits/src/loan.rs
@@ -0,0 +1,189 @@
+//! Loans of shares between the homes of a limit and other instances.
+
+use std::time::Duration;
+
+use corianderway_model::InstanceId;
+use corianderway_model::Time;
+
+use crate::message::Ask;
+use crate::parts::Parts;
+
+/// A loan that this instance has from one home, or has asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct Loan {
+    pub(crate) home: InstanceId,
+    // The ask that the loan answered; 0 if none is held.
+    pub(crate) seq: u64,
+    pub(crate) parts: Parts,
+    // Ends by this instance's clock, counted from its ask.
+    pub(crate) until: Time,
+    pub(crate) open: Option<Open>,
+}
+
+/// An ask without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Open {
+    pub(crate) seq: u64,
+    pub(crate) sent: Time,
+}
+
+impl Loan {
+    pub(crate) fn new(home: InstanceId) -> Self {
+        Self {
+            home,
+            seq: 0,
+            parts: Parts::NONE,
+            until: Time::ZERO,
+            open: None,
+        }
+    }
+
+    pub(crate) fn ended(&self, now: Time) -> bool {
+        now >= self.until
+    }
+}
+
+/// What a home has lent to one borrower.
+#[derive(Clone, Debug)]
+pub(crate) struct Debtor {
+    id: InstanceId,
+    // The newest ask; earlier ones are repeats or late.
+    last: u64,
+    want: Parts,
+    // The borrower holds at most one of them.
+    grants: Vec<Lent>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lent {
+    seq: u64,
+    parts: Parts,
+    until: Time,
+}
+
+/// All that a home has lent of one limit.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Book {
+    // Sorted by borrower.
+    debtors: Vec<Debtor>,
+}
+
+impl Book {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.debtors.is_empty()
+    }
+
+    /// The share that borrowers may hold now.
+    pub(crate) fn lent(&self) -> Parts {
+        self.debtors.iter().map(Debtor::most).sum()
+    }
+
+    /// What borrowers wanted in their newest asks.
+    pub(crate) fn wanted(&self) -> u64 {
+        self.debtors.iter().map(|d| d.want.get()).sum()
+    }
+
+    /// Drops loans whose term has passed.
+    pub(crate) fn expire(&mut self, now: Time) {
+        for debtor in &mut self.debtors {
+            debtor.grants.retain(|g| now < g.until);
+        }
+        self.debtors.retain(|d| !d.grants.is_empty());
+    }
+
+    /// Notes an ask; false if it is a repeat or late.
+    pub(crate) fn note(&mut self, from: &InstanceId, ask: &Ask) -> bool {
+        let debtor = self.debtor(from);
+        if ask.seq <= debtor.last {
+            return false;
+        }
+        debtor.last = ask.seq;
+        debtor.want = ask.want;
+        debtor.grants.retain(|g| g.seq >= ask.have);
+        true
+    }
+
+    /// The most that one borrower may hold now.
+    pub(crate) fn most(&self, id: &InstanceId) -> Parts {
+        let at = self.debtors.binary_search_by(|d| d.id.cmp(id));
+        at.map_or(Parts::NONE, |at| self.debtors[at].most())
+    }
+
+    pub(crate) fn lend(&mut self, to: &InstanceId, seq: u64, parts: Parts, until: Time) {
+        let lent = Lent { seq, parts, until };
+        self.debtor(to).grants.push(lent);
+    }
+
+    /// Takes loans back that the borrower no longer holds.
+    pub(crate) fn release(&mut self, from: &InstanceId, seq: u64) {
+        if let Ok(at) = self.debtors.binary_search_by(|d| d.id.cmp(from)) {
+            let debtor = &mut self.debtors[at];
+            debtor.last = debtor.last.max(seq);
+            debtor.want = Parts::NONE;
+            debtor.grants.retain(|g| g.seq > seq);
+        }
+    }
+
+    fn debtor(&mut self, id: &InstanceId) -> &mut Debtor {
+        let at = match self.debtors.binary_search_by(|d| d.id.cmp(id)) {
+            Ok(at) => at,
+            Err(at) => {
+                let debtor = Debtor {
+                    id: id.clone(),
+                    last: 0,
+                    want: Parts::NONE,
+                    grants: vec![],
+                };
+                self.debtors.insert(at, debtor);
+                at
+            }
+        };
+        &mut self.debtors[at]
+    }
+}
+
+impl Debtor {
+    fn most(&self) -> Parts {
+        let most = self.grants.iter().map(|g| g.parts).max();
+        most.unwrap_or_default()
+    }
+}
+
+/// What instances ask of a limit, as a rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Demand {
+    seen: u64,
+    since: Time,
+    rate: u64,
+}
+
+impl Demand {
+    /// The span over which demand is averaged.
+    const WINDOW: Duration = Duration::from_millis(500);
+
+    pub(crate) fn add(&mut self, tokens: u64) {
+        self.seen = self.seen.saturating_add(tokens);
+    }
+
+    /// The tokens a second that were asked for of late.
+    pub(crate) fn rate(&mut self, now: Time) -> u64 {
+        let span = now.since(self.since);
+        let within = span.max(Self::WINDOW).as_nanos();
+        let seen = (u128::from(self.seen) * 1_000_000_000 / within) as u64;
+        let rate = seen.max(self.rate);
+        if span >= Self::WINDOW {
+            let kept = if span < Self::WINDOW * 4 {
+                self.rate / 2
+            } else {
+                0
+            };
+            *self = Self {
+                seen: 0,
+                since: now,
+                rate: seen.max(kept),
+            };
+            return self.rate;
+        }
+        rate
+    }
+}
--- /dev/null
+++ b/crates/limits/src/quota.rs
@@ -0,0 +1,306 @@
+//! The step function for all limits of one instance.
+
+use corianderway_model::InstanceId;
+use corianderway_model::Time;
+
+use crate::bucket::Amount;
+use crate::bucket::Tokens;
+use crate::bucket::Verdict;
+use crate::chart::Standing;
+use crate::entry::Entry;
+use crate::entry::Plea;
+use crate::event::Action;
+use crate::event::Event;
+use crate::group::Group;
+use crate::limit::Limit;
+use crate::message::Ask;
+use crate::message::Body;
+use crate::message::Grant;
+use crate::message::Message;
+use crate::message::Query;
+use crate::message::Release;
+use crate::parts::Parts;
+use crate::proposal::Proposer;
+use crate::terms::Terms;
+
+/// Entries whose floors one tick brings up to date after an epoch changed.
+const SWEEP: usize = 512;
+
+/// All limits as one instance holds them.
+///
+/// One thread owns it. [`Quota::admit`] answers requests; [`Quota::step`]
+/// takes everything else that happens and says what to do.
+#[derive(Debug)]
+pub struct Quota {
+    group: Group,
+    proposer: Proposer,
+    // Sorted by limit.
+    entries: Vec<Entry>,
+    // Indices of entries with demand, loans or borrowers.
+    active: Vec<u32>,
+    // The generation of floors being swept, and how far the sweep is.
+    swept: (u64, usize),
+    seq: u64,
+    // When time alone changes the standing.
+    wake: Time,
+}
+
+/// What one instance holds of one limit, for metrics and checks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// The share it may use now.
+    pub share: Parts,
+    /// The share of its floor that borrowers may use.
+    pub lent: Parts,
+    /// The tokens at hand.
+    pub tokens: Tokens,
+}
+
+impl Quota {
+    /// Makes the limits of one run of an instance; `seed` must differ between
+    /// instances.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the chart file in the source tree is not valid.
+    pub fn new(me: InstanceId, terms: Terms, seed: u64) -> Self {
+        Self {
+            group: Group::new(me, terms, seed),
+            proposer: Proposer::new(),
+            entries: vec![],
+            active: vec![],
+            swept: (0, 0),
+            seq: 0,
+            wake: Time::from_nanos(u64::MAX),
+        }
+    }
+
+    /// Asks whether a request may run; its first refusal leads to asking peers
+    /// for share at the next [`Event::Tick`].
+    ///
+    /// Allocation free. `now` must be read for this call, since a lease ends
+    /// by it.
+    pub fn admit(&mut self, now: Time, limit: &Limit, cost: Tokens) -> Verdict {
+        self.spend(now, limit, cost, false)
+    }
+
+    /// Asks again for a request that was refused and has waited.
+    pub fn retry(&mut self, now: Time, limit: &Limit, cost: Tokens) -> Verdict {
+        self.spend(now, limit, cost, true)
+    }
+
+    fn spend(&mut self, now: Time, limit: &Limit, cost: Tokens, again: bool) -> Verdict {
+        self.turn(now);
+        let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(limit)) else {
+            let retry_after = self.group.terms.answer;
+            return Verdict::Refused { retry_after };
+        };
+        let entry = &mut self.entries[at];
+        entry.refresh(now, &self.group);
+        let verdict = entry.admit(now, cost, again);
+        let Verdict::Refused { retry_after } = verdict else {
+            return verdict;
+        };
+        if !entry.active {
+            entry.active = true;
+            self.active.push(at as u32);
+        }
+        // A loan may come sooner than the bucket fills.
+        let retry_after = retry_after.min(self.group.terms.answer);
+        Verdict::Refused { retry_after }
+    }
+
+    /// Where the floors of this instance stand.
+    pub fn standing(&self) -> Standing {
+        self.group.standing()
+    }
+
+    /// The number of the epoch that this instance knows; 0 if none.
+    pub fn epoch(&self) -> u64 {
+        self.group.number()
+    }
+
+    /// What this instance holds of a limit at a moment.
+    pub fn holding(&mut self, now: Time, limit: &Limit) -> Holding {
+        self.turn(now);
+        let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(limit)) else {
+            return Holding::default();
+        };
+        let entry = &mut self.entries[at];
+        entry.refresh(now, &self.group);
+        Holding {
+            share: entry.share(),
+            lent: entry.lent(),
+            tokens: entry.tokens(),
+        }
+    }
+
+    /// Takes one event and appends what to do.
+    pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.turn(now);
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Limits(limits) => self.set_limits(now, limits),
+            Event::Live(live) => self.proposer.set_live(live),
+            Event::Received(message) => self.receive(now, message, out),
+            Event::Read { nonce, stored } => self.group.has_read(now, nonce, stored),
+            Event::Unread { nonce } => self.group.not_read(now, nonce, out),
+            Event::Proposed { nonce, outcome } => {
+                self.proposer
+                    .proposed(now, nonce, outcome, &mut self.group, out);
+            }
+            Event::Confirmed => self.proposer.confirm(),
+            Event::Stopping => self.stop(now, out),
+        }
+        self.wake = self.group.wake();
+    }
+
+    fn turn(&mut self, now: Time) {
+        if now >= self.wake {
+            self.group.turn(now);
+            self.wake = self.group.wake();
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.group.poll(now, self.proposer.live(), out);
+        self.proposer.tick(now, &mut self.group, out);
+        self.sweep(now);
+        let mut pleas = vec![];
+        let (entries, seq) = (&mut self.entries, &mut self.seq);
+        self.active.retain(|&at| {
+            let entry = &mut entries[at as usize];
+            entry.active = entry.plan(now, &self.group, seq, &mut pleas);
+            entry.active
+        });
+        self.send(pleas, out);
+    }
+
+    // Fills begin when an entry learns of its floor, so each learns it soon.
+    fn sweep(&mut self, now: Time) {
+        if self.swept.0 != self.group.generation() {
+            self.swept = (self.group.generation(), 0);
+        }
+        let end = (self.swept.1 + SWEEP).min(self.entries.len());
+        for entry in &mut self.entries[self.swept.1..end] {
+            entry.refresh(now, &self.group);
+        }
+        self.swept.1 = end;
+    }
+
+    fn set_limits(&mut self, now: Time, mut limits: Vec<(Limit, Amount)>) {
+        limits.sort_by(|a, b| a.0.cmp(&b.0));
+        limits.dedup_by(|a, b| a.0 == b.0);
+        let mut old = std::mem::take(&mut self.entries).into_iter().peekable();
+        for (limit, amount) in limits {
+            while old.next_if(|e| e.limit < limit).is_some() {}
+            let kept = old.next_if(|e| e.limit == limit);
+            let mut entry = kept.unwrap_or_else(|| Entry::new(now, limit, amount));
+            entry.set_amount(now, amount);
+            self.entries.push(entry);
+        }
+        self.swept.1 = 0;
+        self.active.clear();
+        self.active.reserve(self.entries.len());
+        let active = self.entries.iter().enumerate().filter(|(_, e)| e.active);
+        self.active.extend(active.map(|(at, _)| at as u32));
+    }
+
+    fn receive(&mut self, now: Time, message: Message, out: &mut Vec<Action>) {
+        let Message { from, to, body } = message;
+        if to != self.group.me {
+            return;
+        }
+        match body {
+            Body::Query(query) => self.group.answer(now, from, query, out),
+            Body::Vouch(vouch) => self.group.vouched(now, from, vouch),
+            Body::Prepare(query) => self.prepare(from, query, out),
+            Body::Promise(query) => {
+                self.proposer
+                    .promised(now, from, query, &mut self.group, out);
+            }
+            Body::Ask(asks) => self.lend(now, &from, &asks, out),
+            Body::Grant(grants) => {
+                for grant in grants {
+                    let group = &self.group;
+                    if let Some(entry) = find(&mut self.entries, &grant.limit) {
+                        entry.take(now, &from, &grant, group);
+                    }
+                }
+            }
+            Body::Release(releases) => {
+                for release in releases {
+                    let group = &self.group;
+                    if let Some(entry) = find(&mut self.entries, &release.limit) {
+                        entry.release(now, &from, &release, group);
+                    }
+                }
+            }
+        }
+    }
+
+    fn prepare(&mut self, from: InstanceId, query: Query, out: &mut Vec<Action>) {
+        if self.group.promise(query.number) {
+            self.group.send(from, Body::Promise(query), out);
+        }
+    }
+
+    fn lend(&mut self, now: Time, from: &InstanceId, asks: &[Ask], out: &mut Vec<Action>) {
+        let mut grants: Vec<Grant> = vec![];
+        for ask in asks {
+            let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(&ask.limit)) else {
+                continue;
+            };
+            let entry = &mut self.entries[at];
+            grants.extend(entry.lend(now, from, ask, &self.group));
+            if !entry.active {
+                entry.active = true;
+                self.active.push(at as u32);
+            }
+        }
+        if !grants.is_empty() {
+            self.group.send(from.clone(), Body::Grant(grants), out);
+        }
+    }
+
+    fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.group.surrender(now);
+        let mut pleas = vec![];
+        for at in self.active.drain(..) {
+            let entry = &mut self.entries[at as usize];
+            entry.active = false;
+            entry.give_back(now, &mut pleas);
+        }
+        self.send(pleas, out);
+    }
+
+    // Sends one message of each kind to each home.
+    fn send(&self, pleas: Vec<Plea>, out: &mut Vec<Action>) {
+        let mut asks: Vec<(InstanceId, Vec<Ask>)> = vec![];
+        let mut releases: Vec<(InstanceId, Vec<Release>)> = vec![];
+        for plea in pleas {
+            match plea {
+                Plea::Ask(to, ask) => group_by(&mut asks, to, ask),
+                Plea::Release(to, release) => group_by(&mut releases, to, release),
+            }
+        }
+        for (to, list) in asks {
+            self.group.send(to, Body::Ask(list), out);
+        }
+        for (to, list) in releases {
+            self.group.send(to, Body::Release(list), out);
+        }
+    }
+}
+
+fn find<'e>(entries: &'e mut [Entry], limit: &Limit) -> Option<&'e mut Entry> {
+    let at = entries.binary_search_by(|e| e.limit.cmp(limit)).ok()?;
+    entries.get_mut(at)
+}
+
+fn group_by<T>(all: &mut Vec<(InstanceId, Vec<T>)>, to: InstanceId, item: T) {
+    match all.binary_search_by(|(id, _)| id.cmp(&to)) {
+        Ok(at) => all[at].1.push(item),
+        Err(at) => all.insert(at, (to, vec![item])),
+    }
+}
