--- a/crates/standins/src/backend/history.rs
+++ b/crates/standins/src/backend/history.rs
@@ -27,6 +27,7 @@
 
 /// One request that took a slot.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Record {
     /// The backend server.
     pub server: String,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! to them.
 
 pub mod backend;
+pub mod checker;
 pub mod duty;
 pub mod harness;
 pub mod platform;
