The whole path as separate processes: callers, decisions, servers, platform, peers

Cause: nothing carried a request yet; the parts need one path to hang on. Ruled out: letting the HTTP library accept connections by itself, since it loses pipelined bytes, takes an answer without a length for an empty one, and takes a body that was cut for a whole one; handing sockets to the decisions, since another front end could not use them then. Change: the node (one state, one step function, a request chart), the wire package (heads, refusals, credentials, settings, log lines, CBOR messages) and the daemon with a thread for each duty and bounded rings between them. Before: no process. Conclusion: limits, claims, gossip and version moves go in behind the node.

--- /dev/null
+++ b/crates/daemon/src/decide.rs
@@ -0,0 +1,237 @@
+//! The decision duty: owns the node, and carries its actions to the other duties.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use corianderway_model::Backend;
+use corianderway_node::Action;
+use corianderway_node::Event;
+use corianderway_node::Node;
+use corianderway_node::Record;
+use corianderway_node::RequestId;
+use corianderway_node::Wrote;
+use futures_lite::future;
+use futures_lite::future::FutureExt as _;
+
+use crate::clock::Clock;
+use crate::history::History;
+use crate::logs::Log;
+use crate::record;
+use crate::rings::Input;
+use crate::rings::Order;
+use crate::rings::Outputs;
+use crate::rings::Question;
+use crate::rings::Verdict;
+
+/// The time between two ticks of the node.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Everything that the decision duty owns.
+#[derive(Debug)]
+pub struct Decisions {
+    node: Node,
+    clock: Clock,
+    outputs: Outputs,
+    lists: Sender<Vec<Backend>>,
+    samples: Sender<Record>,
+    log: Log,
+    history: History,
+    // The rings of open requests, sorted by number.
+    verdicts: Vec<(RequestId, Sender<Verdict>)>,
+    actions: Vec<Action>,
+}
+
+impl Decisions {
+    /// Puts the duty together.
+    pub fn new(
+        node: Node,
+        clock: Clock,
+        outputs: Outputs,
+        lists: Sender<Vec<Backend>>,
+        samples: Sender<Record>,
+        log: Log,
+    ) -> Self {
+        Self {
+            node,
+            clock,
+            outputs,
+            lists,
+            samples,
+            log,
+            history: History::default(),
+            verdicts: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Decides until `done` is set.
+    pub fn run(mut self, inputs: Receiver<Input>, done: Arc<AtomicBool>) {
+        let mut next = self.clock.now() + TICK;
+        while !done.load(Ordering::Acquire) {
+            let wait = self.clock.until(next);
+            // Looked at before the ring, which may never be empty under load.
+            if wait.is_zero() {
+                self.step(Event::Tick);
+                next = self.clock.now() + TICK;
+            } else if let Some(input) = receive(&inputs, wait) {
+                self.take(input);
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Request(query, ring) => {
+                self.open(query.id, ring);
+                self.step(Event::Request(query));
+            }
+            Input::Directory(id, client, ring) => {
+                self.open(id, ring);
+                let client = client.ip();
+                self.step(Event::Directory { id, client });
+                self.close(id);
+            }
+            Input::Event(event) => self.pass(event),
+            Input::Ask(question, answer) => {
+                // A questioner that left needs no answer.
+                drop(answer.try_send(self.answer(&question)));
+            }
+        }
+    }
+
+    fn pass(&mut self, event: Event) {
+        let ended = match &event {
+            Event::Ended { id, .. } => Some(*id),
+            _ => None,
+        };
+        if let Event::Instances { backends, .. } = &event {
+            // A list that finds the ring full is followed by a later one.
+            drop(self.lists.try_send(backends.clone()));
+        }
+        self.step(event);
+        if let Some(id) = ended {
+            self.close(id);
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.node.step(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry(&mut self, action: Action) {
+        match action {
+            Action::Forward {
+                id,
+                server,
+                deadline,
+                fresh,
+                keep,
+            } => {
+                let verdict = Verdict::Forward {
+                    server,
+                    deadline,
+                    fresh,
+                    keep,
+                };
+                self.tell(id, verdict);
+            }
+            Action::Refuse { id, refusal } => self.tell(id, Verdict::Refuse(refusal)),
+            Action::Replay { id, answer } => self.tell(id, Verdict::Replay(answer)),
+            Action::Direct { id, entries, ttl } => self.tell(id, Verdict::Direct(entries, ttl)),
+            Action::Write { ticket, write } => {
+                let order = Order::Write(ticket, write);
+                if self.outputs.platform.try_send(order).is_err() {
+                    let wrote = Wrote::Unreached;
+                    self.step_nested(Event::Wrote { ticket, wrote });
+                }
+            }
+            Action::Read { ticket, kind, name } => {
+                let order = Order::Read(ticket, kind, name);
+                if self.outputs.platform.try_send(order).is_err() {
+                    let wrote = Wrote::Unknown;
+                    self.step_nested(Event::Wrote { ticket, wrote });
+                }
+            }
+            Action::Send { to, message } => self.send(to, message),
+            Action::Watch(on) => {
+                // A full ring means the platform is out; the next tick repeats it.
+                drop(self.outputs.platform.try_send(Order::Watch(on)));
+            }
+            Action::Log(record) => self.note(record),
+        }
+    }
+
+    // Steps while the actions of another step are carried out.
+    fn step_nested(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.node.step(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.carry(action);
+        }
+    }
+
+    fn send(&mut self, to: std::net::SocketAddr, message: corianderway_node::Message) {
+        if self.outputs.peers.is_full() {
+            // The oldest message gives way.
+            drop(self.outputs.crowded.try_recv());
+        }
+        // The ring has room now, for this duty is its only sender.
+        drop(self.outputs.peers.try_send((to, message)));
+    }
+
+    fn note(&mut self, record: Record) {
+        self.history.note(&record);
+        self.log.put(record::level(&record), record::line(&record));
+        // The metrics duty counts what it records; a full ring loses a sample.
+        drop(self.samples.try_send(record));
+    }
+
+    fn answer(&self, question: &Question) -> String {
+        match question {
+            Question::Ready if self.node.is_ready() => "ready".to_owned(),
+            Question::Ready => "not-ready".to_owned(),
+            Question::Status => {
+                let status = self.node.status();
+                serde_json::to_string(&status).unwrap_or_default()
+            }
+            Question::Explain(trace) => self.history.explain(trace),
+        }
+    }
+
+    fn open(&mut self, id: RequestId, ring: Sender<Verdict>) {
+        let at = self.verdicts.partition_point(|row| row.0 < id);
+        self.verdicts.insert(at, (id, ring));
+    }
+
+    fn close(&mut self, id: RequestId) {
+        if let Ok(at) = self.verdicts.binary_search_by_key(&id, |row| row.0) {
+            self.verdicts.remove(at);
+        }
+    }
+
+    fn tell(&self, id: RequestId, verdict: Verdict) {
+        if let Ok(at) = self.verdicts.binary_search_by_key(&id, |row| row.0) {
+            // A caller that left has closed its ring.
+            drop(self.verdicts[at].1.try_send(verdict));
+        }
+    }
+}
+
+// Waits for an input, or for the time to pass.
+fn receive(inputs: &Receiver<Input>, wait: Duration) -> Option<Input> {
+    let input = async { inputs.recv().await.ok() };
+    let pause = async {
+        async_std::task::sleep(wait).await;
+        None
+    };
+    future::block_on(input.or(pause))
+}
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,267 @@
+//! One request sent to one backend server, and its answer.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_h1::client;
+use async_std::future;
+use async_std::net::TcpStream;
+use corianderway_model::Time;
+use corianderway_node::Outcome;
+use corianderway_wire::answer;
+use corianderway_wire::head;
+use corianderway_wire::head::Framing;
+use futures_lite::future::poll_once;
+use futures_lite::future::FutureExt as _;
+use futures_lite::io;
+use http_types::headers::HeaderValues;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+
+use crate::body;
+use crate::body::Payload;
+use crate::clock::Clock;
+use crate::feed;
+use crate::feed::Feed;
+use crate::pool::Pool;
+
+/// The longest time to make a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// The longest time for an answer's body.
+const BODY_TIME: Duration = Duration::from_mins(10);
+
+/// The header with which a backend server says that it ran nothing.
+const SHED_HEADER: &str = "x-not-run";
+
+/// Headers that hold for one connection only; none is passed on.
+const HOP_HEADERS: [&str; 6] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// One attempt.
+#[derive(Debug)]
+pub struct Job {
+    /// Where the backend server takes requests.
+    pub addr: SocketAddr,
+    /// The request without its body.
+    pub head: Request,
+    /// The body.
+    pub payload: Payload,
+    /// The moment after which nothing may be sent or awaited.
+    pub deadline: Time,
+    /// Whether the connection must be new.
+    pub fresh: bool,
+    /// Where the answer goes; closed when the caller is gone.
+    pub reply: Sender<Result<Response, Failure>>,
+}
+
+/// An attempt without an answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The body, to be sent elsewhere if it was not spent.
+    pub payload: Payload,
+}
+
+/// Runs one job to the end of its answer's body.
+pub async fn run(job: Job, clock: Clock, pool: Rc<RefCell<Pool>>) {
+    let Job {
+        addr,
+        head,
+        mut payload,
+        deadline,
+        fresh,
+        reply,
+    } = job;
+    let stream = match open(addr, fresh, clock, deadline, &pool).await {
+        Ok(stream) => stream,
+        Err(outcome) => {
+            fail(&reply, outcome, payload).await;
+            return;
+        }
+    };
+    let request = prepare(head, &mut payload, clock.until(deadline));
+    // Checked last, so that a process that was paused on the way sends nothing.
+    let Some(request) = request.filter(|_| clock.now() < deadline) else {
+        fail(&reply, Outcome::NotSent, payload).await;
+        return;
+    };
+    let talk = converse(stream.clone(), request);
+    let talk = talk.or(abandoned(&reply));
+    let limited = future::timeout(clock.until(deadline), talk).await;
+    match limited.unwrap_or(Err(Outcome::TimedOut)) {
+        Ok(answer) => deliver(answer, stream, addr, &pool, reply).await,
+        Err(outcome) => fail(&reply, outcome, payload).await,
+    }
+}
+
+struct Answer {
+    response: Response,
+    framing: Framing,
+    reusable: bool,
+}
+
+async fn open(
+    addr: SocketAddr,
+    fresh: bool,
+    clock: Clock,
+    deadline: Time,
+    pool: &RefCell<Pool>,
+) -> Result<TcpStream, Outcome> {
+    if !fresh {
+        while let Some(stream) = take(pool, addr) {
+            if is_silent(&stream).await {
+                return Ok(stream);
+            }
+        }
+    }
+    let limit = CONNECT.min(clock.until(deadline));
+    let connected = future::timeout(limit, TcpStream::connect(addr)).await;
+    let Ok(Ok(stream)) = connected else {
+        return Err(Outcome::Unreachable);
+    };
+    // Small answers would wait for delayed acknowledgements otherwise.
+    stream
+        .set_nodelay(true)
+        .map_err(|_broken| Outcome::Unreachable)?;
+    Ok(stream)
+}
+
+// The borrow ends here, before the caller awaits anything.
+fn take(pool: &RefCell<Pool>, addr: SocketAddr) -> Option<TcpStream> {
+    pool.borrow_mut().take(addr)
+}
+
+// A connection that can be read was closed, or holds bytes that nobody asked for.
+async fn is_silent(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    poll_once(stream.peek(&mut byte)).await.is_none()
+}
+
+fn prepare(mut head: Request, payload: &mut Payload, left: Duration) -> Option<Request> {
+    head.insert_header(answer::DEADLINE, left.as_millis().to_string());
+    head.set_body(payload.take()?);
+    Some(head)
+}
+
+async fn converse(stream: TcpStream, request: Request) -> Result<Answer, Outcome> {
+    let bodiless = request.method() == Method::Head;
+    let send = async {
+        let mut encoder = client::Encoder::new(request);
+        let sent = io::copy(&mut encoder, &mut stream.clone()).await;
+        match sent {
+            // The answer ends the exchange, not the end of the request.
+            Ok(_) => std::future::pending().await,
+            Err(_) => Err(Outcome::Broken),
+        }
+    };
+    read_answer(stream.clone(), bodiless).or(send).await
+}
+
+async fn read_answer(stream: TcpStream, bodiless: bool) -> Result<Answer, Outcome> {
+    let mut carry = Vec::new();
+    let (head, status, framing) = loop {
+        let head = feed::read_head(&stream, &mut carry).await;
+        let head = head.map_err(|_closed| Outcome::Broken)?;
+        let (status, framing) =
+            head::check_answer(&head, bodiless).map_err(|_malformed| Outcome::Broken)?;
+        if status >= 200 {
+            break (head, status, framing);
+        }
+    };
+    let mut response = decode(stream, head, framing, &mut carry).await?;
+    if status == 503 && response.header(SHED_HEADER).is_some() {
+        return Err(Outcome::Shed);
+    }
+    let close = response.header("connection").is_some_and(is_close);
+    let reusable = !close && framing != Framing::Close && carry.is_empty();
+    for name in HOP_HEADERS {
+        response.remove_header(name);
+    }
+    Ok(Answer {
+        response,
+        framing,
+        reusable,
+    })
+}
+
+// The library takes an answer without a length for an empty one, so the body
+// that ends with its connection is read past it.
+async fn decode(
+    stream: TcpStream,
+    head: Vec<u8>,
+    framing: Framing,
+    carry: &mut Vec<u8>,
+) -> Result<Response, Outcome> {
+    let decoded = match framing {
+        Framing::Length(0) => client::decode(io::Cursor::new(head)).await,
+        Framing::Length(_) | Framing::Chunked => {
+            client::decode(Feed::new(stream, head, framing, carry)).await
+        }
+        Framing::Close => {
+            let body = Feed::new(stream, Vec::new(), framing, carry);
+            let decoded = client::decode(io::Cursor::new(head)).await;
+            decoded.map(|mut response| {
+                response.set_body(Body::from_reader(io::BufReader::new(body), None));
+                response
+            })
+        }
+    };
+    decoded.map_err(|_malformed| Outcome::Broken)
+}
+
+fn is_close(values: &HeaderValues) -> bool {
+    values.as_str().eq_ignore_ascii_case("close")
+}
+
+// Gives the answer to the caller's task and moves its body; the connection is
+// kept only when the whole answer was read from it.
+async fn deliver(
+    answer: Answer,
+    stream: TcpStream,
+    addr: SocketAddr,
+    pool: &RefCell<Pool>,
+    reply: Sender<Result<Response, Failure>>,
+) {
+    let mut response = answer.response;
+    if answer.framing == Framing::Length(0) {
+        let taken = reply.send(Ok(response)).await;
+        if taken.is_ok() && answer.reusable {
+            pool.borrow_mut().put(addr, stream);
+        }
+        return;
+    }
+    let body = response.take_body();
+    let (chunks, arriving) = body::ring();
+    response.set_body(Body::from_reader(body::reader(arriving), body.len()));
+    if reply.send(Ok(response)).await.is_err() {
+        return;
+    }
+    let pumped = future::timeout(BODY_TIME, body::pump(body, answer.framing, &chunks)).await;
+    if matches!(pumped, Ok(Ok(()))) && answer.reusable {
+        pool.borrow_mut().put(addr, stream);
+    }
+}
+
+async fn fail(reply: &Sender<Result<Response, Failure>>, outcome: Outcome, payload: Payload) {
+    // A closed ring means that the caller is gone, and nobody waits.
+    let _ = reply.send(Err(Failure { outcome, payload })).await;
+}
+
+// Waits until the caller's task no longer wants the answer.
+async fn abandoned(reply: &Sender<Result<Response, Failure>>) -> Result<Answer, Outcome> {
+    reply.closed().await;
+    Err(Outcome::Broken)
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,70 @@
-//! Placeholder.
+//! The entry daemon: takes requests of callers and steers them to backend servers.
 
-fn main() {}
+mod admin;
+mod args;
+mod body;
+mod callers;
+mod client;
+mod clock;
+mod connection;
+mod daemon;
+mod decide;
+mod duty;
+mod exchange;
+mod feed;
+mod history;
+mod logs;
+mod metrics;
+mod peers;
+mod platform;
+mod pool;
+mod probes;
+mod record;
+mod request;
+mod rings;
+mod servers;
+mod stop;
+mod tee;
+
+use std::process::ExitCode;
+
+use corianderway_wire::settings::Settings;
+
+use crate::args::Corianderwayd;
+
+/// The exit code for wrong arguments or settings.
+const EXIT_USAGE: u8 = 2;
+
+/// The exit code when the daemon can't start.
+const EXIT_START: u8 = 1;
+
+/// Threads of the shared executor. Every duty drives its own tasks; the HTTP
+/// library alone puts one here, to answer `Expect: 100-continue`.
+const EXECUTOR_THREADS: &str = "1";
+
+fn main() -> ExitCode {
+    std::env::set_var("ASYNC_STD_THREAD_COUNT", EXECUTOR_THREADS);
+    let args = Corianderwayd::from_env_or_exit();
+    if args.version {
+        println!("corianderwayd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = args.settings else {
+        eprintln!("error: no settings; give --settings FILE");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match Settings::load(&file.to_string_lossy()) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error, EXIT_USAGE),
+    };
+    if args.check {
+        println!("{}: ok", file.display());
+        return ExitCode::SUCCESS;
+    }
+    daemon::run(&settings).unwrap_or_else(|error| fail(&error, EXIT_START))
+}
+
+fn fail(error: &dyn std::error::Error, code: u8) -> ExitCode {
+    eprintln!("error: {error}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/daemon/src/tee.rs
@@ -0,0 +1,79 @@
+//! A copy of a small body that passes.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+
+use futures_lite::io::BufReader;
+use futures_lite::ready;
+use futures_lite::AsyncBufRead;
+use futures_lite::AsyncRead;
+use http_types::Body;
+
+/// The largest body that is kept, in bytes.
+pub const KEPT_BYTES: usize = 16 * 1024;
+
+/// The bytes of a body that passed, as long as they are few.
+#[derive(Clone, Debug, Default)]
+pub struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Kept {
+    /// The whole body, unless it was too large.
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        (bytes.len() <= KEPT_BYTES).then(|| bytes.clone())
+    }
+
+    fn push(&self, more: &[u8]) {
+        let mut bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        // One byte above the limit marks the body as too large.
+        let room = (KEPT_BYTES + 1).saturating_sub(bytes.len());
+        bytes.extend_from_slice(&more[..more.len().min(room)]);
+    }
+}
+
+/// A body of which a copy is kept, if one is wanted.
+#[derive(Debug)]
+pub struct Tee {
+    body: BufReader<Body>,
+    kept: Option<Kept>,
+}
+
+impl Tee {
+    /// Wraps a body.
+    pub fn new(body: Body, kept: Option<Kept>) -> Self {
+        let body = BufReader::new(body);
+        Self { body, kept }
+    }
+}
+
+impl AsyncRead for Tee {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.body).poll_read(cx, buf))?;
+        if let Some(kept) = &self.kept {
+            kept.push(&buf[..count]);
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncBufRead for Tee {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().body).poll_fill_buf(cx)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        if let Some(kept) = &self.kept {
+            kept.push(&self.body.buffer()[..amt]);
+        }
+        Pin::new(&mut self.body).consume(amt);
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,159 @@
+//! A small fleet of real processes: platform, entry instances, backend servers.
+
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use corianderway_control::KeyRecord;
+use corianderway_control::NONCE_BYTES;
+use corianderway_standins::harness::until;
+use corianderway_standins::harness::Daemon;
+use corianderway_standins::harness::Platform;
+use corianderway_standins::harness::Reply;
+use corianderway_standins::harness::Request;
+use corianderway_standins::harness::Server;
+use serde_json::json;
+use serde_json::Value;
+
+/// The longest wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// The host of the contract in tests.
+pub const HOST: &str = "finder.lakeshore.example";
+
+/// The processes of one test.
+pub struct Fleet {
+    pub platform: Platform,
+    pub servers: Vec<Server>,
+    pub entries: Vec<Daemon>,
+}
+
+impl Fleet {
+    /// Starts a platform with the finder's contract, entry instances and backend servers.
+    pub fn start(entries: usize, servers: usize) -> Self {
+        let mut fleet = Self {
+            platform: Platform::start().unwrap(),
+            servers: Vec::new(),
+            entries: Vec::new(),
+        };
+        let contract = finder(1_000.0, 1_000.0);
+        fleet
+            .platform
+            .create("contracts", "finder", &contract)
+            .unwrap();
+        for at in 0..servers {
+            fleet.add_server(&format!("finder-{at}"), "v1", &[]);
+        }
+        for at in 0..entries {
+            fleet.add_entry(&format!("entry-{at}"));
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
+    /// Starts a backend server and lists it.
+    pub fn add_server(&mut self, id: &str, version: &str, more: &[&str]) {
+        let mut args = vec!["--id", id, "--service", "finder", "--version", version];
+        args.extend(["--region", "north", "--domain", "north-a", "--slots", "8"]);
+        args.extend(more);
+        let server = Server::start(&args).unwrap();
+        self.platform
+            .register_backend(&server.describe().unwrap())
+            .unwrap();
+        self.servers.push(server);
+    }
+
+    /// Starts an entry instance and lists it.
+    pub fn add_entry(&mut self, name: &str) {
+        let bootstrap: Vec<_> = self.entries.iter().map(|e| e.peers).collect();
+        let settings = json!({
+            "instance": name,
+            "region": "north",
+            "domain": "north-a",
+            "callers": "127.0.0.1:0",
+            "peers": "127.0.0.1:0",
+            "metrics": "127.0.0.1:0",
+            "platform": self.platform.addr,
+            "bootstrap": bootstrap,
+        });
+        let file = scratch_file(name, &settings.to_string());
+        let entry = Daemon::start(&file).unwrap();
+        let listed = entry.describe(name, "north", "north-a").unwrap();
+        self.platform.register_entry(&listed).unwrap();
+        self.entries.push(entry);
+    }
+
+    /// Waits until every entry instance is ready.
+    pub fn wait_ready(&self) {
+        for entry in &self.entries {
+            until("ready", PATIENCE, || {
+                admin(entry, "/ready").filter(|r| r.status == 200)
+            })
+            .unwrap();
+        }
+    }
+
+    /// Stores a new key of an account and returns its text.
+    pub fn grant(&self, account: &str) -> (KeyRecord, String) {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let mut nonce = [0; NONCE_BYTES];
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        for (at, byte) in nonce.iter_mut().enumerate() {
+            *byte = (next as usize * 31 + at * 7) as u8;
+        }
+        let account = account.try_into().unwrap();
+        let (record, text) = KeyRecord::generate(account, &nonce, 1_790_000_000);
+        self.platform
+            .create("keys", record.id.as_str(), &record)
+            .unwrap();
+        (record, text.reveal().to_owned())
+    }
+
+    /// Waits until an entry instance answers a request with a status.
+    pub fn wait_status(&self, entry: usize, request: &Request, status: u16) -> Reply {
+        let mut last = None;
+        let answered = until("the status", PATIENCE, || {
+            last = self.entries[entry].call(request).ok();
+            last.clone().filter(|reply| reply.status == status)
+        });
+        answered.unwrap_or_else(|_| panic!("no {status}, last {last:?}"))
+    }
+}
+
+/// Reads an admin page of an entry instance.
+pub fn admin(entry: &Daemon, path: &str) -> Option<Reply> {
+    corianderway_standins::harness::call(entry.metrics, &Request::get(path)).ok()
+}
+
+/// The contract of Lakeshore's finder.
+pub fn finder(rate: f64, burst: f64) -> Value {
+    json!({
+        "account": "finder",
+        "hosts": [HOST],
+        "rate": rate,
+        "burst": burst,
+        "routes": [
+            { "name": "find", "path": "/capsules/", "methods": ["GET"], "service": "finder",
+              "access": "open", "priority": "urgent", "deadline": "2s" },
+            { "name": "dates", "path": "/dates/", "methods": ["GET", "POST"], "service": "finder",
+              "access": "keyed", "priority": "deferrable", "deadline": "5s" },
+            { "name": "transfer", "path": "/transfers/", "methods": ["POST"], "service": "finder",
+              "replay": "once", "priority": "urgent", "deadline": "5s" },
+            { "name": "seal", "path": "/seals/", "methods": ["POST"], "service": "finder",
+              "replay": "deduplicated", "priority": "urgent", "deadline": "5s" },
+        ],
+        "regions": [{ "name": "north", "capacity": 1000.0, "shift": 100.0 }],
+    })
+}
+
+fn scratch_file(name: &str, text: &str) -> PathBuf {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = dir.join(format!("{name}-{}-{next}.yaml", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    file
+}
--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,268 @@
+//! Attempts: a request's way along its chart, from server to server.
+
+use std::sync::Arc;
+
+use corianderway_model::Replay;
+use corianderway_model::Time;
+use corianderway_routing::Decision;
+use corianderway_routing::Failure;
+use corianderway_routing::Outcome as ServerOutcome;
+use corianderway_routing::Query as ServerQuery;
+use corianderway_routing::Refusal as NoServer;
+use corianderway_routing::Retry;
+use rand::Rng as _;
+
+use crate::admission::refuse;
+use crate::chart::Effect;
+use crate::chart::Guard;
+use crate::chart::Signal;
+use crate::chart::State;
+use crate::event::Action;
+use crate::event::Outcome;
+use crate::event::RequestId;
+use crate::node::Node;
+use crate::open::Open;
+use crate::record::Record;
+use crate::refusal::Ran;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+
+impl Node {
+    /// Takes the end of an attempt.
+    pub(crate) fn attempted(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut open) = self.requests.take(id) else {
+            return;
+        };
+        open.outcome = Some(outcome);
+        let signal = match outcome {
+            Outcome::Answered { .. } => Signal::Answered,
+            Outcome::Shed
+            | Outcome::Unreachable
+            | Outcome::NotSent
+            | Outcome::Broken
+            | Outcome::TimedOut => Signal::Failed,
+        };
+        self.advance(now, open, signal, out);
+    }
+
+    /// Takes the end of a request.
+    pub(crate) fn ended(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(open) = self.requests.take(id) {
+            self.advance(now, open, Signal::Ended, out);
+        }
+    }
+
+    /// Moves a request along its chart and keeps it while it is open.
+    pub(crate) fn advance(
+        &mut self,
+        now: Time,
+        mut open: Open,
+        signal: Signal,
+        out: &mut Vec<Action>,
+    ) {
+        let mut signal = Some(signal);
+        while let Some(next) = signal.take() {
+            let chart = self.chart.clone();
+            let step = chart.step(open.state, next, |guard| Self::holds(now, guard, &mut open));
+            open.state = step.to;
+            for effect in step.actions {
+                if let Err(refusal) = self.carry_out(now, *effect, &mut open, out) {
+                    open.refusal = Some(refusal);
+                    signal = Some(Signal::Refused);
+                }
+            }
+        }
+        if open.state != State::Done {
+            self.requests.insert(open);
+        }
+    }
+
+    fn holds(now: Time, guard: Guard, open: &mut Open) -> bool {
+        match guard {
+            Guard::NeedsClaim => open.route.replay == Replay::Once,
+            Guard::MayRetry => Self::may_retry(now, open),
+        }
+    }
+
+    fn may_retry(now: Time, open: &mut Open) -> bool {
+        let Some(failure) = open.outcome.and_then(failure) else {
+            return false;
+        };
+        let retry = open.attempts.fail(failure, || now < open.deadline);
+        let ran = match retry {
+            Retry::Again => return true,
+            Retry::NotRun(_) => Ran::NotRun,
+            Retry::MayHaveRun(_) => Ran::MayHaveRun,
+        };
+        let reason = match open.outcome {
+            Some(Outcome::TimedOut | Outcome::NotSent) => Reason::DeadlinePassed,
+            Some(Outcome::Shed) => Reason::Overloaded,
+            Some(Outcome::Unreachable) => Reason::NoServer,
+            Some(Outcome::Broken | Outcome::Answered { .. }) | None => Reason::ServerBroke,
+        };
+        let retry = None;
+        open.refusal = Some(Refusal { reason, ran, retry });
+        false
+    }
+
+    // An effect that can't be carried out gives the refusal to be told.
+    fn carry_out(
+        &mut self,
+        now: Time,
+        effect: Effect,
+        open: &mut Open,
+        out: &mut Vec<Action>,
+    ) -> Result<(), Refusal> {
+        match effect {
+            Effect::Claim => return Err(Refusal::not_run(Reason::ClaimUnavailable)),
+            Effect::Forward => return self.forward(now, open, out),
+            Effect::Refuse | Effect::GiveUp => tell_refusal(open, out),
+            Effect::CountAnswer | Effect::CountFailure => self.count(now, open, out),
+            Effect::CountDeparture => {
+                if let Some(ticket) = open.ticket.take() {
+                    self.fleet.finish(ticket, ServerOutcome::Cancelled, now);
+                }
+            }
+            Effect::Close | Effect::Release => (),
+        }
+        Ok(())
+    }
+
+    fn forward(
+        &mut self,
+        now: Time,
+        open: &mut Open,
+        out: &mut Vec<Action>,
+    ) -> Result<(), Refusal> {
+        let query = ServerQuery {
+            service: &open.route.service,
+            home: &self.me.region,
+            versions: &[],
+            priority: open.route.priority,
+            remaining: open.deadline.since(now),
+            tried: open.attempts.tried(),
+        };
+        let draw = self.rng.random();
+        let contract = &open.contract;
+        let may_shift = |region: &_| contract.region(region).is_some();
+        let routed = self.router.route(&self.fleet, &query, draw, may_shift);
+        let decision = routed.map_err(|no| refusal(no, open))?;
+        self.send(open, &decision, out);
+        Ok(())
+    }
+
+    fn send(&mut self, open: &mut Open, decision: &Decision, out: &mut Vec<Action>) {
+        let Some(server) = self.fleet.server(decision.server) else {
+            return;
+        };
+        let found = self.backends.binary_search_by(|b| b.id.cmp(server.id()));
+        let Some(backend) = found.ok().map(|at| self.backends[at].clone()) else {
+            return;
+        };
+        out.push(Action::Log(Record::Routed {
+            trace: Arc::clone(&open.query.trace),
+            account: open.contract.account.clone(),
+            route: open.route.name.clone(),
+            attempt: open.attempts.tried().len() + 1,
+            choice: decision.explain(&self.fleet).to_string().into(),
+            region: backend.region.as_str().into(),
+            version: backend.version.as_str().into(),
+        }));
+        open.ticket = Some(self.fleet.begin(decision.server));
+        open.attempts.start(decision.server);
+        out.push(Action::Forward {
+            id: open.query.id,
+            server: backend,
+            deadline: open.deadline,
+            fresh: open.route.replay == Replay::Once,
+            keep: open.route.replay == Replay::Once,
+        });
+    }
+
+    fn count(&mut self, now: Time, open: &mut Open, out: &mut Vec<Action>) {
+        let (Some(ticket), Some(outcome)) = (open.ticket.take(), open.outcome) else {
+            return;
+        };
+        if let Outcome::Answered { status, took } = outcome {
+            out.push(Action::Log(Record::Answered {
+                trace: Arc::clone(&open.query.trace),
+                account: open.contract.account.clone(),
+                route: open.route.name.clone(),
+                status,
+                took,
+            }));
+        }
+        if let Some(name) = failure_name(outcome) {
+            let server = self.fleet.server(ticket.server());
+            out.push(Action::Log(Record::Failed {
+                trace: Arc::clone(&open.query.trace),
+                server: server.map_or("-", |s| s.id().as_str()).into(),
+                outcome: name,
+            }));
+        }
+        self.fleet.finish(ticket, server_outcome(outcome), now);
+    }
+}
+
+fn tell_refusal(open: &Open, out: &mut Vec<Action>) {
+    let Some(refusal) = open.refusal else {
+        return;
+    };
+    out.push(Action::Log(Record::Refused {
+        trace: Arc::clone(&open.query.trace),
+        account: Some(open.contract.account.clone()),
+        route: Some(open.route.name.clone()),
+        reason: refusal.reason,
+        ran: refusal.ran,
+    }));
+    refuse(open.query.id, refusal, out);
+}
+
+fn refusal(no: NoServer, open: &Open) -> Refusal {
+    let reason = match no {
+        NoServer::NoRegion | NoServer::NoServer => Reason::NoServer,
+        NoServer::TooLate => Reason::DeadlinePassed,
+        NoServer::Overloaded => Reason::Overloaded,
+        NoServer::ShiftCapped => Reason::ShiftCapped,
+    };
+    if open.attempts.may_have_run() {
+        Refusal::may_have_run(reason)
+    } else {
+        Refusal::not_run(reason)
+    }
+}
+
+fn failure(outcome: Outcome) -> Option<Failure> {
+    match outcome {
+        Outcome::Answered { .. } => None,
+        Outcome::Shed => Some(Failure::Shed),
+        Outcome::Unreachable | Outcome::NotSent => Some(Failure::NotConnected),
+        Outcome::Broken | Outcome::TimedOut => Some(Failure::Cut),
+    }
+}
+
+fn failure_name(outcome: Outcome) -> Option<&'static str> {
+    match outcome {
+        Outcome::Answered { .. } => None,
+        Outcome::Shed => Some("shed"),
+        Outcome::Unreachable => Some("unreachable"),
+        Outcome::NotSent => Some("not-sent"),
+        Outcome::Broken => Some("broken"),
+        Outcome::TimedOut => Some("timed-out"),
+    }
+}
+
+fn server_outcome(outcome: Outcome) -> ServerOutcome {
+    match outcome {
+        Outcome::Answered { status, took } if status < 500 => ServerOutcome::Answered(took),
+        Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut => ServerOutcome::Failed,
+        Outcome::Shed | Outcome::NotSent => ServerOutcome::Cancelled,
+        Outcome::Unreachable => ServerOutcome::Refused,
+    }
+}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,278 @@
+//! What goes into a node and what comes out of it.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderway_control::Object;
+use corianderway_model::Backend;
+use corianderway_model::Entry;
+use corianderway_model::InstanceId;
+use corianderway_model::ServerId;
+use corianderway_model::Time;
+
+use crate::message::Message;
+use crate::record::Record;
+use crate::refusal::Refusal;
+
+/// The number of a request within one run of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// The number of a platform write within one run of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Text that is never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Arc<str>);
+
+impl Secret {
+    /// Wraps a secret text.
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// The text, for comparing only.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[redacted]")
+    }
+}
+
+/// What a caller asks, without its body.
+#[derive(Clone, Debug)]
+pub struct Query {
+    /// The number given to the request.
+    pub id: RequestId,
+    /// The request id that joins log lines across instances.
+    pub trace: Arc<str>,
+    /// The host asked for, in lower case and without a port.
+    pub host: Arc<str>,
+    /// The method, in upper case.
+    pub method: Arc<str>,
+    /// The path, without the query.
+    pub path: Arc<str>,
+    /// The key presented, if any.
+    pub key: Option<Secret>,
+    /// The caller's idempotency key, if any.
+    pub token: Option<Arc<str>>,
+    /// A digest of method, path, query and body, where the body is known.
+    pub digest: u64,
+    /// The address of the caller.
+    pub client: IpAddr,
+    /// The time that the caller allows.
+    pub patience: Option<Duration>,
+}
+
+/// How one attempt at a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The head of an answer came.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The time from the decision to the head of the answer.
+        took: Duration,
+    },
+    /// The backend server said that it is overloaded and ran nothing.
+    Shed,
+    /// No connection was made, so nothing was sent.
+    Unreachable,
+    /// The local ring was full or the deadline had passed, so nothing was sent.
+    NotSent,
+    /// The connection broke after bytes were sent.
+    Broken,
+    /// The deadline passed after bytes were sent.
+    TimedOut,
+}
+
+/// A conditional write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The kind.
+    pub kind: Arc<str>,
+    /// The name within the kind.
+    pub name: Arc<str>,
+    /// The version to replace; none to create.
+    pub expect: Option<u64>,
+    /// The new value as JSON text; none to delete.
+    pub value: Option<Arc<str>>,
+}
+
+/// What the platform holds under a name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The version.
+    pub version: u64,
+    /// The value as JSON text.
+    pub value: Arc<str>,
+}
+
+/// How a conditional write ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wrote {
+    /// The write took effect with this version.
+    Done(u64),
+    /// Another write came first; the current object, if there is one.
+    Conflict(Option<Held>),
+    /// The platform did not answer; the write may have taken effect.
+    Unknown,
+    /// The platform was not reached; the write took no effect.
+    Unreached,
+}
+
+/// What a backend server's health and load endpoints said.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// The backend server.
+    pub server: ServerId,
+    /// Whether it says that it takes work; none when nothing was heard.
+    pub healthy: Option<bool>,
+    /// Whether it says that it drains.
+    pub draining: bool,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+}
+
+/// Something that happened, for a node to act on.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller asks.
+    Request(Query),
+    /// A caller asks which entry instance to use.
+    Directory {
+        /// The number given to the request.
+        id: RequestId,
+        /// The address of the caller.
+        client: IpAddr,
+    },
+    /// An attempt ended.
+    Attempted {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The answer was delivered whole or cut, or the caller went away.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// Whether the whole answer reached the caller.
+        whole: bool,
+        /// A small answer to remember for a repeated request.
+        answer: Option<Arc<[u8]>>,
+    },
+    /// Objects came from the platform.
+    Objects(Vec<Object>),
+    /// The platform answered or failed to.
+    Platform {
+        /// Whether it answered.
+        up: bool,
+    },
+    /// The platform's instance list.
+    Instances {
+        /// Entry instances.
+        entries: Vec<Entry>,
+        /// Backend servers.
+        backends: Vec<Backend>,
+    },
+    /// A peer's message.
+    Peer {
+        /// The sender.
+        from: InstanceId,
+        /// The message.
+        message: Message,
+    },
+    /// A backend server's report.
+    Reported(Report),
+    /// A write ended.
+    Wrote {
+        /// The write.
+        ticket: Ticket,
+        /// How it ended.
+        wrote: Wrote,
+    },
+    /// Time passed.
+    Tick,
+    /// A planned stop begins.
+    Stop,
+}
+
+/// Something for the process around a node to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a request to a backend server.
+    Forward {
+        /// The request.
+        id: RequestId,
+        /// The backend server.
+        server: Backend,
+        /// The moment after which nothing may be sent or awaited.
+        deadline: Time,
+        /// Whether a connection must be new, so that no broken idle
+        /// connection leaves the outcome open.
+        fresh: bool,
+        /// Whether the answer is wanted back for a repeated request.
+        keep: bool,
+    },
+    /// Answer a request with a refusal.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// The refusal.
+        refusal: Refusal,
+    },
+    /// Answer a request with a remembered answer.
+    Replay {
+        /// The request.
+        id: RequestId,
+        /// The answer kept.
+        answer: Arc<[u8]>,
+    },
+    /// Write to the platform.
+    Write {
+        /// The number of the write.
+        ticket: Ticket,
+        /// The write.
+        write: Write,
+    },
+    /// Read one object, to settle a write whose answer was lost.
+    Read {
+        /// The number of the write.
+        ticket: Ticket,
+        /// The kind.
+        kind: Arc<str>,
+        /// The name within the kind.
+        name: Arc<str>,
+    },
+    /// Tell a caller which entry instances to use.
+    Direct {
+        /// The request.
+        id: RequestId,
+        /// Where to go, the best first.
+        entries: Vec<SocketAddr>,
+        /// How long the advice holds.
+        ttl: Duration,
+    },
+    /// Send a message to a peer.
+    Send {
+        /// Where the peer listens.
+        to: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Watch the platform, or leave that to others.
+    Watch(bool),
+    /// Write a log line.
+    Log(Record),
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,73 @@
-//! Placeholder.
+//! The decisions of one entry instance, put together.
+//!
+//! A [`Node`] is told what happened and when, and answers with what to do. It
+//! opens no socket, reads no clock and knows no encoding, so many nodes can
+//! run in one process under any front end.
+//!
+//! # Example
+//!
+//! ```
+//! use corianderway_model::Entry;
+//! use corianderway_model::Presence;
+//! use corianderway_model::Time;
+//! use corianderway_node::Action;
+//! use corianderway_node::Event;
+//! use corianderway_node::Node;
+//! use corianderway_node::RequestId;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let me = Entry {
+//!     id: "entry-1".try_into()?,
+//!     callers: "127.0.0.1:8001".parse()?,
+//!     peers: "127.0.0.1:9001".parse()?,
+//!     region: "north".try_into()?,
+//!     domain: "north-a".try_into()?,
+//!     presence: Presence::Live,
+//! };
+//! let mut node = Node::new(me, Vec::new(), 7)?;
+//! let mut actions = Vec::new();
+//! let id = RequestId(1);
+//! let client = "127.0.0.1".parse()?;
+//! node.step(Time::ZERO, Event::Directory { id, client }, &mut actions);
+//! let Action::Direct { entries, .. } = &actions[0] else { panic!() };
+//! assert_eq!(entries[0].port(), 8001);
+//! # Ok(())
+//! # }
+//! ```
+
+mod admission;
+mod attempt;
+mod chart;
+mod configuration;
+mod contracts;
+mod directory;
+mod event;
+mod message;
+mod node;
+mod open;
+mod record;
+mod refusal;
+mod status;
+
+pub use crate::chart::REQUEST_CHART;
+pub use crate::event::Action;
+pub use crate::event::Event;
+pub use crate::event::Held;
+pub use crate::event::Outcome;
+pub use crate::event::Query;
+pub use crate::event::Report;
+pub use crate::event::RequestId;
+pub use crate::event::Secret;
+pub use crate::event::Ticket;
+pub use crate::event::Write;
+pub use crate::event::Wrote;
+pub use crate::message::Message;
+pub use crate::node::Error;
+pub use crate::node::Node;
+pub use crate::record::Field;
+pub use crate::record::Record;
+pub use crate::record::Weight;
+pub use crate::refusal::Ran;
+pub use crate::refusal::Reason;
+pub use crate::refusal::Refusal;
+pub use crate::status::Status;
--- /dev/null
+++ b/crates/node/src/open.rs
@@ -0,0 +1,56 @@
+//! The requests that an instance holds open.
+
+use std::sync::Arc;
+
+use corianderway_model::Contract;
+use corianderway_model::Route;
+use corianderway_model::Time;
+use corianderway_routing::Attempts;
+use corianderway_routing::Ticket;
+
+use crate::chart::State;
+use crate::event::Outcome;
+use crate::event::Query;
+use crate::event::RequestId;
+use crate::refusal::Refusal;
+
+/// One open request.
+#[derive(Debug)]
+pub(crate) struct Open {
+    pub(crate) query: Query,
+    pub(crate) contract: Arc<Contract>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) state: State,
+    pub(crate) deadline: Time,
+    pub(crate) attempts: Attempts,
+    /// The attempt that runs, at a backend server.
+    pub(crate) ticket: Option<Ticket>,
+    /// How the last attempt ended.
+    pub(crate) outcome: Option<Outcome>,
+    /// The refusal to be told, once one is decided.
+    pub(crate) refusal: Option<Refusal>,
+}
+
+/// All open requests, by number.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    // Sorted by number; numbers go up, so most insertions are at the end.
+    rows: Vec<(RequestId, Open)>,
+}
+
+impl Table {
+    pub(crate) fn insert(&mut self, open: Open) {
+        let id = open.query.id;
+        let at = self.rows.partition_point(|(known, _)| *known < id);
+        self.rows.insert(at, (id, open));
+    }
+
+    pub(crate) fn take(&mut self, id: RequestId) -> Option<Open> {
+        let at = self.rows.binary_search_by_key(&id, |row| row.0).ok()?;
+        Some(self.rows.remove(at).1)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.rows.len()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/head.rs
@@ -0,0 +1,164 @@
+//! Checks of an HTTP/1.1 request head before the HTTP library sees it.
+//!
+//! The library accepts some heads that two parsers may read differently; every
+//! such head is refused here, so that a request has one meaning on its whole way.
+
+use snafu::ensure;
+use snafu::OptionExt;
+use snafu::Snafu;
+
+/// The longest head, in bytes; the HTTP library's own limit.
+pub const HEAD_BYTES: usize = 8 * 1024 - 1;
+
+/// The most headers in a head; the HTTP library's own limit.
+pub const HEADERS: usize = 128;
+
+/// How the body that follows a head is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length in bytes.
+    Length(u64),
+    /// By chunks.
+    Chunked,
+    /// By the end of the connection; only an answer may.
+    Close,
+}
+
+/// A head that can't be accepted.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+pub enum HeadError {
+    /// The head is no HTTP/1.1 head.
+    #[snafu(display("the head is malformed ({detail}); send an HTTP/1.1 head"))]
+    Malformed {
+        /// What the parser said.
+        detail: &'static str,
+    },
+    /// The head is longer than the limit.
+    #[snafu(display("the head is too large; send at most 8191 bytes and 128 headers"))]
+    TooLarge,
+    /// The body's length is given twice or in two ways.
+    #[snafu(display("the body's length is ambiguous; send one Content-Length or chunks"))]
+    Ambiguous,
+    /// The Host header is missing or repeated.
+    #[snafu(display("the host is ambiguous; send exactly one Host header"))]
+    Host,
+}
+
+impl HeadError {
+    /// The HTTP status of the refusal.
+    pub const fn status(&self) -> u16 {
+        match self {
+            Self::TooLarge => 431,
+            Self::Malformed { .. } | Self::Ambiguous | Self::Host => 400,
+        }
+    }
+}
+
+/// Finds the end of a head: the number of bytes up to and with its empty line.
+///
+/// # Errors
+///
+/// Fails when the limit is reached without an empty line, or a line ends
+/// otherwise than with CR LF.
+pub fn end(bytes: &[u8]) -> Result<Option<usize>, HeadError> {
+    let found = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+    let head = &bytes[..found.map_or(bytes.len(), |at| at + 4)];
+    check_lines(head, found.is_some())?;
+    ensure!(head.len() <= HEAD_BYTES, TooLargeSnafu);
+    Ok(found.map(|at| at + 4))
+}
+
+/// Checks a whole request head and tells how its body is delimited.
+///
+/// # Errors
+///
+/// Fails when the head is malformed, or its length or host is ambiguous.
+pub fn check_request(head: &[u8]) -> Result<Framing, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    request.parse(head).map_err(parse_error)?;
+    let detail = "version is not 1.1";
+    ensure!(request.version == Some(1), MalformedSnafu { detail });
+    let hosts = request.headers.iter().filter(|h| is(h, "host"));
+    ensure!(hosts.count() == 1, HostSnafu);
+    Ok(framing(request.headers)?.unwrap_or(Framing::Length(0)))
+}
+
+/// Checks a whole answer head and tells its status and how its body is delimited.
+///
+/// # Errors
+///
+/// Fails when the head is malformed or its length is ambiguous.
+pub fn check_answer(head: &[u8], bodiless: bool) -> Result<(u16, Framing), HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut answer = httparse::Response::new(&mut headers);
+    answer.parse(head).map_err(parse_error)?;
+    let detail = "no status";
+    let status = answer.code.context(MalformedSnafu { detail })?;
+    if bodiless || matches!(status, 100..=199 | 204 | 304) {
+        return Ok((status, Framing::Length(0)));
+    }
+    let framing = framing(answer.headers)?.unwrap_or(Framing::Close);
+    Ok((status, framing))
+}
+
+fn framing(headers: &[httparse::Header<'_>]) -> Result<Option<Framing>, HeadError> {
+    let mut lengths = headers.iter().filter(|h| is(h, "content-length"));
+    let mut codings = headers.iter().filter(|h| is(h, "transfer-encoding"));
+    let (length, coding) = (lengths.next(), codings.next());
+    let repeated = lengths.next().is_some() || codings.next().is_some();
+    ensure!(
+        !repeated && (length.is_none() || coding.is_none()),
+        AmbiguousSnafu
+    );
+    if let Some(coding) = coding {
+        let chunked = coding.value.eq_ignore_ascii_case(b"chunked");
+        ensure!(chunked, AmbiguousSnafu);
+        return Ok(Some(Framing::Chunked));
+    }
+    length.map(|h| number(h.value)).transpose()
+}
+
+fn number(digits: &[u8]) -> Result<Framing, HeadError> {
+    ensure!(
+        !digits.is_empty() && digits.iter().all(u8::is_ascii_digit),
+        AmbiguousSnafu
+    );
+    let text = std::str::from_utf8(digits).ok().context(AmbiguousSnafu)?;
+    let length = text.parse().ok().context(AmbiguousSnafu)?;
+    Ok(Framing::Length(length))
+}
+
+fn is(header: &httparse::Header<'_>, name: &str) -> bool {
+    header.name.eq_ignore_ascii_case(name)
+}
+
+// A bare CR or LF, a NUL or a folded line may be read as two different heads.
+fn check_lines(head: &[u8], whole: bool) -> Result<(), HeadError> {
+    for (at, byte) in head.iter().enumerate() {
+        let detail = match byte {
+            b'\r' if head.get(at + 1).is_some_and(|b| *b != b'\n') => "bare CR",
+            b'\r' if whole && at + 1 == head.len() => "bare CR",
+            b'\n' if at == 0 || head[at - 1] != b'\r' => "bare LF",
+            b'\n' if matches!(head.get(at + 1), Some(b' ' | b'\t')) => "folded line",
+            0 => "NUL",
+            _ => continue,
+        };
+        return MalformedSnafu { detail }.fail();
+    }
+    Ok(())
+}
+
+fn parse_error(error: httparse::Error) -> HeadError {
+    match error {
+        httparse::Error::TooManyHeaders => HeadError::TooLarge,
+        httparse::Error::HeaderName => malformed("header name"),
+        httparse::Error::HeaderValue => malformed("header value"),
+        httparse::Error::Version => malformed("version"),
+        _ => malformed("request line"),
+    }
+}
+
+fn malformed(detail: &'static str) -> HeadError {
+    HeadError::Malformed { detail }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Encodings: HTTP heads and refusals, stored objects, peer messages, settings and log lines.
+//!
+//! Everything here maps between bytes and the typed messages of
+//! `corianderway-node`; nothing here decides.
+//!
+//! # Example
+//!
+//! ```
+//! use corianderway_wire::head::check_request;
+//! use corianderway_wire::head::Framing;
+//!
+//! let head = b"GET /capsules/17 HTTP/1.1\r\nHost: finder.example\r\n\r\n";
+//! assert_eq!(check_request(head), Ok(Framing::Length(0)));
+//! ```
+
+pub mod answer;
+pub mod credential;
+pub mod head;
+pub mod kept;
+pub mod line;
+pub mod peer;
+pub mod settings;
+pub mod stored;
