--- /dev/null
+++ b/crates/standins/examples/fleet.rs
@@ -0,0 +1,85 @@
+//! Runs a small fleet until Ctrl-C: platform, entry instances and backend servers.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use corianderway_standins::fleet::read_contracts;
+use corianderway_standins::fleet::Error;
+use corianderway_standins::fleet::Fleet;
+use corianderway_standins::fleet::Granted;
+use corianderway_standins::fleet::Options;
+use corianderway_standins::fleet::Topology;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+const FOLDER: &str = "deploy/local";
+
+fn main() -> ExitCode {
+    let flags = xflags::parse_or_exit! {
+        /// The folder with the topology and the contracts; deploy/local by default.
+        optional folder: PathBuf
+        /// The port of the first entry instance; free ports by default.
+        optional --port port: u16
+        /// The log level of the entry instances.
+        optional --level level: String
+    };
+    let folder = flags.folder.unwrap_or_else(|| FOLDER.into());
+    let usual = Options::default();
+    let options = Options {
+        port: flags.port,
+        level: flags.level.unwrap_or(usual.level),
+        ..usual
+    };
+    match run(&folder, options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fleet: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(folder: &Path, options: Options) -> Result<(), Error> {
+    // Registered first, so that a signal during the start ends the fleet as well.
+    let mut signals = Signals::new([SIGINT, SIGTERM]).expect("the signals can be caught");
+    let topology = Topology::read(folder)?;
+    let contracts = read_contracts(folder)?;
+    let mut fleet = Fleet::start(&topology, &contracts, options)?;
+    println!("platform  http://{}", fleet.platform.addr);
+    for node in &fleet.nodes {
+        let (id, region) = (&node.entry.id, &node.entry.region);
+        let (callers, metrics) = (node.daemon.callers, node.daemon.metrics);
+        println!("entry     http://{callers}  id={id} region={region} metrics=http://{metrics}");
+    }
+    for contract in &contracts {
+        let granted = fleet.grant(&contract.account)?;
+        println!("account   {}  key {}", contract.account, granted.text);
+        show(&fleet, contract, &granted);
+    }
+    println!("ready; Ctrl-C ends the fleet");
+    signals.forever().next();
+    fleet.stop()
+}
+
+// One request for each route, to copy into a shell.
+fn show(fleet: &Fleet, contract: &corianderway_model::raw::Contract, granted: &Granted) {
+    let (Some(node), Some(host)) = (fleet.nodes.first(), contract.hosts.first()) else {
+        return;
+    };
+    for route in &contract.routes {
+        let method = route.methods.first().map_or("GET", String::as_str);
+        let addr = node.daemon.callers;
+        let mut line = format!("curl -i -X {method} -H 'Host: {host}'");
+        if route.access == corianderway_model::Access::Keyed {
+            line += " -H 'Authorization: Bearer ";
+            line += &granted.text;
+            line += "'";
+        }
+        if route.replay == corianderway_model::Replay::Once {
+            line += " -H 'Idempotency-Key: t-1'";
+        }
+        println!("  {line} http://{addr}{}17", route.path);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/run.rs
@@ -0,0 +1,240 @@
+//! Starting a fleet and changing it while it runs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderway_model::raw;
+use corianderway_model::Account;
+use corianderway_model::Entry;
+use corianderway_model::Presence;
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::fleet::error::ContractSnafu;
+use crate::fleet::error::Error;
+use crate::fleet::error::YamlSnafu;
+use crate::fleet::folder::Folder;
+use crate::fleet::keys::Granted;
+use crate::fleet::keys::Minter;
+use crate::fleet::topology::Endpoint;
+use crate::fleet::topology::Place;
+use crate::fleet::topology::Service;
+use crate::fleet::topology::Topology;
+use crate::harness;
+use crate::harness::Daemon;
+use crate::harness::Platform;
+use crate::harness::Request;
+use crate::harness::Server;
+
+/// The longest wait until an entry instance serves.
+const READY: Duration = Duration::from_secs(20);
+
+/// The longest wait for a planned stop.
+const STOP: Duration = Duration::from_secs(30);
+
+/// How a fleet is started.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seed of keys and of the backend servers' random choices.
+    pub seed: u64,
+    /// The log level of the entry instances.
+    pub level: String,
+    /// Texts that backend servers report as a caller's key.
+    pub secrets: Vec<String>,
+    /// The port of the first entry instance's callers; free ports when absent.
+    pub port: Option<u16>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            level: "info".into(),
+            secrets: Vec::new(),
+            port: None,
+        }
+    }
+}
+
+/// One entry instance.
+#[derive(Debug)]
+pub struct Node {
+    /// The process.
+    pub daemon: Daemon,
+    /// What the instance list says of it.
+    pub entry: Entry,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The entry instances.
+    pub nodes: Vec<Node>,
+    /// The backend servers.
+    pub servers: Vec<Server>,
+    /// The platform stand-in.
+    pub platform: Platform,
+    options: Options,
+    minter: Minter,
+    folder: Folder,
+}
+
+impl Fleet {
+    /// Starts the platform, the backend servers and the entry instances, and
+    /// returns once every entry instance serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not get ready; those that run are ended.
+    pub fn start(
+        topology: &Topology,
+        contracts: &[raw::Contract],
+        options: Options,
+    ) -> Result<Self, Error> {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            servers: Vec::new(),
+            platform: Platform::start()?,
+            minter: Minter::new(options.seed),
+            options,
+            folder: Folder::new()?,
+        };
+        for contract in contracts {
+            fleet
+                .platform
+                .create("contracts", &contract.account, contract)?;
+        }
+        for (service, endpoint) in topology.endpoints() {
+            fleet.add_server(service, endpoint)?;
+        }
+        for place in &topology.entries {
+            fleet.add_entry(place)?;
+        }
+        fleet.settle()?;
+        Ok(fleet)
+    }
+
+    /// Starts a backend server and puts it on the instance list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not get ready.
+    pub fn add_server(&mut self, service: &Service, endpoint: &Endpoint) -> Result<(), Error> {
+        let seed = self.options.seed + self.servers.len() as u64;
+        let millis = service.service_time.as_secs_f64() * 1000.0;
+        let numbers = [
+            millis.to_string(),
+            seed.to_string(),
+            endpoint.slots.to_string(),
+        ];
+        let mut args = vec!["--id", endpoint.id.as_str()];
+        args.extend(["--service", service.name.as_str()]);
+        args.extend(["--version", service.version.as_str()]);
+        args.extend(["--region", endpoint.region.as_str()]);
+        args.extend(["--domain", endpoint.domain.as_str()]);
+        args.extend(["--service-ms", &numbers[0]]);
+        args.extend(["--seed", &numbers[1]]);
+        args.extend(["--slots", &numbers[2]]);
+        for secret in &self.options.secrets {
+            args.extend(["--secret", secret]);
+        }
+        let history = self.folder.path().join(endpoint.id.as_str());
+        let history = history.to_string_lossy();
+        args.extend(["--history", &history]);
+        let server = Server::start(&args)?;
+        self.platform.register_backend(&server.describe()?)?;
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Starts an entry instance and puts it on the instance list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not get ready.
+    pub fn add_entry(&mut self, place: &Place) -> Result<(), Error> {
+        let text = self.settings(place)?;
+        let path = self.folder.write(&format!("{}.yaml", place.id), &text)?;
+        let daemon = Daemon::start(&path)?;
+        let (region, domain) = (place.region.as_str(), place.domain.as_str());
+        let entry = daemon.describe(&place.id, region, domain)?;
+        self.platform.register_entry(&entry)?;
+        self.nodes.push(Node { daemon, entry });
+        Ok(())
+    }
+
+    /// Grants a key to a client account.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the name can't be used or the platform is out.
+    pub fn grant(&mut self, account: &str) -> Result<Granted, Error> {
+        let account = Account::try_from(account).context(ContractSnafu)?;
+        self.minter.grant(&self.platform, &account)
+    }
+
+    /// Stops an entry instance as planned, and takes it off the instance list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not stop in time.
+    pub fn stop_entry(&mut self, at: usize) -> Result<(), Error> {
+        let mut node = self.nodes.remove(at);
+        node.entry.presence = Presence::Leaving;
+        self.platform.register_entry(&node.entry)?;
+        node.daemon.process.terminate()?;
+        node.daemon.process.wait(STOP)?;
+        self.platform.forget_entry(node.entry.id.as_str())?;
+        Ok(())
+    }
+
+    /// Stops every entry instance as planned, then ends the other processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an entry instance does not stop in time; it is ended all the same.
+    pub fn stop(mut self) -> Result<(), Error> {
+        for node in &mut self.nodes {
+            node.daemon.process.terminate()?;
+        }
+        for node in &mut self.nodes {
+            node.daemon.process.wait(STOP)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every entry instance serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one does not get there in time.
+    pub fn settle(&self) -> Result<(), Error> {
+        for node in &self.nodes {
+            let what = format!("{} serving", node.entry.id);
+            harness::until(&what, READY, || {
+                let reply = harness::call(node.daemon.metrics, &Request::get("/ready"));
+                reply.ok().filter(|r| r.status == 200)
+            })?;
+        }
+        Ok(())
+    }
+
+    fn settings(&self, place: &Place) -> Result<String, Error> {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let number = self.nodes.len() as u16;
+        let callers = self.options.port.map_or(0, |p| p + number);
+        let bootstrap = self.nodes.iter().map(|n| n.daemon.peers);
+        let settings = json!({
+            "instance": place.id,
+            "region": place.region,
+            "domain": place.domain,
+            "callers": local(callers),
+            "peers": local(0),
+            "metrics": local(0),
+            "platform": self.platform.addr,
+            "bootstrap": bootstrap.collect::<Vec<_>>(),
+            "level": self.options.level,
+        });
+        serde_yaml_ng::to_string(&settings).context(YamlSnafu { file: &place.id })
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod checker;
 pub mod duty;
+pub mod fleet;
 pub mod harness;
 pub mod platform;
 pub mod serve;
