--- a/crates/routing/src/error.rs
+++ b/crates/routing/src/error.rs
@@ -11,7 +11,7 @@
 pub(crate) enum Kind {
     #[snafu(display("charts/server.yaml: {source}"))]
     Chart { source: corianderway_chart::Error },
-    #[snafu(display("prefix {text:?} can't be read; write an address, a slash and a length"))]
+    #[snafu(display("prefix {text:?} can't be read; write an address, a slash and a length of at most 32, or 64 for IPv6"))]
     Prefix { text: String },
     #[snafu(display("prefix {text:?} has bits set past its length; clear them"))]
     HostBits { text: String },
@@ -23,6 +23,8 @@
     RepeatedSite { site: String },
     #[snafu(display("the list of sites is empty or longer than 65,535; list at least one"))]
     Sites,
-    #[snafu(display("site {site:?} has weight {weight}; give a number above zero"))]
+    #[snafu(display(
+        "site {site:?} has weight {weight}; give a part to keep of 0 to 1 and a room of at least 0"
+    ))]
     Weight { site: String, weight: f64 },
 }
