control: configuration by gossip, membership and the watch of the platform

Cause: a change must be in force on every instance within seconds, without every instance watching, and without a coordination service. Ruled out: a watch for each instance (1,500 waiting calls); acknowledgements carried by heartbeats of all members (each change would move 1,500 counters through every instance); a member table apart from the gossip of objects (the same comparison of digests would stand twice). Change: Gossip (push to four peers, comparison by root, group, bucket and name, pages for a new instance), Members on the same Gossip with questions and suspicion, Source (list and watch by a chart, with restoring of what the store lost), Confirm (where a change is in force) and Control, which wires them.

--- a/crates/control/src/freshness.rs
+++ b/crates/control/src/freshness.rs
@@ -16,12 +16,19 @@
 use corianderway_model::Time;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::set::Digest;
 
 /// How long an instance trusts the last word of the platform or its peers.
 pub const TRUST: Duration = Duration::from_secs(5);
 
+/// How recent the platform's word must be for failure domains not to be told.
+const LATELY: Duration = Duration::from_millis(2500);
+
+/// How old the platform's word may be before an instance asks by itself.
+const RISK: Duration = Duration::from_secs(4);
+
 /// Whether an instance may decide on keyed requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -48,6 +55,8 @@
 pub struct Word {
     /// The digest of the sender's key records.
     pub keys: Digest,
+    /// The digest of the failure domains that the sender counts.
+    pub counted: Digest,
     /// How long ago the platform answered, if within [`TRUST`].
     pub platform: Option<Age>,
     /// How long ago each failure domain spoke, if within [`TRUST`].
@@ -58,55 +67,65 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Age(pub u16);
 
-/// How long ago a failure domain spoke.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DomainAge {
-    /// The failure domain.
-    pub domain: FailureDomain,
-    /// How long ago.
-    pub age: Age,
+/// A failure domain, by a hash of its name, and how long ago it spoke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainAge(pub DomainHash, pub Age);
+
+/// The hash of a failure domain's name, the same in every process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct DomainHash(pub u16);
+
+impl From<&FailureDomain> for DomainHash {
+    fn from(domain: &FailureDomain) -> Self {
+        Self(xxh3_64(domain.as_str().as_bytes()) as u16)
+    }
 }
 
 /// The word that one instance has.
 #[derive(Clone, Debug)]
 pub struct Freshness {
-    own: FailureDomain,
+    own: DomainHash,
     platform: Option<Time>,
-    // Every known failure domain, sorted, and when it last spoke.
+    // The part of `platform` that peers told.
+    told: Option<Time>,
+    // Every failure domain that is counted, sorted, and when it last spoke.
     domains: Vec<Heard>,
+    counted: Digest,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Heard {
-    domain: FailureDomain,
+    domain: DomainHash,
     at: Option<Time>,
 }
 
 impl Freshness {
     /// Starts without any word.
-    pub fn new(own: FailureDomain) -> Self {
-        let first = Heard {
-            domain: own.clone(),
-            at: None,
-        };
-        Self {
-            own,
+    pub fn new(own: &FailureDomain) -> Self {
+        let mut fresh = Self {
+            own: own.into(),
             platform: None,
-            domains: vec![first],
-        }
+            told: None,
+            domains: Vec::new(),
+            counted: Digest::default(),
+        };
+        fresh.set_domains([]);
+        fresh
     }
 
     /// Sets the failure domains of the fleet; those already known keep their word.
-    pub fn set_domains(&mut self, domains: impl IntoIterator<Item = FailureDomain>) {
-        let mut all = domains.into_iter().collect::<Vec<_>>();
-        all.push(self.own.clone());
+    pub fn set_domains<'d>(&mut self, domains: impl IntoIterator<Item = &'d FailureDomain>) {
+        let hashes = domains.into_iter().map(DomainHash::from);
+        let mut all = hashes.chain([self.own]).collect::<Vec<_>>();
         all.sort();
         all.dedup();
-        let heard = all.into_iter().map(|domain| Heard {
-            at: self.spoke(&domain),
-            domain,
+        let heard = all.iter().map(|domain| Heard {
+            domain: *domain,
+            at: self.spoke(*domain),
         });
         self.domains = heard.collect();
+        let bytes = all.iter().flat_map(|d| d.0.to_le_bytes());
+        self.counted = Digest(xxh3_64(&bytes.collect::<Vec<_>>()));
     }
 
     /// Notes that the platform's whole state, as of `asked` or later, is held.
@@ -120,17 +139,17 @@
     /// word look more recent than it is. Returns whether the digests agree;
     /// nothing is taken if they don't.
     pub fn heard(&mut self, asked: Time, keys: Digest, word: &Word) -> bool {
-        if word.keys != keys {
+        if word.keys != keys || word.counted != self.counted {
             return false;
         }
         if let Some(at) = word.platform.and_then(|age| age.before(asked)) {
+            self.told = self.told.max(Some(at));
             self.platform_answered(at);
         }
-        for heard in &word.domains {
-            let at = heard.age.before(asked);
-            if let Ok(own) = self.find(&heard.domain) {
+        for DomainAge(domain, age) in &word.domains {
+            if let Ok(own) = self.find(*domain) {
                 let known = &mut self.domains[own].at;
-                *known = at.max(*known);
+                *known = age.before(asked).max(*known);
             }
         }
         true
@@ -138,31 +157,36 @@
 
     /// The word to tell a peer.
     ///
+    /// Failure domains are left out while the platform has answered lately:
+    /// they matter only once its word runs out.
+    ///
     /// An instance speaks for its own failure domain only while it is not
     /// isolated, for else it may have missed what the others know.
     pub fn word(&mut self, now: Time, keys: Digest) -> Word {
         self.speak(now);
-        let domains = self.domains.iter().filter_map(|heard| {
-            Some(DomainAge {
-                domain: heard.domain.clone(),
-                age: Age::since(now, heard.at?)?,
-            })
-        });
+        let platform = self.platform.and_then(|at| Age::since(now, at));
+        let told = if self.lately(now) {
+            &[]
+        } else {
+            &*self.domains
+        };
+        let domains = told
+            .iter()
+            .filter_map(|heard| Some(DomainAge(heard.domain, Age::since(now, heard.at?)?)));
         Word {
             keys,
-            platform: self.platform.and_then(|at| Age::since(now, at)),
+            counted: self.counted,
+            platform,
             domains: domains.collect(),
         }
     }
 
     /// Whether keyed requests may be decided on.
     pub fn standing(&self, now: Time) -> Standing {
-        let recent = |at: Option<Time>| at.is_some_and(|at| now.since(at) <= TRUST);
-        if recent(self.platform) {
+        if within(now, self.platform, TRUST) {
             return Standing::Current;
         }
-        let heard = self.domains.iter().filter(|d| recent(d.at)).count();
-        if heard > 1 && heard * 2 > self.domains.len() {
+        if self.most_heard(now) {
             return Standing::PeersOnly;
         }
         Standing::Isolated
@@ -173,21 +197,43 @@
         self.platform.map(|at| now.since(at))
     }
 
+    /// Whether the platform's word is far from running out.
+    pub(crate) fn lately(&self, now: Time) -> bool {
+        within(now, self.platform, LATELY)
+    }
+
+    /// Whether a peer has told recent word of the platform.
+    pub(crate) fn told_lately(&self, now: Time) -> bool {
+        within(now, self.told, LATELY)
+    }
+
+    /// Whether this instance is about to be isolated.
+    pub(crate) fn at_risk(&self, now: Time) -> bool {
+        !within(now, self.platform, RISK) && !self.most_heard(now)
+    }
+
+    // One failure domain is not enough: an instance alone would be a majority.
+    fn most_heard(&self, now: Time) -> bool {
+        let heard = self.domains.iter().filter(|d| within(now, d.at, TRUST));
+        let heard = heard.count();
+        heard > 1 && heard * 2 > self.domains.len()
+    }
+
     fn speak(&mut self, now: Time) {
         if self.standing(now).serves_keyed() {
-            if let Ok(own) = self.find(&self.own) {
+            if let Ok(own) = self.find(self.own) {
                 self.domains[own].at = Some(now);
             }
         }
     }
 
-    fn spoke(&self, domain: &FailureDomain) -> Option<Time> {
+    fn spoke(&self, domain: DomainHash) -> Option<Time> {
         let at = self.find(domain).ok()?;
         self.domains[at].at
     }
 
-    fn find(&self, domain: &FailureDomain) -> Result<usize, usize> {
-        self.domains.binary_search_by(|d| d.domain.cmp(domain))
+    fn find(&self, domain: DomainHash) -> Result<usize, usize> {
+        self.domains.binary_search_by_key(&domain, |d| d.domain)
     }
 }
 
@@ -205,4 +251,8 @@
     }
 }
 
+fn within(now: Time, at: Option<Time>, span: Duration) -> bool {
+    at.is_some_and(|at| now.since(at) <= span)
+}
+
 const NANOS_PER_MILLI: u128 = 1_000_000;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! handed in, and what is to be sent, stored or fetched is handed back as a
 //! list of actions.
 //!
+//! * [`Control`] joins the parts below that an instance runs all the time.
 //! * [`ConfigSet`] holds the objects that operators store in the platform.
 //! * [`KeyTable`] decides whether a presented key is accepted.
 //! * [`Freshness`] says whether a withdrawal can have passed an instance by.
@@ -37,19 +38,37 @@
 //! # Ok::<(), corianderway_model::Error>(())
 //! ```
 
+mod confirm;
+mod control;
 mod freshness;
+mod gossip;
 mod keys;
+mod member;
+mod members;
 mod message;
 mod object;
+mod parents;
+mod questions;
+mod reply;
 mod set;
+mod source;
 mod watchers;
 
+pub use crate::confirm::InForce;
+pub use crate::control::Action;
+pub use crate::control::Control;
+pub use crate::control::Event;
+pub use crate::control::PeerMessage;
 pub use crate::freshness::Age;
 pub use crate::freshness::DomainAge;
+pub use crate::freshness::DomainHash;
 pub use crate::freshness::Freshness;
 pub use crate::freshness::Standing;
 pub use crate::freshness::Word;
 pub use crate::freshness::TRUST;
+pub use crate::gossip::Gossip;
+pub use crate::gossip::GossipAction;
+pub use crate::gossip::GossipEvent;
 pub use crate::keys::Accepted;
 pub use crate::keys::KeyAction;
 pub use crate::keys::KeyEvent;
@@ -60,6 +79,11 @@
 pub use crate::keys::KeyText;
 pub use crate::keys::KEY_CHART;
 pub use crate::keys::NONCE_BYTES;
+pub use crate::member::MemberState;
+pub use crate::member::MEMBER_CHART;
+pub use crate::members::Members;
+pub use crate::members::MembersAction;
+pub use crate::members::MembersEvent;
 pub use crate::message::Message;
 pub use crate::object::Id;
 pub use crate::object::Kind;
@@ -71,5 +95,10 @@
 pub use crate::set::ConfigSet;
 pub use crate::set::Digest;
 pub use crate::set::Outcome;
+pub use crate::source::Source;
+pub use crate::source::SourceAction;
+pub use crate::source::SourceEvent;
+pub use crate::source::WATCH_CHART;
+pub use crate::source::WATCH_WAIT;
 pub use crate::watchers::is_watcher;
 pub use crate::watchers::WATCHERS_PER_REGION;
--- /dev/null
+++ b/crates/control/src/reply.rs
@@ -0,0 +1,176 @@
+//! Answers to peers that depend on the held set alone, each of bounded size.
+
+use corianderway_model::InstanceId;
+
+use crate::gossip::send;
+use crate::gossip::GossipAction;
+use crate::message::Message;
+use crate::object::Id;
+use crate::object::Object;
+use crate::object::Stamp;
+use crate::set::ConfigSet;
+use crate::set::Digest;
+
+/// The largest object that is sent unasked, in bytes.
+const INLINE_BYTES: usize = 2 * 1024;
+
+/// The most that is sent to one peer unasked at a time, in bytes.
+const PUSH_BYTES: usize = 16 * 1024;
+
+/// The size at which a message is closed, in bytes; a larger object goes alone.
+const MESSAGE_BYTES: usize = 64 * 1024;
+
+/// The most that one request is answered with, in bytes; a larger object goes alone.
+const ANSWER_BYTES: usize = 256 * 1024;
+
+/// Groups that are compared at a time.
+const GROUPS_AT_ONCE: usize = 4;
+
+/// Buckets of a group that are compared at a time.
+const BUCKETS_AT_ONCE: usize = 4;
+
+/// Answers a message that asks for something.
+pub(crate) fn answer(
+    set: &ConfigSet,
+    from: InstanceId,
+    message: &Message,
+    out: &mut Vec<GossipAction>,
+) {
+    match message {
+        Message::Want(ids) => send_wanted(set, &from, ids, out),
+        Message::Buckets { group, digests } => send_buckets(set, &from, *group, digests, out),
+        Message::Page { after } => send(out, from, page(set, after.as_ref())),
+        Message::Ask(stamp) => {
+            let in_force = set.rank(&stamp.id) >= Some(stamp.rank);
+            let stamp = stamp.clone();
+            send(out, from, Message::Held { stamp, in_force });
+        }
+        Message::Objects(_)
+        | Message::Offer(_)
+        | Message::Root(_)
+        | Message::Groups(_)
+        | Message::Bucket { .. }
+        | Message::Filled { .. }
+        | Message::Held { .. } => {}
+    }
+}
+
+/// Sends small objects, offers large ones, and leaves what is beyond the
+/// bound to the next comparison.
+pub(crate) fn send_objects<'o>(
+    to: &InstanceId,
+    objects: impl IntoIterator<Item = &'o Object>,
+    out: &mut Vec<GossipAction>,
+) {
+    let mut inline = Vec::new();
+    let mut offers = Vec::new();
+    let mut bytes = 0;
+    for object in objects {
+        let small = object.size() <= INLINE_BYTES;
+        let stamp = object.stamp();
+        bytes += if small { object.size() } else { stamp.size() };
+        if bytes > PUSH_BYTES {
+            break;
+        }
+        if small {
+            inline.push(object.clone());
+        } else {
+            offers.push(stamp);
+        }
+    }
+    if !inline.is_empty() {
+        send(out, to.clone(), Message::Objects(inline));
+    }
+    if !offers.is_empty() {
+        send(out, to.clone(), Message::Offer(offers));
+    }
+}
+
+/// Sends the bucket digests of groups that differ, beginning anywhere so that
+/// each group gets its turn.
+pub(crate) fn differing_groups(
+    set: &ConfigSet,
+    to: InstanceId,
+    theirs: &[Digest],
+    start: u8,
+    out: &mut Vec<GossipAction>,
+) {
+    let ours = set.groups();
+    let order = (0..ours.len()).map(|n| (n + usize::from(start)) % ours.len());
+    let differing = order.filter(|at| theirs.get(*at) != ours.get(*at));
+    for at in differing.take(GROUPS_AT_ONCE) {
+        let digests = set.buckets(at).map_or_else(Vec::new, |b| b.to_vec());
+        let group = at as u8;
+        send(out, to.clone(), Message::Buckets { group, digests });
+    }
+}
+
+/// The stamps of `ours` that `theirs` lacks or has older; both are sorted.
+pub(crate) fn missing<'s>(ours: &'s [Stamp], theirs: &[Stamp]) -> Vec<&'s Stamp> {
+    let newer = |stamp: &&Stamp| {
+        let at = theirs.binary_search_by(|s| s.id.cmp(&stamp.id)).ok();
+        at.is_none_or(|at| theirs[at].rank < stamp.rank)
+    };
+    ours.iter().filter(newer).collect()
+}
+
+fn send_wanted(set: &ConfigSet, to: &InstanceId, ids: &[Id], out: &mut Vec<GossipAction>) {
+    let mut message = Vec::new();
+    let mut bytes = 0;
+    let mut total = 0;
+    for object in ids.iter().filter_map(|id| set.get(id)) {
+        let size = object.size();
+        if total > 0 && total + size > ANSWER_BYTES {
+            break;
+        }
+        if bytes > 0 && bytes + size > MESSAGE_BYTES {
+            let full = std::mem::take(&mut message);
+            send(out, to.clone(), Message::Objects(full));
+            bytes = 0;
+        }
+        message.push(object.clone());
+        bytes += size;
+        total += size;
+    }
+    if !message.is_empty() {
+        send(out, to.clone(), Message::Objects(message));
+    }
+}
+
+fn send_buckets(
+    set: &ConfigSet,
+    to: &InstanceId,
+    group: u8,
+    theirs: &[Digest],
+    out: &mut Vec<GossipAction>,
+) {
+    let Some(ours) = set.buckets(usize::from(group)) else {
+        return;
+    };
+    let differing = (0..ours.len()).filter(|at| theirs.get(*at) != ours.get(*at));
+    for at in differing.take(BUCKETS_AT_ONCE) {
+        let bucket = at as u8;
+        let stamps = set.bucket(group, bucket);
+        let message = Message::Bucket {
+            group,
+            bucket,
+            stamps,
+        };
+        send(out, to.clone(), message);
+    }
+}
+
+fn page(set: &ConfigSet, after: Option<&Id>) -> Message {
+    let rest = set.after(after);
+    let mut objects = Vec::new();
+    let mut bytes = 0;
+    for object in rest {
+        bytes += object.size();
+        if bytes > MESSAGE_BYTES && !objects.is_empty() {
+            break;
+        }
+        objects.push(object.clone());
+    }
+    let more = objects.len() < rest.len();
+    Message::Filled { objects, more }
+}
--- a/crates/control/src/set.rs
+++ b/crates/control/src/set.rs
@@ -1,5 +1,7 @@
 //! The objects that one instance holds, with digests for comparison.
 
+use std::cmp::Ordering;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -46,14 +48,25 @@
 pub struct ConfigSet {
     // Sorted by identity.
     objects: Vec<Object>,
+    // One for each object, in the same order.
+    marks: Vec<Mark>,
     buckets: [[Digest; BUCKETS]; GROUPS],
     keys: Digest,
 }
 
+// What is worked out once for each object.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    rank: Rank,
+    group: u8,
+    bucket: u8,
+}
+
 impl Default for ConfigSet {
     fn default() -> Self {
         Self {
             objects: Vec::new(),
+            marks: Vec::new(),
             buckets: [[Digest::default(); BUCKETS]; GROUPS],
             keys: Digest::default(),
         }
@@ -66,8 +79,10 @@
         match self.find(&object.id) {
             Ok(at) => self.replace(at, object),
             Err(at) => {
-                self.count(&object.stamp(), Digest::add);
+                let mark = Mark::new(&object);
+                self.count(&object.id, mark, Digest::add);
                 self.objects.insert(at, object);
+                self.marks.insert(at, mark);
                 Outcome::Accepted
             }
         }
@@ -80,7 +95,8 @@
 
     /// How recent the held state of an object is.
     pub fn rank(&self, id: &Id) -> Option<Rank> {
-        self.get(id).map(Object::rank)
+        let at = self.find(id).ok()?;
+        Some(self.marks[at].rank)
     }
 
     /// The objects of a kind that are not deleted, by name.
@@ -140,47 +156,67 @@
     }
 
     /// The stamps of the objects in a bucket, sorted.
-    pub fn bucket(&self, group: usize, bucket: usize) -> Vec<Stamp> {
-        let inside = |o: &&Object| place(&o.id) == (group, bucket);
-        self.objects
-            .iter()
-            .filter(inside)
-            .map(Object::stamp)
+    pub fn bucket(&self, group: u8, bucket: u8) -> Vec<Stamp> {
+        let inside = |mark: &Mark| (mark.group, mark.bucket) == (group, bucket);
+        let marked = self.objects.iter().zip(&self.marks);
+        let inside = marked.filter(|(_, mark)| inside(mark));
+        inside
+            .map(|(object, mark)| mark.stamp(&object.id))
             .collect()
     }
 
+    /// Forgets an object, as if it had never been held.
+    pub(crate) fn forget(&mut self, id: &Id) {
+        if let Ok(at) = self.find(id) {
+            let mark = self.marks.remove(at);
+            self.count(id, mark, Digest::sub);
+            self.objects.remove(at);
+        }
+    }
+
     fn find(&self, id: &Id) -> Result<usize, usize> {
         self.objects.binary_search_by(|o| o.id.cmp(id))
     }
 
     fn replace(&mut self, at: usize, object: Object) -> Outcome {
-        let held = self.objects[at].stamp();
-        let stamp = object.stamp();
-        if stamp.rank <= held.rank {
-            return if stamp.rank == held.rank {
-                Outcome::Known
-            } else {
-                Outcome::Stale
-            };
+        let held = self.marks[at];
+        let mark = Mark::new(&object);
+        match mark.rank.cmp(&held.rank) {
+            Ordering::Less => return Outcome::Stale,
+            Ordering::Equal => return Outcome::Known,
+            Ordering::Greater => {}
         }
-        self.count(&held, Digest::sub);
-        self.count(&stamp, Digest::add);
+        self.count(&object.id, held, Digest::sub);
+        self.count(&object.id, mark, Digest::add);
         self.objects[at] = object;
+        self.marks[at] = mark;
         Outcome::Accepted
     }
 
-    fn count(&mut self, stamp: &Stamp, change: fn(&mut Digest, u64)) {
-        let (group, bucket) = place(&stamp.id);
-        let hash = stamp.hash();
-        change(&mut self.buckets[group][bucket], hash);
-        if stamp.id.kind == Kind::Key {
+    fn count(&mut self, id: &Id, mark: Mark, change: fn(&mut Digest, u64)) {
+        let hash = mark.stamp(id).hash();
+        let group = &mut self.buckets[usize::from(mark.group)];
+        change(&mut group[usize::from(mark.bucket)], hash);
+        if id.kind == Kind::Key {
             change(&mut self.keys, hash);
         }
     }
 }
 
-// The group and the bucket of an identity.
-fn place(id: &Id) -> (usize, usize) {
-    let hash = id.hash() as usize;
-    (hash / BUCKETS % GROUPS, hash % BUCKETS)
+impl Mark {
+    fn new(object: &Object) -> Self {
+        let hash = object.id.hash() as usize;
+        Self {
+            rank: object.rank(),
+            group: (hash / BUCKETS % GROUPS) as u8,
+            bucket: (hash % BUCKETS) as u8,
+        }
+    }
+
+    fn stamp(self, id: &Id) -> Stamp {
+        Stamp {
+            id: id.clone(),
+            rank: self.rank,
+        }
+    }
 }
--- a/crates/control/src/watchers.rs
+++ b/crates/control/src/watchers.rs
@@ -18,7 +18,6 @@
     region: &Region,
     members: impl IntoIterator<Item = (&'m InstanceId, &'m Region)>,
 ) -> bool {
-    let weight = |id: &InstanceId| xxh3_64_with_seed(id.as_str().as_bytes(), SEED);
     let mine = (weight(own), own);
     let ahead = members
         .into_iter()
@@ -26,5 +25,10 @@
     ahead.count() < WATCHERS_PER_REGION
 }
 
+/// The rank of an instance among those of its region; the highest watch.
+pub(crate) fn weight(id: &InstanceId) -> u64 {
+    xxh3_64_with_seed(id.as_str().as_bytes(), SEED)
+}
+
 /// Keeps the ranking apart from other uses of the hash.
 const SEED: u64 = 0x7761_7463;
