--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -146,21 +146,28 @@
         verdict
     }
 
-    // The share that would serve the demand of late.
-    fn want(&mut self, now: Time) -> Parts {
+    // The share that serves the demand of late, and one with a margin.
+    fn want(&mut self, now: Time) -> (Parts, Parts) {
         let rate = self.demand.rate(now);
         if rate == 0 {
-            return Parts::NONE;
+            return (Parts::NONE, Parts::NONE);
+        }
+        let share = |rate: u64| Parts::ratio(rate, self.amount.rate.get());
+        let burst = self.cost.saturating_mul(LEAST_BURST);
+        let burst = Parts::ratio(burst, self.amount.burst.get());
+        let ample = rate.saturating_mul(MARGIN_HALVES) / 2;
+        (share(rate).max(burst), share(ample).max(burst))
+    }
+
+    // The share to borrow: none while the own share serves the demand.
+    fn need(&mut self, now: Time) -> Parts {
+        let own = self.floor.less(self.book.lent());
+        let (least, ample) = self.want(now);
+        if least > own || self.hungry {
+            ample.less(own)
+        } else {
+            Parts::NONE
         }
-        let rate = Parts::ratio(
-            rate.saturating_mul(MARGIN_HALVES) / 2,
-            self.amount.rate.get(),
-        );
-        let burst = Parts::ratio(
-            self.cost.saturating_mul(LEAST_BURST),
-            self.amount.burst.get(),
-        );
-        rate.max(burst)
     }
 
     /// Asks for loans, renews them, or gives them back; false once there is
@@ -175,7 +182,7 @@
         self.refresh(now, group);
         self.book.expire(now);
         self.set_share(now);
-        let need = self.want(now).less(self.floor.less(self.book.lent()));
+        let need = self.need(now);
         if need == Parts::NONE {
             self.give_back(now, out);
         } else {
@@ -312,7 +319,7 @@
 
     // Divides the floor by demand when it is short.
     fn spare(&mut self, now: Time, from: &InstanceId, want: Parts) -> Parts {
-        let own = self.want(now).min(self.floor).get();
+        let own = self.want(now).1.min(self.floor).get();
         let total = own.saturating_add(self.book.wanted());
         let fair = if total > self.floor.get() {
             self.floor.scale(want.get(), total)
--- /dev/null
+++ b/crates/limits/tests/local.rs
@@ -0,0 +1,136 @@
+//! What one instance bounds by itself: retries, queues and shifts.
+
+use std::time::Duration;
+
+use corianderway_limits::FairQueue;
+use corianderway_limits::RetryBudget;
+use corianderway_limits::Waiting;
+use corianderway_model::Account;
+use corianderway_model::Priority;
+use corianderway_model::Time;
+use quickcheck::quickcheck;
+
+fn account(name: &str) -> Account {
+    Account::try_from(name).unwrap()
+}
+
+fn waiting<T>(name: &str, weight: f64, priority: Priority, deadline: u64, item: T) -> Waiting<T> {
+    Waiting {
+        account: account(name),
+        weight,
+        priority,
+        deadline: Time::from_millis(deadline),
+        item,
+    }
+}
+
+quickcheck! {
+    fn retries_stay_a_fraction(steps: Vec<(u8, bool)>) -> bool {
+        let mut budget = RetryBudget::new(0.1, 2, Duration::from_secs(1));
+        let (mut now, mut tries, mut retries) = (0, vec![], vec![]);
+        for (gap, retry) in steps {
+            now += u64::from(gap);
+            let time = Time::from_millis(now);
+            if !retry {
+                budget.record(time);
+                tries.push(now);
+            } else if budget.take(time) {
+                retries.push(now);
+            }
+        }
+        // The span is one second in slices of 100 ms.
+        let within = |all: &[u64], end: u64| all.iter().filter(|t| **t <= end && **t + 1000 > end).count();
+        retries.iter().all(|&end| within(&retries, end / 100 * 100) <= 2 + tries.len() / 10)
+            && retries.len() <= (2 + tries.len() / 10) * (1 + now as usize / 900)
+    }
+}
+
+#[test]
+fn retries_follow_first_tries() {
+    let mut budget = RetryBudget::new(0.1, 0, Duration::from_secs(1));
+    (0..100).for_each(|_| budget.record(Time::ZERO));
+    let taken = (0..100)
+        .filter(|_| budget.take(Time::from_millis(500)))
+        .count();
+    assert!((9..=10).contains(&taken));
+    assert!(
+        !budget.take(Time::from_millis(2_000)),
+        "old tries count no more"
+    );
+}
+
+// One account floods; each other account gets its share of the slots.
+#[test]
+fn a_flood_starves_nobody() {
+    let mut queue = FairQueue::new(100);
+    let names = ["finder", "flood", "sealbook", "small"];
+    let mut served = [0; 4];
+    let mut refused = [0; 4];
+    for round in 0..2_000_u64 {
+        for (at, name) in names.iter().enumerate() {
+            let priority = [Priority::Normal, Priority::Urgent][usize::from(at == 1)];
+            for _ in 0..[1, 20, 1, 1][at] {
+                let request = waiting(name, 100.0, priority, round * 10 + 500, at);
+                refused[queue.push(request).unwrap_or(at)] += 1;
+            }
+        }
+        // Four slots a round, four accounts that each offer one or more.
+        let now = Time::from_millis(round * 10);
+        for _ in 0..4 {
+            served[queue.pop(now).unwrap()] += 1;
+        }
+        queue.expire(now, &mut vec![]);
+    }
+    for at in [0, 2, 3] {
+        assert!(served[at] >= 1_990, "{served:?}");
+    }
+}
+
+#[test]
+fn slot_time_is_shared_not_requests() {
+    let mut queue = FairQueue::new(1_000);
+    let mut held = [0, 0];
+    for at in 0..1_000_u64 {
+        let name = ["slow", "quick"][at as usize % 2];
+        queue.push(waiting(
+            name,
+            1.0,
+            Priority::Normal,
+            1_000_000,
+            at as usize % 2,
+        ));
+    }
+    while held[0] + held[1] < 5_000 {
+        let at = queue.pop(Time::ZERO).unwrap();
+        let span = [90, 10][at];
+        queue.finish(&account(["slow", "quick"][at]), Duration::from_millis(span));
+        held[at] += span;
+    }
+    let ratio = held[0] as f64 / held[1] as f64;
+    assert!((0.7..1.4).contains(&ratio), "slot time {held:?}");
+}
+
+#[test]
+fn the_longest_queue_gives_way() {
+    let mut queue = FairQueue::new(4);
+    for item in 0..4 {
+        assert_eq!(
+            queue.push(waiting("flood", 1.0, Priority::Normal, 100 + item, item)),
+            None
+        );
+    }
+    let late = queue.push(waiting("small", 1.0, Priority::Normal, 100, 9));
+    assert_eq!(late, Some(3), "the flood's latest deadline is dropped");
+    assert_eq!(queue.len(), 4);
+}
+
+#[test]
+fn the_late_are_never_run() {
+    let mut queue = FairQueue::new(4);
+    queue.push(waiting("small", 1.0, Priority::Normal, 10, 1));
+    queue.push(waiting("small", 1.0, Priority::Normal, 30, 2));
+    assert_eq!(queue.pop(Time::from_millis(10)), Some(2));
+    let mut out = vec![];
+    queue.expire(Time::from_millis(10), &mut out);
+    assert_eq!((out, queue.is_empty()), (vec![1], true));
+}
