--- a/crates/rollout/src/doubt.rs
+++ b/crates/rollout/src/doubt.rs
@@ -16,10 +16,16 @@
 const MULTIPLES: [f64; 2] = [1.0, 8.0];
 /// The part of the stake on a fault from the start; the rest is spread over the move.
 const AT_ONCE: f64 = 0.5;
-/// The part of the margin that a difference must reach to count at all.
-const EFFECT: f64 = 0.5;
+/// The part of the margin below which a difference does not matter.
+const NEGLIGIBLE: f64 = 0.25;
+/// The probability of finding a negligible difference to matter.
+const LARGE_ERROR: f64 = 0.05;
+/// The least factor that is bet on, where the margin leaves none.
+const LEAST_FACTOR: f64 = 1.01;
 /// The bad requests, and all requests, reckoned with before the first is seen.
 const PRIOR: (f64, f64) = (0.5, 20.0);
+/// Requests of the old version of which its ratio is remembered.
+const MEMORY: u64 = 1000;
 /// The lowest ratio of bad requests that is reckoned with.
 const FLOOR: f64 = 0.002;
 /// Keeps the products finite.
@@ -39,59 +45,65 @@
     pub(crate) bad: u64,
 }
 
-/// The bets on one kind of fault in one scope.
+/// The tests on one kind of fault in one scope.
 #[derive(Clone, Debug)]
 pub(crate) struct Doubt {
     margin: f64,
+    past: Sample,
+    // Against a version that is no worse.
+    any: Bets,
+    // Against a version that is worse by less than half of the margin.
+    large: Bets,
+}
+
+/// Bets against one null hypothesis, started at all times of the move.
+#[derive(Clone, Debug)]
+struct Bets {
     span: Duration,
     sums: [f64; MULTIPLES.len()],
     unused: f64,
     last: Time,
-    past: Sample,
-    // Since the evidence last spoke for the new version.
-    rise: f64,
-    recent: Stratum,
 }
 
 impl Doubt {
     pub(crate) fn new(margin: f64, span: Duration, now: Time) -> Self {
         Self {
             margin,
-            span,
-            sums: [AT_ONCE / MULTIPLES.len() as f64; MULTIPLES.len()],
-            unused: 1.0 - AT_ONCE,
-            last: now,
             past: Sample::default(),
-            rise: 0.0,
-            recent: Stratum::default(),
+            any: Bets::new(span, now),
+            large: Bets::new(span, now),
         }
     }
 
     /// Takes in a stratum. It may depend on earlier outcomes, not on its own.
     pub(crate) fn take(&mut self, now: Time, stratum: Stratum) {
-        self.stake(now);
         let base = self.base();
-        let mut gains = [0.0; MULTIPLES.len()];
-        for (gain, multiple) in gains.iter_mut().zip(MULTIPLES) {
-            let worse = (base + self.margin * multiple).min(1.0).max(base * 1.01);
-            *gain = log_gain(stratum, worse / base);
-        }
-        for (sum, gain) in self.sums.iter_mut().zip(gains) {
-            *sum = (*sum * gain.exp()).min(MOST);
-        }
-        self.follow(stratum, gains);
-        self.past.add(stratum.old);
+        let worse = |multiple: f64| {
+            let ratio = (base + self.margin * multiple).min(1.0);
+            ratio.max(base * LEAST_FACTOR) / base
+        };
+        let factors = MULTIPLES.map(worse);
+        self.any.take(now, stratum, 1.0, factors);
+        self.large.take(now, stratum, worse(NEGLIGIBLE), factors);
+        self.remember(stratum.old);
     }
 
-    /// The log of the e-value.
+    /// The log of the e-value against a version that is no worse.
     pub(crate) fn evidence(&self) -> f64 {
-        (self.sums.iter().sum::<f64>() + self.unused).ln()
+        self.any.evidence()
     }
 
-    /// Whether the difference is large enough to matter.
+    /// Whether the difference is shown to be large enough to matter.
     pub(crate) fn matters(&self) -> bool {
-        let (old, new) = (self.recent.old, self.recent.new);
-        new.ratio() - old.ratio() >= self.margin * EFFECT
+        self.large.evidence() >= -LARGE_ERROR.ln()
+    }
+
+    fn remember(&mut self, old: Sample) {
+        self.past.add(old);
+        if self.past.total > MEMORY {
+            self.past.total /= 2;
+            self.past.bad = self.past.bad.div_ceil(2);
+        }
     }
 
     // From earlier strata only, so that the bets are fixed in advance.
@@ -99,6 +111,29 @@
         let (bad, total) = (self.past.bad as f64, self.past.total as f64);
         ((bad + PRIOR.0) / (total + PRIOR.1)).max(FLOOR)
     }
+}
+
+impl Bets {
+    fn new(span: Duration, now: Time) -> Self {
+        Self {
+            span,
+            sums: [AT_ONCE / MULTIPLES.len() as f64; MULTIPLES.len()],
+            unused: 1.0 - AT_ONCE,
+            last: now,
+        }
+    }
+
+    fn take(&mut self, now: Time, stratum: Stratum, null: f64, factors: [f64; MULTIPLES.len()]) {
+        self.stake(now);
+        for (sum, factor) in self.sums.iter_mut().zip(factors) {
+            let gain = log_gain(stratum, null, factor.max(null));
+            *sum = (*sum * gain.exp()).min(MOST);
+        }
+    }
+
+    fn evidence(&self) -> f64 {
+        (self.sums.iter().sum::<f64>() + self.unused).ln()
+    }
 
     fn stake(&mut self, now: Time) {
         let part = now.since(self.last).as_secs_f64() / self.span.as_secs_f64();
@@ -109,16 +144,6 @@
             *sum += stake / MULTIPLES.len() as f64;
         }
     }
-
-    fn follow(&mut self, stratum: Stratum, gains: [f64; MULTIPLES.len()]) {
-        let mean = gains.iter().map(|g| g.exp()).sum::<f64>() / gains.len() as f64;
-        self.rise = (self.rise + mean.ln()).max(0.0);
-        if self.rise > 0.0 {
-            self.recent.add(stratum);
-        } else {
-            self.recent = Stratum::default();
-        }
-    }
 }
 
 impl Stratum {
@@ -133,22 +158,18 @@
         self.total += other.total;
         self.bad += other.bad;
     }
-
-    fn ratio(self) -> f64 {
-        self.bad as f64 / (self.total.max(1)) as f64
-    }
 }
 
 // The log likelihood ratio of how the bad requests fell, for a new version
-// that fails `factor` times as often as the old one against one as good.
-fn log_gain(stratum: Stratum, factor: f64) -> f64 {
+// that fails `factor` times as often as the old one against `null` times.
+fn log_gain(stratum: Stratum, null: f64, factor: f64) -> f64 {
     let (old, new) = (stratum.old.total as f64, stratum.new.total as f64);
     if old == 0.0 || new == 0.0 {
         return 0.0;
     }
-    let even = new / (new + old);
-    let tilted = new * factor / (new * factor + old);
-    let to_new = stratum.new.bad as f64 * (tilted / even).ln();
-    let to_old = stratum.old.bad as f64 * ((1.0 - tilted) / (1.0 - even)).ln();
+    let part = |factor: f64| new * factor / (new * factor + old);
+    let (before, after) = (part(null), part(factor));
+    let to_new = stratum.new.bad as f64 * (after / before).ln();
+    let to_old = stratum.old.bad as f64 * ((1.0 - after) / (1.0 - before)).ln();
     to_new + to_old
 }
--- /dev/null
+++ b/crates/rollout/src/drain.rs
@@ -0,0 +1,149 @@
+//! The record of a drain, as the platform keeps it.
+
+use std::fmt;
+use std::sync::Arc;
+
+use corianderway_model::FailureDomain;
+use corianderway_model::Region;
+use corianderway_model::ServerId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::drain_chart::DrainChart;
+use crate::drain_chart::DrainEffect;
+use crate::drain_chart::DrainGuard;
+use crate::drain_chart::DrainState;
+use crate::drain_chart::DrainTrigger;
+
+/// What is drained.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DrainScope {
+    /// One backend server.
+    Server(ServerId),
+    /// All backend servers of a failure domain.
+    Domain(FailureDomain),
+    /// All backend servers of a region.
+    Region(Region),
+}
+
+/// Where a backend server stands in the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The backend server.
+    pub server: ServerId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: Region,
+}
+
+/// A drain: the object `drains/<scope>` of the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// What is drained.
+    pub scope: DrainScope,
+    /// Where the drain stands.
+    pub state: DrainState,
+    /// Whether the scope gets no new work.
+    pub withheld: bool,
+    /// When it was planned, in milliseconds since the Unix epoch.
+    pub started: u64,
+    /// The last change of state, in milliseconds since the Unix epoch.
+    pub changed: u64,
+    /// Who wrote this revision.
+    pub who: Arc<str>,
+    /// How often the record was written.
+    pub revision: u64,
+}
+
+/// What the guards of the drain chart are answered from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DrainStanding {
+    /// Whether the capacity left can carry the load.
+    pub fits: bool,
+    /// Whether no instance has a request in flight there.
+    pub empty: bool,
+}
+
+impl DrainScope {
+    /// The name of the platform's object, one for each scope.
+    pub fn object_name(&self) -> String {
+        self.to_string().replace(' ', "-")
+    }
+
+    /// Whether a backend server lies in the scope.
+    pub fn covers(&self, place: &Place) -> bool {
+        match self {
+            Self::Server(server) => *server == place.server,
+            Self::Domain(domain) => *domain == place.domain,
+            Self::Region(region) => *region == place.region,
+        }
+    }
+}
+
+impl fmt::Display for DrainScope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Server(server) => write!(f, "server {server}"),
+            Self::Domain(domain) => write!(f, "domain {domain}"),
+            Self::Region(region) => write!(f, "region {region}"),
+        }
+    }
+}
+
+impl Drain {
+    /// Plans a drain; `wall` is in milliseconds since the Unix epoch.
+    pub fn new(scope: DrainScope, wall: u64, who: impl Into<Arc<str>>) -> Self {
+        Self {
+            scope,
+            state: DrainState::Planned,
+            withheld: false,
+            started: wall,
+            changed: wall,
+            who: who.into(),
+            revision: 1,
+        }
+    }
+
+    /// Whether the drain has ended.
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, DrainState::Drained | DrainState::Cancelled)
+    }
+
+    /// The next revision after a trigger, if the chart answers it with a change.
+    pub fn advance(
+        &self,
+        chart: &DrainChart,
+        trigger: DrainTrigger,
+        standing: DrainStanding,
+        wall: u64,
+        who: impl Into<Arc<str>>,
+    ) -> Option<Self> {
+        let step = chart.step(self.state, trigger, |guard| match guard {
+            DrainGuard::Fits => standing.fits,
+            DrainGuard::Empty => standing.empty,
+        });
+        if step.to == self.state {
+            return None;
+        }
+        let withheld = step.actions.iter().fold(self.withheld, |_, e| match e {
+            DrainEffect::WithholdWork => true,
+            DrainEffect::AllowWork => false,
+        });
+        Some(Self {
+            scope: self.scope.clone(),
+            state: step.to,
+            withheld,
+            started: self.started,
+            changed: wall.max(self.changed),
+            who: who.into(),
+            revision: self.revision + 1,
+        })
+    }
+
+    /// Whether this drain goes before another one that is planned.
+    pub(crate) fn is_before(&self, other: &Self) -> bool {
+        (self.started, &self.scope) < (other.started, &other.scope)
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -61,7 +61,13 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod capacity;
 mod doubt;
+mod drain;
+mod drain_chart;
+mod drain_event;
+mod drains;
+mod entry;
 mod error;
 mod event;
 mod evidence;
@@ -79,7 +85,23 @@
 mod splitter;
 mod tally;
 mod track;
+mod turns;
 
+pub use crate::capacity::ServerLoad;
+pub use crate::drain::Drain;
+pub use crate::drain::DrainScope;
+pub use crate::drain::DrainStanding;
+pub use crate::drain::Place;
+pub use crate::drain_chart::DrainChart;
+pub use crate::drain_chart::DrainEffect;
+pub use crate::drain_chart::DrainGuard;
+pub use crate::drain_chart::DrainState;
+pub use crate::drain_chart::DrainTrigger;
+pub use crate::drain_chart::DRAIN_CHART;
+pub use crate::drain_event::DrainAction;
+pub use crate::drain_event::DrainEvent;
+pub use crate::drain_event::DrainReport;
+pub use crate::drains::Drains;
 pub use crate::error::Error;
 pub use crate::event::Action;
 pub use crate::event::Decision;
--- a/crates/rollout/src/mover.rs
+++ b/crates/rollout/src/mover.rs
@@ -1,144 +1,47 @@
-//! When an instance advances the record of a move, and how the write is settled.
+//! What the record of a move should become next, by one instance's view.
 
 use std::time::Duration;
 
 use corianderway_model::InstanceId;
-use corianderway_model::Time;
 
 use crate::event::Moment;
 use crate::judge;
 use crate::machine::MoveChart;
 use crate::machine::State;
 use crate::machine::Trigger;
-use crate::rank;
 use crate::record::Author;
 use crate::record::Move;
 use crate::record::Standing;
 use crate::schedule;
 use crate::share::Share;
 use crate::track::Track;
+use crate::turns::Party;
 
 /// How long each instance lets the one before it advance the share.
 const GROW_STAGGER: Duration = Duration::from_secs(2);
 /// How long each instance lets the one before it take a version back.
 const STOP_STAGGER: Duration = Duration::from_millis(300);
-/// The time after which a write or a read without an answer is read back.
-const ANSWER_PATIENCE: Duration = Duration::from_secs(3);
-/// The time before a record is written again after a conflict.
-const REST: Duration = Duration::from_secs(1);
-
-/// What an instance has asked the platform about one record.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Mover {
-    asked: Option<Asked>,
-    // The trigger that is due, and since when.
-    due: Option<(Trigger, Time)>,
-    // Nothing is asked before.
-    idle: Time,
-}
-
-#[derive(Clone, Debug)]
-struct Asked {
-    since: Time,
-    write: Option<Move>,
-}
-
-/// What to ask the platform.
-#[derive(Clone, Debug)]
-pub(crate) enum Ask {
-    /// Replace the record.
-    Write(Trigger, Move),
-    /// Read the record.
-    Read,
-}
-
-impl Mover {
-    /// Decides whether this instance acts now.
-    pub(crate) fn tick(
-        &mut self,
-        chart: &MoveChart,
-        track: &Track,
-        own: &InstanceId,
-        live: &[InstanceId],
-        at: Moment,
-    ) -> Option<Ask> {
-        if let Some(asked) = &mut self.asked {
-            let late = at.time.since(asked.since) >= ANSWER_PATIENCE;
-            return late.then(|| self.read(at.time));
-        }
-        if at.time < self.idle {
-            return None;
-        }
-        let next = next(chart, track, own, live, at);
-        let Some((trigger, record)) = next else {
-            self.due = None;
-            return None;
-        };
-        let since = match self.due {
-            Some((due, since)) if due == trigger => since,
-            _ => at.time,
-        };
-        self.due = Some((trigger, since));
-        let rank = rank::rank(track.record.service.as_str(), own, live);
-        if at.time.since(since) < rank::delay(rank, stagger(trigger)) {
-            return None;
-        }
-        self.asked = Some(Asked {
-            since: at.time,
-            write: Some(record.clone()),
-        });
-        Some(Ask::Write(trigger, record))
-    }
-
-    /// Asks for the record, since an answer is lost.
-    pub(crate) fn read(&mut self, now: Time) -> Ask {
-        self.asked = Some(Asked {
-            since: now,
-            write: None,
-        });
-        Ask::Read
-    }
-
-    /// Ends the wait for an answer; gives back the record that was written.
-    pub(crate) fn settle(&mut self) -> Option<Move> {
-        self.due = None;
-        self.asked.take().and_then(|asked| asked.write)
-    }
-
-    /// Ends the wait for an answer that refused the write or read the record.
-    pub(crate) fn rest(&mut self, now: Time) {
-        self.settle();
-        self.idle = now + REST;
-    }
-
-    /// Keeps waiting after no answer; the read follows in its time.
-    pub(crate) fn unknown(&mut self, now: Time) {
-        let since = self.asked.as_ref().map_or(now, |asked| asked.since);
-        self.asked = Some(Asked { since, write: None });
-    }
-}
-
-fn stagger(trigger: Trigger) -> Duration {
+/// How long each instance lets the one before it act on a trigger.
+pub(crate) fn stagger(trigger: Trigger) -> Duration {
     match trigger {
         Trigger::Condemn | Trigger::Expire | Trigger::Suspect | Trigger::TakeBack => STOP_STAGGER,
         Trigger::Begin | Trigger::Grow | Trigger::Clear | Trigger::Settle => GROW_STAGGER,
     }
 }
 
-// The next revision that is due by this instance's view, if any.
-fn next(
+/// The next revision that is due, if any.
+pub(crate) fn next(
     chart: &MoveChart,
     track: &Track,
-    own: &InstanceId,
-    live: &[InstanceId],
+    party: Party<'_>,
     at: Moment,
 ) -> Option<(Trigger, Move)> {
-    let trigger = trigger(track, live, at)?;
+    let trigger = trigger(track, party.live, at)?;
     let standing = Standing {
         proven: is_proven(track, at.wall),
     };
     let author = Author {
-        who: own.as_str().into(),
+        who: party.own.as_str().into(),
         wall: at.wall.max(track.record.changed),
         evidence: track.judge.evidence(),
     };
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -7,10 +7,10 @@
 use corianderway_model::Version;
 use snafu::ResultExt;
 
+use crate::entry::Entry;
 use crate::error::ChartSnafu;
 use crate::error::Error;
 use crate::event::Action;
-use crate::event::Decision;
 use crate::event::Event;
 use crate::event::Moment;
 use crate::event::Stop;
@@ -18,14 +18,13 @@
 use crate::evidence::Evidence;
 use crate::machine::MoveChart;
 use crate::machine::MOVE_CHART;
-use crate::mover::Ask;
-use crate::mover::Mover;
+use crate::mover;
 use crate::record::Move;
 use crate::record::MoveKey;
 use crate::share::Share;
 use crate::tally::Outcome;
 use crate::tally::Report;
-use crate::track::Track;
+use crate::turns::Party;
 
 /// The version moves as one instance sees and advances them.
 #[derive(Debug)]
@@ -55,13 +54,6 @@
     pub busy: u64,
 }
 
-#[derive(Debug)]
-struct Entry {
-    track: Track,
-    mover: Mover,
-    told: bool,
-}
-
 /// The most stops that are kept for records yet to come.
 const EARLY_STOPS: usize = 64;
 
@@ -167,17 +159,13 @@
 
     fn entry(&self, at: Moment, stored: Stored<Move>) -> Entry {
         let key = stored.value.key();
-        let mut track = Track::new(&self.own, stored, at);
-        track.stop = self.early.iter().find(|s| s.key == key).cloned();
-        Entry {
-            track,
-            mover: Mover::default(),
-            told: false,
-        }
+        let mut entry = Entry::new(&self.own, stored, at);
+        entry.track.stop = self.early.iter().find(|s| s.key == key).cloned();
+        entry
     }
 
     fn written(&mut self, at: Moment, service: &Service, version: u64) {
-        let record = self.entry_mut(service).and_then(|e| e.mover.settle());
+        let record = self.entry_mut(service).and_then(|e| e.turns.settle());
         if let Some(value) = record {
             self.adopt(at, Stored { value, version });
         }
@@ -185,7 +173,7 @@
 
     fn settled(&mut self, at: Moment, service: &Service, current: Option<Stored<Move>>) {
         if let Some(entry) = self.entry_mut(service) {
-            entry.mover.rest(at.time);
+            entry.turns.rest(at.time);
         }
         // Records are never removed, so an absent one is a store gone backwards.
         if let Some(stored) = current {
@@ -195,7 +183,7 @@
 
     fn unknown(&mut self, now: Time, service: &Service) {
         if let Some(entry) = self.entry_mut(service) {
-            entry.mover.unknown(now);
+            entry.turns.unknown(now);
         }
     }
 
@@ -234,10 +222,15 @@
         for entry in &mut self.tracks {
             entry.track.tick(at, out);
             entry.tell(out);
-            let asked = entry
-                .mover
-                .tick(&self.chart, &entry.track, &self.own, &self.live, at);
-            if let Some(ask) = asked {
+            let track = &entry.track;
+            let party = Party {
+                subject: track.record.service.as_str(),
+                own: &self.own,
+                live: &self.live,
+            };
+            let next = mover::next(&self.chart, track, party, at);
+            let ask = entry.turns.tick(at.time, party, next, mover::stagger);
+            if let Some(ask) = ask {
                 entry.ask(ask, out);
             }
         }
@@ -258,38 +251,3 @@
         (entry.track.record.key() == *key).then_some(entry)
     }
 }
-
-impl Entry {
-    // Tells the others once that this instance has stopped the version.
-    fn tell(&mut self, out: &mut Vec<Action>) {
-        if self.told {
-            return;
-        }
-        if let Some(stop) = &self.track.stop {
-            out.push(Action::Stop(stop.clone()));
-            self.told = true;
-        }
-    }
-
-    fn ask(&self, ask: Ask, out: &mut Vec<Action>) {
-        let (trigger, record) = match ask {
-            Ask::Write(trigger, record) => (trigger, record),
-            Ask::Read => {
-                let service = self.track.record.service.clone();
-                out.push(Action::Read { service });
-                return;
-            }
-        };
-        out.push(Action::Log(Decision {
-            key: record.key(),
-            trigger,
-            state: record.state,
-            share: record.share,
-            evidence: record.evidence.clone(),
-        }));
-        out.push(Action::Write {
-            record,
-            expect: self.track.version,
-        });
-    }
-}
--- a/crates/rollout/src/scope.rs
+++ b/crates/rollout/src/scope.rs
@@ -9,6 +9,9 @@
 use crate::evidence::FaultKind;
 use crate::proof::Proof;
 
+/// How many margins more answers may fall into the old version's slow tail.
+const SLOW_MARGINS: f64 = 2.0;
+
 /// The tests for each kind of fault.
 #[derive(Clone, Debug)]
 pub(crate) struct Scope {
@@ -24,13 +27,13 @@
 
 impl Scope {
     pub(crate) fn new(margin: f64, span: Duration, start: Time) -> Self {
-        let tests = Tests {
+        let tests = |margin| Tests {
             doubt: Doubt::new(margin, span, start),
             proof: Proof::new(margin),
         };
         Self {
-            errors: tests.clone(),
-            slowness: tests,
+            errors: tests(margin),
+            slowness: tests(margin * SLOW_MARGINS),
         }
     }
 
--- a/crates/rollout/src/track.rs
+++ b/crates/rollout/src/track.rs
@@ -30,7 +30,7 @@
 /// The longest time for which cold backend servers may be slow.
 const WARM_UP: Duration = Duration::from_secs(10);
 /// The part of a move for which cold backend servers may be slow.
-const WARM_PART: u32 = 20;
+const WARM_PART: u32 = 10;
 
 /// The state of one move on one instance.
 #[derive(Clone, Debug)]
