limits: restart under a reused name turns the conservation check red

Why: beyond epoch 1 a reborn member waits out a lease and does no harm. Change: a directed run kills a home with its floor lent out, in epoch 1. After: green with a new identity, red with a reused one.

--- a/crates/limits/tests/conserve.rs
+++ b/crates/limits/tests/conserve.rs
@@ -126,9 +126,23 @@
     noticed(Sabotage::LongLoan);
 }
 
-// A process that is restarted under the name of the last run forgets what
-// that run had lent.
+// A home dies with its floor lent out and starts again on the same address.
+fn reborn(sabotage: Sabotage) -> Fleet {
+    let mut fleet = Fleet::new(1, 4, RATE, BURST, Terms::default());
+    fleet.restart(sabotage);
+    fleet.faults.delay_ms = 20;
+    for node in &mut fleet.nodes[1..] {
+        node.weight = 0.01;
+    }
+    fleet.run(Duration::from_secs(15));
+    assert!(fleet.share(0) > Parts::WHOLE.get() / 10 * 9);
+    fleet.kill(2);
+    fleet.run(Duration::from_secs(15));
+    fleet
+}
+
 #[test]
 fn reused_names_are_noticed() {
-    noticed(Sabotage::SameName);
+    assert!(reborn(Sabotage::None).conserved());
+    assert!(!reborn(Sabotage::SameName).conserved());
 }
