rollout: properties and outcomes under dying movers, outages, lost answers

Cause: the claims on shares, movers and error rates had no test. Failed first: killing the mover at the trial turned a good version back at 100 requests a second, since the driver dropped the dead instance's callers; they go to the others now.

--- a/crates/rollout/examples/outcomes/fleet.rs
+++ b/crates/rollout/examples/outcomes/fleet.rs
@@ -1,6 +1,7 @@
 //! A few instances and a platform under one logical clock.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use corianderway_model::InstanceId;
@@ -33,6 +34,8 @@
 const CALL_TICKS: u64 = 1;
 /// Ticks until a watch tells an instance of a change, at most.
 const WATCH_TICKS: u64 = 10;
+/// Ticks until the list of instances tells of a change.
+const LIST_TICKS: u64 = 50;
 /// The margin of the contract.
 pub const MARGIN: f64 = 0.05;
 /// The share of the contract.
@@ -47,6 +50,19 @@
     pub deadline: Duration,
 }
 
+/// What goes wrong beside the new version.
+#[derive(Clone, Debug, Default)]
+pub struct Trouble {
+    /// When the platform takes no call, in seconds.
+    pub outage: Range<f64>,
+    /// The part of the platform's answers that is lost after a write.
+    pub lost: f64,
+    /// The part of the messages between instances that is lost.
+    pub dropped: f64,
+    /// The instance that writes this state dies before it learns of it.
+    pub killer: Option<State>,
+}
+
 /// How a run went.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Run {
@@ -62,8 +78,11 @@
     pub after: u64,
     /// Seconds from the first request that met the fault to the first stop.
     pub reaction: f64,
-    /// Writes asked of the platform.
+    /// Writes asked of the platform, and those that it took.
     pub writes: u64,
+    pub revisions: usize,
+    /// The largest share of any instance before the end.
+    pub most: f64,
 }
 
 /// The state of one run.
@@ -74,7 +93,11 @@
     tick: u64,
     nodes: Vec<Rollout>,
     routes: Vec<RouteName>,
+    live: Vec<InstanceId>,
+    dead: Vec<bool>,
+    trouble: Trouble,
     stored: Stored<Move>,
+    history: Vec<Stored<Move>>,
     due: BTreeMap<u64, Vec<Delivery>>,
     recent: f64,
     first: Option<u64>,
@@ -120,7 +143,11 @@
             routes: traffic::ROUTES
                 .map(|(name, _)| name.try_into().unwrap())
                 .to_vec(),
+            live: ids.clone(),
+            dead: vec![false; ids.len()],
+            trouble: Trouble::default(),
             stored: stored.clone(),
+            history: vec![stored.clone()],
             due: BTreeMap::new(),
             recent: 0.0,
             first: None,
@@ -144,12 +171,48 @@
         fleet
     }
 
+    /// Lets more go wrong.
+    #[must_use]
+    pub fn with_trouble(mut self, trouble: Trouble) -> Self {
+        self.trouble = trouble;
+        self
+    }
+
+    /// Every revision that the platform has held.
+    pub fn history(&self) -> &[Stored<Move>] {
+        &self.history
+    }
+
+    /// The share that each living instance gives the new version.
+    pub fn shares(&self) -> Vec<Share> {
+        let service = &self.stored.value.service;
+        let alive = self
+            .nodes
+            .iter()
+            .zip(&self.dead)
+            .filter(|(_, dead)| !**dead);
+        let share = |node: &Rollout| node.standpoint(service).map(|s| s.share);
+        alive.filter_map(|(node, _)| share(node)).collect()
+    }
+
+    /// Seconds since the start.
+    pub fn secs(&self) -> f64 {
+        self.tick as f64 * TICK.as_secs_f64()
+    }
+
+    /// Whether the move is over or too late to be watched further.
+    pub fn is_over(&self) -> bool {
+        self.stored.value.is_over() || self.secs() > 2.0 * self.size.deadline.as_secs_f64()
+    }
+
     /// Runs to the end of the move, or past its deadline.
     pub fn run(mut self) -> Run {
-        let last = 2 * self.size.deadline.as_millis() as u64 / TICK.as_millis() as u64;
-        while self.tick < last && !self.stored.value.is_over() {
+        while !self.is_over() {
             self.advance();
+            let most = self.shares().into_iter().max().unwrap_or(Share::ZERO);
+            self.run.most = self.run.most.max(most.ratio());
         }
+        self.run.revisions = self.history().len();
         self.run.finished = self.stored.value.state == State::Done;
         self.run.withdrawn = self.stored.value.state == State::Withdrawn;
         self.run.secs = self.secs();
@@ -160,13 +223,16 @@
         self.run
     }
 
-    fn advance(&mut self) {
+    /// Lets one tick pass.
+    pub fn advance(&mut self) {
         self.tick += 1;
         for delivery in self.due.remove(&self.tick).unwrap_or_default() {
             self.deliver(delivery);
         }
-        for node in 0..self.nodes.len() {
-            let mean = self.size.rate / self.size.instances as f64 * TICK.as_secs_f64();
+        // The callers of a dead instance go to the others.
+        let alive: Vec<usize> = (0..self.nodes.len()).filter(|n| !self.dead[*n]).collect();
+        let mean = self.size.rate / alive.len() as f64 * TICK.as_secs_f64();
+        for node in alive {
             for _ in 0..traffic::arrivals(&mut self.rng, mean) {
                 self.request(node);
             }
@@ -223,6 +289,10 @@
                 self.nodes[node].finished(at, &service, &route, &version, end);
             }
             Delivery::Write(node, record, expect) => self.write(node, *record, expect),
+            Delivery::Read(node) if self.trouble.outage.contains(&self.secs()) => {
+                let service = self.stored.value.service.clone();
+                self.answer(node, Event::Unknown { service });
+            }
             Delivery::Read(node) => {
                 let current = Some(self.stored.clone());
                 let service = self.stored.value.service.clone();
@@ -233,6 +303,10 @@
 
     fn write(&mut self, node: usize, record: Move, expect: u64) {
         let service = record.service.clone();
+        if self.trouble.outage.contains(&self.secs()) {
+            self.answer(node, Event::Unknown { service });
+            return;
+        }
         if expect != self.stored.version {
             let current = Some(self.stored.clone());
             self.answer(node, Event::Conflict { service, current });
@@ -243,19 +317,48 @@
             value: record,
             version,
         };
-        self.answer(node, Event::Written { service, version });
+        self.history.push(self.stored.clone());
+        if self.trouble.killer == Some(self.stored.value.state) {
+            self.trouble.killer = None;
+            self.kill(node);
+        } else if self.rng.random_bool(self.trouble.lost) {
+            self.answer(node, Event::Unknown { service });
+        } else {
+            self.answer(node, Event::Written { service, version });
+        }
         for other in 0..self.nodes.len() {
-            let ticks = self.rng.random_range(1..=WATCH_TICKS);
+            let lag = self.rng.random_range(1..=WATCH_TICKS);
+            let back = (self.trouble.outage.end / TICK.as_secs_f64()) as u64;
+            let out = self.trouble.outage.contains(&(self.secs() + 1.0));
+            let ticks = if out {
+                back.saturating_sub(self.tick) + lag
+            } else {
+                lag
+            };
             let event = Event::Record(self.stored.clone());
             self.later(ticks, Delivery::Event(other, Box::new(event)));
         }
     }
 
+    // The list of instances lags by a few seconds.
+    fn kill(&mut self, node: usize) {
+        self.dead[node] = true;
+        let alive = self.live.iter().zip(&self.dead).filter(|(_, dead)| !**dead);
+        let live: Vec<InstanceId> = alive.map(|(id, _)| id.clone()).collect();
+        for other in 0..self.nodes.len() {
+            let event = Event::Live(live.clone());
+            self.later(LIST_TICKS, Delivery::Event(other, Box::new(event)));
+        }
+    }
+
     fn answer(&mut self, node: usize, event: Event) {
         self.later(CALL_TICKS, Delivery::Event(node, Box::new(event)));
     }
 
     fn step(&mut self, node: usize, event: Event) {
+        if self.dead[node] {
+            return;
+        }
         let mut actions = Vec::new();
         let at = self.moment();
         self.nodes[node].step(at, event, &mut actions);
@@ -279,8 +382,10 @@
 
     fn send(&mut self, from: usize, event: &Event) {
         for to in (0..self.nodes.len()).filter(|to| *to != from) {
-            let delivery = Delivery::Event(to, Box::new(event.clone()));
-            self.later(MESSAGE_TICKS, delivery);
+            if self.rng.random_bool(1.0 - self.trouble.dropped) {
+                let delivery = Delivery::Event(to, Box::new(event.clone()));
+                self.later(MESSAGE_TICKS, delivery);
+            }
         }
     }
 
@@ -291,10 +396,6 @@
             .push(delivery);
     }
 
-    fn secs(&self) -> f64 {
-        self.tick as f64 * TICK.as_secs_f64()
-    }
-
     fn moment(&self) -> Moment {
         let millis = self.tick * TICK.as_millis() as u64;
         Moment {
--- a/crates/rollout/examples/outcomes/traffic.rs
+++ b/crates/rollout/examples/outcomes/traffic.rs
@@ -71,11 +71,15 @@
 }
 
 impl Kind {
-    pub const ALL: [Self; 12] = [
+    /// The versions that should finish.
+    pub const SOUND: [Self; 4] = [
         Self::Good,
         Self::SharedFault,
         Self::ColdStart,
         Self::BelowMargin,
+    ];
+    /// The versions that should be taken back.
+    pub const BAD: [Self; 8] = [
         Self::AtOnce,
         Self::AtMargin,
         Self::Late,
