limits: shift cap holds for seconds that begin anywhere; late grants count

Ruled out: a wider purchase window alone (lumps at slice ends still add up). Change: slices of 10 ms that count in full for this second and not at all for the one before; the shift quota admits the cap in 1.01 s; grants for the last four asks are taken.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -1,7 +1,5 @@
 //! One limit as one instance holds it: a bucket, loans taken and loans given.
 
-use std::time::Duration;
-
 use corianderway_model::InstanceId;
 use corianderway_model::Time;
 
@@ -15,12 +13,12 @@
 use crate::loan::Book;
 use crate::loan::Demand;
 use crate::loan::Loan;
-use crate::loan::Open;
 use crate::message::Ask;
 use crate::message::Grant;
 use crate::message::Release;
 use crate::parts::Parts;
 use crate::ranking::Ranking;
+use crate::terms::Terms;
 
 /// Shares are wanted for this many times the demand seen, over two.
 const MARGIN_HALVES: u64 = 3;
@@ -195,7 +193,7 @@
     /// Gives all loans back.
     pub(crate) fn give_back(&mut self, now: Time, out: &mut Vec<Plea>) {
         for loan in self.loans.drain(..) {
-            let seq = loan.open.map_or(loan.seq, |open| open.seq);
+            let seq = loan.last();
             let limit = self.limit.clone();
             out.push(Plea::Release(loan.home, Release { limit, seq }));
         }
@@ -214,15 +212,15 @@
         self.rank(group);
         let answer = group.terms.answer;
         for loan in &mut self.loans {
-            loan.open = loan.open.filter(|open| now.since(open.sent) < answer);
+            loan.forget(now, group.terms.loan);
         }
-        self.loans.retain(|l| l.open.is_some() || !l.ended(now));
+        self.loans.retain(|l| l.is_open() || !l.ended(now));
         let held: Parts = self.loans.iter().map(|l| l.parts).sum();
-        let waits = self.loans.iter().any(|l| l.open.is_some());
+        let waits = self.loans.iter().any(|l| l.waits(now, answer));
         self.widen(need, held, waits);
         let each = Parts::new(need.get().div_ceil(self.width.max(1) as u64));
         for at in 0..self.width {
-            self.ask(now, at, each, group.terms.loan, seq, out);
+            self.ask(now, at, each, &group.terms, seq, out);
         }
     }
 
@@ -244,7 +242,7 @@
         now: Time,
         at: usize,
         want: Parts,
-        term: Duration,
+        terms: &Terms,
         seq: &mut u64,
         out: &mut Vec<Plea>,
     ) {
@@ -256,15 +254,12 @@
         });
         let loan = &mut self.loans[at];
         let short = self.hungry && loan.parts < want;
-        let late = loan.until < now + term / 2;
-        if loan.open.is_some() || !(short || late) {
+        let late = loan.until < now + terms.loan / 2;
+        if loan.waits(now, terms.answer) || !(short || late) {
             return;
         }
         *seq += 1;
-        loan.open = Some(Open {
-            seq: *seq,
-            sent: now,
-        });
+        loan.ask(*seq, now);
         let ask = Ask {
             limit: self.limit.clone(),
             seq: *seq,
@@ -336,13 +331,9 @@
         let Ok(at) = self.loans.binary_search_by(|l| l.home.cmp(from)) else {
             return;
         };
-        let loan = &mut self.loans[at];
-        let Some(open) = loan.open.take_if(|open| open.seq == grant.seq) else {
+        if !self.loans[at].take(grant) {
             return;
-        };
-        loan.seq = grant.seq;
-        loan.parts = grant.parts;
-        loan.until = open.sent + grant.term;
+        }
         self.set_share(now);
         self.bucket.add(grant.tokens);
     }
--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::bucket::Amount;
+use crate::shift::SPAN;
 
 /// The part of a per-second limit that may come at once.
 ///
@@ -36,8 +37,8 @@
         for region in &contract.regions {
             let name =
                 |make: fn(Account, Region) -> Self| make(account.clone(), region.name.clone());
-            limits.push((name(Self::Capacity), each_second(region.capacity)));
-            limits.push((name(Self::Shift), each_second(region.shift)));
+            limits.push((name(Self::Capacity), within(region.capacity, 1.0)));
+            limits.push((name(Self::Shift), within(region.shift, SPAN)));
         }
         limits
     }
@@ -58,6 +59,7 @@
     account.rotate_left(17) ^ region.wrapping_add(kind)
 }
 
-fn each_second(limit: f64) -> Amount {
-    Amount::new(limit * (1.0 - BURST_PART), limit * BURST_PART)
+// A rate and a burst that admit at most `limit` in any span of so many seconds.
+fn within(limit: f64, seconds: f64) -> Amount {
+    Amount::new(limit * (1.0 - BURST_PART) / seconds, limit * BURST_PART)
 }
--- a/crates/limits/src/loan.rs
+++ b/crates/limits/src/loan.rs
@@ -6,8 +6,12 @@
 use corianderway_model::Time;
 
 use crate::message::Ask;
+use crate::message::Grant;
 use crate::parts::Parts;
 
+/// Asks to one home that may still be answered.
+const OPEN_ASKS: usize = 4;
+
 /// A loan that this instance has from one home, or has asked for.
 #[derive(Clone, Debug)]
 pub(crate) struct Loan {
@@ -17,14 +21,15 @@
     pub(crate) parts: Parts,
     // Ends by this instance's clock, counted from its ask.
     pub(crate) until: Time,
-    pub(crate) open: Option<Open>,
+    // Rising; a grant for any of them is taken.
+    open: Vec<Open>,
 }
 
 /// An ask without an answer.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Open {
-    pub(crate) seq: u64,
-    pub(crate) sent: Time,
+struct Open {
+    seq: u64,
+    sent: Time,
 }
 
 impl Loan {
@@ -34,13 +39,54 @@
             seq: 0,
             parts: Parts::NONE,
             until: Time::ZERO,
-            open: None,
+            open: vec![],
         }
     }
 
     pub(crate) fn ended(&self, now: Time) -> bool {
         now >= self.until
     }
+
+    /// Whether the newest ask may still be answered in the usual time.
+    pub(crate) fn waits(&self, now: Time, answer: Duration) -> bool {
+        self.open
+            .last()
+            .is_some_and(|open| now.since(open.sent) < answer)
+    }
+
+    /// Whether any ask may still be answered.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.open.is_empty()
+    }
+
+    pub(crate) fn ask(&mut self, seq: u64, now: Time) {
+        if self.open.len() == OPEN_ASKS {
+            self.open.remove(0);
+        }
+        self.open.push(Open { seq, sent: now });
+    }
+
+    /// Drops asks whose grants would have ended by now.
+    pub(crate) fn forget(&mut self, now: Time, term: Duration) {
+        self.open.retain(|open| now.since(open.sent) < term);
+    }
+
+    /// Takes a grant in place of the one held; false for a repeat or a stray.
+    pub(crate) fn take(&mut self, grant: &Grant) -> bool {
+        let Some(open) = self.open.iter().find(|open| open.seq == grant.seq) else {
+            return false;
+        };
+        self.until = open.sent + grant.term;
+        self.seq = grant.seq;
+        self.parts = grant.parts;
+        self.open.retain(|open| open.seq > grant.seq);
+        true
+    }
+
+    /// The newest ask.
+    pub(crate) fn last(&self) -> u64 {
+        self.open.last().map_or(self.seq, |open| open.seq)
+    }
 }
 
 /// What a home has lent to one borrower.
--- a/crates/limits/src/shift.rs
+++ b/crates/limits/src/shift.rs
@@ -10,10 +10,13 @@
 use crate::quota::Quota;
 
 /// Slices in one second.
-const SLICES: usize = 10;
-const SLICE_NANOS: u64 = 1_000_000_000 / SLICES as u64;
+const SLICES: u64 = 100;
+const SLICE_NANOS: u64 = 1_000_000_000 / SLICES;
 /// Slices kept: this second and the one before.
-const KEPT: usize = 2 * SLICES;
+const KEPT: u64 = 2 * SLICES;
+/// The span over which purchases count, in seconds: a second that begins
+/// within a slice.
+pub(crate) const SPAN: f64 = (SLICES + 1) as f64 / SLICES as f64;
 
 /// What one instance moves into one region for one client account.
 ///
@@ -22,11 +25,33 @@
 /// instances within a second never exceed the contract's shift, so neither
 /// does the growth of their sum, and an instruction that is late or repeated
 /// adds nothing.
-#[derive(Clone, Debug, Default)]
+///
+/// Slices at the ends of a second count in full for this second and not at
+/// all for the one before, so the bound holds for seconds that begin anywhere.
+/// A steady flow therefore buys 2% of itself anew in each second.
+#[derive(Clone, Debug)]
 pub struct ShiftLimit {
-    moved: [u32; KEPT],
-    bought: [u32; KEPT],
+    // Requests moved and purchased in each slice, by slice number modulo KEPT.
+    moved: Vec<u32>,
+    bought: Vec<u32>,
     newest: u64,
+    // Sums over this second and the one before.
+    recent: u32,
+    earlier: u32,
+    growth: u32,
+}
+
+impl Default for ShiftLimit {
+    fn default() -> Self {
+        Self {
+            moved: vec![0; KEPT as usize],
+            bought: vec![0; KEPT as usize],
+            newest: 0,
+            recent: 0,
+            earlier: 0,
+            growth: 0,
+        }
+    }
 }
 
 impl ShiftLimit {
@@ -38,8 +63,8 @@
     /// Asks whether one request may be moved; buys growth if it must.
     pub fn admit(&mut self, now: Time, quota: &mut Quota, limit: &Limit) -> Verdict {
         self.advance(now);
-        let at = self.newest as usize % KEPT;
-        if self.last_second(&self.moved, 0) >= self.allowed() {
+        let at = slot(self.newest);
+        if self.recent >= self.earlier + self.growth {
             let verdict = quota.admit(now, limit, Tokens::ONE);
             if let Verdict::Refused { retry_after } = verdict {
                 let slice = Duration::from_nanos(SLICE_NANOS);
@@ -47,34 +72,46 @@
                 return Verdict::Refused { retry_after };
             }
             self.bought[at] += 1;
+            self.growth += 1;
         }
         self.moved[at] += 1;
+        self.recent += 1;
         Verdict::Admitted
     }
 
     /// Requests moved within the last second.
     pub fn level(&mut self, now: Time) -> u32 {
         self.advance(now);
-        self.last_second(&self.moved, 0)
-    }
-
-    fn allowed(&self) -> u32 {
-        self.last_second(&self.moved, SLICES) + self.last_second(&self.bought, 0)
-    }
-
-    // Sums one second of slices that ends `back` slices ago.
-    fn last_second(&self, counts: &[u32; KEPT], back: usize) -> u32 {
-        let end = self.newest as usize + KEPT - back;
-        (0..SLICES).map(|i| counts[(end - i) % KEPT]).sum()
+        self.recent
     }
 
     fn advance(&mut self, now: Time) {
         let slice = now.nanos() / SLICE_NANOS;
-        let passed = slice.saturating_sub(self.newest).min(KEPT as u64);
-        for back in 0..passed {
-            let at = (slice - back) as usize % KEPT;
-            (self.moved[at], self.bought[at]) = (0, 0);
+        if slice >= self.newest + KEPT {
+            *self = Self {
+                newest: slice,
+                ..Self::default()
+            };
+        }
+        while self.newest < slice {
+            self.newest += 1;
+            self.next_slice();
         }
-        self.newest = self.newest.max(slice);
     }
+
+    // Moves the slice that leaves this second over to the one before.
+    fn next_slice(&mut self) {
+        let left = slot(self.newest + KEPT - SLICES - 1);
+        self.recent -= self.moved[left];
+        self.growth -= self.bought[left];
+        self.earlier += self.moved[left];
+        // The slot still holds the slice of two seconds ago.
+        let new = slot(self.newest);
+        self.earlier -= self.moved[new];
+        (self.moved[new], self.bought[new]) = (0, 0);
+    }
+}
+
+fn slot(slice: u64) -> usize {
+    (slice % KEPT) as usize
 }
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -109,6 +109,8 @@
     pub terms: Terms,
     pub limit: Limit,
     pub amount: Amount,
+    /// Limits besides; they take effect with a restart.
+    pub extra: Vec<(Limit, Amount)>,
     pub rate: f64,
     pub burst: f64,
     pub offered: f64,
@@ -138,6 +140,7 @@
             terms,
             limit: Limit::Rate(Account::try_from("finder").unwrap()),
             amount: Amount::new(rate, burst),
+            extra: vec![],
             rate,
             burst,
             offered: rate,
@@ -184,7 +187,8 @@
             pace: self.rng.random_range(1.0 - DRIFT..1.0 + DRIFT),
             run,
         };
-        let limits = vec![(self.limit.clone(), self.amount)];
+        let mut limits = self.extra.clone();
+        limits.push((self.limit.clone(), self.amount));
         let now = node.clock(self.ms);
         node.quota.step(now, Event::Limits(limits), &mut vec![]);
         node
