node: limits, membership and configuration put together; planned stops and starts in an outage

Cause: the thin path had no limits, watched the platform from every instance and could not start without the platform. Ruled out: counting an instance that has no quota of its own as one whose client accounts are above their rate (the reason is now rate-unchecked, and the instance is not ready); greeting every instance for ever (only until the platform has listed the fleet or a greeted one has answered). Change: the quota, control and fleet parts behind one step function; requests wait for a loan of quota or a slot, in a fair queue by client account; shift caps, region capacity and a retry budget; a new instance gets entry instances and backend servers from those in its settings.

--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -10,10 +10,12 @@
 use corianderway_model::Backend;
 use corianderway_node::Action;
 use corianderway_node::Event;
+use corianderway_node::Found;
 use corianderway_node::Node;
 use corianderway_node::Record;
 use corianderway_node::RequestId;
 use corianderway_node::Wrote;
+use corianderway_node::TICK;
 use futures_lite::future;
 use futures_lite::future::FutureExt as _;
 
@@ -27,9 +29,6 @@
 use crate::rings::Question;
 use crate::rings::Verdict;
 
-/// The time between two ticks of the node.
-const TICK: Duration = Duration::from_millis(100);
-
 /// Everything that the decision duty owns.
 #[derive(Debug)]
 pub struct Decisions {
@@ -108,11 +107,12 @@
             Event::Ended { id, .. } => Some(*id),
             _ => None,
         };
-        if let Event::Instances { backends, .. } = &event {
-            // A list that finds the ring full is followed by a later one.
-            drop(self.lists.try_send(backends.clone()));
-        }
+        let listed = matches!(event, Event::Instances { .. } | Event::Peer { .. });
         self.step(event);
+        if listed && !self.lists.is_full() {
+            // The measurement duty takes a list each time it probes.
+            drop(self.lists.try_send(self.node.backends().to_vec()));
+        }
         if let Some(id) = ended {
             self.close(id);
         }
@@ -157,19 +157,23 @@
             Action::Read { ticket, kind, name } => {
                 let order = Order::Read(ticket, kind, name);
                 if self.outputs.platform.try_send(order).is_err() {
-                    let wrote = Wrote::Unknown;
-                    self.step_nested(Event::Wrote { ticket, wrote });
+                    let found = Found::Unknown;
+                    self.step_nested(Event::Read { ticket, found });
                 }
             }
+            Action::List { call } => self.call(call, Order::List(call)),
+            Action::Watch { call, after } => self.call(call, Order::Watch(call, after)),
             Action::Send { to, message } => self.send(to, message),
-            Action::Watch(on) => {
-                // A full ring means the platform is out; the next tick repeats it.
-                drop(self.outputs.platform.try_send(Order::Watch(on)));
-            }
             Action::Log(record) => self.note(record),
         }
     }
 
+    fn call(&mut self, call: u64, order: Order) {
+        if self.outputs.platform.try_send(order).is_err() {
+            self.step_nested(Event::Unanswered { call });
+        }
+    }
+
     // Steps while the actions of another step are carried out.
     fn step_nested(&mut self, event: Event) {
         let mut actions = Vec::new();
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,6 +1,5 @@
 //! The platform duty: reads, watches and writes objects of the platform's object API.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +8,10 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_std::task;
+use corianderway_control::Object;
+use corianderway_control::WATCH_WAIT;
 use corianderway_node::Event;
+use corianderway_node::Found;
 use corianderway_node::Held;
 use corianderway_node::Ticket;
 use corianderway_node::Write;
@@ -28,21 +30,23 @@
 /// The time between two reads of the instance list.
 const INSTANCES: Duration = Duration::from_secs(1);
 
-/// How long a watch waits at the platform.
-const WATCH: Duration = Duration::from_secs(20);
-
 /// The longest wait for an answer beyond a watch's own.
 const ANSWER: Duration = Duration::from_secs(2);
 
-/// The pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(500);
+/// The status of an answer that holds what was asked for.
+const OK: u16 = 200;
+
+/// The status of an answer when there is no such object.
+const NOT_FOUND: u16 = 404;
+
+/// The status of an answer when a condition does not hold.
+const CONFLICT: u16 = 412;
 
 /// What the tasks of the duty share.
 #[derive(Debug)]
 struct Desk {
     client: Client,
     decisions: Sender<Input>,
-    watching: Cell<bool>,
 }
 
 /// Runs until the decision duty is gone.
@@ -51,20 +55,18 @@
         let desk = Rc::new(Desk {
             client: Client::new(platform),
             decisions,
-            watching: Cell::new(true),
         });
         task::spawn_local(poll_instances(Rc::clone(&desk)));
-        task::spawn_local(watch(Rc::clone(&desk)));
         while let Ok(order) = orders.recv().await {
+            let desk = Rc::clone(&desk);
             match order {
-                Order::Write(ticket, write) => {
-                    task::spawn_local(put(Rc::clone(&desk), ticket, write));
-                }
+                Order::Write(ticket, write) => task::spawn_local(put(desk, ticket, write)),
                 Order::Read(ticket, kind, name) => {
-                    task::spawn_local(read(Rc::clone(&desk), ticket, kind, name));
+                    task::spawn_local(read(desk, ticket, kind, name))
                 }
-                Order::Watch(on) => desk.watching.set(on),
-            }
+                Order::List(call) => task::spawn_local(list(desk, call)),
+                Order::Watch(call, after) => task::spawn_local(watch(desk, call, after)),
+            };
         }
     });
 }
@@ -75,66 +77,60 @@
             .client
             .call("GET", "/instances", &[], None, ANSWER)
             .await;
-        let list = reply.ok().and_then(|r| r.json::<Instances>());
-        tell(&desk, Event::Platform { up: list.is_some() }).await;
-        if let Some(Instances { entries, backends }) = list {
+        if let Some(list) = reply.ok().and_then(|r| r.json::<Instances>()) {
+            let Instances { entries, backends } = list;
             tell(&desk, Event::Instances { entries, backends }).await;
         }
         task::sleep(INSTANCES).await;
     }
 }
 
-async fn watch(desk: Rc<Desk>) {
-    let mut since = None;
-    loop {
-        if !desk.watching.get() {
-            since = None;
-            task::sleep(PAUSE).await;
-            continue;
-        }
-        let next = match since {
-            None => list_all(&desk).await,
-            Some(revision) => watch_once(&desk, revision).await,
-        };
-        if next.is_none() {
-            task::sleep(PAUSE).await;
-        }
-        since = next;
-    }
+async fn list(desk: Rc<Desk>, call: u64) {
+    let event = match list_all(&desk).await {
+        Some((revision, objects)) => Event::Listed {
+            call,
+            revision,
+            objects,
+        },
+        None => Event::Unanswered { call },
+    };
+    tell(&desk, event).await;
 }
 
-// Lists every kind; the lowest revision is where the watch begins.
-async fn list_all(desk: &Desk) -> Option<u64> {
-    let mut lowest = None;
+// Lists every kind; the lowest revision is where a watch begins.
+async fn list_all(desk: &Desk) -> Option<(u64, Vec<Object>)> {
+    let mut lowest = u64::MAX;
+    let mut objects = Vec::new();
     for kind in stored::collections() {
         let path = format!("/objects/{kind}");
         let reply = desk.client.call("GET", &path, &[], None, ANSWER).await;
-        let listing: Listing = reply.ok()?.json()?;
-        let revision = listing.revision;
-        lowest = Some(lowest.map_or(revision, |low: u64| low.min(revision)));
-        give(desk, listing).await;
+        let listing: Listing = reply.ok().filter(|r| r.status == OK)?.json()?;
+        lowest = lowest.min(listing.revision);
+        objects.extend(listing.objects.into_iter().filter_map(Stored::object));
     }
-    lowest
+    Some((lowest, objects))
 }
 
-async fn watch_once(desk: &Desk, since: u64) -> Option<u64> {
+async fn watch(desk: Rc<Desk>, call: u64, after: u64) {
     let kinds = stored::collections().collect::<Vec<_>>().join(",");
-    let wait = WATCH.as_millis();
-    let path = format!("/watch?kinds={kinds}&since={since}&wait_ms={wait}");
-    let reply = desk
-        .client
-        .call("GET", &path, &[], None, WATCH + ANSWER)
-        .await;
-    let listing: Listing = reply.ok()?.json()?;
-    let revision = listing.revision;
-    give(desk, listing).await;
-    Some(revision)
-}
-
-async fn give(desk: &Desk, listing: Listing) {
-    let objects = listing.objects.into_iter().filter_map(Stored::object);
-    let objects = objects.collect();
-    tell(desk, Event::Objects(objects)).await;
+    let wait = WATCH_WAIT.as_millis();
+    let path = format!("/watch?kinds={kinds}&since={after}&wait_ms={wait}");
+    let limit = WATCH_WAIT + ANSWER;
+    let reply = desk.client.call("GET", &path, &[], None, limit).await;
+    let listing = reply.ok().filter(|r| r.status == OK);
+    let event = match listing.and_then(|r| r.json::<Listing>()) {
+        Some(listing) => Event::Watched {
+            call,
+            revision: listing.revision,
+            objects: listing
+                .objects
+                .into_iter()
+                .filter_map(Stored::object)
+                .collect(),
+        },
+        None => Event::Unanswered { call },
+    };
+    tell(&desk, event).await;
 }
 
 async fn put(desk: Rc<Desk>, ticket: Ticket, write: Write) {
@@ -165,31 +161,30 @@
 
 fn wrote(reply: &Reply) -> Wrote {
     match reply.status {
-        200 | 201 => match reply.json::<Written>() {
+        OK | 201 => match reply.json::<Written>() {
             Some(written) => Wrote::Done(written.version),
             None => Wrote::Unknown,
         },
-        412 => Wrote::Conflict(reply.json::<Option<Stored>>().flatten().map(Held::from)),
-        404 => Wrote::Conflict(None),
+        CONFLICT => Wrote::Conflict(reply.json::<Option<Stored>>().flatten().map(Held::from)),
+        NOT_FOUND => Wrote::Conflict(None),
         // A refusal before the write took effect, such as too large a value.
         400..=499 => Wrote::Unreached,
         _ => Wrote::Unknown,
     }
 }
 
-// Settles a write whose answer was lost: what is stored now decides.
 async fn read(desk: Rc<Desk>, ticket: Ticket, kind: Arc<str>, name: Arc<str>) {
     let path = format!("/objects/{kind}/{name}");
     let reply = desk.client.call("GET", &path, &[], None, ANSWER).await;
-    let wrote = match reply {
-        Ok(reply) if reply.status == 200 => match reply.json::<Stored>() {
-            Some(stored) => Wrote::Conflict(Some(stored.into())),
-            None => Wrote::Unknown,
+    let found = match reply {
+        Ok(reply) if reply.status == OK => match reply.json::<Stored>() {
+            Some(stored) => Found::Held(stored.into()),
+            None => Found::Unknown,
         },
-        Ok(reply) if reply.status == 404 => Wrote::Conflict(None),
-        Ok(_) | Err(_) => Wrote::Unknown,
+        Ok(reply) if reply.status == NOT_FOUND => Found::Nothing,
+        Ok(_) | Err(_) => Found::Unknown,
     };
-    tell(&desk, Event::Wrote { ticket, wrote }).await;
+    tell(&desk, Event::Read { ticket, found }).await;
 }
 
 async fn tell(desk: &Desk, event: Event) {
--- a/crates/daemon/src/rings.rs
+++ b/crates/daemon/src/rings.rs
@@ -101,8 +101,10 @@
     Write(Ticket, Write),
     /// Read an object back.
     Read(Ticket, std::sync::Arc<str>, std::sync::Arc<str>),
-    /// Watch, or stop watching.
-    Watch(bool),
+    /// List the whole configuration, under the number of the call.
+    List(u64),
+    /// Wait for changes after a revision, under the number of the call.
+    Watch(u64, u64),
 }
 
 /// The sending ends that the decision duty holds.
--- /dev/null
+++ b/crates/daemon/tests/stop.rs
@@ -0,0 +1,73 @@
+//! Planned stops, lost instances and platform outages, over real processes.
+
+mod support;
+
+use std::thread;
+
+use corianderway_standins::harness::call;
+use corianderway_standins::harness::until;
+use corianderway_standins::harness::Request;
+use corianderway_standins::platform::Down;
+use corianderway_standins::platform::Faults;
+use serde_json::Value;
+
+use crate::support::admin;
+use crate::support::Fleet;
+use crate::support::HOST;
+use crate::support::PATIENCE;
+
+#[test]
+fn a_planned_stop_cuts_off_no_request() {
+    let mut fleet = Fleet::start(2, 1);
+    let addr = fleet.entries[0].callers;
+    let slow = Request::get("/capsules/1?work_ms=1500").host(HOST);
+    let callers: Vec<_> = (0..4)
+        .map(|_| {
+            let slow = slow.clone();
+            thread::spawn(move || call(addr, &slow))
+        })
+        .collect();
+    until("the requests", PATIENCE, || {
+        let status: Value = admin(&fleet.entries[0], "/status")?.json().ok()?;
+        (status["open"] == 4).then_some(())
+    })
+    .unwrap();
+    fleet.entries[0].process.terminate().unwrap();
+    let asked = Request::get("/.well-known/corianderway/entries").host(HOST);
+    until("the other to advise against it", PATIENCE, || {
+        let advice: Value = fleet.entries[1].call(&asked).ok()?.json().ok()?;
+        let gone = advice["entries"]
+            .as_array()?
+            .iter()
+            .all(|e| *e != addr.to_string());
+        gone.then_some(())
+    })
+    .unwrap();
+    for caller in callers {
+        assert_eq!(caller.join().unwrap().unwrap().status, 200);
+    }
+    let status = fleet.entries[0].process.wait(PATIENCE).unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn a_new_instance_starts_from_its_peers_while_the_platform_is_out() {
+    let mut fleet = Fleet::start(2, 1);
+    let (_, key) = fleet.grant("finder");
+    let keyed = Request::get("/dates/1").host(HOST).key(&key);
+    fleet.wait_status(0, &keyed, 200);
+    fleet.wait_status(1, &keyed, 200);
+    let down = Faults {
+        down: Down::Refuse,
+        ..Faults::default()
+    };
+    fleet.platform.set_faults(&down).unwrap();
+    fleet.add_entry("entry-late");
+    until("the configuration", PATIENCE, || {
+        let status: Value = admin(&fleet.entries[2], "/status")?.json().ok()?;
+        (status["contracts"] == 1 && status["keys"] == 1).then_some(())
+    })
+    .unwrap();
+    fleet.wait_status(2, &keyed, 200);
+    assert_eq!(fleet.entries[0].call(&keyed).unwrap().status, 200);
+}
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use corianderway_control::KeyRefusal;
+use corianderway_limits::Verdict;
 use corianderway_model::Access;
 use corianderway_model::Contract;
-use corianderway_model::Presence;
 use corianderway_model::Replay;
 use corianderway_model::Route;
 use corianderway_model::Time;
@@ -46,6 +46,8 @@
             state: self.chart.initial(),
             deadline: now + patience,
             attempts: Attempts::new(route.replay, ATTEMPTS),
+            waited: false,
+            forwarded: None,
             ticket: None,
             outcome: None,
             refusal: None,
@@ -53,7 +55,12 @@
             contract,
             route,
         };
-        self.advance(now, open, Signal::Admitted, out);
+        let account = open.contract.account.clone();
+        let signal = match self.take_rate(now, &account, false) {
+            Verdict::Admitted => Signal::Granted,
+            Verdict::Refused { .. } => Signal::Short,
+        };
+        self.advance(now, open, signal, out);
     }
 
     fn find_route(&self, query: &Query) -> Result<(Arc<Contract>, Arc<Route>), Refusal> {
@@ -85,19 +92,13 @@
                 Access::Keyed => Err(Reason::KeyMissing),
             };
         };
-        let standing = self.freshness.standing(now);
+        let standing = self.control.standing(now);
         match self.keys.check(key.expose(), standing) {
             Ok(accepted) if *accepted.account == contract.account => Ok(()),
             Err(KeyRefusal::Isolated) => Err(Reason::KeyUnchecked),
             Ok(_) | Err(_) => Err(Reason::KeyRefused),
         }
     }
-
-    /// Whether the instance can serve.
-    pub fn is_ready(&self) -> bool {
-        let live = self.me.presence == Presence::Live;
-        live && !self.contracts.all().is_empty() && !self.backends.is_empty()
-    }
 }
 
 /// Refuses a request that is not held open.
--- a/crates/node/src/chart.rs
+++ b/crates/node/src/chart.rs
@@ -14,10 +14,11 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum State {
     Received,
+    Waiting,
     Claiming,
     Forwarded,
+    Queued,
     Answering,
-    Abandoned,
     Done,
 }
 
@@ -25,11 +26,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Signal {
-    Admitted,
+    /// The client account's rate admits it.
+    Granted,
+    /// The client account's rate does not admit it yet.
+    Short,
+    /// The claim is made.
     Claimed,
+    /// No backend server has a slot that it may use.
+    Full,
+    /// A slot may have become free.
+    Free,
+    /// It is refused, for the reason at hand.
     Refused,
+    /// The head of an answer came.
     Answered,
+    /// The attempt ended without an answer.
     Failed,
+    /// The answer was delivered, or the caller left.
     Ended,
 }
 
@@ -47,22 +60,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Effect {
+    /// Wait until quota can have come from the peers.
+    WaitForRate,
     /// Begin to claim the request.
     Claim,
+    /// Drop a claim that is being made.
+    AbandonClaim,
     /// Choose a backend server and send the request there.
     Forward,
-    /// Refuse for the reason at hand.
+    /// Wait for a slot of the service.
+    WaitForSlot,
+    /// Tell the caller of the refusal.
     Refuse,
-    /// Refuse after a failed attempt.
-    GiveUp,
     /// Count the answer for its backend server.
     CountAnswer,
     /// Count the failure for its backend server.
     CountFailure,
     /// Count that the caller left before the answer.
     CountDeparture,
-    /// Close the books of an answered request.
-    Close,
-    /// Give up a claim that nobody needs.
-    Release,
+    /// Count the end of an answered request.
+    CountEnd,
+    /// Record in the claim how the request ended.
+    SettleClaim,
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use corianderway_control::Object;
+use corianderway_control::Stamp;
 use corianderway_model::Backend;
 use corianderway_model::Entry;
 use corianderway_model::InstanceId;
@@ -21,7 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
-/// The number of a platform write within one run of an instance.
+/// The number of a platform read or write within one run of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
@@ -144,6 +145,20 @@
     pub queued: u32,
 }
 
+/// How a read ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// The platform holds this.
+    Held(Held),
+    /// The platform holds nothing under the name.
+    Nothing,
+    /// The platform did not answer.
+    Unknown,
+}
+
+/// The time between two ticks of a node.
+pub const TICK: Duration = Duration::from_millis(20);
+
 /// Something that happened, for a node to act on.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -172,12 +187,28 @@
         /// A small answer to remember for a repeated request.
         answer: Option<Arc<[u8]>>,
     },
-    /// Objects came from the platform.
-    Objects(Vec<Object>),
-    /// The platform answered or failed to.
-    Platform {
-        /// Whether it answered.
-        up: bool,
+    /// The platform listed every object of the configuration.
+    Listed {
+        /// The number of the call.
+        call: u64,
+        /// The platform's revision.
+        revision: u64,
+        /// The objects.
+        objects: Vec<Object>,
+    },
+    /// A watch of the configuration ended, with changes or without.
+    Watched {
+        /// The number of the call.
+        call: u64,
+        /// The platform's revision.
+        revision: u64,
+        /// The objects that changed.
+        objects: Vec<Object>,
+    },
+    /// A list or a watch failed.
+    Unanswered {
+        /// The number of the call.
+        call: u64,
     },
     /// The platform's instance list.
     Instances {
@@ -202,7 +233,16 @@
         /// How it ended.
         wrote: Wrote,
     },
-    /// Time passed.
+    /// A read ended.
+    Read {
+        /// The read.
+        ticket: Ticket,
+        /// What was found.
+        found: Found,
+    },
+    /// An operator waits for a change to be in force everywhere.
+    Follow(Stamp),
+    /// Time passed; due every [`TICK`].
     Tick,
     /// A planned stop begins.
     Stop,
@@ -246,9 +286,9 @@
         /// The write.
         write: Write,
     },
-    /// Read one object, to settle a write whose answer was lost.
+    /// Read one object.
     Read {
-        /// The number of the write.
+        /// The number of the read.
         ticket: Ticket,
         /// The kind.
         kind: Arc<str>,
@@ -271,8 +311,18 @@
         /// The message.
         message: Message,
     },
-    /// Watch the platform, or leave that to others.
-    Watch(bool),
+    /// List every object of the configuration.
+    List {
+        /// The number of the call.
+        call: u64,
+    },
+    /// Wait for changes of the configuration.
+    Watch {
+        /// The number of the call.
+        call: u64,
+        /// The revision after which changes are wanted.
+        after: u64,
+    },
     /// Write a log line.
     Log(Record),
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,6 +1,8 @@
 //! What entry instances tell each other.
 
-use corianderway_control::Message as ConfigMessage;
+use corianderway_control::PeerMessage as ControlMessage;
+use corianderway_limits::Message as LimitMessage;
+use corianderway_model::Backend;
 use corianderway_model::Entry;
 use serde::Deserialize;
 use serde::Serialize;
@@ -9,8 +11,17 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Message {
-    /// The sender and where it is reached.
+    /// The sender, told to an address from the settings; answered by `Welcome`.
     Hello(Entry),
-    /// About configuration.
-    Config(ConfigMessage),
+    /// What the sender knows of the fleet.
+    Welcome {
+        /// Every entry instance, the sender among them.
+        entries: Vec<Entry>,
+        /// Every backend server.
+        backends: Vec<Backend>,
+    },
+    /// About configuration and members.
+    Control(ControlMessage),
+    /// About limits.
+    Limits(LimitMessage),
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,32 +3,58 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use corianderway_control::ConfigSet;
-use corianderway_control::Freshness;
+use corianderway_control::Control;
+use corianderway_control::Event as ControlEvent;
 use corianderway_control::KeyTable;
+use corianderway_control::SourceEvent;
+use corianderway_limits::Event as LimitEvent;
+use corianderway_limits::Quota;
+use corianderway_limits::RetryBudget;
+use corianderway_limits::Terms;
 use corianderway_model::Backend;
 use corianderway_model::Entry;
+use corianderway_model::InstanceId;
 use corianderway_model::Presence;
 use corianderway_model::Time;
 use corianderway_routing::Fleet;
 use corianderway_routing::Report as ServerReport;
 use corianderway_routing::Router;
 use rand::rngs::SmallRng;
+use rand::Rng as _;
 use rand::SeedableRng as _;
 use snafu::ResultExt;
 use snafu::Snafu;
 
 use crate::chart::RequestChart;
 use crate::chart::REQUEST_CHART;
+use crate::configuration;
 use crate::contracts::Contracts;
 use crate::event::Action;
 use crate::event::Event;
+use crate::event::Found;
 use crate::event::Report;
+use crate::event::RequestId;
+use crate::event::Ticket;
+use crate::event::Wrote;
+use crate::message::Message;
 use crate::open::Table;
 use crate::record::Record;
+use crate::shifts::Shifts;
+use crate::tickets::Purpose;
+use crate::tickets::Tickets;
+use crate::waiting::Rooms;
 
-/// The time between two greetings of the peers.
-const GREETING: Duration = Duration::from_secs(1);
+/// The time between two ticks of the parts that need no finer one.
+const SLOW_TICK: Duration = Duration::from_millis(100);
+
+/// Retries for each first try.
+const RETRY_RATIO: f64 = 0.1;
+
+/// Retries in each span that need no first tries.
+const RETRY_SPARE: u64 = 10;
+
+/// The span over which first tries and retries are counted.
+const RETRY_SPAN: Duration = Duration::from_secs(10);
 
 /// The decisions of one entry instance.
 #[derive(Debug)]
@@ -36,17 +62,27 @@
     pub(crate) me: Entry,
     pub(crate) bootstrap: Vec<SocketAddr>,
     pub(crate) chart: RequestChart,
-    pub(crate) config: ConfigSet,
+    pub(crate) control: Control,
     pub(crate) contracts: Contracts,
     pub(crate) keys: KeyTable,
-    pub(crate) freshness: Freshness,
+    pub(crate) quota: Quota,
+    pub(crate) shifts: Shifts,
+    pub(crate) retries: RetryBudget,
     pub(crate) fleet: Fleet,
+    // Sorted by identity.
     pub(crate) backends: Vec<Backend>,
     pub(crate) router: Router,
-    pub(crate) entries: Vec<Entry>,
     pub(crate) requests: Table,
+    pub(crate) rooms: Rooms,
+    /// Requests that lost their place in a full queue.
+    pub(crate) displaced: Vec<RequestId>,
+    pub(crate) tickets: Tickets,
     pub(crate) rng: SmallRng,
-    pub(crate) greeted: Option<Time>,
+    /// Whether the platform has listed the fleet.
+    pub(crate) listed: bool,
+    /// Whether a greeted instance has answered.
+    pub(crate) welcome: bool,
+    due: Time,
 }
 
 /// A node that can't be made, for a fault in a chart file.
@@ -68,19 +104,26 @@
     ///
     /// Fails when a chart file is faulty.
     pub fn new(me: Entry, bootstrap: Vec<SocketAddr>, seed: u64) -> Result<Self, Error> {
+        let mut rng = SmallRng::seed_from_u64(seed);
         Ok(Self {
             chart: RequestChart::parse(REQUEST_CHART).context(RequestSnafu)?,
-            config: ConfigSet::default(),
+            control: Control::new(me.clone(), rng.random(), configuration::is_sound),
             contracts: Contracts::default(),
             keys: KeyTable::new(),
-            freshness: Freshness::new(&me.domain),
+            quota: Quota::new(me.id.clone(), Terms::default(), rng.random()),
+            shifts: Shifts::default(),
+            retries: RetryBudget::new(RETRY_RATIO, RETRY_SPARE, RETRY_SPAN),
             fleet: Fleet::new().context(FleetSnafu)?,
             backends: Vec::new(),
             router: Router::new(me.region.clone(), me.domain.clone()),
-            entries: Vec::new(),
             requests: Table::default(),
-            rng: SmallRng::seed_from_u64(seed),
-            greeted: None,
+            rooms: Rooms::default(),
+            displaced: Vec::new(),
+            tickets: Tickets::default(),
+            listed: false,
+            welcome: false,
+            due: Time::ZERO,
+            rng,
             bootstrap,
             me,
         })
@@ -93,32 +136,77 @@
             Event::Directory { id, client } => self.direct(id, client, out),
             Event::Attempted { id, outcome } => self.attempted(now, id, outcome, out),
             Event::Ended { id, .. } => self.ended(now, id, out),
-            Event::Objects(objects) => self.take_objects(objects, out),
-            Event::Platform { up } => self.platform_seen(now, up),
-            Event::Instances { entries, backends } => self.take_list(now, entries, backends),
+            Event::Instances { entries, backends } => {
+                self.take_backends(now, backends);
+                self.take_entries(now, entries, out);
+            }
             Event::Peer { from, message } => self.take_message(now, from, message, out),
             Event::Reported(report) => self.take_report(now, &report),
-            Event::Wrote { .. } => (),
+            Event::Wrote { ticket, wrote } => self.wrote(now, ticket, wrote, out),
+            Event::Read { ticket, found } => self.read(now, ticket, found, out),
+            Event::Follow(stamp) => self.control(now, ControlEvent::Follow(stamp), out),
             Event::Tick => self.tick(now, out),
-            Event::Stop => self.me.presence = Presence::Leaving,
+            Event::Stop => self.stop(now, out),
+            Event::Listed {
+                call,
+                revision,
+                objects,
+            } => {
+                let event = SourceEvent::Listed {
+                    call,
+                    revision,
+                    objects,
+                };
+                self.control(now, ControlEvent::Platform(event), out);
+            }
+            Event::Watched {
+                call,
+                revision,
+                objects,
+            } => {
+                let event = SourceEvent::Watched {
+                    call,
+                    revision,
+                    objects,
+                };
+                self.control(now, ControlEvent::Platform(event), out);
+            }
+            Event::Unanswered { call } => {
+                let event = SourceEvent::Failed { call };
+                self.control(now, ControlEvent::Platform(event), out);
+            }
         }
         self.note_changes(out);
     }
 
-    fn platform_seen(&mut self, now: Time, up: bool) {
-        if up {
-            self.freshness.platform_answered(now);
+    /// The backend servers on the latest list.
+    pub fn backends(&self) -> &[Backend] {
+        &self.backends
+    }
+
+    fn take_message(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Hello(entry) => self.greeted_by(now, entry, out),
+            Message::Welcome { entries, backends } => {
+                self.welcomed(now, entries, backends, out);
+            }
+            Message::Control(message) => {
+                self.control(now, ControlEvent::Received { from, message }, out);
+            }
+            Message::Limits(message) => self.limits(now, LimitEvent::Received(message), out),
         }
     }
 
-    fn take_list(&mut self, now: Time, entries: Vec<Entry>, backends: Vec<Backend>) {
+    pub(crate) fn take_backends(&mut self, now: Time, backends: Vec<Backend>) {
         self.fleet.sync(&backends, now);
         self.backends = backends;
         self.backends.sort_by(|a, b| a.id.cmp(&b.id));
-        self.entries = entries;
-        self.entries.sort_by(|a, b| a.id.cmp(&b.id));
-        let live = self.live_entries().count();
-        self.fleet.set_instances(live);
     }
 
     fn take_report(&mut self, now: Time, report: &Report) {
@@ -131,13 +219,37 @@
         }
     }
 
+    fn wrote(&mut self, now: Time, ticket: Ticket, wrote: Wrote, out: &mut Vec<Action>) {
+        match self.tickets.settle(ticket) {
+            Some(Purpose::Epoch(nonce)) => self.epoch_wrote(now, nonce, &wrote, out),
+            // The next list shows whether the object is back.
+            Some(Purpose::Restore) | None => (),
+        }
+    }
+
+    fn read(&mut self, now: Time, ticket: Ticket, found: Found, out: &mut Vec<Action>) {
+        match self.tickets.settle(ticket) {
+            Some(Purpose::Epoch(nonce)) => self.epoch_read(now, nonce, found, out),
+            Some(Purpose::Restore) | None => (),
+        }
+    }
+
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.fleet.tick(now);
-        let due = self.greeted.is_none_or(|at| now.since(at) >= GREETING);
-        if due {
-            self.greeted = Some(now);
-            self.greet(out);
+        self.limits(now, LimitEvent::Tick, out);
+        self.serve_waiting(now, out);
+        if now < self.due {
+            return;
         }
+        self.due = now + SLOW_TICK;
+        self.fleet.tick(now);
+        self.greet(out);
+        self.control(now, ControlEvent::Tick, out);
+    }
+
+    fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.me.presence = Presence::Leaving;
+        self.control(now, ControlEvent::Leave, out);
+        self.limits(now, LimitEvent::Stopping, out);
     }
 
     // Every change of a backend server's state is a line for the operators.
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -23,6 +23,10 @@
     pub(crate) state: State,
     pub(crate) deadline: Time,
     pub(crate) attempts: Attempts,
+    /// Whether it has waited for a slot.
+    pub(crate) waited: bool,
+    /// When the last attempt was decided.
+    pub(crate) forwarded: Option<Time>,
     /// The attempt that runs, at a backend server.
     pub(crate) ticket: Option<Ticket>,
     /// How the last attempt ended.
@@ -50,6 +54,12 @@
         Some(self.rows.remove(at).1)
     }
 
+    /// Whether a request waits for a slot.
+    pub(crate) fn is_queued(&self, id: RequestId) -> bool {
+        let found = self.rows.binary_search_by_key(&id, |row| row.0);
+        found.is_ok_and(|at| self.rows[at].1.state == State::Queued)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.rows.len()
     }
--- /dev/null
+++ b/crates/node/src/quota.rs
@@ -0,0 +1,138 @@
+//! The limits of all contracts: the quota part, its messages and its epoch.
+
+use corianderway_limits::Action as LimitAction;
+use corianderway_limits::Epoch;
+use corianderway_limits::Event as LimitEvent;
+use corianderway_limits::Limit;
+use corianderway_limits::Outcome as LimitOutcome;
+use corianderway_limits::Standing;
+use corianderway_limits::Stored;
+use corianderway_model::Time;
+
+use crate::event::Action;
+use crate::event::Found;
+use crate::event::Held;
+use crate::event::Write;
+use crate::event::Wrote;
+use crate::message::Message;
+use crate::node::Node;
+use crate::tickets::Purpose;
+
+/// The kind of the object that holds the epoch.
+const EPOCH_KIND: &str = "epochs";
+
+/// The name of the object that holds the epoch.
+const EPOCH_NAME: &str = "limits";
+
+impl Node {
+    /// Steps the quota part and carries out what it wants.
+    pub(crate) fn limits(&mut self, now: Time, event: LimitEvent, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.quota.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                LimitAction::Send(message) => {
+                    let to = message.to.clone();
+                    self.send_to(&to, Message::Limits(message), out);
+                }
+                LimitAction::Read { nonce } => self.read_epoch(nonce, out),
+                LimitAction::Propose {
+                    nonce,
+                    expect,
+                    epoch,
+                } => self.write_epoch(nonce, expect, &epoch, out),
+            }
+        }
+    }
+
+    /// Tells the quota part the limits of all contracts in force.
+    pub(crate) fn set_limits(&mut self, now: Time, out: &mut Vec<Action>) {
+        let contracts = self.contracts.all().iter();
+        let limits = contracts.flat_map(|contract| Limit::of(contract)).collect();
+        self.limits(now, LimitEvent::Limits(limits), out);
+    }
+
+    /// Takes the end of an epoch's read.
+    pub(crate) fn epoch_read(
+        &mut self,
+        now: Time,
+        nonce: u64,
+        found: Found,
+        out: &mut Vec<Action>,
+    ) {
+        let event = match found {
+            Found::Nothing => LimitEvent::Read {
+                nonce,
+                stored: None,
+            },
+            Found::Held(held) => match decode(&held) {
+                Some(stored) => LimitEvent::Read {
+                    nonce,
+                    stored: Some(stored),
+                },
+                None => LimitEvent::Unread { nonce },
+            },
+            Found::Unknown => LimitEvent::Unread { nonce },
+        };
+        self.limits(now, event, out);
+    }
+
+    /// Takes the end of an epoch's write.
+    pub(crate) fn epoch_wrote(
+        &mut self,
+        now: Time,
+        nonce: u64,
+        wrote: &Wrote,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = match wrote {
+            Wrote::Done(version) => LimitOutcome::Written(*version),
+            Wrote::Conflict(_) => LimitOutcome::Conflict,
+            Wrote::Unknown | Wrote::Unreached => LimitOutcome::Unknown,
+        };
+        self.limits(now, LimitEvent::Proposed { nonce, outcome }, out);
+    }
+
+    /// Whether this instance has quota of its own.
+    pub(crate) fn has_quota(&self) -> bool {
+        match self.quota.standing() {
+            Standing::Waiting | Standing::Held => true,
+            Standing::Empty | Standing::Stale | Standing::Surrendered => false,
+        }
+    }
+
+    fn read_epoch(&mut self, nonce: u64, out: &mut Vec<Action>) {
+        let ticket = self.tickets.issue(Purpose::Epoch(nonce));
+        out.push(Action::Read {
+            ticket,
+            kind: EPOCH_KIND.into(),
+            name: EPOCH_NAME.into(),
+        });
+    }
+
+    fn write_epoch(
+        &mut self,
+        nonce: u64,
+        expect: Option<u64>,
+        epoch: &Epoch,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(text) = serde_json::to_string(epoch) else {
+            return;
+        };
+        let ticket = self.tickets.issue(Purpose::Epoch(nonce));
+        let write = Write {
+            kind: EPOCH_KIND.into(),
+            name: EPOCH_NAME.into(),
+            expect,
+            value: Some(text.into()),
+        };
+        out.push(Action::Write { ticket, write });
+    }
+}
+
+fn decode(held: &Held) -> Option<Stored> {
+    let epoch = serde_json::from_str(&held.value).ok()?;
+    let version = held.version;
+    Some(Stored { version, epoch })
+}
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -17,6 +17,8 @@
     KeyUnchecked,
     /// The client account is above its rate and burst.
     RateExceeded,
+    /// The rate can't be checked for want of word from the other instances.
+    RateUnchecked,
     /// No backend server may take the request.
     NoServer,
     /// The service is overloaded.
@@ -102,13 +104,14 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::UnknownHost,
         Self::UnknownRoute,
         Self::KeyMissing,
         Self::KeyRefused,
         Self::KeyUnchecked,
         Self::RateExceeded,
+        Self::RateUnchecked,
         Self::NoServer,
         Self::Overloaded,
         Self::ShiftCapped,
@@ -132,6 +135,7 @@
             Self::KeyRefused => "key-refused",
             Self::KeyUnchecked => "key-unchecked",
             Self::RateExceeded => "rate-exceeded",
+            Self::RateUnchecked => "rate-unchecked",
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
             Self::ShiftCapped => "shift-capped",
--- /dev/null
+++ b/crates/node/src/shifts.rs
@@ -0,0 +1,60 @@
+//! Traffic that leaves its home region: how much may, into which region.
+
+use corianderway_limits::Limit;
+use corianderway_limits::Quota;
+use corianderway_limits::ShiftLimit;
+use corianderway_limits::Tokens;
+use corianderway_limits::Verdict;
+use corianderway_model::Account;
+use corianderway_model::Contract;
+use corianderway_model::Region;
+use corianderway_model::Time;
+
+/// What this instance moves, for each client account and region.
+#[derive(Debug, Default)]
+pub(crate) struct Shifts {
+    // Sorted by client account and region.
+    rows: Vec<(Account, Region, ShiftLimit)>,
+}
+
+impl Shifts {
+    fn row(&mut self, account: &Account, region: &Region) -> &mut ShiftLimit {
+        let found = self
+            .rows
+            .binary_search_by(|row| (&row.0, &row.1).cmp(&(account, region)));
+        let at = found.unwrap_or_else(|at| {
+            let row = (account.clone(), region.clone(), ShiftLimit::new());
+            self.rows.insert(at, row);
+            at
+        });
+        &mut self.rows[at].2
+    }
+}
+
+/// Whether a request may go into a region other than its home.
+pub(crate) fn may_shift(
+    now: Time,
+    quota: &mut Quota,
+    shifts: &mut Shifts,
+    contract: &Contract,
+    region: &Region,
+) -> bool {
+    let account = &contract.account;
+    if contract.region(region).is_none() || !has_capacity(now, quota, account, region) {
+        return false;
+    }
+    let limit = Limit::Shift(account.clone(), region.clone());
+    let row = shifts.row(account, region);
+    row.admit(now, quota, &limit) == Verdict::Admitted
+}
+
+/// Whether a region takes another request of a client account now.
+pub(crate) fn has_capacity(
+    now: Time,
+    quota: &mut Quota,
+    account: &Account,
+    region: &Region,
+) -> bool {
+    let limit = Limit::Capacity(account.clone(), region.clone());
+    quota.admit(now, &limit, Tokens::ONE) == Verdict::Admitted
+}
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -63,7 +63,7 @@
             open: self.requests.len(),
             contracts: self.contracts.all().len(),
             keys: self.keys.len(),
-            peers: self.peers().map(|e| e.id.clone()).collect(),
+            peers: self.control.live().to_vec(),
             servers,
         }
     }
--- /dev/null
+++ b/crates/node/src/tickets.rs
@@ -0,0 +1,36 @@
+//! What the open reads and writes of the platform are for.
+
+use crate::event::Ticket;
+
+/// What a read or write is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Putting back an object that the store has lost.
+    Restore,
+    /// Reading or writing the epoch of the limits, under their nonce.
+    Epoch(u64),
+}
+
+/// Open reads and writes.
+#[derive(Debug, Default)]
+pub(crate) struct Tickets {
+    last: u64,
+    // Sorted by number; numbers go up, so each is added at the end.
+    open: Vec<(Ticket, Purpose)>,
+}
+
+impl Tickets {
+    /// Numbers a read or write.
+    pub(crate) fn issue(&mut self, purpose: Purpose) -> Ticket {
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        self.open.push((ticket, purpose));
+        ticket
+    }
+
+    /// Ends a read or write, and says what it was for.
+    pub(crate) fn settle(&mut self, ticket: Ticket) -> Option<Purpose> {
+        let at = self.open.binary_search_by_key(&ticket, |row| row.0).ok()?;
+        Some(self.open.remove(at).1)
+    }
+}
--- /dev/null
+++ b/crates/node/src/waiting.rs
@@ -0,0 +1,196 @@
+//! Requests that wait: for their client account's rate, or for a slot of a service.
+
+use std::time::Duration;
+
+use corianderway_limits::FairQueue;
+use corianderway_limits::Limit;
+use corianderway_limits::Tokens;
+use corianderway_limits::Verdict;
+use corianderway_limits::Waiting;
+use corianderway_model::Account;
+use corianderway_model::Service;
+use corianderway_model::Time;
+
+use crate::chart::Signal;
+use crate::event::Action;
+use crate::event::RequestId;
+use crate::node::Node;
+use crate::open::Open;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+
+/// Requests that wait for rate on one instance.
+const RATE_WAITERS: usize = 1_024;
+
+/// Requests that wait for slots of one service on one instance.
+const SLOT_WAITERS: usize = 256;
+
+/// How long a request waits for rate: as long as a loan of quota takes to come.
+const RATE_WAIT: Duration = Duration::from_millis(400);
+
+/// Requests of one service that are tried in one go.
+const TRIED_AT_ONCE: usize = 64;
+
+/// Where requests wait.
+#[derive(Debug, Default)]
+pub(crate) struct Rooms {
+    // In the order of arrival, each with the moment at which it gives up.
+    rate: Vec<(RequestId, Time)>,
+    // Sorted by service.
+    slots: Vec<(Service, FairQueue<RequestId>)>,
+}
+
+impl Node {
+    /// Asks for one request of the account's rate.
+    pub(crate) fn take_rate(&mut self, now: Time, account: &Account, again: bool) -> Verdict {
+        let limit = Limit::Rate(account.clone());
+        if again {
+            self.quota.retry(now, &limit, Tokens::ONE)
+        } else {
+            self.quota.admit(now, &limit, Tokens::ONE)
+        }
+    }
+
+    /// Lets a request wait until quota can have come from the peers.
+    pub(crate) fn wait_for_rate(&mut self, now: Time, open: &Open) -> Result<(), Refusal> {
+        let refusal = Refusal::not_run(self.rate_reason());
+        if self.rooms.rate.len() >= RATE_WAITERS {
+            return Err(refusal.retry_after(RATE_WAIT));
+        }
+        let until = (now + RATE_WAIT).min(open.deadline);
+        self.rooms.rate.push((open.query.id, until));
+        Ok(())
+    }
+
+    /// Lets a request wait for a slot of its service.
+    pub(crate) fn wait_for_slot(&mut self, now: Time, open: &Open) {
+        let left = open.deadline.since(now);
+        let waiting = Waiting {
+            account: open.contract.account.clone(),
+            weight: open.contract.rate,
+            priority: open.route.priority,
+            // The other half is for running it.
+            deadline: now + left / 2,
+            item: open.query.id,
+        };
+        let displaced = self.room(&open.route.service).push(waiting);
+        if let Some(id) = displaced {
+            self.displaced.push(id);
+        }
+    }
+
+    /// Whether requests of a service wait already, so that a new one may not pass them.
+    pub(crate) fn is_crowded(&self, service: &Service) -> bool {
+        let found = self.rooms.slots.binary_search_by(|row| row.0.cmp(service));
+        found.is_ok_and(|at| !self.rooms.slots[at].1.is_empty())
+    }
+
+    /// Tries the waiting requests again, and refuses those whose time is over.
+    pub(crate) fn serve_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.refuse_displaced(now, out);
+        self.serve_rate(now, out);
+        let services: Vec<Service> = self.rooms.slots.iter().map(|row| row.0.clone()).collect();
+        for service in services {
+            self.expire_slots(now, &service, out);
+            self.serve_slots(now, &service, out);
+        }
+    }
+
+    /// Gives free slots of a service to the requests that wait for them.
+    pub(crate) fn serve_slots(&mut self, now: Time, service: &Service, out: &mut Vec<Action>) {
+        for _ in 0..TRIED_AT_ONCE {
+            let Some(id) = self.room(service).pop(now) else {
+                return;
+            };
+            let Some(open) = self.requests.take(id) else {
+                continue;
+            };
+            self.advance(now, open, Signal::Free, out);
+            if self.requests.is_queued(id) {
+                return;
+            }
+        }
+    }
+
+    /// Notes how long a request held its slot.
+    pub(crate) fn note_hold(&mut self, now: Time, open: &Open) {
+        if let Some(since) = open.forwarded {
+            let account = &open.contract.account;
+            self.room(&open.route.service)
+                .finish(account, now.since(since));
+        }
+    }
+
+    // Without quota of its own an instance can't say that an account is above its rate.
+    fn rate_reason(&self) -> Reason {
+        if self.has_quota() {
+            Reason::RateExceeded
+        } else {
+            Reason::RateUnchecked
+        }
+    }
+
+    fn serve_rate(&mut self, now: Time, out: &mut Vec<Action>) {
+        // An account that is refused once is not asked for again in this pass.
+        let mut spent: Vec<Account> = Vec::new();
+        for (id, until) in std::mem::take(&mut self.rooms.rate) {
+            let Some(open) = self.requests.take(id) else {
+                continue;
+            };
+            let account = open.contract.account.clone();
+            let asked = !spent.contains(&account);
+            let verdict = asked.then(|| self.take_rate(now, &account, true));
+            match verdict {
+                Some(Verdict::Admitted) => self.advance(now, open, Signal::Granted, out),
+                _ if now >= until => {
+                    let reason = self.rate_reason();
+                    self.turn_back(now, open, reason, out);
+                }
+                Some(Verdict::Refused { .. }) | None => {
+                    spent.push(account);
+                    self.requests.insert(open);
+                    self.rooms.rate.push((id, until));
+                }
+            }
+        }
+    }
+
+    fn expire_slots(&mut self, now: Time, service: &Service, out: &mut Vec<Action>) {
+        let mut late = Vec::new();
+        self.room(service).expire(now, &mut late);
+        for id in late {
+            if let Some(open) = self.requests.take(id) {
+                self.turn_back(now, open, Reason::Overloaded, out);
+            }
+        }
+    }
+
+    fn refuse_displaced(&mut self, now: Time, out: &mut Vec<Action>) {
+        for id in std::mem::take(&mut self.displaced) {
+            if let Some(open) = self.requests.take(id) {
+                self.turn_back(now, open, Reason::Overloaded, out);
+            }
+        }
+    }
+
+    fn turn_back(&mut self, now: Time, mut open: Open, reason: Reason, out: &mut Vec<Action>) {
+        let may_have_run = open.attempts.may_have_run();
+        let refusal = if may_have_run {
+            Refusal::may_have_run(reason)
+        } else {
+            Refusal::not_run(reason)
+        };
+        open.refusal = Some(refusal.retry_after(RATE_WAIT));
+        self.advance(now, open, Signal::Refused, out);
+    }
+
+    fn room(&mut self, service: &Service) -> &mut FairQueue<RequestId> {
+        let found = self.rooms.slots.binary_search_by(|row| row.0.cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            let room = (service.clone(), FairQueue::new(SLOT_WAITERS));
+            self.rooms.slots.insert(at, room);
+            at
+        });
+        &mut self.rooms.slots[at].1
+    }
+}
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -57,6 +57,7 @@
         Reason::DeadlinePassed => StatusCode::GatewayTimeout,
         Reason::ServerBroke => StatusCode::BadGateway,
         Reason::KeyUnchecked
+        | Reason::RateUnchecked
         | Reason::NoServer
         | Reason::Overloaded
         | Reason::ShiftCapped
