standins: a load tool with an open-loop schedule, scenarios and plots

Cause: the policy under load and faults has to be measured against real processes, with plain routing and direct calls beside it. Change: scenarios in deploy/scenarios are drawn into a schedule from a seed; three threads send each request at its time, and latency counts from that time. A run gives a table, JSON and an SVG plot: latency by route, the share of each client account, refusals although within rate, processor time and memory of the daemons, platform calls, and what the history checker finds. Targets round-robin and least-connections go around the system. Ruled out: arc-swap for the address book, which is not in Cargo.lock; new books reach the workers through bounded rings.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -9,6 +9,7 @@
 mod run;
 mod topology;
 
+pub(crate) use crate::fleet::error::ContractSnafu;
 pub use crate::fleet::error::Error;
 pub use crate::fleet::keys::Granted;
 pub use crate::fleet::run::Fleet;
--- a/crates/standins/src/fleet/run.rs
+++ b/crates/standins/src/fleet/run.rs
@@ -1,6 +1,7 @@
 //! Starting a fleet and changing it while it runs.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use corianderway_model::raw;
@@ -59,6 +60,8 @@
 /// One entry instance.
 #[derive(Debug)]
 pub struct Node {
+    /// The name of the instance, the same at each start.
+    pub name: String,
     /// The process.
     pub daemon: Daemon,
     /// What the instance list says of it.
@@ -76,6 +79,7 @@
     pub platform: Platform,
     options: Options,
     minter: Minter,
+    histories: Vec<PathBuf>,
     folder: Folder,
 }
 
@@ -97,6 +101,7 @@
             platform: Platform::start()?,
             minter: Minter::new(options.seed),
             options,
+            histories: Vec::new(),
             folder: Folder::new()?,
         };
         for contract in contracts {
@@ -138,10 +143,11 @@
         for secret in &self.options.secrets {
             args.extend(["--secret", secret]);
         }
-        let history = self.folder.path().join(endpoint.id.as_str());
-        let history = history.to_string_lossy();
+        let file = self.folder.path().join(format!("{}.jsonl", endpoint.id));
+        let history = file.to_string_lossy();
         args.extend(["--history", &history]);
         let server = Server::start(&args)?;
+        self.histories.push(file);
         self.platform.register_backend(&server.describe()?)?;
         self.servers.push(server);
         Ok(())
@@ -159,10 +165,19 @@
         let (region, domain) = (place.region.as_str(), place.domain.as_str());
         let entry = daemon.describe(&place.id, region, domain)?;
         self.platform.register_entry(&entry)?;
-        self.nodes.push(Node { daemon, entry });
+        self.nodes.push(Node {
+            name: place.id.clone(),
+            daemon,
+            entry,
+        });
         Ok(())
     }
 
+    /// The history files of all backend servers, dead ones included.
+    pub fn histories(&self) -> Vec<PathBuf> {
+        self.histories.clone()
+    }
+
     /// Grants a key to a client account.
     ///
     /// # Errors
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod duty;
 pub mod fleet;
 pub mod harness;
+pub mod load;
 pub mod platform;
 pub mod serve;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,50 @@
+//! The load and experiment tool: scenarios against real processes over loopback.
+//!
+//! A [`Scenario`] is read from YAML, its [`Schedule`] is drawn from a seed, and
+//! callers send each request at its time whether or not earlier ones have been
+//! answered. Latency counts from the time at which a request should have been
+//! sent. [`run()`] gives a [`Summary`] that prints as a table, as JSON and as a
+//! plot.
+
+mod act;
+mod book;
+mod caller;
+mod error;
+mod evidence;
+mod figures;
+mod plot;
+mod pool;
+mod run;
+mod sample;
+mod scenario;
+mod schedule;
+mod summary;
+mod table;
+mod usage;
+mod worker;
+
+pub use crate::load::act::Act;
+pub use crate::load::act::Moment;
+pub use crate::load::book::Target;
+pub use crate::load::error::Error;
+pub use crate::load::figures::AccountFigures;
+pub use crate::load::figures::Latency;
+pub use crate::load::figures::RouteFigures;
+pub use crate::load::figures::Second;
+pub use crate::load::plot::plot;
+pub use crate::load::run::run;
+pub use crate::load::sample::End;
+pub use crate::load::sample::Sample;
+pub use crate::load::scenario::Callers;
+pub use crate::load::scenario::Scenario;
+pub use crate::load::scenario::Share;
+pub use crate::load::scenario::Weight;
+pub use crate::load::schedule::Arrival;
+pub use crate::load::schedule::Class;
+pub use crate::load::schedule::Schedule;
+pub use crate::load::schedule::Way;
+pub use crate::load::summary::summarize;
+pub use crate::load::summary::Summary;
+pub use crate::load::table::spread;
+pub use crate::load::table::table;
+pub use crate::load::usage::Usage;
--- /dev/null
+++ b/crates/standins/src/load/act.rs
@@ -0,0 +1,131 @@
+//! What happens to a fleet during a scenario.
+
+use std::time::Duration;
+
+use corianderway_model::DurationText;
+use corianderway_model::Presence;
+use serde::Deserialize;
+use serde_with::serde_as;
+
+use crate::backend;
+use crate::fleet::Fleet;
+use crate::fleet::Place;
+use crate::load::error::Error;
+use crate::platform;
+
+/// Something that happens at a time.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Moment {
+    /// The time after the first request.
+    #[serde_as(as = "DurationText")]
+    pub at: Duration,
+    /// What happens.
+    pub act: Act,
+}
+
+/// What can happen to a fleet.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Act {
+    /// A backend server dies.
+    KillServer(String),
+    /// Everything in a region dies at once.
+    LoseRegion(String),
+    /// A failure domain's backend servers are announced as leaving.
+    LeaveDomain(String),
+    /// The first entry instances, this many, are stopped as planned and replaced one by one.
+    ReplaceEntries(usize),
+    /// The platform's faults change.
+    Platform(platform::Faults),
+    /// The faults of one backend server change.
+    Server(String, backend::Faults),
+}
+
+impl Act {
+    /// A few words, for plots.
+    pub fn label(&self) -> String {
+        match self {
+            Self::KillServer(id) => format!("kill {id}"),
+            Self::LoseRegion(region) => format!("lose {region}"),
+            Self::LeaveDomain(domain) => format!("drain {domain}"),
+            Self::ReplaceEntries(count) => format!("replace {count} entries"),
+            Self::Platform(faults) => format!("platform {:?}", faults.down).to_lowercase(),
+            Self::Server(id, _) => format!("faults of {id}"),
+        }
+    }
+
+    /// Lets it happen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be reached or does not stop or start in time.
+    pub(crate) fn apply(&self, fleet: &mut Fleet) -> Result<(), Error> {
+        match self {
+            Self::KillServer(id) => kill_servers(fleet, |b| b.id.as_str() == id),
+            Self::LoseRegion(region) => lose_region(fleet, region),
+            Self::LeaveDomain(domain) => leave_domain(fleet, domain),
+            Self::ReplaceEntries(count) => replace_entries(fleet, *count),
+            Self::Platform(faults) => Ok(fleet.platform.set_faults(faults)?),
+            Self::Server(id, faults) => set_faults(fleet, id, faults),
+        }
+    }
+}
+
+fn kill_servers(
+    fleet: &mut Fleet,
+    chosen: impl Fn(&corianderway_model::Backend) -> bool,
+) -> Result<(), Error> {
+    for server in &mut fleet.servers {
+        if chosen(&server.describe()?) {
+            server.process.kill()?;
+        }
+    }
+    Ok(())
+}
+
+fn lose_region(fleet: &mut Fleet, region: &str) -> Result<(), Error> {
+    kill_servers(fleet, |b| b.region.as_str() == region)?;
+    for node in &mut fleet.nodes {
+        if node.entry.region.as_str() == region {
+            node.daemon.process.kill()?;
+        }
+    }
+    Ok(())
+}
+
+fn leave_domain(fleet: &mut Fleet, domain: &str) -> Result<(), Error> {
+    for server in &fleet.servers {
+        let mut backend = server.describe()?;
+        if backend.domain.as_str() == domain {
+            backend.presence = Presence::Leaving;
+            fleet.platform.register_backend(&backend)?;
+        }
+    }
+    Ok(())
+}
+
+fn replace_entries(fleet: &mut Fleet, count: usize) -> Result<(), Error> {
+    for _ in 0..count.min(fleet.nodes.len()) {
+        let place = fleet.nodes.first().map(|n| Place {
+            id: n.name.clone(),
+            region: n.entry.region.clone(),
+            domain: n.entry.domain.clone(),
+        });
+        let Some(place) = place else { return Ok(()) };
+        fleet.add_entry(&place)?;
+        fleet.settle()?;
+        fleet.stop_entry(0)?;
+    }
+    Ok(())
+}
+
+fn set_faults(fleet: &Fleet, id: &str, faults: &backend::Faults) -> Result<(), Error> {
+    for server in &fleet.servers {
+        if server.describe()?.id.as_str() == id {
+            server.set_faults(faults)?;
+        }
+    }
+    Ok(())
+}
