limits: loans shrink as demand does; compared with rate divided by instances

Cause: after callers moved on, the last instance kept its loans for 2 s, and asked silent homes for the same part as the others; a new run that started in an outage asked nobody for the epoch. Change: needs spread over the homes that answer; loans beyond a need are cut at once; a run without an epoch asks the peers it was told of.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -3,6 +3,9 @@
 use corianderway_model::InstanceId;
 use corianderway_model::Time;
 
+use crate::borrow::Borrower;
+use crate::borrow::Need;
+use crate::borrow::Plea;
 use crate::bucket::Amount;
 use crate::bucket::Bucket;
 use crate::bucket::Tokens;
@@ -12,13 +15,10 @@
 use crate::limit::Limit;
 use crate::loan::Book;
 use crate::loan::Demand;
-use crate::loan::Loan;
 use crate::message::Ask;
 use crate::message::Grant;
 use crate::message::Release;
 use crate::parts::Parts;
-use crate::ranking::Ranking;
-use crate::terms::Terms;
 
 /// Shares are wanted for this many times the demand seen, over two.
 const MARGIN_HALVES: u64 = 3;
@@ -37,26 +37,16 @@
     generation: u64,
     floor: Parts,
     book: Book,
-    loans: Vec<Loan>,
+    borrower: Borrower,
     // When the first loan held ends.
     next: Time,
     demand: Demand,
     // The largest request of late.
     cost: u64,
     hungry: bool,
-    width: usize,
-    homes: Vec<InstanceId>,
-    ranked: u64,
     pub(crate) active: bool,
 }
 
-/// What an entry asks of its homes, or gives back to them.
-#[derive(Debug)]
-pub(crate) enum Plea {
-    Ask(InstanceId, Ask),
-    Release(InstanceId, Release),
-}
-
 impl Entry {
     pub(crate) fn new(now: Time, limit: Limit, amount: Amount) -> Self {
         Self {
@@ -68,14 +58,11 @@
             generation: 0,
             floor: Parts::NONE,
             book: Book::default(),
-            loans: vec![],
+            borrower: Borrower::default(),
             next: NEVER,
             demand: Demand::default(),
             cost: Tokens::ONE.get(),
             hungry: false,
-            width: 0,
-            homes: vec![],
-            ranked: 0,
             active: false,
         }
     }
@@ -126,9 +113,8 @@
     }
 
     fn set_share(&mut self, now: Time) {
-        let held = self.loans.iter().filter(|l| !l.ended(now));
-        self.next = held.clone().map(|l| l.until).min().unwrap_or(NEVER);
-        let borrowed: Parts = held.map(|l| l.parts).sum();
+        let (borrowed, next) = self.borrower.held(now);
+        self.next = next.unwrap_or(NEVER);
         let share = self.floor.less(self.book.lent()) + borrowed;
         self.bucket.set(now, share, self.amount);
     }
@@ -184,104 +170,24 @@
         if need == Parts::NONE {
             self.give_back(now, out);
         } else {
-            self.borrow(now, need, group, seq, out);
+            let hungry = self.hungry;
+            let need = Need {
+                parts: need,
+                hungry,
+            };
+            let name = (&self.limit, self.key);
+            self.borrower.plan(now, need, group, name, seq, out);
         }
         self.hungry = false;
-        !self.loans.is_empty() || !self.book.is_empty() || need != Parts::NONE
+        !self.borrower.is_empty() || !self.book.is_empty() || need != Parts::NONE
     }
 
     /// Gives all loans back.
     pub(crate) fn give_back(&mut self, now: Time, out: &mut Vec<Plea>) {
-        for loan in self.loans.drain(..) {
-            let seq = loan.last();
-            let limit = self.limit.clone();
-            out.push(Plea::Release(loan.home, Release { limit, seq }));
-        }
-        self.width = 0;
+        self.borrower.give_back(&self.limit, out);
         self.set_share(now);
     }
 
-    fn borrow(
-        &mut self,
-        now: Time,
-        need: Parts,
-        group: &Group,
-        seq: &mut u64,
-        out: &mut Vec<Plea>,
-    ) {
-        self.rank(group);
-        let answer = group.terms.answer;
-        for loan in &mut self.loans {
-            loan.forget(now, group.terms.loan);
-        }
-        self.loans.retain(|l| l.is_open() || !l.ended(now));
-        let held: Parts = self.loans.iter().map(|l| l.parts).sum();
-        let waits = self.loans.iter().any(|l| l.waits(now, answer));
-        self.widen(need, held, waits);
-        let each = Parts::new(need.get().div_ceil(self.width.max(1) as u64));
-        for at in 0..self.width {
-            self.ask(now, at, each, &group.terms, seq, out);
-        }
-    }
-
-    // Asks more homes while fewer give too little.
-    fn widen(&mut self, need: Parts, held: Parts, waits: bool) {
-        let homes = self.homes.len();
-        let part = Parts::WHOLE.get() / homes.max(1) as u64;
-        let least = 1 + (need.get() / part.max(1)) as usize;
-        if self.width < least {
-            self.width = least;
-        } else if held < need && !waits && self.hungry {
-            self.width *= 2;
-        }
-        self.width = self.width.min(homes);
-    }
-
-    fn ask(
-        &mut self,
-        now: Time,
-        at: usize,
-        want: Parts,
-        terms: &Terms,
-        seq: &mut u64,
-        out: &mut Vec<Plea>,
-    ) {
-        let home = &self.homes[at];
-        let found = self.loans.binary_search_by(|l| l.home.cmp(home));
-        let at = found.unwrap_or_else(|at| {
-            self.loans.insert(at, Loan::new(home.clone()));
-            at
-        });
-        let loan = &mut self.loans[at];
-        let short = self.hungry && loan.parts < want;
-        let late = loan.until < now + terms.loan / 2;
-        if loan.waits(now, terms.answer) || !(short || late) {
-            return;
-        }
-        *seq += 1;
-        loan.ask(*seq, now);
-        let ask = Ask {
-            limit: self.limit.clone(),
-            seq: *seq,
-            have: loan.seq,
-            want,
-        };
-        out.push(Plea::Ask(loan.home.clone(), ask));
-    }
-
-    // Lists the other homes; each instance begins elsewhere in the list.
-    fn rank(&mut self, group: &Group) {
-        if self.ranked == group.number() {
-            return;
-        }
-        let Some(known) = &group.current else { return };
-        self.homes = known.ranking.homes(self.key);
-        let start = Ranking::start(&group.me, self.homes.len());
-        self.homes.rotate_left(start);
-        self.homes.retain(|h| *h != group.me);
-        self.ranked = group.number();
-    }
-
     /// Lends to an asker what the floor has to spare; `None` for a repeat.
     pub(crate) fn lend(
         &mut self,
@@ -328,10 +234,7 @@
     /// Takes a loan if it answers the newest ask.
     pub(crate) fn take(&mut self, now: Time, from: &InstanceId, grant: &Grant, group: &Group) {
         self.refresh(now, group);
-        let Ok(at) = self.loans.binary_search_by(|l| l.home.cmp(from)) else {
-            return;
-        };
-        if !self.loans[at].take(grant) {
+        if !self.borrower.take(from, grant) {
             return;
         }
         self.set_share(now);
--- a/crates/limits/src/group.rs
+++ b/crates/limits/src/group.rs
@@ -207,7 +207,7 @@
         if wide {
             self.read(now, out);
         }
-        if wide && self.outage() {
+        if wide && self.outage() && self.current.is_some() {
             self.query_majority(now, out);
         } else {
             self.query(now, peers, out);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -59,6 +59,7 @@
 //! # Ok::<(), corianderway_model::Error>(())
 //! ```
 
+mod borrow;
 mod bucket;
 mod chart;
 mod entry;
--- a/crates/limits/src/loan.rs
+++ b/crates/limits/src/loan.rs
@@ -47,7 +47,8 @@
         now >= self.until
     }
 
-    /// Whether the newest ask may still be answered in the usual time.
+    /// Whether the newest ask may still be answered in the usual time, which
+    /// grows with each ask that was not.
     pub(crate) fn waits(&self, now: Time, answer: Duration) -> bool {
         self.open
             .last()
@@ -59,6 +60,11 @@
         !self.open.is_empty()
     }
 
+    /// The number of asks without an answer.
+    pub(crate) fn open(&self) -> usize {
+        self.open.len()
+    }
+
     pub(crate) fn ask(&mut self, seq: u64, now: Time) {
         if self.open.len() == OPEN_ASKS {
             self.open.remove(0);
--- a/crates/limits/src/quota.rs
+++ b/crates/limits/src/quota.rs
@@ -3,12 +3,12 @@
 use corianderway_model::InstanceId;
 use corianderway_model::Time;
 
+use crate::borrow::Plea;
 use crate::bucket::Amount;
 use crate::bucket::Tokens;
 use crate::bucket::Verdict;
 use crate::chart::Standing;
 use crate::entry::Entry;
-use crate::entry::Plea;
 use crate::event::Action;
 use crate::event::Event;
 use crate::group::Group;
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
 use corianderway_limits::Action;
 use corianderway_limits::Amount;
 use corianderway_limits::Body;
+use corianderway_limits::Bucket;
 use corianderway_limits::Epoch;
 use corianderway_limits::Event;
 use corianderway_limits::Limit;
@@ -55,6 +56,15 @@
     pub split: f64,
 }
 
+/// How a limit is divided between instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    #[default]
+    Lent,
+    /// Each instance always has its even part.
+    Even,
+}
+
 /// A mechanism that is switched off, to see the check fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Sabotage {
@@ -83,6 +93,9 @@
     pub admitted: u64,
     pub refused: u64,
     inbox: Vec<Event>,
+    even: Bucket,
+    // Requests that wait: until when, and whether they are within the rate.
+    waiting: Vec<(u64, bool)>,
     offset: u64,
     pace: f64,
     run: u64,
@@ -106,6 +119,9 @@
     pub split: (usize, u64),
     pub faults: Faults,
     pub sabotage: Sabotage,
+    pub policy: Policy,
+    /// How long a refused request waits for another try.
+    pub patience_ms: u64,
     pub terms: Terms,
     pub limit: Limit,
     pub amount: Amount,
@@ -137,6 +153,8 @@
             split: (0, 0),
             faults: Faults::default(),
             sabotage: Sabotage::None,
+            policy: Policy::Lent,
+            patience_ms: 0,
             terms,
             limit: Limit::Rate(Account::try_from("finder").unwrap()),
             amount: Amount::new(rate, burst),
@@ -183,6 +201,8 @@
             admitted: 0,
             refused: 0,
             inbox: vec![],
+            even: Bucket::default(),
+            waiting: vec![],
             offset: self.rng.random_range(0..1 << 40),
             pace: self.rng.random_range(1.0 - DRIFT..1.0 + DRIFT),
             run,
@@ -207,6 +227,8 @@
         let weight = self.nodes[at].weight;
         self.nodes[at] = self.start(at, run);
         self.nodes[at].weight = weight;
+        // Its peers tell it whom they know.
+        self.post(at, 50, Event::Live(self.live.clone()));
     }
 
     pub fn pause(&mut self, at: usize, ms: u64) {
@@ -290,6 +312,9 @@
 
     // The list of live instances lags and leaves out the paused and the cut.
     fn list(&mut self) {
+        if !self.platform_up() {
+            return;
+        }
         let seen = |at: &usize| !self.nodes[*at].paused && self.reaches_platform(*at);
         let listed = (0..self.nodes.len()).filter(seen);
         let live = listed.map(|at| self.nodes[at].id.clone()).collect();
@@ -426,6 +451,9 @@
         let step = STEP_MS as f64 / 1000.0;
         self.level = (self.level - self.rate * step).max(0.0);
         self.oracle = (self.oracle + self.rate * step).min(self.burst);
+        for at in 0..self.nodes.len() {
+            self.try_again(at);
+        }
         if self.ms % self.idle_ms.max(1) < self.idle_ms / 2 {
             return;
         }
@@ -444,16 +472,54 @@
         }
         let within = self.oracle >= 1.0;
         self.oracle -= f64::from(u8::from(within));
-        let (ms, node) = (self.ms, &mut self.nodes[at]);
+        if !self.ask(at, false) {
+            let until = self.ms + self.patience_ms;
+            self.nodes[at].waiting.push((until, within));
+        }
+    }
+
+    // Tries the waiting again, and refuses those that waited too long.
+    fn try_again(&mut self, at: usize) {
+        if self.nodes[at].paused {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.nodes[at].waiting);
+        let mut dry = false;
+        for (until, within) in waiting {
+            dry = dry || !self.ask(at, true);
+            if !dry {
+                continue;
+            }
+            if until > self.ms {
+                self.nodes[at].waiting.push((until, within));
+            } else {
+                self.nodes[at].refused += 1;
+                self.wrongful += u64::from(within);
+            }
+        }
+    }
+
+    fn ask(&mut self, at: usize, again: bool) -> bool {
+        let (ms, count, node) = (self.ms, self.nodes.len() as u64, &mut self.nodes[at]);
         let now = node.clock(ms);
-        if node.quota.admit(now, &self.limit, Tokens::ONE) == Verdict::Admitted {
+        let verdict = match (self.policy, again) {
+            (Policy::Lent, false) => node.quota.admit(now, &self.limit, Tokens::ONE),
+            (Policy::Lent, true) => node.quota.retry(now, &self.limit, Tokens::ONE),
+            (Policy::Even, _) => {
+                let part = Parts::ratio(1, count);
+                if node.even.share() != part {
+                    node.even.set(now, part, self.amount);
+                }
+                node.even.admit(now, Tokens::ONE)
+            }
+        };
+        let admitted = verdict == Verdict::Admitted;
+        if admitted {
             node.admitted += 1;
             self.level += 1.0;
             self.worst_level = self.worst_level.max(self.level);
-        } else {
-            node.refused += 1;
-            self.wrongful += u64::from(within);
         }
+        admitted
     }
 
     /// The share that all running processes may use now.
@@ -481,6 +547,16 @@
         self.worst_share <= Parts::WHOLE.get() && self.worst_level <= self.burst + slack
     }
 
+    /// Tells one instance that an operator confirmed the loss of the others.
+    pub fn confirm(&mut self) {
+        let at = self.nodes.len() - 1;
+        self.post(at, 5, Event::Confirmed);
+    }
+
+    pub fn refused(&self) -> u64 {
+        self.nodes.iter().map(|n| n.refused).sum()
+    }
+
     pub fn admitted(&self) -> u64 {
         self.nodes.iter().map(|n| n.admitted).sum()
     }
