control: fault matrix of claims and keys; answers bound to their attempt

Cause: an answer of the platform or of a backend server was matched by the claim's name and a number that began anew with each claim, so a late answer to a claim that was given up could pass for an answer to the next one under the same key, which would then forward without holding the claim. Change: numbers are never used twice on an instance, and a backend answer carries the number of its attempt. Until a claim is settled a late answer to one of its own earlier calls counts, so a slow platform no longer leads to refusals. tests/data holds a cell for every fault at every state of the charts of claims (12 by 7) and keys (6 by 3); a state without its cells fails. Failed first: both late_answer tests were red with numbers beginning at 0 and without the match of attempts; the cells claiming by platform-slow and claiming by platform-down said not-started, and now say ran.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`Control`] joins the parts below that an instance runs all the time.
 //! * [`ConfigSet`] holds the objects that operators store in the platform.
 //! * [`KeyTable`] decides whether a presented key is accepted.
+//! * [`Claims`] makes a request run at most once.
 //! * [`Freshness`] says whether a withdrawal can have passed an instance by.
 //!
 //! # Example
@@ -38,6 +39,10 @@
 //! # Ok::<(), corianderway_model::Error>(())
 //! ```
 
+mod claim;
+mod claim_event;
+mod claim_record;
+mod claims;
 mod confirm;
 mod control;
 mod freshness;
@@ -50,10 +55,29 @@
 mod parents;
 mod questions;
 mod reply;
+mod request_key;
+mod retry;
 mod set;
 mod source;
 mod watchers;
 
+pub use crate::claim::ClaimState;
+pub use crate::claim_event::BackendAnswer;
+pub use crate::claim_event::ClaimAction;
+pub use crate::claim_event::ClaimEvent;
+pub use crate::claim_event::Expect;
+pub use crate::claim_event::OnceRequest;
+pub use crate::claim_event::Reply;
+pub use crate::claim_event::RequestId;
+pub use crate::claim_event::StoreAnswer;
+pub use crate::claim_record::ClaimRecord;
+pub use crate::claim_record::Header;
+pub use crate::claim_record::Nonce;
+pub use crate::claim_record::Outcome as ClaimOutcome;
+pub use crate::claim_record::Run;
+pub use crate::claim_record::OUTCOME_BODY_BYTES;
+pub use crate::claims::Claims;
+pub use crate::claims::CLAIM_CHART;
 pub use crate::confirm::InForce;
 pub use crate::control::Action;
 pub use crate::control::Control;
@@ -92,6 +116,14 @@
 pub use crate::object::Stamp;
 pub use crate::object::Value;
 pub use crate::object::KINDS;
+pub use crate::request_key::BodyHash;
+pub use crate::request_key::RequestKey;
+pub use crate::request_key::RequestKeyError;
+pub use crate::request_key::CLAIM_LIFE_S;
+pub use crate::request_key::KEY_LIFE_S;
+pub use crate::retry::after_failure;
+pub use crate::retry::AfterFailure;
+pub use crate::retry::Failure;
 pub use crate::set::ConfigSet;
 pub use crate::set::Digest;
 pub use crate::set::Outcome;
