rollout: drains follow lasting loads, not brief ones

Cause: the node estimates the load as its own requests times the instances, which is noisy, and one high estimate took a drain back; a server that drains is also reported as taking no work, so a lasting overload was never seen (`covered` found nothing lost). Change: the load has to speak for 2 s; the servers of a withheld scope count as lost capacity. Test added for both; with PATIENCE at zero its first half fails, with the old `covered` its second half.

--- a/crates/rollout/src/capacity.rs
+++ b/crates/rollout/src/capacity.rs
@@ -38,7 +38,7 @@
 
 fn carries(drain: &Drain, others: &[&Drain], loads: &[ServerLoad], part: f64) -> bool {
     let gone = scopes(drain, others);
-    let mut services: Vec<&Service> = covered(&drain.scope, loads).collect();
+    let mut services: Vec<&Service> = covered(drain, loads).collect();
     services.sort();
     services.dedup();
     services.into_iter().all(|service| {
@@ -50,13 +50,10 @@
     })
 }
 
-// The services that lose a server which takes work now.
-fn covered<'a>(
-    scope: &'a DrainScope,
-    loads: &'a [ServerLoad],
-) -> impl Iterator<Item = &'a Service> {
-    let lost = loads.iter().filter(|l| l.takes && scope.covers(&l.place));
-    lost.map(|l| &l.service)
+// The services that lose a server which takes work, or would but for the drain.
+fn covered<'a>(drain: &'a Drain, loads: &'a [ServerLoad]) -> impl Iterator<Item = &'a Service> {
+    let lost = |l: &&ServerLoad| drain.scope.covers(&l.place) && (l.takes || drain.withheld);
+    loads.iter().filter(lost).map(|l| &l.service)
 }
 
 // What gets no work if this drain goes on: planned drains that came earlier
--- a/crates/rollout/src/drains.rs
+++ b/crates/rollout/src/drains.rs
@@ -30,6 +30,8 @@
 
 /// How long each instance lets the one before it advance a drain.
 const STAGGER: Duration = Duration::from_secs(1);
+/// How long the load has to speak for a change of state.
+const PATIENCE: Duration = Duration::from_secs(2);
 /// The time between two reports of an instance on one drain.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -54,6 +56,8 @@
     quiet: Quiet,
     turns: Turns<DrainTrigger, Drain>,
     reported: Option<Time>,
+    // Since when the load has spoken for a change of state.
+    pressed: Option<Time>,
 }
 
 impl Drains {
@@ -122,6 +126,7 @@
                     entry.record = stored.value;
                     entry.version = stored.version;
                     entry.reported = None;
+                    entry.pressed = None;
                     entry.busy = None;
                 }
             }
@@ -159,8 +164,9 @@
 
     fn tick(&mut self, at: Moment, out: &mut Vec<DrainAction>) {
         for index in 0..self.entries.len() {
+            self.press(index, at.time);
             self.entries[index].report(at.time, &self.own, out);
-            let next = self.next(index, at.wall);
+            let next = self.next(index, at);
             let entry = &mut self.entries[index];
             let name = entry.record.scope.object_name();
             let party = Party {
@@ -173,37 +179,40 @@
         }
     }
 
+    // Measurements are noisy, so only what they say for a while counts.
+    fn press(&mut self, index: usize, now: Time) {
+        let record = &self.entries[index].record;
+        let speaks = match record.state {
+            DrainState::Planned => self.fits(index),
+            DrainState::Draining => capacity::overloads(record, &self.others(index), &self.loads),
+            DrainState::Drained | DrainState::Cancelled => false,
+        };
+        let entry = &mut self.entries[index];
+        let since = entry.pressed.unwrap_or(now);
+        entry.pressed = speaks.then_some(since);
+    }
+
     // The next revision that is due by this instance's view, if any.
-    fn next(&self, index: usize, wall: u64) -> Option<(DrainTrigger, Drain)> {
+    fn next(&self, index: usize, at: Moment) -> Option<(DrainTrigger, Drain)> {
         let entry = &self.entries[index];
-        let record = &entry.record;
-        let trigger = self.trigger(index)?;
+        let pressed = entry.is_pressed(at.time);
+        let trigger = match entry.record.state {
+            DrainState::Planned => DrainTrigger::Admit,
+            DrainState::Draining if pressed => DrainTrigger::Overload,
+            DrainState::Draining => DrainTrigger::Settle,
+            DrainState::Drained | DrainState::Cancelled => return None,
+        };
         let standing = DrainStanding {
-            fits: trigger == DrainTrigger::Admit && self.fits(index),
+            fits: pressed,
             empty: entry.quiet.is_reached(&self.live, entry.version),
         };
         let who = self.own.as_str();
-        let record = record.advance(&self.chart, trigger, standing, wall, who)?;
+        let record = entry
+            .record
+            .advance(&self.chart, trigger, standing, at.wall, who)?;
         Some((trigger, record))
     }
 
-    fn trigger(&self, index: usize) -> Option<DrainTrigger> {
-        let record = &self.entries[index].record;
-        match record.state {
-            DrainState::Planned => Some(DrainTrigger::Admit),
-            DrainState::Draining => {
-                let others = self.others(index);
-                let overloads = capacity::overloads(record, &others, &self.loads);
-                Some(if overloads {
-                    DrainTrigger::Overload
-                } else {
-                    DrainTrigger::Settle
-                })
-            }
-            DrainState::Drained | DrainState::Cancelled => None,
-        }
-    }
-
     // Without measurements nothing is known to fit.
     fn fits(&self, index: usize) -> bool {
         let record = &self.entries[index].record;
@@ -234,9 +243,15 @@
             quiet: Quiet::default(),
             turns: Turns::default(),
             reported: None,
+            pressed: None,
         }
     }
 
+    fn is_pressed(&self, now: Time) -> bool {
+        let since = self.pressed.map(|since| now.since(since));
+        since.is_some_and(|span| span >= PATIENCE)
+    }
+
     fn report(&mut self, now: Time, own: &InstanceId, out: &mut Vec<DrainAction>) {
         let fresh = self
             .reported
--- a/crates/rollout/tests/drains.rs
+++ b/crates/rollout/tests/drains.rs
@@ -177,3 +177,25 @@
     }
     assert_eq!((drain.state, drain.withheld), (DrainState::Drained, true));
 }
+
+// A drained server is reported as taking nothing, since it drains.
+#[test]
+fn a_brief_peak_takes_no_drain_back_and_a_lasting_one_does() {
+    let mut drains = instance(&["entry-1"], 2.0);
+    step(&mut drains, 0, DrainEvent::Record(stored(domain(0), 0)));
+    assert_eq!(written(&mut drains, 1).unwrap().state, DrainState::Draining);
+    let with = |busy| {
+        let mut loads = loads(busy);
+        let covered = loads.iter_mut().filter(|l| domain(0).covers(&l.place));
+        covered.for_each(|l| l.takes = false);
+        DrainEvent::Loads(loads)
+    };
+    for secs in 30..60 {
+        let busy = if secs % 2 == 0 { 9.0 } else { 2.0 };
+        step(&mut drains, secs, with(busy));
+        assert_eq!(step(&mut drains, secs, DrainEvent::Tick), []);
+    }
+    step(&mut drains, 60, with(9.0));
+    let back = written(&mut drains, 60).unwrap();
+    assert_eq!(back.state, DrainState::Planned);
+}
