cli: the operator's command with its verbs, conflicts and exit codes

Cause: operators had no way to apply contracts, grant keys, start moves or plan drains but raw calls of the platform's object API. Ruled out: one argument parser for all groups (xflags names a type after each verb, and `list` stands in five groups); a nonce in stored contracts (no wrapper is defined, and equal values settle a lost answer as well). Change: one module a group of verbs; writes are conditional, made again after a lost answer and settled when what is in force is what was asked for; a conflict lists the other operator's change; codes 0 to 5. The lost-answer test ends with code 3 when a refusal is not compared with the value that was sent. Conclusion: status and explain still want a run against a real daemon.

--- /dev/null
+++ b/crates/cli/src/help.rs
@@ -0,0 +1,47 @@
+//! Help texts: the whole command, one group of verbs, one verb.
+
+/// The help of the whole command.
+pub const TOP: &str = "\
+corianderway: steers the traffic of a fleet of entry instances
+
+USAGE:
+  corianderway <GROUP> <VERB> [ARGS] [--platform ADDR] [--json]
+
+GROUPS:
+  contract apply FILE.. | diff FILE | show ACCOUNT | list
+  key      grant ACCOUNT | withdraw ID | list
+  move     start SERVICE VERSION | watch SERVICE | back SERVICE | show SERVICE | list
+  drain    plan SCOPE NAME | watch SCOPE NAME | cancel SCOPE NAME | list
+  status   [--instance ADDR]..
+  explain  REQUEST --instance ADDR..
+  chart    list | print NAME | check FILE
+
+  `corianderway GROUP --help` and `corianderway GROUP VERB --help` say more.
+
+ENVIRONMENT:
+  CORIANDERWAY_PLATFORM   the platform's address, if --platform is not given
+  CORIANDERWAY_INSTANCES  admin addresses of entry instances, separated by commas
+
+EXIT CODES:
+  0  done
+  1  failed: the input or the state of the fleet does not allow it
+  2  the arguments are wrong
+  3  conflict: another operator changed the object; the change is shown
+  4  the platform or an instance could not be reached
+  5  the wait timed out; what was waited for goes on
+";
+
+/// The part of a group's help that describes one verb, or all of it.
+pub fn section(help: &str, group: &str, verb: Option<&str>) -> String {
+    let Some(verb) = verb else {
+        return help.to_owned();
+    };
+    let heading = format!("{group} {verb}");
+    let from = help.lines().skip_while(|line| *line != heading);
+    let other = |line: &&str| !line.starts_with(&format!("{group} ")) || *line == heading;
+    let lines: Vec<&str> = from.take_while(other).collect();
+    if lines.is_empty() {
+        return help.to_owned();
+    }
+    lines.join("\n").trim_end().to_owned() + "\n"
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,28 @@
-//! Placeholder.
+//! The operator's command: contracts, keys, version moves, drains and charts.
+//!
+//! It talks to the platform's object API with conditional writes and to the
+//! admin address of entry instances. Each group of verbs has a module of its
+//! own; [`help`] documents the exit codes.
 
-fn main() {}
+mod chart;
+mod client;
+mod command;
+mod contract;
+mod diff;
+mod drain;
+mod error;
+mod explain;
+mod help;
+mod key;
+mod moves;
+mod output;
+mod platform;
+mod policy;
+mod status;
+mod wait;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::run(std::env::args_os().skip(1).collect())
+}
