cli: races of operators, explanations and views of instances tested

Cause: explain took an answer without lines for knowledge of the request, and a conflict between read and write had no test. Failed first: explain printed an empty list with code 0 for an unknown request.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -45,7 +45,7 @@
     let (mut known, mut failed) = (Vec::new(), None);
     for addr in asked {
         match status::ask(addr, &path) {
-            Ok(answer) if is_empty(&answer) => {}
+            Ok(answer) if lines(&answer).is_empty() => {}
             Ok(answer) => known.push(json!({ "addr": addr, "answer": answer })),
             Err(error) => failed = Some(error),
         }
@@ -62,26 +62,24 @@
     failed.unwrap_or_else(|| RefusedSnafu { message }.build())
 }
 
-fn is_empty(answer: &Value) -> bool {
-    match answer {
-        Value::Null => true,
-        Value::Array(items) => items.is_empty(),
-        Value::Object(fields) => fields.is_empty(),
-        _ => false,
-    }
+// An instance answers with the log lines of the request, or none.
+fn lines(answer: &Value) -> Vec<&str> {
+    let lines = answer["lines"].as_array().into_iter().flatten();
+    lines.filter_map(Value::as_str).collect()
 }
 
 fn text(known: &[Value]) -> String {
-    let mut lines = Vec::new();
+    let mut text = Vec::new();
     for told in known {
-        lines.push(format!(
+        text.push(format!(
             "instance at {}",
             told["addr"].as_str().unwrap_or_default()
         ));
-        match &told["answer"] {
-            Value::Array(items) => items.iter().for_each(|i| status::fields(i, &mut lines)),
-            answer => status::fields(answer, &mut lines),
-        }
+        text.extend(
+            lines(&told["answer"])
+                .iter()
+                .map(|line| format!("  {line}")),
+        );
     }
-    lines.join("\n")
+    text.join("\n")
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -122,8 +122,8 @@
     lines.join("\n")
 }
 
-/// Lists the fields of an answer, one for each line; rows of a list on one.
-pub fn fields(value: &Value, lines: &mut Vec<String>) {
+// Lists the fields of an answer, one for each line; rows of a list on one.
+fn fields(value: &Value, lines: &mut Vec<String>) {
     match value {
         Value::Null => {}
         Value::Object(fields) => {
--- a/crates/cli/tests/verbs.rs
+++ b/crates/cli/tests/verbs.rs
@@ -1,13 +1,19 @@
 //! The operator's command against the platform stand-in, both as processes.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use corianderway_model::Backend;
 use corianderway_model::Presence;
+use corianderway_standins::harness::until;
 use corianderway_standins::harness::Platform;
 use corianderway_standins::platform::Down;
 use corianderway_standins::platform::Faults;
@@ -149,6 +155,74 @@
     assert_eq!(held.value["burst"], json!(400.0));
 }
 
+// The first operator has read the contract and waits for the answer when the
+// second one writes.
+#[test]
+fn of_two_racing_operators_one_wins_and_the_other_is_told() {
+    let platform = started();
+    let faults = Faults {
+        slow_ms: 400,
+        ..Faults::default()
+    };
+    platform.set_faults(&faults).unwrap();
+    let reads = || platform.calls().unwrap().of("get");
+    let before = reads();
+    let raised = file(&CONTRACT.replace("burst: 400", "burst: 500"));
+    let told = std::thread::scope(|scope| {
+        let first = scope.spawn(|| command(&["contract", "apply", &raised], Some(&platform)));
+        let read = || (reads() > before).then_some(());
+        until("the first operator's read", Duration::from_secs(5), read).unwrap();
+        let mut other: Value = serde_yaml_ng::from_str(CONTRACT).unwrap();
+        other["rate"] = json!(250.0);
+        platform.update("contracts", "finder", 1, &other).unwrap();
+        first.join().unwrap()
+    });
+    assert_eq!(told.code, CONFLICT, "{}", told.err);
+    assert!(told.err.contains("-> 250.0"), "{}", told.err);
+    let held = platform.get("contracts", "finder").unwrap().unwrap();
+    assert_eq!(held.value["burst"], json!(400));
+}
+
+// Answers each call with one text, as the admin address of an instance would.
+fn admin(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).unwrap();
+                head.push(byte[0]);
+            }
+            let length = answer.len();
+            let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{answer}");
+            stream.write_all(reply.as_bytes()).unwrap();
+        }
+    });
+    addr
+}
+
+#[test]
+fn explain_asks_the_instances_until_one_knows_the_request() {
+    let knows = admin(r#"{"request":"r1","lines":["event=route server=b1","event=end"]}"#);
+    let knows_not = admin(r#"{"request":"r1","lines":[]}"#);
+    let (knows, knows_not) = (knows.to_string(), knows_not.to_string());
+    let args = [
+        "explain",
+        "r1",
+        "--instance",
+        &knows_not,
+        "--instance",
+        &knows,
+    ];
+    let told = command(&args, None).done();
+    assert!(told.out.contains("event=route server=b1"), "{}", told.out);
+    assert_eq!(command(&args[..4], None).code, FAILED);
+    assert_eq!(command(&args[..2], None).code, USAGE);
+}
+
 #[test]
 fn a_write_whose_answer_is_lost_is_settled_by_reading_back() {
     let platform = started();
