--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -2,9 +2,17 @@
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use corianderway_model::Time;
 
+/// The wall clock, in milliseconds since the Unix epoch.
+pub fn wall() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
+
 /// Reads the time since the start of the process.
 ///
 /// The clock goes on while the process is stopped, so a paused holder of a
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -58,6 +58,13 @@
     Close,
 }
 
+/// Whom a whole answer reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reached {
+    Caller,
+    Nobody,
+}
+
 /// Serves a connection until it ends.
 pub async fn serve(stream: TcpStream, client: SocketAddr, desk: &Desk) {
     // Small answers would wait for delayed acknowledgements otherwise.
@@ -141,11 +148,16 @@
     closing: bool,
 ) -> Next {
     let delivering = Cell::new(false);
+    let lasting = call.lasting();
     let watch = async {
         // A body that was cut ends the exchange as a caller that left does.
         if pump.await {
             departed(stream, &delivering).await;
         }
+        // The outcome of a non-idempotent request is wanted for its next sending.
+        if lasting.get() {
+            std::future::pending::<()>().await;
+        }
         Next::Close
     };
     let serve = async {
@@ -155,8 +167,8 @@
         let delivered = deliver(stream, response, method, close, &mut call).await;
         call.finish(desk, delivered.is_ok()).await;
         match delivered {
-            Ok(()) if !close => Next::Keep,
-            Ok(()) | Err(_) => Next::Close,
+            Ok(Reached::Caller) if !close => Next::Keep,
+            Ok(_) | Err(_) => Next::Close,
         }
     };
     let next = serve.or(watch).await;
@@ -181,7 +193,7 @@
     method: Method,
     close: bool,
     call: &mut Call,
-) -> io::Result<()> {
+) -> io::Result<Reached> {
     if close {
         response.insert_header("connection", "close");
     }
@@ -191,17 +203,28 @@
     response.set_body(Body::from_reader(Tee::new(body, kept), length));
     let mut encoder = server::Encoder::new(response, method);
     let mut bytes = vec![0; WRITE_BYTES];
+    let mut reached = Reached::Caller;
     loop {
         let count = encoder.read(&mut bytes).await?;
         if count == 0 {
-            break;
+            return Ok(reached);
+        }
+        if reached == Reached::Nobody {
+            continue;
+        }
+        let written = write(stream, &bytes[..count]).await;
+        match written {
+            Ok(()) => (),
+            // The rest is read all the same, to remember the whole answer.
+            Err(_) if call.lasting().get() => reached = Reached::Nobody,
+            Err(error) => return Err(error),
         }
-        let mut target = stream;
-        let written = target.write_all(&bytes[..count]);
-        let written = future::timeout(WRITE_PAUSE, written).await;
-        written.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
     }
-    Ok(())
+}
+
+async fn write(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let written = future::timeout(WRITE_PAUSE, stream.write_all(bytes)).await;
+    written.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
 async fn read_whole(body: Body, length: u64) -> io::Result<Vec<u8>> {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -126,7 +126,7 @@
     let (jobs, taken) = async_channel::bounded(rings::JOBS);
     let (orders, ordered) = async_channel::bounded(rings::WRITES);
     let (messages, sent) = async_channel::bounded(rings::MESSAGES);
-    let (lists, listed) = async_channel::bounded(1);
+    let (probes, probed) = async_channel::bounded(rings::PROBES);
     let (samples, sampled) = async_channel::bounded(rings::SAMPLES);
     let (instruments, scrape) = Instruments::new().context(MetricsSnafu)?;
     let stopping = Arc::new(AtomicBool::new(false));
@@ -140,7 +140,7 @@
         peers: messages,
         crowded: sent.clone(),
     };
-    let desk = Decisions::new(node, clock, outputs, lists, samples, log.clone());
+    let desk = Decisions::new(node, clock, outputs, probes, samples, log.clone());
     let stop = Stop::new(
         Arc::clone(&stopping),
         Arc::clone(&open),
@@ -160,7 +160,7 @@
     let (ring, id) = (decisions.clone(), me.id.clone());
     duty::spawn("peers", move || peers::run(peers, id, sent, ring)).context(ThreadSnafu)?;
     let ring = decisions.clone();
-    duty::spawn("measurements", move || probes::run(listed, ring)).context(ThreadSnafu)?;
+    duty::spawn("measurements", move || probes::run(probed, ring)).context(ThreadSnafu)?;
     let ring = decisions.clone();
     duty::spawn("admin", move || admin::run(metrics, scrape, ring)).context(ThreadSnafu)?;
     let requests = Requests { decisions, jobs };
--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -7,7 +7,6 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
-use corianderway_model::Backend;
 use corianderway_node::Action;
 use corianderway_node::Event;
 use corianderway_node::Found;
@@ -19,6 +18,7 @@
 use futures_lite::future;
 use futures_lite::future::FutureExt as _;
 
+use crate::clock;
 use crate::clock::Clock;
 use crate::history::History;
 use crate::logs::Log;
@@ -26,6 +26,7 @@
 use crate::rings::Input;
 use crate::rings::Order;
 use crate::rings::Outputs;
+use crate::rings::Probe;
 use crate::rings::Question;
 use crate::rings::Verdict;
 
@@ -35,7 +36,7 @@
     node: Node,
     clock: Clock,
     outputs: Outputs,
-    lists: Sender<Vec<Backend>>,
+    probes: Sender<Probe>,
     samples: Sender<Record>,
     log: Log,
     history: History,
@@ -50,7 +51,7 @@
         node: Node,
         clock: Clock,
         outputs: Outputs,
-        lists: Sender<Vec<Backend>>,
+        probes: Sender<Probe>,
         samples: Sender<Record>,
         log: Log,
     ) -> Self {
@@ -58,7 +59,7 @@
             node,
             clock,
             outputs,
-            lists,
+            probes,
             samples,
             log,
             history: History::default(),
@@ -74,7 +75,9 @@
             let wait = self.clock.until(next);
             // Looked at before the ring, which may never be empty under load.
             if wait.is_zero() {
-                self.step(Event::Tick);
+                self.step(Event::Tick {
+                    wall: clock::wall(),
+                });
                 next = self.clock.now() + TICK;
             } else if let Some(input) = receive(&inputs, wait) {
                 self.take(input);
@@ -109,9 +112,10 @@
         };
         let listed = matches!(event, Event::Instances { .. } | Event::Peer { .. });
         self.step(event);
-        if listed && !self.lists.is_full() {
+        if listed && self.probes.is_empty() {
             // The measurement duty takes a list each time it probes.
-            drop(self.lists.try_send(self.node.backends().to_vec()));
+            let list = self.node.backends().to_vec();
+            drop(self.probes.try_send(Probe::List(list)));
         }
         if let Some(id) = ended {
             self.close(id);
@@ -132,12 +136,14 @@
             Action::Forward {
                 id,
                 server,
+                start_by,
                 deadline,
                 fresh,
                 keep,
             } => {
                 let verdict = Verdict::Forward {
                     server,
+                    start_by,
                     deadline,
                     fresh,
                     keep,
@@ -164,6 +170,10 @@
             Action::List { call } => self.call(call, Order::List(call)),
             Action::Watch { call, after } => self.call(call, Order::Watch(call, after)),
             Action::Send { to, message } => self.send(to, message),
+            Action::Probe { server, addr } => {
+                // A full ring leaves it to the next list.
+                drop(self.probes.try_send(Probe::One(server, addr)));
+            }
             Action::Log(record) => self.note(record),
         }
     }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -59,7 +59,9 @@
     pub head: Request,
     /// The body.
     pub payload: Payload,
-    /// The moment after which nothing may be sent or awaited.
+    /// The moment after which nothing may be sent.
+    pub start_by: Time,
+    /// The moment after which nothing is awaited.
     pub deadline: Time,
     /// Whether the connection must be new.
     pub fresh: bool,
@@ -82,11 +84,12 @@
         addr,
         head,
         mut payload,
+        start_by,
         deadline,
         fresh,
         reply,
     } = job;
-    let stream = match open(addr, fresh, clock, deadline, &pool).await {
+    let stream = match open(addr, fresh, clock, start_by, &pool).await {
         Ok(stream) => stream,
         Err(outcome) => {
             fail(&reply, outcome, payload).await;
@@ -95,7 +98,7 @@
     };
     let request = prepare(head, &mut payload, clock.until(deadline));
     // Checked last, so that a process that was paused on the way sends nothing.
-    let Some(request) = request.filter(|_| clock.now() < deadline) else {
+    let Some(request) = request.filter(|_| clock.now() < start_by) else {
         fail(&reply, Outcome::NotSent, payload).await;
         return;
     };
@@ -140,7 +143,7 @@
     addr: SocketAddr,
     fresh: bool,
     clock: Clock,
-    deadline: Time,
+    start_by: Time,
     pool: &RefCell<Pool>,
 ) -> Result<TcpStream, Outcome> {
     if !fresh {
@@ -150,7 +153,7 @@
             }
         }
     }
-    let limit = CONNECT.min(clock.until(deadline));
+    let limit = CONNECT.min(clock.until(start_by));
     let connected = future::timeout(limit, TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else {
         return Err(Outcome::Unreachable);
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -1,11 +1,14 @@
 //! One call of a caller: its query, its verdicts and its attempts.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
+use corianderway_control::BodyHash;
 use corianderway_model::Time;
 use corianderway_node::Event;
 use corianderway_node::Outcome;
@@ -16,7 +19,8 @@
 use corianderway_wire::answer;
 use corianderway_wire::credential;
 use corianderway_wire::credential::Credential;
-use corianderway_wire::kept::KeptAnswer;
+use corianderway_wire::kept;
+use corianderway_wire::kept::KeptHead;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
@@ -50,8 +54,10 @@
     payload: Payload,
     client: SocketAddr,
     credential: Credential,
-    kept: Option<(Kept, KeptAnswer)>,
+    kept: Option<(Kept, Option<KeptHead>)>,
     stage: Stage,
+    // Whether the answer is wanted even if the caller leaves.
+    lasting: Rc<Cell<bool>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +83,7 @@
             credential,
             kept: None,
             stage: Stage::Fresh,
+            lasting: Rc::default(),
         }
     }
 
@@ -95,10 +102,15 @@
         answer::refusal(&refusal, &self.trace)
     }
 
+    /// Whether the answer is wanted even if the caller leaves.
+    pub fn lasting(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.lasting)
+    }
+
     /// Begins to keep a copy of the answer, if one is wanted.
     pub fn keep(&mut self, response: &Response) -> Option<Kept> {
         let (kept, head) = self.kept.as_mut()?;
-        *head = KeptAnswer::of(response);
+        *head = Some(KeptHead::of(response));
         Some(kept.clone())
     }
 
@@ -109,7 +121,8 @@
         }
         desk.open.fetch_sub(1, Ordering::AcqRel);
         let answer = self.kept.take().filter(|_| whole);
-        let answer = answer.and_then(|(kept, head)| head.encode(&kept.bytes()?));
+        let answer = answer.and_then(|(kept, head)| Some(head?.with_body(&kept.bytes())));
+        let answer = answer.map(Arc::new);
         let id = self.id;
         report(desk, Event::Ended { id, whole, answer }).await;
     }
@@ -132,18 +145,23 @@
             let verdict = verdict.map_err(|_closed| lost(sent))?;
             match verdict {
                 Verdict::Refuse(refusal) => return Err(refusal),
-                Verdict::Replay(answer) => return Ok(KeptAnswer::decode(&answer)),
+                Verdict::Replay(answer) => return Ok(kept::response(&answer)),
                 Verdict::Direct(entries, ttl) => return Ok(directory(&entries, ttl)),
                 Verdict::Forward {
                     server,
+                    start_by,
                     deadline,
                     fresh,
                     keep,
                 } => {
                     if keep {
-                        self.kept = Some((Kept::default(), KeptAnswer::default()));
+                        self.lasting.set(true);
+                        self.kept = Some((Kept::default(), None));
                     }
-                    let attempt = self.attempt(desk, server.addr, deadline, fresh).await;
+                    let attempt = {
+                        let times = (start_by, deadline);
+                        self.attempt(desk, server.addr, times, fresh).await
+                    };
                     sent = true;
                     if let Some(response) = attempt {
                         return Ok(response);
@@ -158,7 +176,7 @@
         &mut self,
         desk: &Desk,
         addr: SocketAddr,
-        deadline: Time,
+        (start_by, deadline): (Time, Time),
         fresh: bool,
     ) -> Option<Response> {
         let (reply, replies) = async_channel::bounded(1);
@@ -168,6 +186,7 @@
             addr,
             head: self.head.clone(),
             payload,
+            start_by,
             deadline,
             fresh,
             reply,
@@ -245,6 +264,7 @@
             key,
             token: self.token(),
             digest: self.digest(),
+            body: self.body_hash(),
             client: self.client.ip(),
             patience: self.patience(),
         })
@@ -261,6 +281,22 @@
         text.parse().ok().map(Duration::from_millis)
     }
 
+    fn body_hash(&self) -> BodyHash {
+        let url = self.head.url();
+        let target = [url.path(), "?", url.query().unwrap_or("")].concat();
+        let length;
+        let body: &[u8] = match &self.payload {
+            Payload::Whole(bytes) => bytes,
+            Payload::Stream(_, size) => {
+                length = size.unwrap_or(0).to_be_bytes();
+                &length
+            }
+            Payload::Spent => &[],
+        };
+        let method = self.head.method();
+        BodyHash::new([method.as_ref().as_bytes(), target.as_bytes(), body])
+    }
+
     // Two requests with one digest ask the same; a streamed body counts by its length.
     fn digest(&self) -> u64 {
         let mut hash = Xxh3::new();
--- a/crates/daemon/src/rings.rs
+++ b/crates/daemon/src/rings.rs
@@ -1,11 +1,14 @@
 //! The bounded rings between duties, and what each does when it is full.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use corianderway_control::ClaimOutcome;
 use corianderway_model::Backend;
+use corianderway_model::ServerId;
 use corianderway_model::Time;
 use corianderway_node::Event;
 use corianderway_node::Message;
@@ -44,6 +47,10 @@
 /// the count is logged.
 pub const LINES: usize = 16_384;
 
+/// Probes that wait for the measurement duty. When it is full the probe is
+/// left to the next list.
+pub const PROBES: usize = 64;
+
 /// Samples that wait for the metrics duty. When it is full the sample is
 /// counted.
 pub const SAMPLES: usize = 16_384;
@@ -79,7 +86,9 @@
     Forward {
         /// The backend server.
         server: Backend,
-        /// The moment after which nothing may be sent or awaited.
+        /// The moment after which nothing may be sent.
+        start_by: Time,
+        /// The moment after which nothing is awaited.
         deadline: Time,
         /// Whether the connection must be new.
         fresh: bool,
@@ -89,7 +98,7 @@
     /// Refuse the request.
     Refuse(Refusal),
     /// Give a remembered answer.
-    Replay(std::sync::Arc<[u8]>),
+    Replay(Arc<ClaimOutcome>),
     /// Tell which entry instances to use.
     Direct(Vec<SocketAddr>, Duration),
 }
@@ -100,13 +109,22 @@
     /// Write an object.
     Write(Ticket, Write),
     /// Read an object back.
-    Read(Ticket, std::sync::Arc<str>, std::sync::Arc<str>),
+    Read(Ticket, Arc<str>, Arc<str>),
     /// List the whole configuration, under the number of the call.
     List(u64),
     /// Wait for changes after a revision, under the number of the call.
     Watch(u64, u64),
 }
 
+/// What the measurement duty receives.
+#[derive(Debug)]
+pub enum Probe {
+    /// The latest list of backend servers.
+    List(Vec<Backend>),
+    /// One backend server, to be looked at now.
+    One(ServerId, SocketAddr),
+}
+
 /// The sending ends that the decision duty holds.
 #[derive(Debug)]
 pub struct Outputs {
--- a/crates/daemon/src/tee.rs
+++ b/crates/daemon/src/tee.rs
@@ -8,30 +8,28 @@
 use std::task::Context;
 use std::task::Poll;
 
+use corianderway_control::OUTCOME_BODY_BYTES;
 use futures_lite::io::BufReader;
 use futures_lite::ready;
 use futures_lite::AsyncBufRead;
 use futures_lite::AsyncRead;
 use http_types::Body;
 
-/// The largest body that is kept, in bytes.
-pub const KEPT_BYTES: usize = 16 * 1024;
-
 /// The bytes of a body that passed, as long as they are few.
 #[derive(Clone, Debug, Default)]
 pub struct Kept(Arc<Mutex<Vec<u8>>>);
 
 impl Kept {
-    /// The whole body, unless it was too large.
-    pub fn bytes(&self) -> Option<Vec<u8>> {
+    /// What passed, at most one byte above the size that is kept.
+    pub fn bytes(&self) -> Vec<u8> {
         let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        (bytes.len() <= KEPT_BYTES).then(|| bytes.clone())
+        bytes.clone()
     }
 
     fn push(&self, more: &[u8]) {
         let mut bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         // One byte above the limit marks the body as too large.
-        let room = (KEPT_BYTES + 1).saturating_sub(bytes.len());
+        let room = (OUTCOME_BODY_BYTES + 1).saturating_sub(bytes.len());
         bytes.extend_from_slice(&more[..more.len().min(room)]);
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use corianderway_control::KeyRecord;
 use corianderway_control::NONCE_BYTES;
@@ -128,6 +130,30 @@
     }
 }
 
+/// Makes a new idempotency key: a UUID of version 7.
+pub fn token() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let millis = since.as_millis() as u64;
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let (high, low) = (millis >> 16, millis & 0xffff);
+    format!(
+        "{high:08x}-{low:04x}-7{:03x}-8000-{process:08x}{next:04x}",
+        next & 0xfff
+    )
+}
+
+/// How often the backend servers took a request with an idempotency key.
+pub fn runs(servers: &[Server], token: &str) -> usize {
+    let ran = |server: &Server| {
+        let records = server.history().unwrap();
+        let same = records.iter().filter(|r| r.key.as_deref() == Some(token));
+        same.count()
+    };
+    servers.iter().map(ran).sum()
+}
+
 /// Reads an admin page of an entry instance.
 pub fn admin(entry: &Daemon, path: &str) -> Option<Reply> {
     corianderway_standins::harness::call(entry.metrics, &Request::get(path)).ok()
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use corianderway_control::KeyRefusal;
-use corianderway_limits::Verdict;
 use corianderway_model::Access;
 use corianderway_model::Contract;
 use corianderway_model::Replay;
@@ -12,7 +11,6 @@
 use corianderway_model::Time;
 use corianderway_routing::Attempts;
 
-use crate::chart::Signal;
 use crate::event::Action;
 use crate::event::Query;
 use crate::event::RequestId;
@@ -44,22 +42,26 @@
         let patience = query.patience.unwrap_or(route.deadline).min(route.deadline);
         let open = Open {
             state: self.chart.initial(),
+            start_by: now + patience,
             deadline: now + patience,
             attempts: Attempts::new(route.replay, ATTEMPTS),
             waited: false,
             forwarded: None,
             ticket: None,
+            claim: None,
+            attempt: 0,
+            sent: false,
+            picked: None,
+            broken: 0,
+            remembered: None,
             outcome: None,
             refusal: None,
             query,
             contract,
             route,
         };
-        let account = open.contract.account.clone();
-        let signal = match self.take_rate(now, &account, false) {
-            Verdict::Admitted => Signal::Granted,
-            Verdict::Refused { .. } => Signal::Short,
-        };
+        let mut open = open;
+        let signal = self.admit(now, &mut open, false);
         self.advance(now, open, signal, out);
     }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use corianderway_control::ClaimOutcome;
 use corianderway_model::Replay;
 use corianderway_model::Time;
+use corianderway_rollout::Outcome as VersionOutcome;
 use corianderway_routing::Decision;
 use corianderway_routing::Failure;
 use corianderway_routing::Outcome as ServerOutcome;
@@ -11,6 +13,7 @@
 use corianderway_routing::Reach;
 use corianderway_routing::Refusal as NoServer;
 use corianderway_routing::Retry;
+use corianderway_routing::Share;
 use rand::Rng as _;
 
 use crate::admission::refuse;
@@ -21,6 +24,7 @@
 use crate::event::Action;
 use crate::event::Outcome;
 use crate::event::RequestId;
+use crate::moves::version_outcome;
 use crate::node::Node;
 use crate::open::Open;
 use crate::record::Record;
@@ -29,6 +33,10 @@
 use crate::refusal::Refusal;
 use crate::shifts;
 
+/// Attempts of one request that may break, so that a request that crashes
+/// backend servers takes few of them before it is known.
+const MOST_BROKEN: u32 = 1;
+
 impl Node {
     /// Takes the end of an attempt.
     pub(crate) fn attempted(
@@ -54,10 +62,19 @@
     }
 
     /// Takes the end of a request.
-    pub(crate) fn ended(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.requests.take(id) else {
+    pub(crate) fn ended(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        whole: bool,
+        answer: Option<Arc<ClaimOutcome>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut open) = self.requests.take(id) else {
             return;
         };
+        self.note_end(now, &open, whole, out);
+        open.remembered = answer;
         let service = open.route.service.clone();
         self.advance(now, open, Signal::Ended, out);
         self.serve_slots(now, &service, out);
@@ -88,6 +105,7 @@
     fn holds(&mut self, now: Time, guard: Guard, open: &mut Open) -> bool {
         match guard {
             Guard::NeedsClaim => open.route.replay == Replay::Once,
+            Guard::HasClaim => open.claim.is_some(),
             Guard::MayRetry => self.may_retry(now, open),
         }
     }
@@ -98,7 +116,7 @@
         };
         let budget = &mut self.retries;
         let deadline = open.deadline;
-        let may = || now < deadline && budget.take(now);
+        let may = || now < deadline && open.broken < MOST_BROKEN && budget.take(now);
         let ran = match open.attempts.fail(failure, may) {
             Retry::Again => return true,
             Retry::NotRun(_) => Ran::NotRun,
@@ -126,8 +144,8 @@
         match effect {
             Effect::WaitForRate => return or_refuse(self.wait_for_rate(now, open), open),
             Effect::Claim => {
-                let unavailable = Refusal::not_run(Reason::ClaimUnavailable);
-                return or_refuse(Err(unavailable), open);
+                let claimed = self.claim(now, open);
+                return or_refuse(claimed, open);
             }
             Effect::Forward => return self.forward(now, open, out),
             Effect::WaitForSlot => {
@@ -137,12 +155,18 @@
             Effect::Refuse => tell_refusal(open, out),
             Effect::CountAnswer | Effect::CountFailure => self.count(now, open, out),
             Effect::CountDeparture => {
+                self.count_version(now, open, VersionOutcome::Unjudged);
                 if let Some(ticket) = open.ticket.take() {
                     self.fleet.finish(ticket, ServerOutcome::Cancelled, now);
                 }
             }
             Effect::CountEnd => self.note_hold(now, open),
-            Effect::AbandonClaim | Effect::SettleClaim => (),
+            Effect::AbandonClaim => self.abandon_claim(now, open),
+            Effect::SettleClaim => {
+                let answer = open.remembered.take();
+                self.settle_claim(now, open, answer);
+            }
+            Effect::Replay => replay(open, out),
         }
         None
     }
@@ -161,17 +185,40 @@
             Err(NoServer::Overloaded | NoServer::ShiftCapped) if !open.attempts.may_have_run() => {
                 Some(Signal::Full)
             }
+            // The claim holds on until its time is over.
+            Err(_) if open.claim.is_some() && now < open.start_by => Some(Signal::Full),
             Err(no) => or_refuse(Err(refusal(no, open)), open),
         }
     }
 
-    fn choose(&mut self, now: Time, open: &Open) -> Result<Decision, NoServer> {
+    // Chooses a version and a server that runs it.
+    fn choose(&mut self, now: Time, open: &mut Open) -> Result<Decision, NoServer> {
+        let Some(version) = self.pick_version(open) else {
+            return self.route(now, open, &[]);
+        };
+        let only = [Share {
+            version: &version,
+            weight: 1.0,
+        }];
+        let routed = self.route(now, open, &only);
+        if routed.is_err() {
+            self.count_version(now, open, VersionOutcome::Unjudged);
+        }
+        routed
+    }
+
+    fn route(
+        &mut self,
+        now: Time,
+        open: &Open,
+        versions: &[Share<'_>],
+    ) -> Result<Decision, NoServer> {
         let home = self.me.region.clone();
         let draw = self.rng.random();
         let query = ServerQuery {
             service: &open.route.service,
             home: &home,
-            versions: &[],
+            versions,
             priority: open.route.priority,
             remaining: open.deadline.since(now),
             tried: open.attempts.tried(),
@@ -207,11 +254,13 @@
         if open.forwarded.replace(now).is_none() {
             self.retries.record(now);
         }
+        open.sent = true;
         open.ticket = Some(self.fleet.begin(decision.server));
         open.attempts.start(decision.server);
         out.push(Action::Forward {
             id: open.query.id,
             server: backend,
+            start_by: open.start_by,
             deadline: open.deadline,
             fresh: open.route.replay == Replay::Once,
             keep: open.route.replay == Replay::Once,
@@ -219,9 +268,14 @@
     }
 
     fn count(&mut self, now: Time, open: &mut Open, out: &mut Vec<Action>) {
+        if open.outcome == Some(Outcome::Broken) {
+            open.broken += 1;
+            self.note_cut(now, open, out);
+        }
         let (Some(ticket), Some(outcome)) = (open.ticket.take(), open.outcome) else {
             return;
         };
+        self.count_version(now, open, version_outcome(outcome));
         if let Outcome::Answered { status, took } = outcome {
             out.push(Action::Log(Record::Answered {
                 trace: Arc::clone(&open.query.trace),
@@ -250,6 +304,13 @@
     Some(Signal::Refused)
 }
 
+fn replay(open: &mut Open, out: &mut Vec<Action>) {
+    if let Some(answer) = open.remembered.take() {
+        let id = open.query.id;
+        out.push(Action::Replay { id, answer });
+    }
+}
+
 fn tell_refusal(open: &Open, out: &mut Vec<Action>) {
     let Some(refusal) = open.refusal else {
         return;
--- a/crates/node/src/chart.rs
+++ b/crates/node/src/chart.rs
@@ -32,6 +32,8 @@
     Short,
     /// The claim is made.
     Claimed,
+    /// The request ran before, and its answer is known.
+    Remembered,
     /// No backend server has a slot that it may use.
     Full,
     /// A slot may have become free.
@@ -52,6 +54,8 @@
 pub(crate) enum Guard {
     /// The route is non-idempotent and its backend servers do not deduplicate.
     NeedsClaim,
+    /// A claim was made for it.
+    HasClaim,
     /// A further attempt can do no harm and has budget, server and time.
     MayRetry,
 }
@@ -80,6 +84,8 @@
     CountDeparture,
     /// Count the end of an answered request.
     CountEnd,
-    /// Record in the claim how the request ended.
+    /// Give the answer that is remembered.
+    Replay,
+    /// Record in the claim how the attempt ended.
     SettleClaim,
 }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -8,6 +8,12 @@
 use corianderway_model::KeyId;
 use corianderway_model::Presence;
 use corianderway_model::Time;
+use corianderway_rollout::Drain;
+use corianderway_rollout::DrainEvent;
+use corianderway_rollout::Event as MoveEvent;
+use corianderway_rollout::Move;
+use corianderway_rollout::Stored;
+use serde::de::DeserializeOwned;
 
 use crate::event::Action;
 use crate::node::Node;
@@ -24,6 +30,8 @@
     NoContract(Account),
     Key(KeyRecord),
     NoKey(KeyId),
+    Move(Stored<Move>),
+    Drain(Stored<Drain>),
     /// Kept and passed on, but read by another part.
     Other,
 }
@@ -48,13 +56,19 @@
                 Ok(Self::Key(record))
             }
             (Kind::Key, None) => Ok(Self::NoKey(KeyId::try_from(name).map_err(plain)?)),
-            (Kind::Move | Kind::Drain | Kind::Epoch | Kind::Quarantine | Kind::Member, _) => {
-                Ok(Self::Other)
-            }
+            (Kind::Move, Some(text)) => Ok(Self::Move(stored(object.version, text)?)),
+            (Kind::Drain, Some(text)) => Ok(Self::Drain(stored(object.version, text)?)),
+            (Kind::Move | Kind::Drain, None)
+            | (Kind::Epoch | Kind::Quarantine | Kind::Member, _) => Ok(Self::Other),
         }
     }
 }
 
+fn stored<T: DeserializeOwned>(version: u64, text: &str) -> Result<Stored<T>, String> {
+    let value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    Ok(Stored { value, version })
+}
+
 impl Node {
     /// Takes an object that came into force.
     pub(crate) fn put_in_force(&mut self, now: Time, object: &Object, out: &mut Vec<Action>) {
@@ -77,6 +91,15 @@
                 self.keys.delete(&id);
                 "ended".into()
             }
+            Ok(Sound::Move(record)) => {
+                self.moves(now, MoveEvent::Record(record), out);
+                "in-force".into()
+            }
+            Ok(Sound::Drain(record)) => {
+                self.drain(now, DrainEvent::Record(record), out);
+                self.withhold(now);
+                "in-force".into()
+            }
             Ok(Sound::Other) => return,
             Err(error) => error.into(),
         };
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderway_control::BodyHash;
+use corianderway_control::ClaimOutcome as Remembered;
 use corianderway_control::Object;
 use corianderway_control::Stamp;
 use corianderway_model::Backend;
@@ -67,6 +69,8 @@
     pub token: Option<Arc<str>>,
     /// A digest of method, path, query and body, where the body is known.
     pub digest: u64,
+    /// A hash of the same that tells one request from another with certainty.
+    pub body: BodyHash,
     /// The address of the caller.
     pub client: IpAddr,
     /// The time that the caller allows.
@@ -135,14 +139,14 @@
 pub struct Report {
     /// The backend server.
     pub server: ServerId,
+    /// Whether it could be reached.
+    pub reached: bool,
     /// Whether it says that it takes work; none when nothing was heard.
     pub healthy: Option<bool>,
     /// Whether it says that it drains.
     pub draining: bool,
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub queued: u32,
+    /// Requests running and waiting; none when nothing was heard.
+    pub load: Option<u32>,
 }
 
 /// How a read ended.
@@ -178,14 +182,14 @@
         /// How it ended.
         outcome: Outcome,
     },
-    /// The answer was delivered whole or cut, or the caller went away.
+    /// The answer ended, or the caller went away before it did.
     Ended {
         /// The request.
         id: RequestId,
-        /// Whether the whole answer reached the caller.
+        /// Whether the whole answer came from the backend server.
         whole: bool,
-        /// A small answer to remember for a repeated request.
-        answer: Option<Arc<[u8]>>,
+        /// The answer to remember for a repeated request.
+        answer: Option<Arc<Remembered>>,
     },
     /// The platform listed every object of the configuration.
     Listed {
@@ -243,7 +247,10 @@
     /// An operator waits for a change to be in force everywhere.
     Follow(Stamp),
     /// Time passed; due every [`TICK`].
-    Tick,
+    Tick {
+        /// The wall clock, in milliseconds since the Unix epoch.
+        wall: u64,
+    },
     /// A planned stop begins.
     Stop,
 }
@@ -257,7 +264,9 @@
         id: RequestId,
         /// The backend server.
         server: Backend,
-        /// The moment after which nothing may be sent or awaited.
+        /// The moment after which nothing may be sent.
+        start_by: Time,
+        /// The moment after which nothing is awaited.
         deadline: Time,
         /// Whether a connection must be new, so that no broken idle
         /// connection leaves the outcome open.
@@ -277,7 +286,7 @@
         /// The request.
         id: RequestId,
         /// The answer kept.
-        answer: Arc<[u8]>,
+        answer: Arc<Remembered>,
     },
     /// Write to the platform.
     Write {
@@ -323,6 +332,13 @@
         /// The revision after which changes are wanted.
         after: u64,
     },
+    /// Find out at once whether a backend server can be reached.
+    Probe {
+        /// The backend server.
+        server: ServerId,
+        /// Where it takes requests.
+        addr: SocketAddr,
+    },
     /// Write a log line.
     Log(Record),
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,12 +38,15 @@
 mod admission;
 mod attempt;
 mod chart;
+mod claims;
 mod configuration;
 mod contracts;
 mod directory;
+mod drains;
 mod event;
 mod members;
 mod message;
+mod moves;
 mod node;
 mod open;
 mod quota;
@@ -51,6 +54,7 @@
 mod refusal;
 mod shifts;
 mod status;
+mod suspects;
 mod tickets;
 mod waiting;
 
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -12,6 +12,8 @@
 use corianderway_model::InstanceId;
 use corianderway_model::Presence;
 use corianderway_model::Time;
+use corianderway_rollout::DrainEvent;
+use corianderway_rollout::Event as MoveEvent;
 
 use crate::event::Action;
 use crate::event::Write;
@@ -133,6 +135,8 @@
                 .into(),
         }));
         self.fleet.set_instances(live.len());
+        self.moves(now, MoveEvent::Live(live.clone()), out);
+        self.drain(now, DrainEvent::Live(live.clone()), out);
         self.limits(now, LimitEvent::Live(live), out);
     }
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -4,6 +4,10 @@
 use corianderway_limits::Message as LimitMessage;
 use corianderway_model::Backend;
 use corianderway_model::Entry;
+use corianderway_rollout::DrainReport;
+use corianderway_rollout::Report as MoveReport;
+use corianderway_rollout::Stop as MoveStop;
+use corianderway_routing::Suspicion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,4 +28,12 @@
     Control(ControlMessage),
     /// About limits.
     Limits(LimitMessage),
+    /// What the sender has counted of a version move.
+    Move(MoveReport),
+    /// The sender gives nothing more to a new version.
+    MoveStop(MoveStop),
+    /// What the sender has in flight where a drain is planned.
+    Drain(DrainReport),
+    /// A request that may have crashed a backend server, or that is cleared.
+    Suspicion(Suspicion),
 }
--- /dev/null
+++ b/crates/node/src/moves.rs
@@ -0,0 +1,226 @@
+//! Version moves: which version a request takes, and how moves advance.
+
+use std::sync::Arc;
+
+use corianderway_control::Event as ControlEvent;
+use corianderway_control::Id;
+use corianderway_control::Kind;
+use corianderway_control::Object;
+use corianderway_model::Service;
+use corianderway_model::Time;
+use corianderway_model::Version;
+use corianderway_rollout::Action as MoveAction;
+use corianderway_rollout::Event as MoveEvent;
+use corianderway_rollout::Moment;
+use corianderway_rollout::Move;
+use corianderway_rollout::Outcome as VersionOutcome;
+use corianderway_rollout::Share;
+use corianderway_rollout::Stored;
+use rand::Rng as _;
+
+use crate::event::Action;
+use crate::event::Found;
+use crate::event::Held;
+use crate::event::Outcome;
+use crate::event::Write;
+use crate::event::Wrote;
+use crate::message::Message;
+use crate::node::Node;
+use crate::open::Open;
+use crate::record::Record;
+use crate::tickets::Purpose;
+
+/// The part of a version's slots that its share of the load may fill.
+const ROOM: f64 = 0.8;
+
+impl Node {
+    /// The present moment on both clocks.
+    pub(crate) fn moment(&self, now: Time) -> Moment {
+        let since = now.since(self.wall.0).as_millis() as u64;
+        Moment {
+            time: now,
+            wall: self.wall.1 + since,
+        }
+    }
+
+    /// Seconds since the Unix epoch.
+    pub(crate) fn unix_seconds(&self, now: Time) -> u64 {
+        self.moment(now).wall / 1_000
+    }
+
+    /// Steps the part that moves versions and carries out what it wants.
+    pub(crate) fn moves(&mut self, now: Time, event: MoveEvent, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        let at = self.moment(now);
+        self.rollout.step(at, event, &mut actions);
+        for action in actions {
+            match action {
+                MoveAction::Write { record, expect } => self.write_move(record, expect, out),
+                MoveAction::Read { service } => self.read_move(service, out),
+                MoveAction::Report(report) => self.tell_all(&Message::Move(report), out),
+                MoveAction::Stop(stop) => self.tell_all(&Message::MoveStop(stop), out),
+                MoveAction::Log(decision) => out.push(Action::Log(Record::Note {
+                    event: "move",
+                    detail: serde_json::to_string(&decision).unwrap_or_default().into(),
+                })),
+            }
+        }
+    }
+
+    /// Picks the version for a request, if its service has ever moved.
+    pub(crate) fn pick_version(&mut self, open: &mut Open) -> Option<Version> {
+        let draw = self.rng.random();
+        let picked = self.rollout.choose(&open.route.service, draw);
+        open.picked.clone_from(&picked);
+        picked
+    }
+
+    /// Counts how a request ended at the version that was picked for it.
+    pub(crate) fn count_version(&mut self, now: Time, open: &mut Open, end: VersionOutcome) {
+        if let Some(version) = open.picked.take() {
+            let at = self.moment(now);
+            let (service, route) = (&open.route.service, &open.route.name);
+            self.rollout.finished(at, service, route, &version, end);
+        }
+    }
+
+    /// Tells how much of each moving service's load the new version can carry.
+    pub(crate) fn tell_room(&mut self, now: Time, out: &mut Vec<Action>) {
+        let services: Vec<Service> = self.rollout.services().cloned().collect();
+        for service in services {
+            let Some(standpoint) = self.rollout.standpoint(&service) else {
+                continue;
+            };
+            let version = standpoint.record.value.to;
+            let share = self.fitting_share(&service, &version);
+            let event = MoveEvent::Room {
+                service,
+                version,
+                share,
+            };
+            self.moves(now, event, out);
+        }
+    }
+
+    fn fitting_share(&self, service: &Service, version: &Version) -> Share {
+        let servers = || self.server_loads().filter(|l| l.load.service == *service);
+        let usable = servers().filter(|l| l.load.takes && l.version == *version);
+        let slots: f64 = usable.map(|l| f64::from(l.load.slots)).sum();
+        let busy: f64 = servers().map(|l| l.load.busy).sum();
+        if slots == 0.0 {
+            return Share::ZERO;
+        }
+        Share::from_ratio(ROOM * slots / busy.max(1.0))
+    }
+
+    fn write_move(&mut self, record: Move, expect: u64, out: &mut Vec<Action>) {
+        let Ok(text) = serde_json::to_string(&record) else {
+            return;
+        };
+        let text: Arc<str> = text.into();
+        let service = record.service;
+        let write = Write {
+            kind: Kind::Move.collection().into(),
+            name: service.as_str().into(),
+            expect: Some(expect),
+            value: Some(Arc::clone(&text)),
+        };
+        let ticket = self.tickets.issue(Purpose::Move(service, Some(text)));
+        out.push(Action::Write { ticket, write });
+    }
+
+    fn read_move(&mut self, service: Service, out: &mut Vec<Action>) {
+        let name = service.as_str().into();
+        let ticket = self.tickets.issue(Purpose::Move(service, None));
+        out.push(Action::Read {
+            ticket,
+            kind: Kind::Move.collection().into(),
+            name,
+        });
+    }
+
+    /// Takes the end of a move's write.
+    pub(crate) fn move_wrote(
+        &mut self,
+        now: Time,
+        service: Service,
+        text: Option<Arc<str>>,
+        wrote: Wrote,
+        out: &mut Vec<Action>,
+    ) {
+        let event = match wrote {
+            Wrote::Done(version) => {
+                self.spread(now, Kind::Move, service.as_str(), version, text, out);
+                MoveEvent::Written { service, version }
+            }
+            Wrote::Conflict(held) => MoveEvent::Conflict {
+                current: held.as_ref().and_then(decode),
+                service,
+            },
+            Wrote::Unknown | Wrote::Unreached => MoveEvent::Unknown { service },
+        };
+        self.moves(now, event, out);
+    }
+
+    /// Takes the end of a move's read.
+    pub(crate) fn move_read(
+        &mut self,
+        now: Time,
+        service: Service,
+        found: &Found,
+        out: &mut Vec<Action>,
+    ) {
+        let event = match found {
+            Found::Held(held) => MoveEvent::ReadBack {
+                current: decode(held),
+                service,
+            },
+            Found::Nothing => MoveEvent::ReadBack {
+                current: None,
+                service,
+            },
+            Found::Unknown => MoveEvent::Unknown { service },
+        };
+        self.moves(now, event, out);
+    }
+
+    /// Passes on what this instance has written, without waiting for a watch.
+    pub(crate) fn spread(
+        &mut self,
+        now: Time,
+        kind: Kind,
+        name: &str,
+        version: u64,
+        text: Option<Arc<str>>,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(text) = text {
+            let object = Object::new(Id::new(kind, name), version, text);
+            self.control(now, ControlEvent::Written(object), out);
+        }
+    }
+
+    /// Sends a message to every live peer.
+    pub(crate) fn tell_all(&self, message: &Message, out: &mut Vec<Action>) {
+        for peer in self.control.live().iter() {
+            self.send_to(peer, message.clone(), out);
+        }
+    }
+}
+
+/// What an attempt tells of the version that ran it.
+pub(crate) fn version_outcome(outcome: Outcome) -> VersionOutcome {
+    match outcome {
+        Outcome::Answered { status, took } if status < 500 => VersionOutcome::Answered(took),
+        Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut | Outcome::Unreachable => {
+            VersionOutcome::Failed
+        }
+        Outcome::Shed | Outcome::NotSent => VersionOutcome::Unjudged,
+    }
+}
+
+fn decode(held: &Held) -> Option<Stored<Move>> {
+    let value = serde_json::from_str(&held.value).ok()?;
+    let version = held.version;
+    Some(Stored { value, version })
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,8 +1,12 @@
 //! The node: one state, one step function.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use corianderway_control::ClaimAction;
+use corianderway_control::ClaimEvent;
+use corianderway_control::Claims;
 use corianderway_control::Control;
 use corianderway_control::Event as ControlEvent;
 use corianderway_control::KeyTable;
@@ -16,7 +20,12 @@
 use corianderway_model::InstanceId;
 use corianderway_model::Presence;
 use corianderway_model::Time;
+use corianderway_rollout::DrainEvent;
+use corianderway_rollout::Drains;
+use corianderway_rollout::Event as MoveEvent;
+use corianderway_rollout::Rollout;
 use corianderway_routing::Fleet;
+use corianderway_routing::Quarantine;
 use corianderway_routing::Report as ServerReport;
 use corianderway_routing::Router;
 use rand::rngs::SmallRng;
@@ -40,6 +49,7 @@
 use crate::open::Table;
 use crate::record::Record;
 use crate::shifts::Shifts;
+use crate::suspects::Cut;
 use crate::tickets::Purpose;
 use crate::tickets::Tickets;
 use crate::waiting::Rooms;
@@ -47,6 +57,9 @@
 /// The time between two ticks of the parts that need no finer one.
 const SLOW_TICK: Duration = Duration::from_millis(100);
 
+/// The time between two looks at load, drains and room for new versions.
+const MEASURE: Duration = Duration::from_millis(500);
+
 /// Retries for each first try.
 const RETRY_RATIO: f64 = 0.1;
 
@@ -66,6 +79,13 @@
     pub(crate) contracts: Contracts,
     pub(crate) keys: KeyTable,
     pub(crate) quota: Quota,
+    pub(crate) claims: Claims,
+    /// What the claim part wants and is not yet carried out.
+    pub(crate) wanted: VecDeque<ClaimAction>,
+    pub(crate) rollout: Rollout,
+    pub(crate) drains: Drains,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) cuts: Vec<Cut>,
     pub(crate) shifts: Shifts,
     pub(crate) retries: RetryBudget,
     pub(crate) fleet: Fleet,
@@ -82,7 +102,10 @@
     pub(crate) listed: bool,
     /// Whether a greeted instance has answered.
     pub(crate) welcome: bool,
+    /// A moment, and the wall clock at it in milliseconds since the Unix epoch.
+    pub(crate) wall: (Time, u64),
     due: Time,
+    measured: Time,
 }
 
 /// A node that can't be made, for a fault in a chart file.
@@ -95,6 +118,8 @@
     Request { source: corianderway_chart::Error },
     #[snafu(display("{source}"))]
     Fleet { source: corianderway_routing::Error },
+    #[snafu(display("{source}"))]
+    Rollout { source: corianderway_rollout::Error },
 }
 
 impl Node {
@@ -111,6 +136,12 @@
             contracts: Contracts::default(),
             keys: KeyTable::new(),
             quota: Quota::new(me.id.clone(), Terms::default(), rng.random()),
+            claims: Claims::new(),
+            wanted: VecDeque::new(),
+            rollout: Rollout::new(me.id.clone()).context(RolloutSnafu)?,
+            drains: Drains::new(me.id.clone()).context(RolloutSnafu)?,
+            quarantine: Quarantine::new(),
+            cuts: Vec::new(),
             shifts: Shifts::default(),
             retries: RetryBudget::new(RETRY_RATIO, RETRY_SPARE, RETRY_SPAN),
             fleet: Fleet::new().context(FleetSnafu)?,
@@ -122,7 +153,9 @@
             tickets: Tickets::default(),
             listed: false,
             welcome: false,
+            wall: (Time::ZERO, 0),
             due: Time::ZERO,
+            measured: Time::ZERO,
             rng,
             bootstrap,
             me,
@@ -135,17 +168,20 @@
             Event::Request(query) => self.receive(now, query, out),
             Event::Directory { id, client } => self.direct(id, client, out),
             Event::Attempted { id, outcome } => self.attempted(now, id, outcome, out),
-            Event::Ended { id, .. } => self.ended(now, id, out),
+            Event::Ended { id, whole, answer } => self.ended(now, id, whole, answer, out),
             Event::Instances { entries, backends } => {
                 self.take_backends(now, backends);
                 self.take_entries(now, entries, out);
             }
             Event::Peer { from, message } => self.take_message(now, from, message, out),
-            Event::Reported(report) => self.take_report(now, &report),
+            Event::Reported(report) => self.take_report(now, &report, out),
             Event::Wrote { ticket, wrote } => self.wrote(now, ticket, wrote, out),
             Event::Read { ticket, found } => self.read(now, ticket, found, out),
             Event::Follow(stamp) => self.control(now, ControlEvent::Follow(stamp), out),
-            Event::Tick => self.tick(now, out),
+            Event::Tick { wall } => {
+                self.wall = (now, wall);
+                self.tick(now, out);
+            }
             Event::Stop => self.stop(now, out),
             Event::Listed {
                 call,
@@ -176,6 +212,7 @@
                 self.control(now, ControlEvent::Platform(event), out);
             }
         }
+        self.serve_claims(now, out);
         self.note_changes(out);
     }
 
@@ -200,6 +237,10 @@
                 self.control(now, ControlEvent::Received { from, message }, out);
             }
             Message::Limits(message) => self.limits(now, LimitEvent::Received(message), out),
+            Message::Move(report) => self.moves(now, MoveEvent::Report(report), out),
+            Message::MoveStop(stop) => self.moves(now, MoveEvent::Stop(stop), out),
+            Message::Drain(report) => self.drain(now, DrainEvent::Report(report), out),
+            Message::Suspicion(suspicion) => self.take_suspicion(now, &suspicion),
         }
     }
 
@@ -209,8 +250,17 @@
         self.backends.sort_by(|a, b| a.id.cmp(&b.id));
     }
 
-    fn take_report(&mut self, now: Time, report: &Report) {
+    fn take_report(&mut self, now: Time, report: &Report, out: &mut Vec<Action>) {
         let id = &report.server;
+        if !report.reached {
+            self.note_lost(now, report, out);
+        }
+        if let Some(handle) = self.fleet.find(id) {
+            self.fleet.probe(handle, report.reached, now);
+        }
+        if let Some(load) = report.load {
+            self.fleet.report(id, ServerReport::Load(load), now);
+        }
         match report.healthy {
             _ if report.draining => self.fleet.report(id, ServerReport::Leaving, now),
             Some(true) => self.fleet.report(id, ServerReport::Healthy, now),
@@ -222,6 +272,11 @@
     fn wrote(&mut self, now: Time, ticket: Ticket, wrote: Wrote, out: &mut Vec<Action>) {
         match self.tickets.settle(ticket) {
             Some(Purpose::Epoch(nonce)) => self.epoch_wrote(now, nonce, &wrote, out),
+            Some(Purpose::Claim(name, call)) => self.claim_wrote(now, name, call, &wrote),
+            Some(Purpose::Move(service, text)) => {
+                self.move_wrote(now, service, text, wrote, out);
+            }
+            Some(Purpose::Drain(scope, text)) => self.drain_wrote(now, scope, text, wrote, out),
             // The next list shows whether the object is back.
             Some(Purpose::Restore) | None => (),
         }
@@ -230,6 +285,9 @@
     fn read(&mut self, now: Time, ticket: Ticket, found: Found, out: &mut Vec<Action>) {
         match self.tickets.settle(ticket) {
             Some(Purpose::Epoch(nonce)) => self.epoch_read(now, nonce, found, out),
+            Some(Purpose::Claim(name, call)) => self.claim_read(now, name, call, &found),
+            Some(Purpose::Move(service, _)) => self.move_read(now, service, &found, out),
+            Some(Purpose::Drain(scope, _)) => self.drain_read(now, scope, &found, out),
             Some(Purpose::Restore) | None => (),
         }
     }
@@ -244,6 +302,15 @@
         self.fleet.tick(now);
         self.greet(out);
         self.control(now, ControlEvent::Tick, out);
+        self.step_claims(now, ClaimEvent::Tick);
+        self.moves(now, MoveEvent::Tick, out);
+        self.drain(now, DrainEvent::Tick, out);
+        if now.since(self.measured) >= MEASURE {
+            self.measured = now;
+            self.tell_room(now, out);
+            self.follow_drains(now, out);
+            self.quarantine.expire(now);
+        }
     }
 
     fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use corianderway_control::ClaimOutcome;
 use corianderway_model::Contract;
 use corianderway_model::Route;
 use corianderway_model::Time;
+use corianderway_model::Version;
 use corianderway_routing::Attempts;
 use corianderway_routing::Ticket;
 
@@ -21,6 +23,8 @@
     pub(crate) contract: Arc<Contract>,
     pub(crate) route: Arc<Route>,
     pub(crate) state: State,
+    /// The moment after which nothing may be sent.
+    pub(crate) start_by: Time,
     pub(crate) deadline: Time,
     pub(crate) attempts: Attempts,
     /// Whether it has waited for a slot.
@@ -29,6 +33,18 @@
     pub(crate) forwarded: Option<Time>,
     /// The attempt that runs, at a backend server.
     pub(crate) ticket: Option<Ticket>,
+    /// The name of the claim, once one is being made.
+    pub(crate) claim: Option<Arc<str>>,
+    /// The number under which the claim part forwarded it.
+    pub(crate) attempt: u64,
+    /// Whether an attempt was handed out since the claim part last heard.
+    pub(crate) sent: bool,
+    /// The version that was picked for the attempt.
+    pub(crate) picked: Option<Version>,
+    /// Attempts that broke after bytes were sent.
+    pub(crate) broken: u32,
+    /// The answer of an earlier sending.
+    pub(crate) remembered: Option<Arc<ClaimOutcome>>,
     /// How the last attempt ended.
     pub(crate) outcome: Option<Outcome>,
     /// The refusal to be told, once one is decided.
@@ -54,6 +70,12 @@
         Some(self.rows.remove(at).1)
     }
 
+    /// Takes the first request for which `wanted` holds.
+    pub(crate) fn take_first(&mut self, wanted: impl Fn(&Open) -> bool) -> Option<Open> {
+        let at = self.rows.iter().position(|(_, open)| wanted(open))?;
+        Some(self.rows.remove(at).1)
+    }
+
     /// Whether a request waits for a slot.
     pub(crate) fn is_queued(&self, id: RequestId) -> bool {
         let found = self.rows.binary_search_by_key(&id, |row| row.0);
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -29,6 +29,8 @@
     Quarantined,
     /// A non-idempotent route needs an idempotency key.
     TokenMissing,
+    /// The idempotency key is malformed, too old or made in the future.
+    TokenUnusable,
     /// The idempotency key belongs to another request.
     TokenReused,
     /// The same request is already running or may have run.
@@ -50,6 +52,9 @@
 pub enum Ran {
     /// No backend server accepted any byte of it.
     NotRun,
+    /// This sending was not run; an earlier one under the same idempotency key
+    /// may have been.
+    NotStarted,
     /// A backend server may have run it.
     MayHaveRun,
 }
@@ -97,6 +102,7 @@
     pub const fn code(self) -> &'static str {
         match self {
             Self::NotRun => "not-run",
+            Self::NotStarted => "not-started",
             Self::MayHaveRun => "may-have-run",
         }
     }
@@ -104,7 +110,7 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::UnknownHost,
         Self::UnknownRoute,
         Self::KeyMissing,
@@ -117,6 +123,7 @@
         Self::ShiftCapped,
         Self::Quarantined,
         Self::TokenMissing,
+        Self::TokenUnusable,
         Self::TokenReused,
         Self::Repeated,
         Self::ClaimUnavailable,
@@ -141,6 +148,7 @@
             Self::ShiftCapped => "shift-capped",
             Self::Quarantined => "quarantined",
             Self::TokenMissing => "token-missing",
+            Self::TokenUnusable => "token-unusable",
             Self::TokenReused => "token-reused",
             Self::Repeated => "repeated",
             Self::ClaimUnavailable => "claim-unavailable",
--- a/crates/node/src/tickets.rs
+++ b/crates/node/src/tickets.rs
@@ -1,5 +1,10 @@
 //! What the open reads and writes of the platform are for.
 
+use std::sync::Arc;
+
+use corianderway_model::Service;
+use corianderway_rollout::DrainScope;
+
 use crate::event::Ticket;
 
 /// What a read or write is for.
@@ -9,6 +14,12 @@
     Restore,
     /// Reading or writing the epoch of the limits, under their nonce.
     Epoch(u64),
+    /// Reading or writing the claim of this name, under the number of the call.
+    Claim(Arc<str>, u64),
+    /// Reading the move of a service, or writing this text.
+    Move(Service, Option<Arc<str>>),
+    /// Reading a drain, or writing this text.
+    Drain(DrainScope, Option<Arc<str>>),
 }
 
 /// Open reads and writes.
--- a/crates/node/src/waiting.rs
+++ b/crates/node/src/waiting.rs
@@ -10,6 +10,7 @@
 use corianderway_model::Account;
 use corianderway_model::Service;
 use corianderway_model::Time;
+use corianderway_routing::Verdict as Suspect;
 
 use crate::chart::Signal;
 use crate::event::Action;
@@ -41,20 +42,42 @@
 }
 
 impl Node {
-    /// Asks for one request of the account's rate.
-    pub(crate) fn take_rate(&mut self, now: Time, account: &Account, again: bool) -> Verdict {
-        let limit = Limit::Rate(account.clone());
-        if again {
+    /// Asks whether a request may run: it must not be one that crashes backend
+    /// servers, and its client account must have rate left.
+    pub(crate) fn admit(&mut self, now: Time, open: &mut Open, again: bool) -> Signal {
+        match self.suspicion(now, open) {
+            Suspect::Run => (),
+            Suspect::Wait => {
+                let refusal = Refusal::not_run(Reason::Overloaded);
+                open.refusal = Some(refusal.retry_after(RATE_WAIT));
+                return Signal::Short;
+            }
+            Suspect::Refuse => {
+                open.refusal = Some(Refusal::not_run(Reason::Quarantined));
+                return Signal::Refused;
+            }
+        }
+        let limit = Limit::Rate(open.contract.account.clone());
+        let verdict = if again {
             self.quota.retry(now, &limit, Tokens::ONE)
         } else {
             self.quota.admit(now, &limit, Tokens::ONE)
+        };
+        match verdict {
+            Verdict::Admitted => Signal::Granted,
+            Verdict::Refused { .. } => {
+                self.quarantine.release(open.query.digest);
+                let refusal = Refusal::not_run(self.rate_reason());
+                open.refusal = Some(refusal.retry_after(RATE_WAIT));
+                Signal::Short
+            }
         }
     }
 
     /// Lets a request wait until quota can have come from the peers.
     pub(crate) fn wait_for_rate(&mut self, now: Time, open: &Open) -> Result<(), Refusal> {
-        let refusal = Refusal::not_run(self.rate_reason());
         if self.rooms.rate.len() >= RATE_WAITERS {
+            let refusal = Refusal::not_run(self.rate_reason());
             return Err(refusal.retry_after(RATE_WAIT));
         }
         let until = (now + RATE_WAIT).min(open.deadline);
@@ -116,8 +139,8 @@
     pub(crate) fn note_hold(&mut self, now: Time, open: &Open) {
         if let Some(since) = open.forwarded {
             let account = &open.contract.account;
-            self.room(&open.route.service)
-                .finish(account, now.since(since));
+            let held = now.since(since);
+            self.room(&open.route.service).finish(account, held);
         }
     }
 
@@ -134,23 +157,23 @@
         // An account that is refused once is not asked for again in this pass.
         let mut spent: Vec<Account> = Vec::new();
         for (id, until) in std::mem::take(&mut self.rooms.rate) {
-            let Some(open) = self.requests.take(id) else {
+            let Some(mut open) = self.requests.take(id) else {
                 continue;
             };
-            let account = open.contract.account.clone();
-            let asked = !spent.contains(&account);
-            let verdict = asked.then(|| self.take_rate(now, &account, true));
-            match verdict {
-                Some(Verdict::Admitted) => self.advance(now, open, Signal::Granted, out),
-                _ if now >= until => {
-                    let reason = self.rate_reason();
-                    self.turn_back(now, open, reason, out);
-                }
-                Some(Verdict::Refused { .. }) | None => {
-                    spent.push(account);
+            let account = &open.contract.account;
+            let signal = if spent.contains(account) {
+                Signal::Short
+            } else {
+                self.admit(now, &mut open, true)
+            };
+            match signal {
+                Signal::Short if now < until => {
+                    spent.push(open.contract.account.clone());
                     self.requests.insert(open);
                     self.rooms.rate.push((id, until));
                 }
+                Signal::Short => self.advance(now, open, Signal::Refused, out),
+                granted_or_refused => self.advance(now, open, granted_or_refused, out),
             }
         }
     }
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -51,7 +51,7 @@
         Reason::KeyMissing => StatusCode::Unauthorized,
         Reason::KeyRefused => StatusCode::Forbidden,
         Reason::RateExceeded => StatusCode::TooManyRequests,
-        Reason::TokenMissing => StatusCode::BadRequest,
+        Reason::TokenMissing | Reason::TokenUnusable => StatusCode::BadRequest,
         Reason::TokenReused => StatusCode::UnprocessableEntity,
         Reason::Repeated => StatusCode::Conflict,
         Reason::DeadlinePassed => StatusCode::GatewayTimeout,
--- a/crates/wire/src/kept.rs
+++ b/crates/wire/src/kept.rs
@@ -1,13 +1,9 @@
-//! Small answers that are remembered for a repeated request.
-
-use std::sync::Arc;
+//! Answers that are remembered for a repeated request.
 
+use corianderway_control::ClaimOutcome;
+use corianderway_control::Header;
 use http_types::Response;
 use http_types::StatusCode;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_with::base64::Base64;
-use serde_with::serde_as;
 
 /// Headers that belong to one delivery and are not remembered.
 const SKIPPED: [&str; 5] = [
@@ -18,17 +14,17 @@
     "x-request-id",
 ];
 
-/// An answer as it is remembered.
-#[serde_as]
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
-pub struct KeptAnswer {
+/// The header that marks a remembered answer.
+const REMEMBERED: &str = "x-remembered";
+
+/// The status and headers of an answer whose body is still on its way.
+#[derive(Clone, Debug)]
+pub struct KeptHead {
     status: u16,
-    headers: Vec<(String, String)>,
-    #[serde_as(as = "Base64")]
-    body: Vec<u8>,
+    headers: Vec<Header>,
 }
 
-impl KeptAnswer {
+impl KeptHead {
     /// Takes the status and headers of an answer.
     pub fn of(response: &Response) -> Self {
         let headers = response
@@ -36,36 +32,36 @@
             .filter(|(name, _)| !SKIPPED.contains(&name.as_str()))
             .flat_map(|(name, values)| {
                 let name = name.as_str();
-                values
-                    .iter()
-                    .map(move |v| (name.to_owned(), v.as_str().to_owned()))
-            })
-            .collect();
+                let values = values.iter();
+                values.map(move |value| Header(name.into(), value.as_str().into()))
+            });
         Self {
             status: response.status().into(),
-            headers,
-            body: Vec::new(),
+            headers: headers.collect(),
         }
     }
 
-    /// Adds the body and encodes the whole as JSON.
-    pub fn encode(mut self, body: &[u8]) -> Option<Arc<[u8]>> {
-        self.body = body.to_vec();
-        serde_json::to_vec(&self).ok().map(Arc::from)
+    /// Adds the body, which is dropped if it is too long to keep.
+    pub fn with_body(self, body: &[u8]) -> ClaimOutcome {
+        ClaimOutcome::new(self.status, self.headers, body)
     }
+}
 
-    /// Makes the answer again from its encoded form.
-    pub fn decode(bytes: &[u8]) -> Response {
-        let Ok(kept) = serde_json::from_slice::<Self>(bytes) else {
-            return Response::new(StatusCode::Conflict);
-        };
-        let status = StatusCode::try_from(kept.status).unwrap_or(StatusCode::Ok);
-        let mut response = Response::new(status);
-        for (name, value) in &kept.headers {
-            response.append_header(name.as_str(), value);
-        }
-        response.insert_header("x-remembered", "true");
-        response.set_body(kept.body);
-        response
+/// Makes an answer again.
+///
+/// Where the body was too long to keep, the status stands and a header says so.
+pub fn response(outcome: &ClaimOutcome) -> Response {
+    let status = StatusCode::try_from(outcome.status).unwrap_or(StatusCode::Ok);
+    let mut response = Response::new(status);
+    for Header(name, value) in &outcome.headers {
+        response.append_header(&**name, &**value);
     }
+    let mark = if outcome.whole {
+        "whole"
+    } else {
+        "without-body"
+    };
+    response.insert_header(REMEMBERED, mark);
+    response.set_body(outcome.body.clone());
+    response
 }
