limits: shift cap holds in seconds that end after the last move, too

The cap was checked when a request was moved, for the second that ends there; a second that ends later still holds the request while the flow it was compared with has dropped out. Ruled out: shares (sum below the whole throughout), clocks (slices of 5 ms with a guard changed nothing). Change: each move is checked against all seconds that will hold it; the least slack is computed once a slice and counted down.

--- a/crates/limits/src/shift.rs
+++ b/crates/limits/src/shift.rs
@@ -10,13 +10,16 @@
 use crate::quota::Quota;
 
 /// Slices in one second.
-const SLICES: u64 = 100;
+const SLICES: u64 = 200;
 const SLICE_NANOS: u64 = 1_000_000_000 / SLICES;
-/// Slices kept: this second and the one before.
-const KEPT: u64 = 2 * SLICES;
-/// The span over which purchases count, in seconds: a second that begins
-/// within a slice.
-pub(crate) const SPAN: f64 = (SLICES + 1) as f64 / SLICES as f64;
+/// Slices by which a clock may run wrong within two seconds.
+const GUARD: u64 = 1;
+/// Slices that this second may touch.
+const RECENT: u64 = SLICES + 1 + GUARD;
+/// Slices kept: those, and the ones that the second before surely holds.
+const KEPT: u64 = 2 * SLICES - GUARD;
+/// The span over which purchases count, in seconds.
+pub(crate) const SPAN: f64 = RECENT as f64 / SLICES as f64;
 
 /// What one instance moves into one region for one client account.
 ///
@@ -26,19 +29,19 @@
 /// does the growth of their sum, and an instruction that is late or repeated
 /// adds nothing.
 ///
-/// Slices at the ends of a second count in full for this second and not at
-/// all for the one before, so the bound holds for seconds that begin anywhere.
-/// A steady flow therefore buys 2% of itself anew in each second.
+/// A request counts in every second that ends within one second after it, so
+/// each of these is checked. Slices at the ends of a second count in full for
+/// this second and not at all for the one before; the bound holds for seconds
+/// that begin anywhere and for clocks that run wrong by up to 0.25%. A steady
+/// flow therefore buys 2.5% of itself anew in each second.
 #[derive(Clone, Debug)]
 pub struct ShiftLimit {
     // Requests moved and purchased in each slice, by slice number modulo KEPT.
     moved: Vec<u32>,
     bought: Vec<u32>,
     newest: u64,
-    // Sums over this second and the one before.
-    recent: u32,
-    earlier: u32,
-    growth: u32,
+    // Requests that may still be moved in this slice without a purchase.
+    slack: u32,
 }
 
 impl Default for ShiftLimit {
@@ -47,9 +50,7 @@
             moved: vec![0; KEPT as usize],
             bought: vec![0; KEPT as usize],
             newest: 0,
-            recent: 0,
-            earlier: 0,
-            growth: 0,
+            slack: 0,
         }
     }
 }
@@ -64,7 +65,9 @@
     pub fn admit(&mut self, now: Time, quota: &mut Quota, limit: &Limit) -> Verdict {
         self.advance(now);
         let at = slot(self.newest);
-        if self.recent >= self.earlier + self.growth {
+        if self.slack > 0 {
+            self.slack -= 1;
+        } else {
             let verdict = quota.admit(now, limit, Tokens::ONE);
             if let Verdict::Refused { retry_after } = verdict {
                 let slice = Duration::from_nanos(SLICE_NANOS);
@@ -72,43 +75,51 @@
                 return Verdict::Refused { retry_after };
             }
             self.bought[at] += 1;
-            self.growth += 1;
         }
         self.moved[at] += 1;
-        self.recent += 1;
         Verdict::Admitted
     }
 
     /// Requests moved within the last second.
     pub fn level(&mut self, now: Time) -> u32 {
         self.advance(now);
-        self.recent
+        let last = (0..SLICES).map(|back| self.moved[slot(self.newest + KEPT - back)]);
+        last.sum()
     }
 
     fn advance(&mut self, now: Time) {
         let slice = now.nanos() / SLICE_NANOS;
-        if slice >= self.newest + KEPT {
-            *self = Self {
-                newest: slice,
-                ..Self::default()
-            };
+        if slice <= self.newest {
+            return;
         }
-        while self.newest < slice {
-            self.newest += 1;
-            self.next_slice();
+        for back in 0..(slice - self.newest).min(KEPT) {
+            let at = slot(slice + KEPT - back);
+            (self.moved[at], self.bought[at]) = (0, 0);
         }
+        self.newest = slice;
+        self.slack = self.least_slack();
     }
 
-    // Moves the slice that leaves this second over to the one before.
-    fn next_slice(&mut self) {
-        let left = slot(self.newest + KEPT - SLICES - 1);
-        self.recent -= self.moved[left];
-        self.growth -= self.bought[left];
-        self.earlier += self.moved[left];
-        // The slot still holds the slice of two seconds ago.
-        let new = slot(self.newest);
-        self.earlier -= self.moved[new];
-        (self.moved[new], self.bought[new]) = (0, 0);
+    // Slides a second forward from now until it holds only what is to come.
+    fn least_slack(&self) -> u32 {
+        let oldest = self.newest + 1;
+        let middle = self.newest + 1 + KEPT - RECENT;
+        let sum = |counts: &[u32], from: u64, to: u64| -> u32 {
+            (from..to).map(|s| counts[slot(s)]).sum()
+        };
+        let end = self.newest + 1 + KEPT;
+        let mut earlier = sum(&self.moved, oldest, middle);
+        let mut recent = sum(&self.moved, middle, end);
+        let mut growth = sum(&self.bought, middle, end);
+        let mut least = (earlier + growth).saturating_sub(recent);
+        for step in 0..RECENT {
+            let (left, last) = (slot(middle + step), slot(oldest + step));
+            recent -= self.moved[left];
+            growth -= self.bought[left];
+            earlier = earlier + self.moved[left] - self.moved[last];
+            least = least.min((earlier + growth).saturating_sub(recent));
+        }
+        least
     }
 }
 
