--- a/crates/standins/src/harness/client.rs
+++ b/crates/standins/src/harness/client.rs
@@ -92,6 +92,16 @@
         sent.context(TransferSnafu { addr: self.addr })
     }
 
+    /// The sending side, to write on another thread while an answer is read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn sender(&self) -> Result<TcpStream, Error> {
+        let cloned = self.reader.get_ref().try_clone();
+        cloned.context(TransferSnafu { addr: self.addr })
+    }
+
     /// Closes the sending side.
     ///
     /// # Errors
--- a/crates/standins/src/harness/proxy.rs
+++ b/crates/standins/src/harness/proxy.rs
@@ -176,9 +176,13 @@
 // Passes bytes one way, then the end of the stream.
 async fn pump(from: TcpStream, to: TcpStream, link: Shared, way: Way) {
     let (sender, receiver) = async_channel::bounded(CHUNKS);
-    let reading = read(from.clone(), sender, link.clone());
-    let writing = write(to.clone(), receiver, link, way);
-    let ((), whole) = futures_lite::future::zip(reading, writing).await;
+    let reading = async {
+        read(from.clone(), sender, link.clone()).await;
+        std::future::pending().await
+    };
+    // Writing ends once it has passed on all that was read, or closes early.
+    let writing = write(to.clone(), receiver, link.clone(), way);
+    let whole = futures_lite::future::or(reading, writing).await;
     if matches!(whole, Ok(true)) {
         drop(to.shutdown(Shutdown::Write));
     } else {
@@ -214,6 +218,9 @@
         while way.flow(&link) == Flow::Cut {
             async_std::task::sleep(LOOK).await;
         }
+        if link.get().severed {
+            return Ok(false);
+        }
         if let Flow::CloseAfter(limit) = way.flow(&link) {
             let room = limit.saturating_sub(passed) as usize;
             if room < chunk.len() {
