--- /dev/null
+++ b/crates/limits/examples/scale.rs
@@ -0,0 +1,79 @@
+//! Prints how the quota's messages, platform calls and memory grow.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use corianderway_limits::Amount;
+use corianderway_limits::Event;
+use corianderway_limits::Limit;
+use corianderway_limits::Quota;
+use corianderway_limits::Terms;
+use corianderway_model::Account;
+use corianderway_model::InstanceId;
+use corianderway_model::Time;
+use fleet::Fleet;
+
+const SPAN: Duration = Duration::from_secs(20);
+const PAGE_BYTES: f64 = 4096.0;
+
+fn traffic(nodes: usize, crowded: usize, outage: bool) {
+    let mut fleet = Fleet::new(1, nodes, 4_000.0, 4_000.0, Terms::default());
+    fleet.faults.delay_ms = 70;
+    fleet.offered = 0.0;
+    fleet.run(Duration::from_secs(30));
+    for (at, node) in fleet.nodes.iter_mut().enumerate() {
+        node.weight = if at < crowded { 1.0 } else { 0.0 };
+    }
+    fleet.offered = 3_600.0;
+    if outage {
+        fleet.outage(1_000_000);
+        fleet.run(SPAN);
+    }
+    let before = (
+        fleet.messages,
+        fleet.platform.calls,
+        fleet.admitted(),
+        fleet.refused(),
+    );
+    fleet.run(SPAN);
+    let seconds = SPAN.as_secs_f64();
+    let admitted = (fleet.admitted() - before.2) as f64;
+    println!(
+        "{nodes:6} {crowded:8} {outage:7} {:11.2} {:9.2} {:9.4}",
+        (fleet.messages - before.0) as f64 / seconds / nodes as f64,
+        (fleet.platform.calls - before.1) as f64 / seconds,
+        admitted / (admitted + (fleet.refused() - before.3) as f64),
+    );
+}
+
+fn resident() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
+fn memory(count: usize) {
+    let name = |at| Limit::Rate(Account::try_from(format!("account-{at:06}")).unwrap());
+    let before = resident();
+    let me = InstanceId::try_from("entry-0").unwrap();
+    let mut quota = Quota::new(me, Terms::default(), 1);
+    let limits = (0..count).map(|at| (name(at), Amount::new(100.0, 100.0)));
+    quota.step(Time::ZERO, Event::Limits(limits.collect()), &mut vec![]);
+    let bytes = (resident() - before) / count as f64;
+    println!("{count:6} limits: {bytes:.0} bytes each");
+    drop(quota);
+}
+
+fn main() {
+    println!(" nodes  crowded  outage  messages/s/instance  calls/s  served");
+    for nodes in [10, 40, 160] {
+        traffic(nodes, nodes, false);
+        traffic(nodes, 1, false);
+        traffic(nodes, 1, true);
+    }
+    for count in [5_000, 50_000, 200_000] {
+        memory(count);
+    }
+}
--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -11,7 +11,6 @@
 use crate::bucket::Tokens;
 use crate::bucket::Verdict;
 use crate::group::Group;
-use crate::group::Use;
 use crate::limit::Limit;
 use crate::loan::Book;
 use crate::loan::Demand;
@@ -19,6 +18,7 @@
 use crate::message::Grant;
 use crate::message::Release;
 use crate::parts::Parts;
+use crate::standing::Use;
 
 /// Shares are wanted for this many times the demand seen, over two.
 const MARGIN_HALVES: u64 = 3;
@@ -88,7 +88,7 @@
 
     /// Brings the share up to date; allocation free.
     pub(crate) fn refresh(&mut self, now: Time, group: &Group) {
-        if self.generation != group.generation() {
+        if self.generation != group.floors().generation() {
             self.set_floor(now, group);
         }
         if now >= self.next {
@@ -108,7 +108,7 @@
             self.bucket.empty(now);
         }
         self.floor = floor(self.key, group);
-        (self.number, self.generation) = (group.number(), group.generation());
+        (self.number, self.generation) = (group.number(), group.floors().generation());
         self.set_share(now);
     }
 
@@ -258,7 +258,7 @@
 fn floor(key: u64, group: &Group) -> Parts {
     let now = group.current.as_ref().map(|k| k.ranking.floor(key));
     let then = group.previous().map(|r| r.floor(key));
-    match group.basis() {
+    match group.floors().basis() {
         Use::Nothing => Parts::NONE,
         Use::Least => now.min(then).unwrap_or_default(),
         Use::Floor => now.unwrap_or_default(),
--- a/crates/limits/src/group.rs
+++ b/crates/limits/src/group.rs
@@ -9,11 +9,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 
-use crate::chart;
 use crate::chart::Change;
-use crate::chart::Guard;
-use crate::chart::Order;
-use crate::chart::QuotaChart;
 use crate::chart::Standing;
 use crate::epoch::Basis;
 use crate::event::Action;
@@ -24,33 +20,26 @@
 use crate::message::Stored;
 use crate::message::Vouch;
 use crate::ranking::Ranking;
+use crate::reads::Reads;
+use crate::standing::Facts;
+use crate::standing::Floors;
 use crate::terms::Terms;
 
 /// Polls in one lease.
 const POLLS: u32 = 10;
 /// Peers that one poll asks.
 const FANOUT: usize = 3;
+/// Answer times after which a read counts as failed.
+const READ_WAIT: u32 = 4;
 /// Instances that ask the platform, or a majority in its stead, in each poll.
 const READERS: u32 = 3;
 
-/// What the floors of this instance are computed from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Use {
-    Nothing,
-    Least,
-    Floor,
-}
-
 #[derive(Debug)]
 pub(crate) struct Group {
     pub(crate) me: InstanceId,
     pub(crate) terms: Terms,
     pub(crate) rng: SmallRng,
-    chart: QuotaChart,
-    standing: Standing,
-    basis: Use,
-    // Counts changes of what the floors are computed from.
-    generation: u64,
+    floors: Floors,
     pub(crate) current: Option<Known>,
     // The epoch before, if this instance held it and no other came between.
     previous: Option<Ranking>,
@@ -58,11 +47,7 @@
     promised: bool,
     round: Round,
     polled: Time,
-    reading: Option<(u64, Time)>,
-    // When the last read that was answered began.
-    answered: Option<Time>,
-    // When the platform was last found out.
-    failed: Option<Time>,
+    reads: Reads,
 }
 
 #[derive(Debug)]
@@ -83,37 +68,23 @@
 
 impl Group {
     pub(crate) fn new(me: InstanceId, terms: Terms, seed: u64) -> Self {
-        let chart = chart::load();
         Self {
             me,
             terms,
             rng: SmallRng::seed_from_u64(seed),
-            standing: chart.initial(),
-            chart,
-            basis: Use::Nothing,
-            generation: 0,
+            floors: Floors::new(),
             current: None,
             previous: None,
             evidence: Evidence::default(),
             promised: false,
             round: Round::default(),
             polled: Time::ZERO,
-            reading: None,
-            answered: None,
-            failed: None,
+            reads: Reads::default(),
         }
     }
 
-    pub(crate) fn standing(&self) -> Standing {
-        self.standing
-    }
-
-    pub(crate) fn basis(&self) -> Use {
-        self.basis
-    }
-
-    pub(crate) fn generation(&self) -> u64 {
-        self.generation
+    pub(crate) fn floors(&self) -> &Floors {
+        &self.floors
     }
 
     pub(crate) fn previous(&self) -> Option<&Ranking> {
@@ -129,11 +100,11 @@
     }
 
     pub(crate) fn outage(&self) -> bool {
-        self.failed.is_some()
+        self.reads.outage()
     }
 
     pub(crate) fn answered(&self) -> Option<Time> {
-        self.answered
+        self.reads.answered()
     }
 
     pub(crate) fn promised(&self) -> bool {
@@ -147,7 +118,7 @@
     /// The moment of the next change that time alone brings.
     pub(crate) fn wake(&self) -> Time {
         let ripe = self.current.as_ref().map_or(Time::ZERO, |k| k.ripe);
-        match self.standing {
+        match self.floors.standing() {
             Standing::Empty | Standing::Stale | Standing::Surrendered => Time::from_nanos(u64::MAX),
             Standing::Waiting => self.until().min(ripe),
             Standing::Held => self.until(),
@@ -168,22 +139,13 @@
     }
 
     fn change(&mut self, now: Time, change: Change) {
-        let absent = !(self.current.as_ref()).is_some_and(|k| k.stored.epoch.has(&self.me));
-        let (stale, ripe) = (now >= self.until(), self.ripe(now));
-        let step = self.chart.step(self.standing, change, |guard| match guard {
-            Guard::Absent => absent,
-            Guard::Stale => stale,
-            Guard::Ripe => ripe,
-        });
-        self.standing = step.to;
-        for order in step.actions {
-            self.basis = match order {
-                Order::Stop => Use::Nothing,
-                Order::UseLeast => Use::Least,
-                Order::UseFloor => Use::Floor,
-            };
-            self.generation += 1;
-        }
+        let current = self.current.as_ref();
+        let facts = Facts {
+            absent: !current.is_some_and(|k| k.stored.epoch.has(&self.me)),
+            stale: now >= self.until(),
+            ripe: self.ripe(now),
+        };
+        self.floors.change(change, facts);
     }
 
     /// Asks peers or the platform whether the epoch is current, if it is time.
@@ -192,7 +154,9 @@
             return;
         }
         self.polled = now;
-        self.expire_read(now, out);
+        if self.reads.expire(now, self.terms.answer * READ_WAIT) {
+            self.fail(now, out);
+        }
         let moment = self.evidence.moment(&self.terms);
         let age = moment.map_or(Duration::MAX, |at| now.since(at));
         if age < self.terms.lease / 4 && !self.outage() {
@@ -232,32 +196,19 @@
         }
     }
 
-    fn expire_read(&mut self, now: Time, out: &mut Vec<Action>) {
-        let wait = self.terms.answer * 4;
-        if self
-            .reading
-            .take_if(|(_, sent)| now.since(*sent) > wait)
-            .is_some()
-        {
-            self.failed = Some(now);
-            self.query_majority(now, out);
-        }
-    }
-
-    // Evidence from the platform that is newer than the failure ends the outage.
-    fn end_outage(&mut self) {
-        let (platform, failed) = (self.evidence.last_platform(), self.failed);
-        self.failed = failed.filter(|_| platform <= failed);
-    }
-
     pub(crate) fn read(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.reading.is_none() {
-            let nonce = self.rng.random();
-            self.reading = Some((nonce, now));
+        let nonce = self.rng.random();
+        if self.reads.begin(now, nonce) {
             out.push(Action::Read { nonce });
         }
     }
 
+    // Turns to the peers while the platform is out.
+    fn fail(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.reads.fail(now);
+        self.query_majority(now, out);
+    }
+
     fn query(&mut self, now: Time, peers: Vec<InstanceId>, out: &mut Vec<Action>) {
         if peers.is_empty() {
             return;
@@ -313,7 +264,7 @@
             return;
         }
         self.evidence.inherit(sent, vouch.platform, vouch.majority);
-        self.end_outage();
+        self.reads.recover(self.evidence.last_platform());
         if !vouch.promised {
             self.count(from);
         }
@@ -329,7 +280,7 @@
             standing.push(from);
         }
         let members = standing.iter().filter(|m| epoch.has(m)).count();
-        if members >= epoch.majority() && !self.promised {
+        if members >= epoch.majority() {
             self.evidence.majority(self.round.sent);
         }
     }
@@ -341,17 +292,33 @@
         known
     }
 
-    pub(crate) fn has_read(&mut self, now: Time, nonce: u64, stored: Option<Stored>) {
-        let Some((_, sent)) = self.reading.take_if(|(n, _)| *n == nonce) else {
+    /// Ends a read; an answer older than what is known counts as none.
+    pub(crate) fn has_read(
+        &mut self,
+        now: Time,
+        nonce: u64,
+        stored: Option<Stored>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(sent) = self.reads.end(nonce) else {
             return;
         };
-        self.failed = None;
-        self.answered = Some(sent);
+        let held = stored.as_ref().map_or(0, |s| s.epoch.number());
+        if held < self.number() {
+            return self.fail(now, out);
+        }
+        self.reads.succeed(sent);
         if let Some(stored) = stored {
             self.seen(now, sent, stored);
         }
     }
 
+    pub(crate) fn not_read(&mut self, now: Time, nonce: u64, out: &mut Vec<Action>) {
+        if self.reads.end(nonce).is_some() {
+            self.fail(now, out);
+        }
+    }
+
     /// Takes what the platform held at some moment after `sent`.
     pub(crate) fn seen(&mut self, now: Time, sent: Time, stored: Stored) {
         let (number, version) = (stored.epoch.number(), stored.version);
@@ -365,13 +332,6 @@
         }
     }
 
-    pub(crate) fn not_read(&mut self, now: Time, nonce: u64, out: &mut Vec<Action>) {
-        if self.reading.take_if(|(n, _)| *n == nonce).is_some() {
-            self.failed = Some(now);
-            self.query_majority(now, out);
-        }
-    }
-
     // Moves on to an epoch that is surely written, if it is newer.
     fn adopt(&mut self, now: Time, stored: Stored, evidence: Evidence) {
         let number = stored.epoch.number();
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -75,8 +75,10 @@
 mod proposal;
 mod quota;
 mod ranking;
+mod reads;
 mod retry;
 mod shift;
+mod standing;
 mod terms;
 
 pub use crate::bucket::Amount;
--- a/crates/limits/src/proposal.rs
+++ b/crates/limits/src/proposal.rs
@@ -117,7 +117,10 @@
     fn wanted(&self, group: &Group) -> bool {
         let listed = self.live.binary_search(&group.me).is_ok();
         let changed = match &group.current {
-            Some(known) => known.stored.epoch.members() != self.live || group.promised(),
+            Some(known) => {
+                let same = known.stored.epoch.members() == self.live;
+                !same || group.promised() || self.confirmed
+            }
             None => true,
         };
         listed && changed
--- a/crates/limits/src/quota.rs
+++ b/crates/limits/src/quota.rs
@@ -112,7 +112,7 @@
 
     /// Where the floors of this instance stand.
     pub fn standing(&self) -> Standing {
-        self.group.standing()
+        self.group.floors().standing()
     }
 
     /// The number of the epoch that this instance knows; 0 if none.
@@ -143,7 +143,7 @@
             Event::Limits(limits) => self.set_limits(now, limits),
             Event::Live(live) => self.proposer.set_live(live),
             Event::Received(message) => self.receive(now, message, out),
-            Event::Read { nonce, stored } => self.group.has_read(now, nonce, stored),
+            Event::Read { nonce, stored } => self.group.has_read(now, nonce, stored, out),
             Event::Unread { nonce } => self.group.not_read(now, nonce, out),
             Event::Proposed { nonce, outcome } => {
                 self.proposer
@@ -178,8 +178,8 @@
 
     // Fills begin when an entry learns of its floor, so each learns it soon.
     fn sweep(&mut self, now: Time) {
-        if self.swept.0 != self.group.generation() {
-            self.swept = (self.group.generation(), 0);
+        if self.swept.0 != self.group.floors().generation() {
+            self.swept = (self.group.floors().generation(), 0);
         }
         let end = (self.swept.1 + SWEEP).min(self.entries.len());
         for entry in &mut self.entries[self.swept.1..end] {
--- a/crates/limits/src/terms.rs
+++ b/crates/limits/src/terms.rs
@@ -28,7 +28,7 @@
             loan: Duration::from_secs(4),
             answer: Duration::from_millis(300),
             quiet: Duration::from_secs(2),
-            outage: Duration::from_mins(30),
+            outage: Duration::from_hours(12),
         }
     }
 }
