--- a/crates/control/src/freshness.rs
+++ b/crates/control/src/freshness.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::questions::Pace;
 use crate::set::Digest;
 
 /// How long an instance trusts the last word of the platform or its peers.
@@ -186,7 +187,7 @@
         if within(now, self.platform, TRUST) {
             return Standing::Current;
         }
-        if self.most_heard(now) {
+        if self.most_heard(now, TRUST) {
             return Standing::PeersOnly;
         }
         Standing::Isolated
@@ -197,11 +198,27 @@
         self.platform.map(|at| now.since(at))
     }
 
-    /// Whether the platform's word is far from running out.
-    pub(crate) fn lately(&self, now: Time) -> bool {
+    /// How fast to ask others for their word.
+    pub(crate) fn pace(&self, now: Time) -> Pace {
+        if self.lately(now) {
+            Pace::Usual
+        } else if self.most_heard(now, LATELY) {
+            Pace::Silent
+        } else {
+            Pace::Urgent
+        }
+    }
+
+    // Whether the platform's word is far from running out.
+    fn lately(&self, now: Time) -> bool {
         within(now, self.platform, LATELY)
     }
 
+    /// Whether the word of a failure domain is far from running out.
+    pub(crate) fn spoke_lately(&self, now: Time, domain: &FailureDomain) -> bool {
+        within(now, self.spoke(domain.into()), LATELY)
+    }
+
     /// Whether a peer has told recent word of the platform.
     pub(crate) fn told_lately(&self, now: Time) -> bool {
         within(now, self.told, LATELY)
@@ -209,12 +226,12 @@
 
     /// Whether this instance is about to be isolated.
     pub(crate) fn at_risk(&self, now: Time) -> bool {
-        !within(now, self.platform, RISK) && !self.most_heard(now)
+        !within(now, self.platform, RISK) && !self.most_heard(now, TRUST)
     }
 
     // One failure domain is not enough: an instance alone would be a majority.
-    fn most_heard(&self, now: Time) -> bool {
-        let heard = self.domains.iter().filter(|d| within(now, d.at, TRUST));
+    fn most_heard(&self, now: Time, span: Duration) -> bool {
+        let heard = self.domains.iter().filter(|d| within(now, d.at, span));
         let heard = heard.count();
         heard > 1 && heard * 2 > self.domains.len()
     }
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -28,6 +28,7 @@
 use crate::object::Object;
 use crate::parents;
 use crate::questions::Outcome;
+use crate::questions::Pace;
 use crate::questions::Pools;
 use crate::questions::Questions;
 use crate::set::Digest;
@@ -225,11 +226,17 @@
     fn tick(&mut self, now: Time, out: &mut Vec<MembersAction>) {
         self.gossip_step(now, GossipEvent::Tick, out);
         self.overdue(now, out);
+        let pace = self.fresh.pace(now);
+        let unheard = match pace {
+            Pace::Usual => Vec::new(),
+            Pace::Silent | Pace::Urgent => self.unheard(now),
+        };
         let pools = Pools {
             parents: &self.parents,
             live: &self.live,
+            unheard: &unheard,
             silent: &self.silent,
-            urgent: !self.fresh.lately(now),
+            pace,
         };
         match self.questions.tick(now, pools) {
             Some(Outcome::Ask { to, question }) => self.ask(now, to, question, out),
@@ -238,6 +245,14 @@
         }
     }
 
+    fn unheard(&self, now: Time) -> Vec<InstanceId> {
+        let others = self.entries().filter(|(entry, state)| {
+            let live = *state <= MemberState::Leaving && entry.id != self.own.id;
+            live && !self.fresh.spoke_lately(now, &entry.domain)
+        });
+        others.map(|(entry, _)| entry.id.clone()).collect()
+    }
+
     // A member that may not know this one is told of it with the question.
     fn ask(&mut self, now: Time, to: InstanceId, question: u64, out: &mut Vec<MembersAction>) {
         if !self.gossip.filled() {
--- a/crates/control/src/questions.rs
+++ b/crates/control/src/questions.rs
@@ -1,5 +1,6 @@
 //! Whom an instance asks whether it is there, and when.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use corianderway_model::InstanceId;
@@ -8,11 +9,14 @@
 use rand::Rng;
 use rand::SeedableRng;
 
-/// The time between questions.
+/// The time between questions while there is recent word of the platform.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// The time between questions while the platform's word is running out.
-const URGENT_INTERVAL: Duration = Duration::from_millis(250);
+/// The time between questions while the platform is silent.
+const SILENT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time between questions while this instance may soon be isolated.
+const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long an answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,18 +40,42 @@
     pub parents: &'m [InstanceId],
     /// All live members.
     pub live: &'m [InstanceId],
+    /// Live members of failure domains that have not spoken lately.
+    pub unheard: &'m [InstanceId],
     /// Members that did not answer for long.
     pub silent: &'m [InstanceId],
-    /// Whether the platform's word is running out.
-    pub urgent: bool,
+    /// How fast to ask.
+    pub pace: Pace,
+}
+
+/// How fast to ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Pace {
+    /// There is recent word of the platform.
+    Usual,
+    /// The platform is silent, and most failure domains are not.
+    Silent,
+    /// Neither; this instance may soon be isolated.
+    Urgent,
+}
+
+impl Pace {
+    fn interval(self) -> Duration {
+        match self {
+            Self::Usual => INTERVAL,
+            Self::Silent => SILENT_INTERVAL,
+            Self::Urgent => URGENT_INTERVAL,
+        }
+    }
 }
 
-/// The questions of one instance; one is open at a time.
+/// The questions of one instance; an unanswered one does not hold up others.
 #[derive(Clone, Debug)]
 pub(crate) struct Questions {
     rng: SmallRng,
     number: u64,
-    open: Option<Question>,
+    // In the order in which they were asked.
+    open: VecDeque<Question>,
     ask_at: Time,
 }
 
@@ -64,7 +92,7 @@
         Self {
             rng: SmallRng::seed_from_u64(seed),
             number: 0,
-            open: None,
+            open: VecDeque::new(),
             ask_at: Time::ZERO,
         }
     }
@@ -76,43 +104,45 @@
 
     /// Repeats a question that is overdue, or asks the next one when due.
     pub(crate) fn tick(&mut self, now: Time, pools: Pools<'_>) -> Option<Outcome> {
-        if let Some(open) = self.open.clone() {
-            return self.overdue(now, open);
+        let late = |q: &mut Question| now.since(q.asked) >= ANSWER_TIMEOUT;
+        if let Some(overdue) = self.open.pop_front_if(late) {
+            return Some(self.overdue(now, overdue));
         }
         if now < self.ask_at {
             return None;
         }
-        let urgent = pools.urgent;
-        self.ask_at = now + if urgent { URGENT_INTERVAL } else { INTERVAL };
+        self.ask_at = now + pools.pace.interval();
         let to = self.pick(pools)?;
         Some(self.ask(now, to, false))
     }
 
     /// When the question was asked that this answers; none if it is not open.
     pub(crate) fn answered(&mut self, from: &InstanceId, number: u64) -> Option<Time> {
-        let open = self.open.take_if(|q| q.number == number && q.to == *from)?;
-        Some(open.asked)
+        let matches = |q: &Question| q.number == number && q.to == *from;
+        let at = self.open.iter().position(matches)?;
+        Some(self.open.remove(at)?.asked)
     }
 
-    fn overdue(&mut self, now: Time, open: Question) -> Option<Outcome> {
-        if now.since(open.asked) < ANSWER_TIMEOUT {
-            return None;
+    fn overdue(&mut self, now: Time, question: Question) -> Outcome {
+        if question.repeated {
+            Outcome::Missed(question.to)
+        } else {
+            self.ask(now, question.to, true)
         }
-        if open.repeated {
-            self.open = None;
-            return Some(Outcome::Missed(open.to));
-        }
-        Some(self.ask(now, open.to, true))
     }
 
     // Every second question goes to an instance nearer to the platform, so
-    // that its word arrives in few hops; the others go to any member.
+    // that its word arrives in few hops, or to a failure domain that has not
+    // spoken while that word is running out; the others go to any member.
     fn pick(&mut self, pools: Pools<'_>) -> Option<InstanceId> {
         let find = self.rng.random_ratio(1, SILENT_ASKED);
-        let nearer = self.number.is_multiple_of(2) && !pools.urgent;
-        let pool = match (find, nearer) {
+        let chosen = match pools.pace {
+            Pace::Usual => pools.parents,
+            Pace::Silent | Pace::Urgent => pools.unheard,
+        };
+        let pool = match (find, self.number.is_multiple_of(2)) {
             (true, _) if !pools.silent.is_empty() => pools.silent,
-            (_, true) if !pools.parents.is_empty() => pools.parents,
+            (_, true) if !chosen.is_empty() => chosen,
             _ => pools.live,
         };
         if pool.is_empty() {
@@ -125,7 +155,7 @@
     fn ask(&mut self, now: Time, to: InstanceId, repeated: bool) -> Outcome {
         self.number += 1;
         let question = self.number;
-        self.open = Some(Question {
+        self.open.push_back(Question {
             to: to.clone(),
             number: question,
             asked: now,
