cli: watches tell changes of state, and the unchanged one every 10 s

Cause: a watch printed a line a second, since the time left is in the text. Before: 74 lines for a move of 74 s.

--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -121,6 +121,7 @@
     let record = wait::until_end(out, &what, limit, || {
         let record: Record = platform.need(KIND, &name)?.read()?;
         Ok(Sight {
+            state: state(&record),
             text: sentence(&record),
             end: record.is_over().then_some(record),
         })
--- a/crates/cli/src/moves.rs
+++ b/crates/cli/src/moves.rs
@@ -153,6 +153,7 @@
     let record = wait::until_end(out, &what, limit, || {
         let record: Record = platform.need(KIND, &watch.service)?.read()?;
         Ok(Sight {
+            state: format!("{} {}", state(&record), percent(&record)),
             text: sentence(&record),
             end: record.is_over().then_some(record),
         })
--- a/crates/cli/src/wait.rs
+++ b/crates/cli/src/wait.rs
@@ -16,12 +16,16 @@
 /// The time between two looks at the platform.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// The time after which an unchanged state is told again.
+const REMIND: Duration = Duration::from_secs(10);
 /// The longest wait if none is given.
 const USUAL_LIMIT: Duration = Duration::from_hours(1);
 
 /// What a look has found.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sight<T> {
+    /// What it is; a change of it is told at once.
+    pub state: String,
     /// What to tell of it.
     pub text: String,
     /// The end, if it has come.
@@ -40,16 +44,14 @@
     mut look: impl FnMut() -> Result<Sight<T>>,
 ) -> Result<T> {
     let start = Instant::now();
-    let mut told = String::new();
+    let mut told: Option<(String, Instant)> = None;
     loop {
         let sight = look()?;
-        if sight.text != told {
-            out.progress(&format!(
-                "{:>6.1}s {}",
-                start.elapsed().as_secs_f64(),
-                sight.text
-            ));
-            told = sight.text;
+        let known = told.as_ref().filter(|(state, _)| *state == sight.state);
+        if known.is_none_or(|(_, at)| at.elapsed() >= REMIND) {
+            let passed = start.elapsed().as_secs_f64();
+            out.progress(&format!("{passed:>6.1}s {}", sight.text));
+            told = Some((sight.state, Instant::now()));
         }
         if let Some(end) = sight.end {
             return Ok(end);
