routing: loads from means, a scan of small pools, waiting before a far region

Tests that changed their figure: the bound is 24 in place of 16 for 16 slots, and an instance without reports may take twice its part at once and its part on average, in place of its part always; the first wording made an instance wait while slots idled.

--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -18,15 +18,20 @@
 
 // Backend servers drawn for each choice.
 const DRAWN: usize = 3;
+// Up to this many are compared without a draw.
+const SCANNED: usize = 16;
 // The latency, in seconds, expected when nothing was measured yet.
 const UNKNOWN_LATENCY: f64 = 0.010;
+// Latencies up to this many times the pool's mean are taken for the mean.
+const NOISE: f64 = 1.5;
 // The part of its latency that an idle backend server costs.
 const IDLE_PART: f64 = 0.5;
 // Round trip in seconds to another failure domain of the same region.
 const DOMAIN_TRIP: f64 = 0.002;
-// The part of the slots that each class may fill.
-const URGENT_FILL: f64 = 1.0;
-const NORMAL_FILL: f64 = 0.95;
+// Requests that each class may have in flight, over the slots: a short queue
+// costs less than a slot that idles while a request waits far from it.
+const URGENT_FILL: f64 = 1.5;
+const NORMAL_FILL: f64 = 1.25;
 const DEFERRABLE_FILL: f64 = 0.8;
 
 /// One request's search for a backend server.
@@ -99,7 +104,7 @@
 
     fn pool(&self, pool: &Pool, trip: f64) -> Result<Choice, Refusal> {
         let mut tally = Candidates::default();
-        if pool.usable.len() > DRAWN {
+        if pool.usable.len() > SCANNED {
             let mut draw = self.draw;
             for _ in 0..DRAWN {
                 draw = hash::mix(draw);
@@ -110,7 +115,10 @@
         if let Some(best) = tally.best {
             return Ok(tally.choice(best, Why::Drawn));
         }
-        for at in &pool.usable {
+        // Begins anywhere, so that equals share the work.
+        let start = hash::place(self.draw, pool.usable.len().max(1));
+        let (first, second) = pool.usable.split_at(start);
+        for at in second.iter().chain(first) {
             tally.offer(self.weigh(*at, pool, trip));
         }
         match tally.best {
@@ -137,12 +145,10 @@
 
     // Expected seconds, weighted by load, to an answer.
     fn cost(&self, server: &Server, pool: &Pool) -> f64 {
-        let known = [server.latency, pool.latency, UNKNOWN_LATENCY];
-        let latency = known.into_iter().find(|l| *l > 0.0);
-        let latency = latency.unwrap_or(UNKNOWN_LATENCY);
+        let latency = expected_latency(server.latency, pool.latency);
         let near = server.backend.domain == *self.router.domain();
         let trip = if near { 0.0 } else { DOMAIN_TRIP };
-        latency * (IDLE_PART + server.load(self.fleet.instances)) + trip
+        latency * (IDLE_PART + server.fill()) + trip
     }
 }
 
@@ -200,6 +206,17 @@
     }
 }
 
+// Seconds; faster than usual and a little slower count as usual, since choosing
+// by noise crowds the backend servers that it favours.
+fn expected_latency(own: f64, usual: f64) -> f64 {
+    let usual = if usual > 0.0 { usual } else { UNKNOWN_LATENCY };
+    if own > NOISE * usual {
+        own
+    } else {
+        usual
+    }
+}
+
 fn has_room(occupancy: Occupancy, priority: Priority) -> bool {
     let fill = match priority {
         Priority::Urgent => URGENT_FILL,
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -43,6 +43,8 @@
     Answered(Duration),
     /// The connection was refused, so no byte was accepted.
     Refused,
+    /// It answered that it is full and did not run the request.
+    Shed,
     /// An error answer, a cut connection or a timeout.
     Failed,
     /// The caller went away or the request was cancelled.
@@ -112,7 +114,10 @@
         })
     }
 
-    /// Sets how many entry instances share the backend servers, this one included.
+    /// Sets how many entry instances have the same home region, this one included.
+    ///
+    /// Where load reports are missing or not believed, the others are taken to
+    /// send as much as this one.
     pub fn set_instances(&mut self, count: usize) {
         self.instances = count.max(1) as f64;
     }
@@ -155,10 +160,8 @@
     /// Counts a request that is about to be sent.
     pub fn begin(&mut self, handle: Handle) -> Ticket {
         if let Some(server) = self.servers[handle.0 as usize].as_mut() {
-            server.own += 1;
-            let group = &mut self.groups[server.group as usize];
-            group.own += 1.0;
-            group.blind += 1.0 - server.trust;
+            server.load.own += 1;
+            self.groups[server.group as usize].own += 1.0;
         }
         Ticket { handle }
     }
@@ -169,10 +172,9 @@
         let Some(server) = self.servers[handle.0 as usize].as_mut() else {
             return;
         };
-        server.own = server.own.saturating_sub(1);
+        server.load.own = server.load.own.saturating_sub(1);
         let group = &mut self.groups[server.group as usize];
         group.own = (group.own - 1.0).max(0.0);
-        group.blind = (group.blind - (1.0 - server.trust)).max(0.0);
         match outcome {
             Outcome::Answered(latency) => {
                 server.note_success(latency, now);
@@ -183,6 +185,10 @@
                 server.note_failure(now);
                 self.step(handle, Event::Failed, now);
             }
+            Outcome::Shed => {
+                server.note_shed(now);
+                server.refresh(self.instances, now);
+            }
             Outcome::Cancelled => {}
         }
     }
@@ -205,6 +211,7 @@
             Report::Leaving => self.step(handle, Event::Leaving, now),
             Report::Load(total) => {
                 server.note_load(total, now);
+                server.refresh(self.instances, now);
                 let group = server.group;
                 self.recount(group);
             }
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -8,6 +8,9 @@
 // slots in the bound of a region, or a whole set of new ones could serve nobody.
 const LEAST_PART: f64 = 0.5;
 
+// How far one instance may go beyond its part at once while reports are missing.
+const BURST: f64 = 2.0;
+
 /// The backend servers of one service in one region, by version.
 #[derive(Clone, Debug)]
 pub(crate) struct Group {
@@ -16,9 +19,9 @@
     pub(crate) pools: Vec<Pool>,
     // Requests of this instance in flight.
     pub(crate) own: f64,
-    // Requests of other instances in flight, as reported and trusted.
+    // Requests expected from other instances.
     pub(crate) others: f64,
-    // Requests of this instance on backend servers whose reports are not trusted.
+    // The part of the slots without believed reports.
     pub(crate) blind: f64,
     pub(crate) slots: f64,
     pub(crate) usable: usize,
@@ -72,11 +75,15 @@
         }
     }
 
-    // Requests on backend servers without trusted reports are taken to be this
-    // instance's equal part of all requests there.
+    // Without believed reports an instance may take its equal part of the slots
+    // on average, and `BURST` times that at once.
     pub(crate) fn occupancy(&self, instances: f64) -> Occupancy {
+        // A mean tells what others send now to within its square root only.
+        let others = self.others - self.others.sqrt();
+        let expected = self.own + others.max(0.0);
+        let burst = self.blind * self.own * instances / BURST;
         Occupancy {
-            taken: self.own + self.others + self.blind * (instances - 1.0),
+            taken: expected.max(burst),
             slots: self.slots,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -58,6 +58,7 @@
 mod group;
 mod hash;
 mod lifecycle;
+mod load;
 mod lookup;
 mod prefix;
 mod quarantine;
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -75,7 +75,7 @@
     Only,
     /// The least cost of those drawn.
     Drawn,
-    /// Those drawn were full or tried; the least cost of all.
+    /// The least cost of all: they are few, or those drawn were full or tried.
     Scanned,
 }
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Chooses a backend server.
+    /// Chooses a backend server, in another region at once if the home region is full.
     ///
     /// `draw` is a fresh random number. `may_shift` is asked, for another
     /// region than the home region, whether a request may go there now; a yes
@@ -64,6 +64,26 @@
         fleet: &Fleet,
         query: &Query<'_>,
         draw: u64,
+        may_shift: impl FnMut(&Region) -> bool,
+    ) -> Result<Decision, Refusal> {
+        self.route_waiting(fleet, query, draw, Duration::MAX, may_shift)
+    }
+
+    /// Chooses a backend server for a request that may wait to be asked again.
+    ///
+    /// A full home region is left only once the request has waited as long as
+    /// the round trip to the other region takes, so that neither costs more
+    /// than twice the better of the two. A lost home region is left at once.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when no backend server may take the request now.
+    pub fn route_waiting(
+        &self,
+        fleet: &Fleet,
+        query: &Query<'_>,
+        draw: u64,
+        waited: Duration,
         mut may_shift: impl FnMut(&Region) -> bool,
     ) -> Result<Decision, Refusal> {
         let places = fleet.groups_of(query.service);
@@ -84,6 +104,10 @@
         };
         let mut worst = blocked;
         for group in self.by_preference(fleet, query, groups()) {
+            let is_due = waited.as_secs_f64() >= self.trip(&group.region);
+            if reach == Reach::HomeFull && !is_due {
+                continue;
+            }
             match search.within(group, reach) {
                 Ok(decision) if may_shift(&group.region) => return Ok(decision),
                 Ok(_) => worst = Refusal::ShiftCapped,
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -14,6 +14,8 @@
 use crate::lifecycle::Action;
 use crate::lifecycle::Guard;
 use crate::lifecycle::State;
+use crate::load::decay;
+use crate::load::Load;
 
 /// Time in which the weight of a cold backend server grows to one.
 pub(crate) const RAMP: Duration = Duration::from_secs(10);
@@ -30,14 +32,12 @@
 const CONDEMNED_REPORTS: u32 = 3;
 const RISE_GAIN: f64 = 0.3;
 const FALL_GAIN: f64 = 0.1;
+// Requests of one instance at a backend server, over its slots.
+const MOST_OWN: f64 = 2.0;
+// A report counts up to this many times the slots.
+const MOST_REPORTED: f64 = 4.0;
 // After this time without an answer a latency counts half.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
-// A load report this old counts half.
-const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
-// A report lies when it shows less than this part of the caller's own requests.
-const PLAUSIBLE_PART: f64 = 0.5;
-const LIE_FACTOR: f64 = 0.5;
-const TRUTH_GAIN: f64 = 0.1;
 
 /// A backend server as this instance sees it.
 #[derive(Clone, Debug)]
@@ -46,9 +46,7 @@
     pub(crate) state: State,
     pub(crate) group: u32,
     pub(crate) pool: u32,
-    pub(crate) own: u32,
-    pub(crate) others: f64,
-    pub(crate) trust: f64,
+    pub(crate) load: Load,
     pub(crate) weight: f64,
     pub(crate) latency: f64,
     pub(crate) misses: u32,
@@ -63,9 +61,6 @@
     until: Time,
     marked: bool,
     shut: bool,
-    reported: f64,
-    report: Option<Time>,
-    honesty: f64,
 }
 
 impl Server {
@@ -76,9 +71,7 @@
             state,
             group,
             pool,
-            own: 0,
-            others: 0.0,
-            trust: 0.0,
+            load: Load::new(),
             weight: 0.0,
             latency: 0.0,
             misses: 0,
@@ -93,11 +86,8 @@
             until: now,
             marked: false,
             shut: false,
-            reported: 0.0,
-            report: None,
-            honesty: 1.0,
         };
-        server.refresh(now);
+        server.refresh(1.0, now);
         server
     }
 
@@ -138,7 +128,7 @@
 
     /// Requests of this instance in flight there.
     pub fn in_flight(&self) -> u32 {
-        self.own
+        self.load.own
     }
 
     /// The part of full work that it gets, 0 to 1.
@@ -164,17 +154,14 @@
         f64::from(self.backend.slots.max(1))
     }
 
-    // Requests of all instances, as far as known, over the slots in use.
-    pub(crate) fn load(&self, instances: f64) -> f64 {
-        let blind = f64::from(self.own) * instances;
-        let seen = f64::from(self.own) + self.others;
-        let total = self.trust * seen + (1.0 - self.trust) * blind;
-        (total + 1.0) / (self.slots() * self.weight)
+    // Requests of all instances after one more, over the slots in use.
+    pub(crate) fn fill(&self) -> f64 {
+        (self.load.total() + 1.0) / (self.slots() * self.weight)
     }
 
-    // Whether what is known for certain fills every slot.
+    // Whether this instance alone fills every slot and a queue as long.
     pub(crate) fn is_full(&self) -> bool {
-        f64::from(self.own) + self.trust * self.others >= self.slots()
+        f64::from(self.load.own) >= MOST_OWN * self.slots()
     }
 
     pub(crate) fn holds(&self, guard: Guard, now: Time, spare: bool) -> bool {
@@ -186,7 +173,7 @@
             Guard::Held => now < self.until,
             Guard::Marked => self.marked,
             Guard::Shut => self.shut,
-            Guard::Departed => self.missing && self.own == 0,
+            Guard::Departed => self.missing && self.load.own == 0,
         }
     }
 
@@ -235,28 +222,19 @@
         }
     }
 
-    // Takes a report of all requests in flight there; one that shows fewer
-    // than this instance's own lowers the trust in later ones.
     pub(crate) fn note_load(&mut self, total: u32, now: Time) {
-        let own = f64::from(self.own);
-        let total = f64::from(total);
-        if own >= 2.0 && total < own * PLAUSIBLE_PART {
-            self.honesty *= LIE_FACTOR;
-        } else if own >= 1.0 {
-            self.honesty = (self.honesty + TRUTH_GAIN).min(1.0);
-        }
-        self.reported = (total - own).clamp(0.0, 2.0 * self.slots());
-        self.report = Some(now);
-        self.refresh(now);
+        let most = MOST_REPORTED * self.slots();
+        self.load.report(f64::from(total).min(most), now);
+    }
+
+    // A backend server that sheds is full, whatever its load reports say.
+    pub(crate) fn note_shed(&mut self, now: Time) {
+        self.load.raise(MOST_OWN * self.slots(), now);
     }
 
     // Brings the values that depend on the time up to date.
-    pub(crate) fn refresh(&mut self, now: Time) {
-        let fresh = self
-            .report
-            .map_or(0.0, |at| decay(now.since(at), REPORT_HALF_LIFE));
-        self.trust = fresh * self.honesty;
-        self.others = self.reported;
+    pub(crate) fn refresh(&mut self, instances: f64, now: Time) {
+        self.load.refresh(instances, now);
         self.weight = match self.state {
             State::Cold => {
                 let part = now.since(self.ramp).as_secs_f64() / RAMP.as_secs_f64();
@@ -271,7 +249,7 @@
     // Moves a latency that is no longer measured towards that of the pool, so
     // that a backend server which was slow once is tried again.
     pub(crate) fn forget(&mut self, mean: f64, step: Duration, now: Time) {
-        if self.own == 0 && now.since(self.touched) >= LATENCY_HALF_LIFE {
+        if self.load.own == 0 && now.since(self.touched) >= LATENCY_HALF_LIFE {
             let kept = decay(step, LATENCY_HALF_LIFE);
             self.latency = mean + (self.latency - mean) * kept;
         }
@@ -286,7 +264,3 @@
         self.failures >= CONDEMNED_FAILURES || told
     }
 }
-
-fn decay(age: Duration, half_life: Duration) -> f64 {
-    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
-}
--- a/crates/routing/src/sync.rs
+++ b/crates/routing/src/sync.rs
@@ -148,7 +148,10 @@
         let mut dropped = false;
         for at in 0..self.servers.len() {
             let done = self.servers[at].as_ref().is_some_and(|s| {
-                s.state == State::Gone && s.missing && s.own == 0 && now.since(s.listed) >= FORGET
+                s.state == State::Gone
+                    && s.missing
+                    && s.load.own == 0
+                    && now.since(s.listed) >= FORGET
             });
             if done {
                 self.remove(at as u32);
--- a/crates/routing/src/upkeep.rs
+++ b/crates/routing/src/upkeep.rs
@@ -30,7 +30,8 @@
         for server in self.servers.iter_mut().flatten() {
             let pool = &self.groups[server.group as usize].pools[server.pool as usize];
             server.forget(pool.latency, step, now);
-            server.refresh(now);
+            server.load.sample(step);
+            server.refresh(self.instances, now);
         }
         for group in 0..self.groups.len() {
             self.recount(group as u32);
@@ -59,7 +60,7 @@
             server.act(*action, now);
         }
         server.state = step.to;
-        server.refresh(now);
+        server.refresh(self.instances, now);
         if step.to != from {
             let (group, pool) = (server.group, server.pool);
             self.changes.push(Change {
@@ -101,11 +102,12 @@
                 let Some(server) = self.servers[*at as usize].as_ref() else {
                     continue;
                 };
-                group.own += f64::from(server.own);
-                group.blind += f64::from(server.own) * (1.0 - server.trust);
+                group.own += f64::from(server.load.own);
                 if server.state.is_usable() {
-                    group.others += server.others * server.trust;
-                    group.slots += server.slots() * counted_part(server.weight);
+                    let slots = server.slots() * counted_part(server.weight);
+                    group.others += server.load.others;
+                    group.blind += slots * (1.0 - server.load.trust);
+                    group.slots += slots;
                 }
                 if server.latency > 0.0 {
                     sum += server.latency;
@@ -114,6 +116,7 @@
             }
             pool.latency = if count > 0.0 { sum / count } else { 0.0 };
         }
+        group.blind /= group.slots.max(1.0);
     }
 
     // Whether the rest of its pool can carry the work without this one.
@@ -142,7 +145,7 @@
                 State::Ejected => tally.ejected += server.slots(),
                 state if state.is_usable() => {
                     tally.usable += server.slots();
-                    tally.taken += f64::from(server.own) + server.trust * server.others;
+                    tally.taken += server.load.total();
                 }
                 _ => {}
             }
