--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -1,13 +1,15 @@
-//! One claim: its chart and what the chart's names mean.
+//! One claim, and what the names of its chart mean.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderway_chart::Chart;
-use corianderway_chart::Error;
 use corianderway_model::Time;
-use serde::Deserialize;
 
+use crate::claim_chart::ClaimChart;
+use crate::claim_chart::ClaimState;
+use crate::claim_chart::Guard;
+use crate::claim_chart::Input;
+use crate::claim_chart::Output;
 use crate::claim_event::ClaimAction;
 use crate::claim_event::Expect;
 use crate::claim_event::Reply;
@@ -18,9 +20,6 @@
 use crate::claim_record::Run;
 use crate::request_key::BodyHash;
 
-/// The chart of a claim, as its file spells it.
-pub const CLAIM_CHART: &str = include_str!("../charts/claim.yaml");
-
 /// How long the platform may take to answer a call.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -37,73 +36,6 @@
 /// Callers that may wait for the same request.
 pub(crate) const MOST_CALLERS: usize = 8;
 
-/// The chart of claims.
-pub(crate) type ClaimChart = Chart<ClaimState, Input, Guard, Output>;
-
-/// The state of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum ClaimState {
-    /// The claim is being written.
-    Claiming,
-    /// The answer to a write was lost, and the stored claim is being read.
-    Reading,
-    /// Another instance holds the claim.
-    Waiting,
-    /// The request was handed over for sending.
-    Forwarded,
-    /// The outcome is being written.
-    Finishing,
-    /// It is being written that the request did not run.
-    Releasing,
-    /// Nothing is left to do.
-    Ended,
-}
-
-/// What happens to a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Input {
-    Written,
-    Own,
-    Running,
-    Finished,
-    Unknown,
-    NotRun,
-    Mismatch,
-    Absent,
-    Lost,
-    Due,
-    Answered,
-    NotAccepted,
-    Broken,
-    Gone,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Guard {
-    InTime,
-    Trying,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Output {
-    Claim,
-    Read,
-    Pause,
-    Forward,
-    Answer,
-    Replay,
-    Finish,
-    Release,
-    RefuseNotRun,
-    RefuseNotStarted,
-    RefuseMayHaveRun,
-    RefuseMismatch,
-}
-
 /// One request that runs at most once, as this instance sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
@@ -140,10 +72,6 @@
     pub first_call: u64,
 }
 
-pub(crate) fn load(text: &str) -> Result<ClaimChart, Error> {
-    ClaimChart::parse(text)
-}
-
 impl Claim {
     pub(crate) fn new(chart: &ClaimChart, seed: Seed) -> Self {
         Self {
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -12,13 +12,14 @@
 use corianderway_chart::Error;
 use corianderway_model::Time;
 
-use crate::claim;
 use crate::claim::Claim;
-use crate::claim::ClaimChart;
-use crate::claim::ClaimState;
-use crate::claim::Input;
 use crate::claim::Seed;
 use crate::claim::MOST_CALLERS;
+use crate::claim_chart;
+use crate::claim_chart::ClaimChart;
+use crate::claim_chart::ClaimState;
+use crate::claim_chart::Input;
+use crate::claim_chart::CLAIM_CHART;
 use crate::claim_event::BackendAnswer;
 use crate::claim_event::ClaimAction;
 use crate::claim_event::ClaimEvent;
@@ -27,8 +28,6 @@
 use crate::claim_event::RequestId;
 use crate::claim_event::StoreAnswer;
 
-pub use crate::claim::CLAIM_CHART;
-
 /// How long an outcome is kept here for the same request sent again.
 const REMEMBERED: Duration = Duration::from_mins(1);
 
@@ -71,7 +70,7 @@
     /// Fails when the text is not a chart of claims.
     pub fn with_chart(text: &str) -> Result<Self, Error> {
         Ok(Self {
-            chart: claim::load(text)?,
+            chart: claim_chart::load(text)?,
             held: Vec::new(),
             begun: 0,
         })
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -15,6 +15,8 @@
 use rand::Rng;
 use rand::SeedableRng;
 
+use crate::gossip_event::GossipAction;
+use crate::gossip_event::GossipEvent;
 use crate::message::Message;
 use crate::object::Id;
 use crate::object::Object;
@@ -39,42 +41,6 @@
 /// How long a page may take before another peer is asked.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What happens to the objects of one instance.
-#[derive(Clone, Debug)]
-pub enum GossipEvent {
-    /// Time has passed.
-    Tick,
-    /// These are the peers to talk to.
-    Peers(Arc<[InstanceId]>),
-    /// The platform or this instance itself has these objects.
-    Offered(Vec<Object>),
-    /// A peer's set may differ.
-    Compare(InstanceId),
-    /// A peer sent a message.
-    Received {
-        /// The peer.
-        from: InstanceId,
-        /// The message.
-        message: Message,
-    },
-}
-
-/// What an instance does about its objects.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GossipAction {
-    /// Send a message.
-    Send {
-        /// The receiver.
-        to: InstanceId,
-        /// The message.
-        message: Message,
-    },
-    /// A newer state is held and takes effect here.
-    Accepted(Object),
-    /// An object did not pass the check and is not held.
-    Rejected(Stamp),
-}
-
 /// The objects of one instance and how it exchanges them with peers.
 #[derive(Clone, Debug)]
 pub struct Gossip {
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -1,33 +1,19 @@
 //! Keys: their records, their states and the check of a presented key.
 
-use std::fmt;
-
 use corianderway_chart::Chart;
 use corianderway_model::Account;
 use corianderway_model::KeyId;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::hex::Hex;
-use serde_with::serde_as;
-use sha2::Digest;
-use sha2::Sha256;
 use snafu::OptionExt;
 use snafu::Snafu;
-use subtle::ConstantTimeEq;
 
 use crate::freshness::Standing;
-
-/// Random bytes that a new key is made of.
-pub const NONCE_BYTES: usize = ID_BYTES + SALT_BYTES + SECRET_BYTES;
+use crate::key_record::KeyRecord;
 
 /// The chart of a key, as its file spells it.
 pub const KEY_CHART: &str = include_str!("../charts/key.yaml");
 
-const ID_BYTES: usize = 8;
-const SALT_BYTES: usize = 16;
-const SECRET_BYTES: usize = 32;
-const HASH_BYTES: usize = 32;
-
 type KeyChart = Chart<KeyState, KeyEvent, NoGuard, KeyAction>;
 
 /// The state of a key, in the order in which a key passes through them.
@@ -67,83 +53,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 enum NoGuard {}
 
-/// What the platform stores of a key; the secret can't be had from it.
-#[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct KeyRecord {
-    /// The public part of the key.
-    pub id: KeyId,
-    /// The client account that the key speaks for.
-    pub account: Account,
-    /// What is hashed before the secret.
-    #[serde_as(as = "Hex")]
-    pub salt: [u8; SALT_BYTES],
-    /// The SHA-256 hash of salt and secret.
-    #[serde_as(as = "Hex")]
-    pub hash: [u8; HASH_BYTES],
-    /// The state.
-    pub state: KeyState,
-    /// When the key was made, in seconds after the Unix epoch.
-    pub created: u64,
-}
-
-/// The text of a new key, shown to its owner once and stored nowhere.
-#[derive(Clone)]
-pub struct KeyText(String);
-
-impl KeyText {
-    /// The text, `<key id>.<secret>`.
-    pub fn reveal(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for KeyText {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("KeyText(hidden)")
-    }
-}
-
-impl KeyRecord {
-    /// Makes a key out of random bytes; they must come from the system's
-    /// generator and be used once.
-    ///
-    /// # Panics
-    ///
-    /// Never; the made identity is always a name.
-    pub fn generate(account: Account, nonce: &[u8; NONCE_BYTES], created: u64) -> (Self, KeyText) {
-        let (id, rest) = nonce.split_at(ID_BYTES);
-        let (salt, secret) = rest.split_at(SALT_BYTES);
-        let id = hex::encode(id);
-        let secret = hex::encode(secret);
-        let text = KeyText(format!("{id}.{secret}"));
-        let mut own = [0; SALT_BYTES];
-        own.copy_from_slice(salt);
-        let record = Self {
-            id: KeyId::try_from(id).expect("hexadecimal digits are a name"),
-            account,
-            salt: own,
-            hash: hash(&own, secret.as_bytes()),
-            state: KeyState::Granted,
-            created,
-        };
-        (record, text)
-    }
-
-    /// The same key in another state, for a conditional update.
-    #[must_use]
-    pub fn with_state(mut self, state: KeyState) -> Self {
-        self.state = state;
-        self
-    }
-
-    fn matches(&self, secret: &[u8]) -> bool {
-        let presented = hash(&self.salt, secret);
-        presented.ct_eq(&self.hash).into()
-    }
-}
-
 /// Why a key is not accepted; the message names the remedy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum KeyRefusal {
@@ -298,10 +207,3 @@
         KeyState::Withdrawn => KeyEvent::Withdraw,
     }
 }
-
-fn hash(salt: &[u8; SALT_BYTES], secret: &[u8]) -> [u8; HASH_BYTES] {
-    let mut sha = Sha256::new();
-    sha.update(salt);
-    sha.update(secret);
-    sha.finalize().into()
-}
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -17,11 +17,13 @@
 use crate::freshness::Freshness;
 use crate::freshness::Word;
 use crate::gossip::Gossip;
-use crate::gossip::GossipAction;
-use crate::gossip::GossipEvent;
+use crate::gossip_event::GossipAction;
+use crate::gossip_event::GossipEvent;
 use crate::member::MemberChart;
 use crate::member::MemberEvent;
 use crate::member::MemberState;
+use crate::members_event::MembersAction;
+use crate::members_event::MembersEvent;
 use crate::message::Message;
 use crate::object::Id;
 use crate::object::Kind;
@@ -39,76 +41,6 @@
 /// How long a gone member is remembered.
 const REMEMBERED: Duration = Duration::from_hours(1);
 
-/// What happens to the membership.
-#[derive(Clone, Debug)]
-pub enum MembersEvent {
-    /// Time has passed.
-    Tick,
-    /// The platform's list of instances, which lags.
-    Listing(Vec<Entry>),
-    /// This instance is about to stop.
-    Leave,
-    /// A peer sent a message about members.
-    Received {
-        /// The peer.
-        from: InstanceId,
-        /// The message.
-        message: Message,
-    },
-    /// A peer asks whether this instance is there.
-    Asked {
-        /// The peer.
-        from: InstanceId,
-        /// The number of the question.
-        question: u64,
-        /// The digest of the held key records.
-        keys: Digest,
-    },
-    /// A peer answered.
-    Answered {
-        /// The peer.
-        from: InstanceId,
-        /// The number of the question.
-        question: u64,
-        /// What the peer tells.
-        word: Word,
-        /// The digest of the held key records.
-        keys: Digest,
-    },
-}
-
-/// What is done about the membership.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MembersAction {
-    /// Send a message about members.
-    Send {
-        /// The receiver.
-        to: InstanceId,
-        /// The message.
-        message: Message,
-    },
-    /// Ask an instance whether it is there.
-    Ask {
-        /// The receiver.
-        to: InstanceId,
-        /// The number of the question.
-        question: u64,
-    },
-    /// Answer a question.
-    Answer {
-        /// The receiver.
-        to: InstanceId,
-        /// The number of the question.
-        question: u64,
-        /// What this instance tells.
-        word: Word,
-    },
-    /// The live members, or their presence, changed.
-    Changed,
-    /// The peer's keys differ from the held ones.
-    Differs(InstanceId),
-}
-
 /// The membership as one instance sees it.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -285,15 +217,17 @@
 
     fn listing(&mut self, now: Time, entries: Vec<Entry>, out: &mut Vec<MembersAction>) {
         let mut listed = Vec::with_capacity(entries.len());
+        let mut unknown = Vec::new();
         for entry in entries {
             let id = name(&entry.id);
             if self.gossip.set().get(&id).is_none() {
-                self.offer(now, MemberState::object(Arc::new(entry), 0), out);
+                unknown.push(MemberState::object(Arc::new(entry), 0));
             } else if entry.presence == Presence::Leaving {
                 self.observe(now, &id, MemberEvent::Announced, out);
             }
             listed.push(id);
         }
+        self.gossip_step(now, GossipEvent::Offered(unknown), out);
         listed.sort();
         let held = self.entries().map(|(entry, _)| name(&entry.id));
         let mut missing = held.collect::<Vec<_>>();
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -3,7 +3,7 @@
 use corianderway_model::InstanceId;
 
 use crate::gossip::send;
-use crate::gossip::GossipAction;
+use crate::gossip_event::GossipAction;
 use crate::message::Message;
 use crate::object::Id;
 use crate::object::Object;
