limits: fills without a division; fewer messages in an outage

Cause: a fill divided 128 bits; while the platform was out each instance asked three peers in each poll although its evidence was fresh. Change: rates for 2^30 ns; in an outage with fresh evidence only the readers try the platform; loans of 8 s; wants of 5/4 of demand.

--- a/crates/limits/src/borrow.rs
+++ b/crates/limits/src/borrow.rs
@@ -103,8 +103,9 @@
             };
             let want = has.scale(need.parts.get(), held.get()) + Parts::new(missing);
             let late = loan.until < now + terms.loan / 2;
-            let due = late || ample || (need.hungry && missing > 0);
-            if loan.waits(now, terms.answer) || !due || (has.max(want) == Parts::NONE) {
+            let kept = has > Parts::NONE && (late || ample);
+            let due = kept || (need.hungry && missing > 0);
+            if loan.waits(now, terms.answer) || !due {
                 continue;
             }
             *seq += 1;
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -11,6 +11,8 @@
 /// Tokens in one request.
 const REQUEST: u64 = 1 << 32;
 const NANOS_PER_SECOND: u128 = 1_000_000_000;
+/// Rates are kept for 2^30 ns, so that a fill needs no division.
+const FILL_SHIFT: u32 = 30;
 
 /// A number of requests, exact to 2^-32.
 #[derive(
@@ -80,7 +82,7 @@
 pub struct Bucket {
     tokens: u64,
     share: Parts,
-    // The share's rate and capacity, in tokens.
+    // The share's rate in tokens for 2^30 ns, and its capacity.
     rate: u64,
     capacity: u64,
     filled: Time,
@@ -110,7 +112,8 @@
     /// The time since the last fill counts at the smaller of the two rates,
     /// so the moment of a past reduction need not be known.
     pub fn set(&mut self, now: Time, share: Parts, whole: Amount) {
-        let rate = share.of(whole.rate.0);
+        let second = u128::from(share.of(whole.rate.0));
+        let rate = ((second << FILL_SHIFT) / NANOS_PER_SECOND) as u64;
         let capacity = share.of(whole.burst.0);
         self.rate = self.rate.min(rate);
         self.fill(now);
@@ -152,7 +155,7 @@
         if self.rate == 0 || cost.0 > self.capacity {
             return Duration::MAX;
         }
-        let missing = u128::from(cost.0 - self.tokens) * NANOS_PER_SECOND;
+        let missing = u128::from(cost.0 - self.tokens) << FILL_SHIFT;
         Duration::from_nanos(missing.div_ceil(u128::from(self.rate)) as u64)
     }
 
@@ -161,7 +164,7 @@
         if span == 0 {
             return;
         }
-        let gained = (u128::from(self.rate) * span / NANOS_PER_SECOND) as u64;
+        let gained = ((u128::from(self.rate) * span) >> FILL_SHIFT) as u64;
         self.tokens = self.tokens.saturating_add(gained).min(self.capacity);
         self.filled = now;
     }
--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -20,8 +20,8 @@
 use crate::parts::Parts;
 use crate::standing::Use;
 
-/// Shares are wanted for this many times the demand seen, over two.
-const MARGIN_HALVES: u64 = 3;
+/// Shares are wanted for this many times the demand seen, over four.
+const MARGIN_QUARTERS: u64 = 5;
 /// Requests that a wanted share holds at least in its bucket.
 const LEAST_BURST: u64 = 2;
 const NEVER: Time = Time::from_nanos(u64::MAX);
@@ -139,7 +139,7 @@
         let share = |rate: u64| Parts::ratio(rate, self.amount.rate.get());
         let burst = self.cost.saturating_mul(LEAST_BURST);
         let burst = Parts::ratio(burst, self.amount.burst.get());
-        let ample = rate.saturating_mul(MARGIN_HALVES) / 2;
+        let ample = rate.saturating_mul(MARGIN_QUARTERS) / 4;
         (share(rate).max(burst), share(ample).max(burst))
     }
 
--- a/crates/limits/src/group.rs
+++ b/crates/limits/src/group.rs
@@ -159,7 +159,8 @@
         }
         let moment = self.evidence.moment(&self.terms);
         let age = moment.map_or(Duration::MAX, |at| now.since(at));
-        if age < self.terms.lease / 4 && !self.outage() {
+        let fresh = age < self.terms.lease / 4;
+        if fresh && !self.outage() {
             return;
         }
         let known = self.current.as_ref().map(|k| k.stored.epoch.members());
@@ -171,6 +172,9 @@
         if wide {
             self.read(now, out);
         }
+        if fresh {
+            return;
+        }
         if wide && self.outage() && self.current.is_some() {
             self.query_majority(now, out);
         } else {
--- a/crates/limits/src/terms.rs
+++ b/crates/limits/src/terms.rs
@@ -25,7 +25,7 @@
         Self {
             lease: Duration::from_secs(10),
             drift: Duration::from_millis(500),
-            loan: Duration::from_secs(4),
+            loan: Duration::from_secs(8),
             answer: Duration::from_millis(300),
             quiet: Duration::from_secs(2),
             outage: Duration::from_hours(12),
