rollout: what a difference must reach is tested in the new version's own ratio

Ruled out: a longer memory of the old version's ratio (a fault shared by both would bias it for longer). Change: the second set of bets compares the new version's own ratio with the old one's plus a quarter of the margin; the first set still keeps shared faults from counting against it.

--- a/crates/rollout/src/doubt.rs
+++ b/crates/rollout/src/doubt.rs
@@ -26,6 +26,8 @@
 const PRIOR: (f64, f64) = (0.5, 20.0);
 /// Requests of the old version of which its ratio is remembered.
 const MEMORY: u64 = 1000;
+/// The highest ratio of bad requests that is bet on.
+const HIGHEST: f64 = 0.98;
 /// The lowest ratio of bad requests that is reckoned with.
 const FLOOR: f64 = 0.002;
 /// Keeps the products finite.
@@ -78,13 +80,15 @@
     /// Takes in a stratum. It may depend on earlier outcomes, not on its own.
     pub(crate) fn take(&mut self, now: Time, stratum: Stratum) {
         let base = self.base();
-        let worse = |multiple: f64| {
-            let ratio = (base + self.margin * multiple).min(1.0);
-            ratio.max(base * LEAST_FACTOR) / base
-        };
-        let factors = MULTIPLES.map(worse);
-        self.any.take(now, stratum, 1.0, factors);
-        self.large.take(now, stratum, worse(NEGLIGIBLE), factors);
+        let ratios = MULTIPLES.map(|multiple| {
+            let ratio = (base + self.margin * multiple).min(HIGHEST);
+            ratio.max(base * LEAST_FACTOR)
+        });
+        let negligible = (base + self.margin * NEGLIGIBLE).min(HIGHEST);
+        let shared = |ratio| shared_gain(stratum, ratio / base);
+        let own = |ratio| own_gain(stratum.new, negligible, ratio);
+        self.any.take(now, ratios.map(shared));
+        self.large.take(now, ratios.map(own));
         self.remember(stratum.old);
     }
 
@@ -123,10 +127,10 @@
         }
     }
 
-    fn take(&mut self, now: Time, stratum: Stratum, null: f64, factors: [f64; MULTIPLES.len()]) {
+    // Plays one round; `gains` are the logs of what each bet is multiplied by.
+    fn take(&mut self, now: Time, gains: [f64; MULTIPLES.len()]) {
         self.stake(now);
-        for (sum, factor) in self.sums.iter_mut().zip(factors) {
-            let gain = log_gain(stratum, null, factor.max(null));
+        for (sum, gain) in self.sums.iter_mut().zip(gains) {
             *sum = (*sum * gain.exp()).min(MOST);
         }
     }
@@ -160,16 +164,23 @@
     }
 }
 
-// The log likelihood ratio of how the bad requests fell, for a new version
-// that fails `factor` times as often as the old one against `null` times.
-fn log_gain(stratum: Stratum, null: f64, factor: f64) -> f64 {
+// The log likelihood ratio of how the bad requests fell to the versions, if
+// the new one fails `factor` times as often against as often.
+fn shared_gain(stratum: Stratum, factor: f64) -> f64 {
     let (old, new) = (stratum.old.total as f64, stratum.new.total as f64);
     if old == 0.0 || new == 0.0 {
         return 0.0;
     }
-    let part = |factor: f64| new * factor / (new * factor + old);
-    let (before, after) = (part(null), part(factor));
-    let to_new = stratum.new.bad as f64 * (after / before).ln();
-    let to_old = stratum.old.bad as f64 * ((1.0 - after) / (1.0 - before)).ln();
+    let even = new / (new + old);
+    let tilted = new * factor / (new * factor + old);
+    let to_new = stratum.new.bad as f64 * (tilted / even).ln();
+    let to_old = stratum.old.bad as f64 * ((1.0 - tilted) / (1.0 - even)).ln();
     to_new + to_old
 }
+
+// The log likelihood ratio of one version's bad requests under two ratios.
+fn own_gain(sample: Sample, null: f64, ratio: f64) -> f64 {
+    let ratio = ratio.max(null);
+    let good = sample.total.saturating_sub(sample.bad) as f64;
+    sample.bad as f64 * (ratio / null).ln() + good * ((1.0 - ratio) / (1.0 - null)).ln()
+}
