node: quota waits by client account; reports of backend servers shared between instances

Cause: steady load at half the rates (11 instances, 56 backend servers) had a lookup p50 of 13.7 ms against 6.3 ms direct, an opening-dates maximum of 19.5 s, and 72 refusals. A request short of region capacity waited in the queue for slots and held up every other client account behind it; and each instance asked each backend server for health and load each second. Ruled out: the link and the HTTP path (direct calls in the same run are fast). Change: a request short of rate, region capacity or shift waits with others of its client account; only the lack of a slot queues by service. Two instances, by rendezvous weight, ask a backend server, and tell the others once a second. Conclusion: an account's own limit must never hold a place in a shared queue.

--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -114,7 +114,7 @@
         self.step(event);
         if listed && self.probes.is_empty() {
             // The measurement duty takes a list each time it probes.
-            let list = self.node.backends().to_vec();
+            let list = self.node.asked().to_vec();
             drop(self.probes.try_send(Probe::List(list)));
         }
         if let Some(id) = ended {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -45,6 +45,8 @@
             start_by: now + patience,
             deadline: now + patience,
             attempts: Attempts::new(route.replay, ATTEMPTS),
+            rated: false,
+            give_up: None,
             waited: false,
             forwarded: None,
             ticket: None,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -33,6 +33,15 @@
 use crate::refusal::Refusal;
 use crate::shifts;
 
+/// Why no backend server could be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Blocked {
+    /// A limit of the client account forbids it for now.
+    Quota(Reason),
+    /// No backend server can take it.
+    Server(NoServer),
+}
+
 /// Attempts of one request that may break, so that a request that crashes
 /// backend servers takes few of them before it is known.
 const MOST_BROKEN: u32 = 1;
@@ -142,7 +151,7 @@
         out: &mut Vec<Action>,
     ) -> Option<Signal> {
         match effect {
-            Effect::WaitForRate => return or_refuse(self.wait_for_rate(now, open), open),
+            Effect::WaitForQuota => return or_refuse(self.wait_for_quota(now, open), open),
             Effect::Claim => {
                 let claimed = self.claim(now, open);
                 return or_refuse(claimed, open);
@@ -182,17 +191,21 @@
                 self.send(now, open, &decision, out);
                 None
             }
-            Err(NoServer::Overloaded | NoServer::ShiftCapped) if !open.attempts.may_have_run() => {
-                Some(Signal::Full)
+            Err(Blocked::Quota(reason)) => {
+                open.refusal = Some(Refusal::not_run(reason));
+                Some(Signal::Short)
             }
+            Err(Blocked::Server(NoServer::Overloaded)) => Some(Signal::Full),
             // The claim holds on until its time is over.
-            Err(_) if open.claim.is_some() && now < open.start_by => Some(Signal::Full),
-            Err(no) => or_refuse(Err(refusal(no, open)), open),
+            Err(Blocked::Server(_)) if open.claim.is_some() && now < open.start_by => {
+                Some(Signal::Full)
+            }
+            Err(Blocked::Server(no)) => or_refuse(Err(refusal(no, open)), open),
         }
     }
 
     // Chooses a version and a server that runs it.
-    fn choose(&mut self, now: Time, open: &mut Open) -> Result<Decision, NoServer> {
+    fn choose(&mut self, now: Time, open: &mut Open) -> Result<Decision, Blocked> {
         let Some(version) = self.pick_version(open) else {
             return self.route(now, open, &[]);
         };
@@ -212,7 +225,7 @@
         now: Time,
         open: &Open,
         versions: &[Share<'_>],
-    ) -> Result<Decision, NoServer> {
+    ) -> Result<Decision, Blocked> {
         let home = self.me.region.clone();
         let draw = self.rng.random();
         let query = ServerQuery {
@@ -224,12 +237,20 @@
             tried: open.attempts.tried(),
         };
         let (quota, moved) = (&mut self.quota, &mut self.shifts);
-        let allowed = |region: &_| shifts::may_shift(now, quota, moved, &open.contract, region);
-        let decision = self.router.route(&self.fleet, &query, draw, allowed)?;
+        let (contract, again) = (&open.contract, open.give_up.is_some());
+        let allowed = |region: &_| shifts::may_shift(now, quota, moved, contract, region, again);
+        let routed = self.router.route(&self.fleet, &query, draw, allowed);
+        let decision = routed.map_err(|no| match no {
+            NoServer::ShiftCapped => Blocked::Quota(Reason::ShiftCapped),
+            NoServer::NoRegion | NoServer::NoServer | NoServer::TooLate | NoServer::Overloaded => {
+                Blocked::Server(no)
+            }
+        })?;
         let account = &open.contract.account;
         let quota = &mut self.quota;
-        if decision.reach == Reach::Home && !shifts::has_capacity(now, quota, account, &home) {
-            return Err(NoServer::Overloaded);
+        if decision.reach == Reach::Home && !shifts::has_capacity(now, quota, account, &home, again)
+        {
+            return Err(Blocked::Quota(Reason::RegionFull));
         }
         Ok(decision)
     }
--- a/crates/node/src/chart.rs
+++ b/crates/node/src/chart.rs
@@ -28,7 +28,7 @@
 pub(crate) enum Signal {
     /// The client account's rate admits it.
     Granted,
-    /// The client account's rate does not admit it yet.
+    /// A limit of its client account does not admit it yet.
     Short,
     /// The claim is made.
     Claimed,
@@ -65,7 +65,7 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Effect {
     /// Wait until quota can have come from the peers.
-    WaitForRate,
+    WaitForQuota,
     /// Begin to claim the request.
     Claim,
     /// Drop a claim that is being made.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -52,6 +52,7 @@
 mod quota;
 mod record;
 mod refusal;
+mod reports;
 mod shifts;
 mod status;
 mod suspects;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -135,6 +135,7 @@
                 .into(),
         }));
         self.fleet.set_instances(live.len());
+        self.choose_asked();
         self.moves(now, MoveEvent::Live(live.clone()), out);
         self.drain(now, DrainEvent::Live(live.clone()), out);
         self.limits(now, LimitEvent::Live(live), out);
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::reports::SharedReport;
+
 /// A message between two entry instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -34,6 +36,8 @@
     MoveStop(MoveStop),
     /// What the sender has in flight where a drain is planned.
     Drain(DrainReport),
+    /// What backend servers told the sender of their health and load.
+    Reports(Vec<SharedReport>),
     /// A request that may have crashed a backend server, or that is cleared.
     Suspicion(Suspicion),
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,7 +26,6 @@
 use corianderway_rollout::Rollout;
 use corianderway_routing::Fleet;
 use corianderway_routing::Quarantine;
-use corianderway_routing::Report as ServerReport;
 use corianderway_routing::Router;
 use rand::rngs::SmallRng;
 use rand::Rng as _;
@@ -41,13 +40,13 @@
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Found;
-use crate::event::Report;
 use crate::event::RequestId;
 use crate::event::Ticket;
 use crate::event::Wrote;
 use crate::message::Message;
 use crate::open::Table;
 use crate::record::Record;
+use crate::reports::SharedReport;
 use crate::shifts::Shifts;
 use crate::suspects::Cut;
 use crate::tickets::Purpose;
@@ -58,7 +57,7 @@
 const SLOW_TICK: Duration = Duration::from_millis(100);
 
 /// The time between two looks at load, drains and room for new versions.
-const MEASURE: Duration = Duration::from_millis(500);
+const MEASURE: Duration = Duration::from_secs(1);
 
 /// Retries for each first try.
 const RETRY_RATIO: f64 = 0.1;
@@ -91,6 +90,10 @@
     pub(crate) fleet: Fleet,
     // Sorted by identity.
     pub(crate) backends: Vec<Backend>,
+    /// The servers that this instance asks for their health and load.
+    pub(crate) asked: Vec<Backend>,
+    /// Reports that the other instances are not told yet.
+    pub(crate) untold: Vec<SharedReport>,
     pub(crate) router: Router,
     pub(crate) requests: Table,
     pub(crate) rooms: Rooms,
@@ -146,6 +149,8 @@
             retries: RetryBudget::new(RETRY_RATIO, RETRY_SPARE, RETRY_SPAN),
             fleet: Fleet::new().context(FleetSnafu)?,
             backends: Vec::new(),
+            asked: Vec::new(),
+            untold: Vec::new(),
             router: Router::new(me.region.clone(), me.domain.clone()),
             requests: Table::default(),
             rooms: Rooms::default(),
@@ -216,11 +221,6 @@
         self.note_changes(out);
     }
 
-    /// The backend servers on the latest list.
-    pub fn backends(&self) -> &[Backend] {
-        &self.backends
-    }
-
     fn take_message(
         &mut self,
         now: Time,
@@ -240,32 +240,18 @@
             Message::Move(report) => self.moves(now, MoveEvent::Report(report), out),
             Message::MoveStop(stop) => self.moves(now, MoveEvent::Stop(stop), out),
             Message::Drain(report) => self.drain(now, DrainEvent::Report(report), out),
+            Message::Reports(reports) => self.take_shared(now, &reports),
             Message::Suspicion(suspicion) => self.take_suspicion(now, &suspicion),
         }
     }
 
     pub(crate) fn take_backends(&mut self, now: Time, backends: Vec<Backend>) {
         self.fleet.sync(&backends, now);
-        self.backends = backends;
-        self.backends.sort_by(|a, b| a.id.cmp(&b.id));
-    }
-
-    fn take_report(&mut self, now: Time, report: &Report, out: &mut Vec<Action>) {
-        let id = &report.server;
-        if !report.reached {
-            self.note_lost(now, report, out);
-        }
-        if let Some(handle) = self.fleet.find(id) {
-            self.fleet.probe(handle, report.reached, now);
-        }
-        if let Some(load) = report.load {
-            self.fleet.report(id, ServerReport::Load(load), now);
-        }
-        match report.healthy {
-            _ if report.draining => self.fleet.report(id, ServerReport::Leaving, now),
-            Some(true) => self.fleet.report(id, ServerReport::Healthy, now),
-            Some(false) => self.fleet.report(id, ServerReport::Failing, now),
-            None => (),
+        let mut backends = backends;
+        backends.sort_by(|a, b| a.id.cmp(&b.id));
+        if self.backends != backends {
+            self.backends = backends;
+            self.choose_asked();
         }
     }
 
@@ -309,6 +295,7 @@
             self.measured = now;
             self.tell_room(now, out);
             self.follow_drains(now, out);
+            self.share_reports(out);
             self.quarantine.expire(now);
         }
     }
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -27,6 +27,10 @@
     pub(crate) start_by: Time,
     pub(crate) deadline: Time,
     pub(crate) attempts: Attempts,
+    /// Whether the rate of its client account has admitted it.
+    pub(crate) rated: bool,
+    /// When it stops to wait for quota.
+    pub(crate) give_up: Option<Time>,
     /// Whether it has waited for a slot.
     pub(crate) waited: bool,
     /// When the last attempt was decided.
@@ -78,8 +82,17 @@
 
     /// Whether a request waits for a slot.
     pub(crate) fn is_queued(&self, id: RequestId) -> bool {
-        let found = self.rows.binary_search_by_key(&id, |row| row.0);
-        found.is_ok_and(|at| self.rows[at].1.state == State::Queued)
+        self.state(id) == Some(State::Queued)
+    }
+
+    /// Whether a request waits for quota.
+    pub(crate) fn is_waiting(&self, id: RequestId) -> bool {
+        self.state(id) == Some(State::Waiting)
+    }
+
+    fn state(&self, id: RequestId) -> Option<State> {
+        let at = self.rows.binary_search_by_key(&id, |row| row.0).ok()?;
+        Some(self.rows[at].1.state)
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -23,6 +23,8 @@
     NoServer,
     /// The service is overloaded.
     Overloaded,
+    /// The region takes no more of the client account's requests for now.
+    RegionFull,
     /// The traffic shift that the request needs is above its cap.
     ShiftCapped,
     /// The request has crashed backend servers before.
@@ -110,7 +112,7 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::UnknownHost,
         Self::UnknownRoute,
         Self::KeyMissing,
@@ -120,6 +122,7 @@
         Self::RateUnchecked,
         Self::NoServer,
         Self::Overloaded,
+        Self::RegionFull,
         Self::ShiftCapped,
         Self::Quarantined,
         Self::TokenMissing,
@@ -145,6 +148,7 @@
             Self::RateUnchecked => "rate-unchecked",
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
+            Self::RegionFull => "region-full",
             Self::ShiftCapped => "shift-capped",
             Self::Quarantined => "quarantined",
             Self::TokenMissing => "token-missing",
--- a/crates/node/src/shifts.rs
+++ b/crates/node/src/shifts.rs
@@ -31,16 +31,18 @@
     }
 }
 
-/// Whether a request may go into a region other than its home.
+/// Whether a request may go into a region other than its home; `again` says
+/// that it was refused before and has waited.
 pub(crate) fn may_shift(
     now: Time,
     quota: &mut Quota,
     shifts: &mut Shifts,
     contract: &Contract,
     region: &Region,
+    again: bool,
 ) -> bool {
     let account = &contract.account;
-    if contract.region(region).is_none() || !has_capacity(now, quota, account, region) {
+    if contract.region(region).is_none() || !has_capacity(now, quota, account, region, again) {
         return false;
     }
     let limit = Limit::Shift(account.clone(), region.clone());
@@ -54,7 +56,13 @@
     quota: &mut Quota,
     account: &Account,
     region: &Region,
+    again: bool,
 ) -> bool {
     let limit = Limit::Capacity(account.clone(), region.clone());
-    quota.admit(now, &limit, Tokens::ONE) == Verdict::Admitted
+    let verdict = if again {
+        quota.retry(now, &limit, Tokens::ONE)
+    } else {
+        quota.admit(now, &limit, Tokens::ONE)
+    };
+    verdict == Verdict::Admitted
 }
--- a/crates/node/src/waiting.rs
+++ b/crates/node/src/waiting.rs
@@ -1,4 +1,4 @@
-//! Requests that wait: for their client account's rate, or for a slot of a service.
+//! Requests that wait: for quota of their client account, or for a slot of a service.
 
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use corianderway_limits::Verdict;
 use corianderway_limits::Waiting;
 use corianderway_model::Account;
+use corianderway_model::Priority;
 use corianderway_model::Service;
 use corianderway_model::Time;
 use corianderway_routing::Verdict as Suspect;
@@ -20,14 +21,14 @@
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
-/// Requests that wait for rate on one instance.
-const RATE_WAITERS: usize = 1_024;
+/// Requests that wait for quota on one instance.
+const QUOTA_WAITERS: usize = 1_024;
 
 /// Requests that wait for slots of one service on one instance.
 const SLOT_WAITERS: usize = 256;
 
-/// How long a request waits for rate: as long as a loan of quota takes to come.
-const RATE_WAIT: Duration = Duration::from_millis(400);
+/// How long a request waits for rate: as long as a loan of it takes to come.
+const QUOTA_WAIT: Duration = Duration::from_millis(400);
 
 /// Requests of one service that are tried in one go.
 const TRIED_AT_ONCE: usize = 64;
@@ -35,8 +36,8 @@
 /// Where requests wait.
 #[derive(Debug, Default)]
 pub(crate) struct Rooms {
-    // In the order of arrival, each with the moment at which it gives up.
-    rate: Vec<(RequestId, Time)>,
+    // In the order of arrival.
+    quota: Vec<(Priority, RequestId)>,
     // Sorted by service.
     slots: Vec<(Service, FairQueue<RequestId>)>,
 }
@@ -49,7 +50,7 @@
             Suspect::Run => (),
             Suspect::Wait => {
                 let refusal = Refusal::not_run(Reason::Overloaded);
-                open.refusal = Some(refusal.retry_after(RATE_WAIT));
+                open.refusal = Some(refusal.retry_after(QUOTA_WAIT));
                 return Signal::Short;
             }
             Suspect::Refuse => {
@@ -57,6 +58,9 @@
                 return Signal::Refused;
             }
         }
+        if open.rated {
+            return Signal::Granted;
+        }
         let limit = Limit::Rate(open.contract.account.clone());
         let verdict = if again {
             self.quota.retry(now, &limit, Tokens::ONE)
@@ -64,24 +68,36 @@
             self.quota.admit(now, &limit, Tokens::ONE)
         };
         match verdict {
-            Verdict::Admitted => Signal::Granted,
+            Verdict::Admitted => {
+                open.rated = true;
+                open.give_up = None;
+                Signal::Granted
+            }
             Verdict::Refused { .. } => {
                 self.quarantine.release(open.query.digest);
                 let refusal = Refusal::not_run(self.rate_reason());
-                open.refusal = Some(refusal.retry_after(RATE_WAIT));
+                open.refusal = Some(refusal.retry_after(QUOTA_WAIT));
                 Signal::Short
             }
         }
     }
 
     /// Lets a request wait until quota can have come from the peers.
-    pub(crate) fn wait_for_rate(&mut self, now: Time, open: &Open) -> Result<(), Refusal> {
-        if self.rooms.rate.len() >= RATE_WAITERS {
-            let refusal = Refusal::not_run(self.rate_reason());
-            return Err(refusal.retry_after(RATE_WAIT));
+    pub(crate) fn wait_for_quota(&mut self, now: Time, open: &mut Open) -> Result<(), Refusal> {
+        let told = open.refusal.unwrap_or(Refusal::not_run(Reason::Overloaded));
+        let refusal = told.retry_after(QUOTA_WAIT);
+        if self.rooms.quota.len() >= QUOTA_WAITERS {
+            return Err(refusal);
         }
-        let until = (now + RATE_WAIT).min(open.deadline);
-        self.rooms.rate.push((open.query.id, until));
+        // A region fills and empties within seconds; a rate that is spent stays so.
+        let wait = if open.rated {
+            open.deadline.since(now) / 2
+        } else {
+            QUOTA_WAIT.min(open.deadline.since(now))
+        };
+        open.give_up.get_or_insert(now + wait);
+        open.refusal = Some(refusal);
+        self.rooms.quota.push((open.route.priority, open.query.id));
         Ok(())
     }
 
@@ -111,7 +127,7 @@
     /// Tries the waiting requests again, and refuses those whose time is over.
     pub(crate) fn serve_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
         self.refuse_displaced(now, out);
-        self.serve_rate(now, out);
+        self.serve_quota(now, out);
         let services: Vec<Service> = self.rooms.slots.iter().map(|row| row.0.clone()).collect();
         for service in services {
             self.expire_slots(now, &service, out);
@@ -153,27 +169,32 @@
         }
     }
 
-    fn serve_rate(&mut self, now: Time, out: &mut Vec<Action>) {
-        // An account that is refused once is not asked for again in this pass.
+    fn serve_quota(&mut self, now: Time, out: &mut Vec<Action>) {
+        // A client account that is refused once is not asked for again in this pass.
         let mut spent: Vec<Account> = Vec::new();
-        for (id, until) in std::mem::take(&mut self.rooms.rate) {
+        let mut waiting = std::mem::take(&mut self.rooms.quota);
+        waiting.sort_by_key(|row| row.0);
+        for (priority, id) in waiting {
             let Some(mut open) = self.requests.take(id) else {
                 continue;
             };
-            let account = &open.contract.account;
-            let signal = if spent.contains(account) {
-                Signal::Short
+            let account = open.contract.account.clone();
+            if open.give_up.is_none_or(|at| now >= at) {
+                self.advance(now, open, Signal::Refused, out);
+            } else if spent.contains(&account) {
+                self.requests.insert(open);
+                self.rooms.quota.push((priority, id));
             } else {
-                self.admit(now, &mut open, true)
-            };
-            match signal {
-                Signal::Short if now < until => {
-                    spent.push(open.contract.account.clone());
+                let signal = self.admit(now, &mut open, true);
+                if signal == Signal::Short {
                     self.requests.insert(open);
-                    self.rooms.rate.push((id, until));
+                    self.rooms.quota.push((priority, id));
+                } else {
+                    self.advance(now, open, signal, out);
+                }
+                if self.requests.is_waiting(id) {
+                    spent.push(account);
                 }
-                Signal::Short => self.advance(now, open, Signal::Refused, out),
-                granted_or_refused => self.advance(now, open, granted_or_refused, out),
             }
         }
     }
@@ -203,7 +224,7 @@
         } else {
             Refusal::not_run(reason)
         };
-        open.refusal = Some(refusal.retry_after(RATE_WAIT));
+        open.refusal = Some(refusal.retry_after(QUOTA_WAIT));
         self.advance(now, open, Signal::Refused, out);
     }
 
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -60,6 +60,7 @@
         | Reason::RateUnchecked
         | Reason::NoServer
         | Reason::Overloaded
+        | Reason::RegionFull
         | Reason::ShiftCapped
         | Reason::Quarantined
         | Reason::ClaimUnavailable
