rollout: every report carries the stop, and all instances may write at once

Cause: only the instance that saw a fault repeated its stop, so after its death an instance that started in a platform outage would not have learned of it and would have sent the new version its share. Also tested: every instance taking itself for the only mover, under lost answers and messages; early stops; old records; the deadline without peers.

--- a/crates/rollout/examples/outcomes/fleet.rs
+++ b/crates/rollout/examples/outcomes/fleet.rs
@@ -59,6 +59,8 @@
     pub lost: f64,
     /// The part of the messages between instances that is lost.
     pub dropped: f64,
+    /// Whether each instance takes itself for the only one, so that all write.
+    pub alone: bool,
     /// The instance that writes this state dies before it learns of it.
     pub killer: Option<State>,
 }
@@ -175,6 +177,10 @@
     #[must_use]
     pub fn with_trouble(mut self, trouble: Trouble) -> Self {
         self.trouble = trouble;
+        for node in (0..self.nodes.len()).filter(|_| self.trouble.alone) {
+            let own = self.live[node].clone();
+            self.step(node, Event::Live(vec![own]));
+        }
         self
     }
 
--- a/crates/rollout/examples/outcomes/main.rs
+++ b/crates/rollout/examples/outcomes/main.rs
@@ -79,6 +79,13 @@
                 ..usual()
             },
         ),
+        (
+            "every instance takes itself for the mover",
+            Trouble {
+                alone: true,
+                ..usual()
+            },
+        ),
         (
             "the mover dies as the trial begins",
             Trouble {
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::event::Stop;
 use crate::record::MoveKey;
 use crate::splitter::Arm;
 
@@ -70,6 +71,9 @@
     pub seen: u64,
     /// Requests in flight at the new version.
     pub busy: u64,
+    /// Why the instance sends nothing to the new version, if it has stopped it.
+    #[serde(default)]
+    pub stop: Option<Stop>,
     /// The tallies, sorted by route.
     pub routes: Vec<RouteTally>,
 }
@@ -169,6 +173,7 @@
             sequence: 0,
             seen: 0,
             busy: 0,
+            stop: None,
             routes: Vec::new(),
         }
     }
--- a/crates/rollout/src/track.rs
+++ b/crates/rollout/src/track.rs
@@ -128,6 +128,9 @@
     /// Takes in the report of another instance.
     pub(crate) fn report(&mut self, at: Moment, report: &Report) {
         self.quiet.note(&report.instance, report.seen, report.busy);
+        if let Some(stop) = &report.stop {
+            self.stop.get_or_insert_with(|| stop.clone());
+        }
         self.judge.take(at.time, report);
         self.check();
     }
@@ -160,10 +163,8 @@
         self.dirty = false;
         self.reported = now;
         own.sequence += 1;
+        own.stop.clone_from(&self.stop);
         out.push(Action::Report(own.clone()));
-        if let Some(stop) = self.stop.as_ref().filter(|s| s.instance == own.instance) {
-            out.push(Action::Stop(stop.clone()));
-        }
     }
 
     // Whether both versions run side by side.
--- a/crates/rollout/tests/moves.rs
+++ b/crates/rollout/tests/moves.rs
@@ -140,7 +140,7 @@
 
 #[test]
 fn lost_answers_messages_and_racing_movers_keep_the_record_whole() {
-    fn holds(seed: u64, lost: u8, dropped: u8, good: bool) -> bool {
+    fn holds(seed: u64, lost: u8, dropped: u8, (good, alone): (bool, bool)) -> bool {
         let kind = if good { Kind::Good } else { Kind::AtOnce };
         let size = Size {
             deadline: Duration::from_secs(40),
@@ -149,6 +149,7 @@
         let mut fleet = Fleet::new(kind, size, seed).with_trouble(Trouble {
             lost: f64::from(lost) / 512.0,
             dropped: f64::from(dropped) / 512.0,
+            alone,
             ..Trouble::default()
         });
         while !fleet.is_over() {
@@ -159,5 +160,5 @@
         rank(end) == 3 && (good || end == State::Withdrawn)
     }
     let mut check = QuickCheck::new().tests(10);
-    check.quickcheck(holds as fn(u64, u8, u8, bool) -> bool);
+    check.quickcheck(holds as fn(u64, u8, u8, (bool, bool)) -> bool);
 }
