--- a/crates/rollout/examples/outcomes/fleet.rs
+++ b/crates/rollout/examples/outcomes/fleet.rs
@@ -177,9 +177,10 @@
     #[must_use]
     pub fn with_trouble(mut self, trouble: Trouble) -> Self {
         self.trouble = trouble;
-        for node in (0..self.nodes.len()).filter(|_| self.trouble.alone) {
-            let own = self.live[node].clone();
-            self.step(node, Event::Live(vec![own]));
+        if self.trouble.alone {
+            for (node, own) in self.live.clone().into_iter().enumerate() {
+                self.step(node, Event::Live(vec![own]));
+            }
         }
         self
     }
