cli: waits until a change is in force at every instance

Cause: apply and withdraw end when the platform has accepted a change, and an operator who withdraws a key needs to know when it is refused everywhere.

--- a/crates/cli/src/contract.rs
+++ b/crates/cli/src/contract.rs
@@ -17,9 +17,11 @@
 use crate::error::FileSnafu;
 use crate::error::Result;
 use crate::error::ValueSnafu;
+use crate::force::Force;
 use crate::output::Output;
 use crate::platform::Held;
 use crate::platform::Platform;
+use crate::wait::Span;
 
 /// The kind of the platform's objects.
 pub const KIND: &str = "contracts";
@@ -39,6 +41,10 @@
             repeated files: PathBuf
             /// Refuses if the contract in force has another version than this.
             optional --expect version: u64
+            /// Waits this long, such as 10s, until every instance holds them.
+            optional --wait span: Span
+            /// The admin address of an entry instance to ask; may be repeated.
+            repeated --instance addr: SocketAddr
         }
         /// Shows what applying a contract would change.
         cmd diff {
@@ -84,6 +90,7 @@
         let message = "name at least one contract file".into();
         return Err(Error::Usage { message });
     }
+    let force = Force::find(apply.wait, &apply.instance)?;
     let read = apply.files.iter().map(|file| checked(file));
     let contracts = read.collect::<Result<Vec<_>>>()?;
     let mut applied = Vec::new();
@@ -92,6 +99,15 @@
     }
     let lines = applied.iter().map(told).collect::<Vec<_>>();
     out.result(&applied, lines.join("\n"));
+    for Applied {
+        account, version, ..
+    } in &applied
+    {
+        let object = format!("{KIND}/{account}");
+        force
+            .as_ref()
+            .map_or(Ok(()), |f| f.wait(out, &object, *version))?;
+    }
     Ok(())
 }
 
--- a/crates/cli/src/key.rs
+++ b/crates/cli/src/key.rs
@@ -14,8 +14,10 @@
 use crate::contract;
 use crate::error::Error;
 use crate::error::Result;
+use crate::force::Force;
 use crate::output::Output;
 use crate::platform::Platform;
+use crate::wait::Span;
 
 /// The kind of the platform's objects.
 const KIND: &str = "keys";
@@ -37,6 +39,10 @@
         cmd withdraw {
             /// The public part of the key, before the dot.
             required id: String
+            /// Waits this long, such as 10s, until every instance refuses it.
+            optional --wait span: Span
+            /// The admin address of an entry instance to ask; may be repeated.
+            repeated --instance addr: SocketAddr
         }
         /// Lists the keys.
         cmd list {}
@@ -54,7 +60,7 @@
     let out = Output { json: flags.json };
     match flags.subcommand {
         KeyCmd::Grant(grant) => run_grant(&platform, out, &grant.account),
-        KeyCmd::Withdraw(withdraw) => run_withdraw(&platform, out, &withdraw.id),
+        KeyCmd::Withdraw(withdraw) => run_withdraw(&platform, out, &withdraw),
         KeyCmd::List(_) => run_list(&platform, out),
     }
 }
@@ -80,21 +86,22 @@
     Ok(())
 }
 
-fn run_withdraw(platform: &Platform, out: Output, id: &str) -> Result<()> {
+fn run_withdraw(platform: &Platform, out: Output, withdraw: &Withdraw) -> Result<()> {
+    let id = withdraw.id.as_str();
+    let force = Force::find(withdraw.wait, &withdraw.instance)?;
     let held = platform.need(KIND, id)?;
     let record: KeyRecord = held.read()?;
+    let mut version = held.version;
     if record.state == KeyState::Withdrawn {
         out.result(&held, format!("key {id} is withdrawn already"));
-        return Ok(());
+    } else {
+        let record = record.with_state(KeyState::Withdrawn);
+        version = platform.write(KIND, id, Some(&held), &record)?;
+        let value = json!({ "id": id, "version": version, "state": record.state });
+        let text = format!("key {id}: the withdrawal is accepted as version {version}");
+        out.result(&value, text);
     }
-    let record = record.with_state(KeyState::Withdrawn);
-    let version = platform.write(KIND, id, Some(&held), &record)?;
-    let value = json!({ "id": id, "version": version, "state": record.state });
-    out.result(
-        &value,
-        format!("key {id} is withdrawn in version {version}"),
-    );
-    Ok(())
+    force.map_or(Ok(()), |f| f.wait(out, &format!("{KIND}/{id}"), version))
 }
 
 // The hashes stay out of the list.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod drain;
 mod error;
 mod explain;
+mod force;
 mod help;
 mod key;
 mod moves;
--- a/crates/cli/tests/verbs.rs
+++ b/crates/cli/tests/verbs.rs
@@ -223,6 +223,27 @@
     assert_eq!(command(&args[..2], None).code, USAGE);
 }
 
+#[test]
+fn a_change_is_told_to_be_in_force_when_every_instance_holds_it() {
+    let platform = started();
+    let everywhere = admin(r#"{"in_force":true,"waiting":[]}"#).to_string();
+    let one_waits = admin(r#"{"in_force":false,"waiting":["entry-2"]}"#).to_string();
+    let contract = file(CONTRACT);
+    let apply = |instance: &str| {
+        let args = ["contract", "apply", &contract, "--wait", "100ms"];
+        let args = [&args[..], &["--instance", instance]].concat();
+        command(&args, Some(&platform))
+    };
+    assert!(apply(&everywhere).done().err.contains("everywhere"));
+    let late = apply(&one_waits);
+    assert_eq!(late.code, TIMEOUT);
+    assert!(
+        late.err.contains("not yet in force at entry-2"),
+        "{}",
+        late.err
+    );
+}
+
 #[test]
 fn a_write_whose_answer_is_lost_is_settled_by_reading_back() {
     let platform = started();
