--- a/crates/routing/benches/decide.rs
+++ b/crates/routing/benches/decide.rs
@@ -144,8 +144,10 @@
                 criterion::BatchSize::SmallInput,
             );
         });
+        let middle = Ipv4Addr::from_bits(block_start(blocks / 2));
+        let text = format!("{middle}/25");
         let change = Block {
-            prefix: "10.1.2.0/25".try_into().expect("a prefix"),
+            prefix: text.as_str().try_into().expect("a prefix"),
             site: "site-7".into(),
         };
         group.bench_function(BenchmarkId::new("change", blocks), |b| {
@@ -161,6 +163,10 @@
     let mut group = c.benchmark_group("route");
     for endpoints in ENDPOINTS {
         let mut fleet = fleet(endpoints);
+        let list: Vec<_> = (0..endpoints).map(backend).collect();
+        group.bench_function(BenchmarkId::new("sync", endpoints), |b| {
+            b.iter(|| black_box(fleet.sync(&list, Time::ZERO)));
+        });
         let router = Router::new(region(0), domain(0));
         let (service, home) = (service(0), region(0));
         let query = Query {
--- a/crates/routing/src/upkeep.rs
+++ b/crates/routing/src/upkeep.rs
@@ -11,6 +11,8 @@
 use crate::lifecycle::State;
 use crate::server::Server;
 
+// Changes kept until they are taken; later ones are dropped.
+const MOST_CHANGES: usize = 4096;
 // At least this part of a pool's slots stays in use, whatever the evidence.
 const KEPT_PART: f64 = 0.5;
 // Ejection also leaves the known requests at most this part of the slots kept.
@@ -63,11 +65,11 @@
         server.refresh(self.instances, now);
         if step.to != from {
             let (group, pool) = (server.group, server.pool);
-            self.changes.push(Change {
-                server: handle,
-                from,
-                to: step.to,
-            });
+            let to = step.to;
+            let server = handle;
+            if self.changes.len() < MOST_CHANGES {
+                self.changes.push(Change { server, from, to });
+            }
             self.settle(group, pool, now);
         }
     }
