limits: a small limit may use half of itself at once

Cause: 71 of 223 requests of the smallest account (capacity 30 a second in a region, 11 instances) were refused as region-full at half its rate: an eighth of 30 is 3.75 tokens, so no instance ever held a whole one without a loan. Ruled out: a larger bound for the second, since the contract's number is one; fewer instances with a floor, since callers come to all of them. Change: the burst of a per-second limit is at least half of it up to 16 requests; rate and burst together still admit at most the limit in a second. Conclusion: small limits trade sustained rate for burst; large ones keep 7/8.

--- a/crates/limits/src/limit.rs
+++ b/crates/limits/src/limit.rs
@@ -16,6 +16,13 @@
 /// the limit in each second.
 const BURST_PART: f64 = 0.125;
 
+/// The part of a small limit that may come at once.
+const SMALL_BURST_PART: f64 = 0.5;
+
+/// Requests that may come at once under a small limit: enough for each of a
+/// dozen instances to hold a whole one.
+const SMALL_BURST: f64 = 16.0;
+
 /// One limit that all instances share.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -61,5 +68,7 @@
 
 // A rate and a burst that admit at most `limit` in any span of so many seconds.
 fn within(limit: f64, seconds: f64) -> Amount {
-    Amount::new(limit * (1.0 - BURST_PART) / seconds, limit * BURST_PART)
+    let small = SMALL_BURST.min(limit * SMALL_BURST_PART);
+    let burst = small.max(limit * BURST_PART);
+    Amount::new((limit - burst) / seconds, burst)
 }
