limits: judge demand by samples, divide short floors evenly, give back at once

After callers moved on, a home learned of a smaller loan only with the next ask. Change: a window holds 64 requests (250 ms to 2 s); a short floor is divided max-min; a borrower that took less says so at once.

--- a/crates/limits/src/borrow.rs
+++ b/crates/limits/src/borrow.rs
@@ -6,6 +6,7 @@
 use crate::group::Group;
 use crate::limit::Limit;
 use crate::loan::Loan;
+use crate::loan::Taken;
 use crate::message::Ask;
 use crate::message::Grant;
 use crate::message::Release;
@@ -55,9 +56,9 @@
     }
 
     /// Takes a loan if it answers one of the latest asks.
-    pub(crate) fn take(&mut self, from: &InstanceId, grant: &Grant) -> bool {
+    pub(crate) fn take(&mut self, from: &InstanceId, grant: &Grant) -> Taken {
         let found = self.loans.binary_search_by(|l| l.home.cmp(from));
-        found.is_ok_and(|at| self.loans[at].take(grant))
+        found.map_or(Taken::Refused, |at| self.loans[at].take(grant))
     }
 
     /// Gives all loans back.
--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -14,6 +14,7 @@
 use crate::limit::Limit;
 use crate::loan::Book;
 use crate::loan::Demand;
+use crate::loan::Taken;
 use crate::message::Ask;
 use crate::message::Grant;
 use crate::message::Release;
@@ -218,27 +219,34 @@
         })
     }
 
-    // Divides the floor by demand when it is short.
+    // Divides the floor evenly between those that want much when it is short.
     fn spare(&mut self, now: Time, from: &InstanceId, want: Parts) -> Parts {
-        let own = self.want(now).1.min(self.floor).get();
-        let total = own.saturating_add(self.book.wanted());
-        let fair = if total > self.floor.get() {
-            self.floor.scale(want.get(), total)
-        } else {
-            want
-        };
+        let own = self.want(now).1.min(self.floor);
+        let fair = want.min(self.book.level(self.floor, own));
         let others = self.book.lent().less(self.book.most(from));
         fair.min(self.floor.less(others))
     }
 
-    /// Takes a loan if it answers the newest ask.
-    pub(crate) fn take(&mut self, now: Time, from: &InstanceId, grant: &Grant, group: &Group) {
+    /// Takes a loan if it answers one of the latest asks; says what to give
+    /// back of the loan before.
+    pub(crate) fn take(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        grant: &Grant,
+        group: &Group,
+    ) -> Option<Release> {
         self.refresh(now, group);
-        if !self.borrower.take(from, grant) {
-            return;
+        let taken = self.borrower.take(from, grant);
+        if taken == Taken::Refused {
+            return None;
         }
         self.set_share(now);
         self.bucket.add(grant.tokens);
+        (taken == Taken::Less).then(|| Release {
+            limit: grant.limit.clone(),
+            seq: grant.seq - 1,
+        })
     }
 
     pub(crate) fn release(
--- a/crates/limits/src/loan.rs
+++ b/crates/limits/src/loan.rs
@@ -5,10 +5,12 @@
 use corianderway_model::InstanceId;
 use corianderway_model::Time;
 
+use crate::bucket::Tokens;
 use crate::message::Ask;
 use crate::message::Grant;
 use crate::parts::Parts;
 
+const NANOS_PER_SECOND: u128 = 1_000_000_000;
 /// Asks to one home that may still be answered.
 const OPEN_ASKS: usize = 4;
 
@@ -25,6 +27,15 @@
     open: Vec<Open>,
 }
 
+/// What became of a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Taken {
+    Refused,
+    /// It is taken, and the lender may use the difference once it knows.
+    Less,
+    More,
+}
+
 /// An ask without an answer.
 #[derive(Clone, Copy, Debug)]
 struct Open {
@@ -77,16 +88,21 @@
         self.open.retain(|open| now.since(open.sent) < term);
     }
 
-    /// Takes a grant in place of the one held; false for a repeat or a stray.
-    pub(crate) fn take(&mut self, grant: &Grant) -> bool {
+    /// Takes a grant in place of the one held; refuses a repeat or a stray.
+    pub(crate) fn take(&mut self, grant: &Grant) -> Taken {
         let Some(open) = self.open.iter().find(|open| open.seq == grant.seq) else {
-            return false;
+            return Taken::Refused;
         };
+        let less = self.seq != 0 && grant.parts < self.parts;
         self.until = open.sent + grant.term;
         self.seq = grant.seq;
         self.parts = grant.parts;
         self.open.retain(|open| open.seq > grant.seq);
-        true
+        if less {
+            Taken::Less
+        } else {
+            Taken::More
+        }
     }
 
     /// The newest ask.
@@ -130,9 +146,23 @@
         self.debtors.iter().map(Debtor::most).sum()
     }
 
-    /// What borrowers wanted in their newest asks.
-    pub(crate) fn wanted(&self) -> u64 {
-        self.debtors.iter().map(|d| d.want.get()).sum()
+    /// The most that one holder gets of a floor that is too small for what
+    /// all want: the level at which the rest is divided evenly.
+    pub(crate) fn level(&self, floor: Parts, own: Parts) -> Parts {
+        let wants = || self.debtors.iter().map(|d| d.want).chain([own]);
+        let mut level = 0;
+        loop {
+            let met: u64 = wants().map(Parts::get).filter(|w| *w <= level).sum();
+            let unmet = wants().filter(|w| w.get() > level).count() as u64;
+            if unmet == 0 {
+                return Parts::WHOLE;
+            }
+            let next = floor.get().saturating_sub(met) / unmet;
+            if next <= level {
+                return Parts::new(level);
+            }
+            level = next;
+        }
     }
 
     /// Drops loans whose term has passed.
@@ -166,13 +196,15 @@
         self.debtor(to).grants.push(lent);
     }
 
-    /// Takes loans back that the borrower no longer holds.
+    /// Takes loans back that the borrower no longer holds and never will.
     pub(crate) fn release(&mut self, from: &InstanceId, seq: u64) {
         if let Ok(at) = self.debtors.binary_search_by(|d| d.id.cmp(from)) {
             let debtor = &mut self.debtors[at];
             debtor.last = debtor.last.max(seq);
-            debtor.want = Parts::NONE;
             debtor.grants.retain(|g| g.seq > seq);
+            if debtor.grants.is_empty() {
+                debtor.want = Parts::NONE;
+            }
         }
     }
 
@@ -210,8 +242,10 @@
 }
 
 impl Demand {
-    /// The span over which demand is averaged.
-    const WINDOW: Duration = Duration::from_millis(500);
+    /// Requests after which a window ends.
+    const SAMPLES: u64 = 64;
+    const SHORTEST: Duration = Duration::from_millis(250);
+    const LONGEST: Duration = Duration::from_secs(2);
 
     pub(crate) fn add(&mut self, tokens: u64) {
         self.seen = self.seen.saturating_add(tokens);
@@ -220,22 +254,32 @@
     /// The tokens a second that were asked for of late.
     pub(crate) fn rate(&mut self, now: Time) -> u64 {
         let span = now.since(self.since);
-        let within = span.max(Self::WINDOW).as_nanos();
-        let seen = (u128::from(self.seen) * 1_000_000_000 / within) as u64;
-        let rate = seen.max(self.rate);
-        if span >= Self::WINDOW {
-            let kept = if span < Self::WINDOW * 4 {
-                self.rate / 2
-            } else {
-                0
-            };
-            *self = Self {
-                seen: 0,
-                since: now,
-                rate: seen.max(kept),
-            };
-            return self.rate;
+        let window = self.window();
+        let seen = per_second(self.seen, span.max(window));
+        if span < window {
+            return seen.max(self.rate);
         }
-        rate
+        let kept = if span < window * 4 { self.rate / 2 } else { 0 };
+        *self = Self {
+            seen: 0,
+            since: now,
+            rate: seen.max(kept),
+        };
+        self.rate
     }
+
+    // The time in which the last rate brings enough requests to judge by.
+    fn window(&self) -> Duration {
+        if self.seen >= Self::SAMPLES * Tokens::ONE.get() {
+            return Self::SHORTEST;
+        }
+        let enough = u128::from(Self::SAMPLES * Tokens::ONE.get()) * NANOS_PER_SECOND;
+        let nanos = enough / u128::from(self.rate.max(1));
+        let window = Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX));
+        window.clamp(Self::SHORTEST, Self::LONGEST)
+    }
+}
+
+fn per_second(tokens: u64, span: Duration) -> u64 {
+    (u128::from(tokens) * NANOS_PER_SECOND / span.as_nanos().max(1)) as u64
 }
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -108,11 +108,11 @@
     pub term: Duration,
 }
 
-/// Gives a loan back before its term ends.
+/// Gives a loan back before its term ends, or what a smaller one replaced.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
     /// The limit.
     pub limit: Limit,
-    /// The newest ask; the borrower takes no grant up to it.
+    /// The borrower holds no grant up to this ask and takes none any more.
     pub seq: u64,
 }
--- a/crates/limits/src/quota.rs
+++ b/crates/limits/src/quota.rs
@@ -220,14 +220,7 @@
                     .promised(now, from, query, &mut self.group, out);
             }
             Body::Ask(asks) => self.lend(now, &from, &asks, out),
-            Body::Grant(grants) => {
-                for grant in grants {
-                    let group = &self.group;
-                    if let Some(entry) = find(&mut self.entries, &grant.limit) {
-                        entry.take(now, &from, &grant, group);
-                    }
-                }
-            }
+            Body::Grant(grants) => self.take(now, from, &grants, out),
             Body::Release(releases) => {
                 for release in releases {
                     let group = &self.group;
@@ -274,6 +267,18 @@
         self.send(pleas, out);
     }
 
+    fn take(&mut self, now: Time, from: InstanceId, grants: &[Grant], out: &mut Vec<Action>) {
+        let mut releases = vec![];
+        for grant in grants {
+            if let Some(entry) = find(&mut self.entries, &grant.limit) {
+                releases.extend(entry.take(now, &from, grant, &self.group));
+            }
+        }
+        if !releases.is_empty() {
+            self.group.send(from, Body::Release(releases), out);
+        }
+    }
+
     // Sends one message of each kind to each home.
     fn send(&self, pleas: Vec<Plea>, out: &mut Vec<Action>) {
         let mut asks: Vec<(InstanceId, Vec<Ask>)> = vec![];
