standins: callers send once-only requests again, and runs are told apart

Ruled out: a fault of the daemon; the paths were those of another test. Request ids begin with the process id, and runs without it are counted apart. An idle connection that was closed meanwhile is not used. Trials on a busy machine, so no latency is claimed.

--- a/crates/standins/examples/fleet.rs
+++ b/crates/standins/examples/fleet.rs
@@ -10,6 +10,7 @@
 use corianderway_standins::fleet::Granted;
 use corianderway_standins::fleet::Options;
 use corianderway_standins::fleet::Topology;
+use corianderway_standins::harness::request_key;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -71,15 +72,15 @@
     for route in &contract.routes {
         let method = route.methods.first().map_or("GET", String::as_str);
         let addr = node.daemon.callers;
-        let mut line = format!("curl -i -X {method} -H 'Host: {host}'");
+        let mut parts = vec![format!("curl -i -X {method} -H 'Host: {host}'")];
         if route.access == corianderway_model::Access::Keyed {
-            line += " -H 'Authorization: Bearer ";
-            line += &granted.text;
-            line += "'";
+            parts.push(format!("-H 'Authorization: Bearer {}'", granted.text));
         }
         if route.replay == corianderway_model::Replay::Once {
-            line += " -H 'Idempotency-Key: t-1'";
+            let token = request_key(u64::from(std::process::id()));
+            parts.push(format!("-H 'Idempotency-Key: {token}'"));
         }
+        let line = parts.join(" ");
         println!("  {line} http://{addr}{}17", route.path);
     }
 }
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -22,6 +22,7 @@
 mod platform;
 mod process;
 mod proxy;
+mod request_key;
 mod server;
 mod wait;
 
@@ -36,5 +37,6 @@
 pub use crate::harness::proxy::Flow;
 pub use crate::harness::proxy::Link;
 pub use crate::harness::proxy::Proxy;
+pub use crate::harness::request_key::request_key;
 pub use crate::harness::server::Server;
 pub use crate::harness::wait::until;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -35,6 +35,7 @@
 pub use crate::load::run::run;
 pub use crate::load::sample::End;
 pub use crate::load::sample::Sample;
+pub use crate::load::sample::Sending;
 pub use crate::load::scenario::Callers;
 pub use crate::load::scenario::Scenario;
 pub use crate::load::scenario::Share;
--- a/crates/standins/src/load/act.rs
+++ b/crates/standins/src/load/act.rs
@@ -31,6 +31,8 @@
 pub enum Act {
     /// A backend server dies.
     KillServer(String),
+    /// The entry instance at this place of the topology dies.
+    KillEntry(usize),
     /// Everything in a region dies at once.
     LoseRegion(String),
     /// A failure domain's backend servers are announced as leaving.
@@ -48,6 +50,7 @@
     pub fn label(&self) -> String {
         match self {
             Self::KillServer(id) => format!("kill {id}"),
+            Self::KillEntry(at) => format!("kill entry {at}"),
             Self::LoseRegion(region) => format!("lose {region}"),
             Self::LeaveDomain(domain) => format!("drain {domain}"),
             Self::ReplaceEntries(count) => format!("replace {count} entries"),
@@ -64,6 +67,7 @@
     pub(crate) fn apply(&self, fleet: &mut Fleet) -> Result<(), Error> {
         match self {
             Self::KillServer(id) => kill_servers(fleet, |b| b.id.as_str() == id),
+            Self::KillEntry(at) => kill_entry(fleet, *at),
             Self::LoseRegion(region) => lose_region(fleet, region),
             Self::LeaveDomain(domain) => leave_domain(fleet, domain),
             Self::ReplaceEntries(count) => replace_entries(fleet, *count),
@@ -85,6 +89,13 @@
     Ok(())
 }
 
+fn kill_entry(fleet: &mut Fleet, at: usize) -> Result<(), Error> {
+    if let Some(node) = fleet.nodes.get_mut(at) {
+        node.daemon.process.kill()?;
+    }
+    Ok(())
+}
+
 fn lose_region(fleet: &mut Fleet, region: &str) -> Result<(), Error> {
     kill_servers(fleet, |b| b.region.as_str() == region)?;
     for node in &mut fleet.nodes {
--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -2,9 +2,12 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use async_channel::Receiver;
 use async_std::net::TcpStream;
@@ -16,10 +19,13 @@
 use serde::Deserialize;
 
 use crate::checker::Ran;
+use crate::harness::request_key;
 use crate::load::book::Book;
 use crate::load::book::Target;
+use crate::load::pool;
 use crate::load::pool::Pool;
 use crate::load::sample::End;
+use crate::load::sample::Sending;
 use crate::load::scenario::Callers;
 use crate::load::schedule::Arrival;
 use crate::load::schedule::Class;
@@ -28,6 +34,9 @@
 /// The longest wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// The pause before a request is sent again.
+const PAUSE: Duration = Duration::from_millis(200);
+
 /// What the callers of one worker share.
 #[derive(Debug)]
 pub(crate) struct Caller {
@@ -37,6 +46,16 @@
     pub(crate) target: Target,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) turn: Cell<usize>,
+    pub(crate) sendings: usize,
+}
+
+// What one sending carries.
+struct Envelope<'e> {
+    // The last segment of the path, the same at each sending.
+    path: &'e str,
+    id: &'e str,
+    key: Option<&'e Arc<str>>,
+    token: Option<&'e String>,
 }
 
 // The body of a refusal by an entry instance.
@@ -53,9 +72,40 @@
 }
 
 impl Caller {
-    /// Sends a request and waits for its whole answer.
-    pub(crate) async fn send(&self, arrival: &Arrival, class: &Class, id: &str) -> End {
-        let answered = self.attempt(arrival, class, id);
+    /// Sends a request and, on routes that run once, sends it again under the
+    /// same idempotency key while its outcome is open.
+    pub(crate) async fn send(&self, arrival: &Arrival, class: &Class, id: &str) -> Vec<Sending> {
+        let token = class.once().then(|| request_key(arrival.draw));
+        let mut sendings = Vec::new();
+        for number in 0..self.sendings {
+            let own = format!("{id}-{number}");
+            let turn = arrival.draw.wrapping_add(number as u64);
+            let sent = unix_nanos();
+            let envelope = Envelope {
+                path: id,
+                id: &own,
+                key: class.key.as_ref().filter(|_| self.asks_entries(arrival)),
+                token: token.as_ref(),
+            };
+            let end = self.patient(arrival, class, &envelope, turn).await;
+            let open = end.open();
+            sendings.push(Sending { id: own, sent, end });
+            if token.is_none() || !open {
+                break;
+            }
+            async_std::task::sleep(PAUSE).await;
+        }
+        sendings
+    }
+
+    async fn patient(
+        &self,
+        arrival: &Arrival,
+        class: &Class,
+        envelope: &Envelope<'_>,
+        turn: u64,
+    ) -> End {
+        let answered = self.attempt(arrival, class, envelope, turn);
         let late = async {
             async_std::task::sleep(PATIENCE).await;
             End::Lost
@@ -64,26 +114,40 @@
     }
 
     // Tries the next address only where no connection could be made.
-    async fn attempt(&self, arrival: &Arrival, class: &Class, id: &str) -> End {
-        for addr in self.addrs(arrival, class) {
-            let kept = self.pool.borrow_mut().take(addr);
-            let stream = match kept {
-                Some(stream) => Ok(stream),
-                None => TcpStream::connect(addr).await,
-            };
-            let Ok(stream) = stream else {
+    async fn attempt(
+        &self,
+        arrival: &Arrival,
+        class: &Class,
+        envelope: &Envelope<'_>,
+        turn: u64,
+    ) -> End {
+        for addr in self.addrs(arrival, class, turn) {
+            self.pool.borrow_mut().open(addr);
+            let Ok(stream) = self.connect(addr).await else {
                 self.pool.borrow_mut().give(addr, None);
                 continue;
             };
-            let key = class.key.as_ref().filter(|_| self.asks_entries(arrival));
-            let end = exchange(&stream, class, key, id).await;
-            let whole = !matches!(end, End::Lost);
-            self.pool.borrow_mut().give(addr, whole.then_some(stream));
+            let (end, kept) = exchange(&stream, class, envelope).await;
+            self.pool.borrow_mut().give(addr, kept.then_some(stream));
             return end;
         }
         End::Unreachable
     }
 
+    async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
+        loop {
+            let kept = self.pool.borrow_mut().take(addr);
+            match kept {
+                Some(stream) if pool::idle(&stream).await => return Ok(stream),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
     // Only entry instances may see a key.
     fn asks_entries(&self, arrival: &Arrival) -> bool {
         arrival.way == Way::Tested && self.target == Target::Entries
@@ -97,13 +161,13 @@
         self.book.borrow().clone()
     }
 
-    fn addrs(&self, arrival: &Arrival, class: &Class) -> Vec<SocketAddr> {
+    fn addrs(&self, arrival: &Arrival, class: &Class, turn: u64) -> Vec<SocketAddr> {
         let book = self.book();
         let servers = book.servers(class.route.service.as_str());
         let nth = |n: usize| servers.get(n % servers.len().max(1)).copied();
         let one = match (arrival.way, self.target) {
             (Way::Direct, _) => nth(arrival.draw as usize),
-            (Way::Tested, Target::Entries) => return book.entries(self.callers, arrival.draw),
+            (Way::Tested, Target::Entries) => return book.entries(self.callers, turn),
             (Way::Tested, Target::RoundRobin) => nth(self.turn.replace(self.turn.get() + 1)),
             (Way::Tested, Target::LeastConnections) => self.pool.borrow_mut().least(servers),
         };
@@ -111,29 +175,38 @@
     }
 }
 
-async fn exchange(stream: &TcpStream, class: &Class, key: Option<&Arc<str>>, id: &str) -> End {
-    if stream.set_nodelay(true).is_err() {
-        return End::Lost;
-    }
-    let Some(request) = request(class, key, id) else {
-        return End::Lost;
+// The end, and whether the connection can be used again.
+async fn exchange(stream: &TcpStream, class: &Class, envelope: &Envelope<'_>) -> (End, bool) {
+    let Some(request) = request(class, envelope) else {
+        return (End::Lost, false);
     };
     match async_h1::connect(stream.clone(), request).await {
-        Ok(response) => read(response).await,
-        Err(_) => End::Lost,
+        Ok(response) => {
+            let last = closes(&response);
+            let end = read(response).await;
+            let kept = !last && end != End::Lost;
+            (end, kept)
+        }
+        Err(_) => (End::Lost, false),
     }
 }
 
-fn request(class: &Class, key: Option<&Arc<str>>, id: &str) -> Option<Request> {
-    let url = Url::parse(&format!("http://{}{}{id}", class.host, class.route.path)).ok()?;
+fn closes(response: &Response) -> bool {
+    let value = response.header("connection");
+    value.is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"))
+}
+
+fn request(class: &Class, envelope: &Envelope<'_>) -> Option<Request> {
+    let (host, path) = (&class.host, &class.route.path);
+    let url = Url::parse(&format!("http://{host}{path}{}", envelope.path)).ok()?;
     let method = class.route.methods[0].parse::<Method>().ok()?;
     let mut request = Request::new(method, url);
-    request.insert_header("x-request-id", id);
-    if let Some(key) = key {
+    request.insert_header("x-request-id", envelope.id);
+    if let Some(key) = envelope.key {
         request.insert_header("authorization", format!("Bearer {key}"));
     }
-    if class.once() {
-        request.insert_header("idempotency-key", id);
+    if let Some(token) = envelope.token {
+        request.insert_header("idempotency-key", token.as_str());
     }
     if matches!(method, Method::Post | Method::Put) {
         request.set_body("{}");
@@ -166,3 +239,8 @@
         echoed: answer.and_then(segment),
     }
 }
+
+fn unix_nanos() -> u64 {
+    let span = SystemTime::now().duration_since(UNIX_EPOCH);
+    span.unwrap_or_default().as_nanos() as u64
+}
--- a/crates/standins/src/load/evidence.rs
+++ b/crates/standins/src/load/evidence.rs
@@ -13,9 +13,10 @@
 use crate::load::error::FileSnafu;
 use crate::load::sample::End;
 use crate::load::sample::Sample;
+use crate::load::sample::Sending;
 use crate::load::schedule::Schedule;
 use crate::load::schedule::Way;
-use crate::load::worker::request_id;
+use crate::load::worker::run_id;
 
 /// The most that the time from admission to the run varies, in milliseconds.
 const SLACK_MS: u64 = 100;
@@ -23,6 +24,15 @@
 /// The client account of requests that go around the system.
 const DIRECT: &str = "direct";
 
+/// What the checker says of a run.
+#[derive(Debug, Default)]
+pub(crate) struct Evidence {
+    /// What it found.
+    pub(crate) violations: Vec<Violation>,
+    /// Runs for callers of other programs on this machine, which are left out.
+    pub(crate) foreign: u64,
+}
+
 /// Checks what callers saw against what backend servers ran.
 pub(crate) fn check(
     fleet: &Fleet,
@@ -30,7 +40,7 @@
     schedule: &Schedule,
     samples: &[Sample],
     seed: u64,
-) -> Result<Vec<Violation>, Error> {
+) -> Result<Evidence, Error> {
     let mut history = History {
         slack_ms: SLACK_MS,
         ..History::default()
@@ -40,9 +50,16 @@
         let runs = checker::read_runs(&file).context(FileSnafu { file: name })?;
         history.runs.extend(runs);
     }
-    history.calls = samples.iter().map(|s| call(schedule, s, seed)).collect();
+    // A port that another program's server had before still gets its requests.
+    let (all, mark) = (history.runs.len(), run_id(seed));
+    history.runs.retain(|r| r.path.contains(&mark));
+    let foreign = (all - history.runs.len()) as u64;
+    history.calls = samples.iter().flat_map(|s| calls(schedule, s)).collect();
     history.limits = contracts.iter().map(limit).collect();
-    Ok(checker::check(&history))
+    Ok(Evidence {
+        violations: checker::check(&history),
+        foreign,
+    })
 }
 
 fn limit(contract: &Contract) -> Limit {
@@ -53,30 +70,31 @@
     }
 }
 
-fn call(schedule: &Schedule, sample: &Sample, seed: u64) -> Call {
+fn calls<'s>(schedule: &'s Schedule, sample: &'s Sample) -> impl Iterator<Item = Call> + 's {
     let arrival = &schedule.arrivals[sample.arrival];
     let class = schedule.class(arrival);
-    let id = request_id(seed, sample.arrival);
     let account = match arrival.way {
         Way::Tested => class.account.clone(),
         Way::Direct => DIRECT.into(),
     };
-    Call {
-        account,
-        key: class.once().then(|| id.clone()),
+    let first = sample.sendings.first().map(|s| s.id.clone());
+    let key = first.filter(|_| class.once());
+    sample.sendings.iter().map(move |sending| Call {
+        request: sending.id.clone(),
+        account: account.clone(),
+        key: key.clone(),
         once: class.once(),
-        request: id,
-        sent: sample.sent,
-        done: sample.sent + sample.latency.as_nanos() as u64,
-        end: end(&sample.end),
-    }
+        sent: sending.sent,
+        done: 0,
+        end: end(sending),
+    })
 }
 
-fn end(end: &End) -> checker::End {
-    match end {
+fn end(sending: &Sending) -> checker::End {
+    match &sending.end {
         End::Answered { status, echoed } => checker::End::Answered {
             status: *status,
-            echoed: echoed.clone(),
+            echoed: echoed.as_ref().map(|e| named(e, &sending.id)),
             whole: true,
         },
         End::Refused { code, ran } => checker::End::Refused {
@@ -86,3 +104,9 @@
         End::Lost | End::Unreachable => checker::End::Lost,
     }
 }
+
+// An answer names the request by its path, which all its sendings share.
+fn named(echoed: &str, id: &str) -> String {
+    let same = id.rsplit_once('-').is_some_and(|(path, _)| path == echoed);
+    if same { id } else { echoed }.to_owned()
+}
--- a/crates/standins/src/load/figures.rs
+++ b/crates/standins/src/load/figures.rs
@@ -68,7 +68,7 @@
     pub ends: Ends,
     /// Requests within its rate and burst.
     pub within: u64,
-    /// Refused for the rate although within rate and burst.
+    /// Refused for any reason although within rate and burst.
     pub wrongful: u64,
     /// Served as a share of those within its rate and burst.
     pub share: f64,
@@ -102,7 +102,7 @@
 
     pub(crate) fn add(&mut self, sample: &Sample) {
         self.ends.sent += 1;
-        match &sample.end {
+        match sample.end() {
             end if end.served() => {
                 self.ends.served += 1;
                 self.record(sample.latency);
--- a/crates/standins/src/load/pool.rs
+++ b/crates/standins/src/load/pool.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use async_std::net::TcpStream;
+use futures_lite::future;
 
 /// Idle connections kept for each address.
 const IDLE_CONNECTIONS: usize = 64;
@@ -19,11 +20,14 @@
 }
 
 impl Pool {
-    /// Takes an idle connection and counts a request as open.
+    /// Counts a request as open.
+    pub(crate) fn open(&mut self, addr: SocketAddr) {
+        self.line(addr).open += 1;
+    }
+
+    /// Takes an idle connection.
     pub(crate) fn take(&mut self, addr: SocketAddr) -> Option<TcpStream> {
-        let line = self.line(addr);
-        line.open += 1;
-        line.idle.pop()
+        self.line(addr).idle.pop()
     }
 
     /// Ends a request; a connection that can be used again is kept.
@@ -59,3 +63,9 @@
         &mut self.0[at]
     }
 }
+
+/// Whether an idle connection is open and holds no byte that nobody asked for.
+pub(crate) async fn idle(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    future::poll_once(stream.peek(&mut byte)).await.is_none()
+}
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -39,6 +39,9 @@
 /// Threads that send requests.
 const WORKERS: usize = 3;
 
+/// Sendings of a request that runs once, while its outcome is open.
+const SENDINGS: usize = 4;
+
 /// New books under way to a worker.
 const BOOKS: usize = 64;
 
@@ -81,11 +84,12 @@
     let after = Usage::read(&fleet)?;
     let mut summary = summarize(scenario, target, seed, &schedule, &samples);
     summary.usage = after.since(&before);
-    summary.violations = match target {
-        Target::Entries => evidence::check(&fleet, &contracts, &schedule, &samples, seed)?,
-        // Without the system nothing is promised.
-        Target::RoundRobin | Target::LeastConnections => Vec::new(),
-    };
+    // Without the system nothing is promised.
+    if target == Target::Entries {
+        let evidence = evidence::check(&fleet, &contracts, &schedule, &samples, seed)?;
+        summary.violations = evidence.violations;
+        summary.foreign = evidence.foreign;
+    }
     Ok(summary)
 }
 
@@ -148,6 +152,7 @@
             callers,
             target,
             turn: Cell::new(part.number),
+            sendings: SENDINGS,
             pool: RefCell::new(Pool::default()),
         };
         worker::run(part, caller, samples)
--- a/crates/standins/src/load/summary.rs
+++ b/crates/standins/src/load/summary.rs
@@ -18,9 +18,6 @@
 use crate::load::schedule::Way;
 use crate::load::usage::Usage;
 
-/// The code with which an entry instance refuses for the rate.
-const RATE_CODE: &str = "rate-exceeded";
-
 /// Everything measured in one run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Summary {
@@ -44,6 +41,8 @@
     pub usage: Usage,
     /// What the history checker found.
     pub violations: Vec<Violation>,
+    /// Runs for callers of other programs on this machine, which are left out.
+    pub foreign: u64,
 }
 
 /// Gathers the samples of a run.
@@ -72,6 +71,7 @@
             .collect(),
         usage: Usage::default(),
         violations: Vec::new(),
+        foreign: 0,
     }
 }
 
@@ -107,7 +107,10 @@
 fn account(name: &str, group: &[Pair<'_>]) -> AccountFigures {
     let ends = gather(group).ends;
     let within = group.iter().filter(|(a, _)| a.within);
-    let wrongful = within.clone().filter(|(_, s)| for_rate(&s.end)).count() as u64;
+    let wrongful = within
+        .clone()
+        .filter(|(_, s)| matches!(s.end(), End::Refused { .. }));
+    let wrongful = wrongful.count() as u64;
     let within = within.count() as u64;
     AccountFigures {
         account: name.to_owned(),
@@ -118,14 +121,10 @@
     }
 }
 
-fn for_rate(end: &End) -> bool {
-    matches!(end, End::Refused { code, .. } if &**code == RATE_CODE)
-}
-
 fn refusals(pairs: &[Pair<'_>]) -> Vec<(String, u64)> {
     let mut codes = Vec::new();
     for (_, sample) in pairs {
-        if let End::Refused { code, .. } = &sample.end {
+        if let End::Refused { code, .. } = sample.end() {
             codes.push(code.clone());
         }
     }
--- a/crates/standins/src/load/table.rs
+++ b/crates/standins/src/load/table.rs
@@ -36,7 +36,11 @@
         .iter()
         .map(|(code, n)| format!(" {code}={n}"));
     lines.push(format!("refusals{}", refused.collect::<String>()));
-    lines.push(format!("violations {}", summary.violations.len()));
+    let found = summary.violations.len();
+    lines.push(format!(
+        "violations {found}, foreign runs {}",
+        summary.foreign
+    ));
     lines.extend(
         summary
             .violations
--- a/crates/standins/src/load/worker.rs
+++ b/crates/standins/src/load/worker.rs
@@ -2,10 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use async_channel::Sender;
 
@@ -45,27 +42,19 @@
     drop(samples.send(done).await);
 }
 
-/// The request id of a place in the schedule.
-pub(crate) fn request_id(seed: u64, at: usize) -> String {
-    format!("q{seed}-{at}")
+/// The beginning of every request id of a run; other runs on the machine have others.
+pub(crate) fn run_id(seed: u64) -> String {
+    format!("q{}x{seed}-", std::process::id())
 }
 
 async fn send(part: Rc<Part>, caller: Rc<Caller>, at: usize, due: Instant) -> Sample {
     let arrival = &part.schedule.arrivals[at];
     let class = part.schedule.class(arrival);
-    let sent = unix_nanos();
-    let end = caller
-        .send(arrival, class, &request_id(part.seed, at))
-        .await;
+    let id = format!("{}{at}", run_id(part.seed));
+    let sendings = caller.send(arrival, class, &id).await;
     Sample {
         arrival: at,
         latency: due.elapsed(),
-        sent,
-        end,
+        sendings,
     }
 }
-
-fn unix_nanos() -> u64 {
-    let span = SystemTime::now().duration_since(UNIX_EPOCH);
-    span.unwrap_or(Duration::ZERO).as_nanos() as u64
-}
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -13,6 +13,7 @@
 use corianderway_standins::load::Sample;
 use corianderway_standins::load::Scenario;
 use corianderway_standins::load::Schedule;
+use corianderway_standins::load::Sending;
 use corianderway_standins::load::Target;
 use corianderway_standins::load::Way;
 
@@ -114,8 +115,11 @@
     let sample = |arrival| Sample {
         arrival,
         latency: Duration::from_millis(4),
-        sent: 0,
-        end: refused.clone(),
+        sendings: vec![Sending {
+            id: arrival.to_string(),
+            sent: 0,
+            end: refused.clone(),
+        }],
     };
     let samples = (0..schedule.arrivals.len()).map(sample).collect::<Vec<_>>();
     let summary = summarize(&scenario, Target::Entries, 3, &schedule, &samples);
