--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use corianderway_model::InstanceId;
 use corianderway_model::RouteName;
 use corianderway_model::Time;
 
@@ -12,6 +11,7 @@
 use crate::evidence::Fault;
 use crate::evidence::FaultKind;
 use crate::scope::Scope;
+use crate::source::Source;
 use crate::tally::Report;
 use crate::tally::RouteTally;
 use crate::tally::Tally;
@@ -37,8 +37,6 @@
 const TAIL_SAMPLES: u64 = 100;
 /// The tail of the old version's latency that counts as slow.
 const TAIL: f64 = 0.05;
-/// Requests after which a stratum is closed, also with one version missing.
-const STRATUM_MOST: u64 = 200;
 
 /// What the judgement needs to know of a move.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -66,14 +64,6 @@
     evidence: Evidence,
 }
 
-#[derive(Clone, Debug)]
-struct Source {
-    instance: InstanceId,
-    sequence: u64,
-    // The counts at the end of the last stratum, sorted by route.
-    closed: Vec<RouteTally>,
-}
-
 #[derive(Clone, Debug)]
 struct RouteScope {
     route: RouteName,
@@ -98,9 +88,7 @@
     /// Begins the comparison: forgets the counts, but not who has reported.
     pub fn begin(&mut self, terms: Terms, now: Time) {
         let mut sources = std::mem::take(&mut self.sources);
-        for source in &mut sources {
-            source.closed.clear();
-        }
+        sources.iter_mut().for_each(Source::begin);
         *self = Self::new(terms, now);
         self.sources = sources;
     }
@@ -117,8 +105,7 @@
     /// what it counts from here on is used.
     pub fn take(&mut self, now: Time, report: &Report) {
         let at = self.source_at(report, Source::first);
-        if report.sequence > self.sources[at].sequence {
-            self.sources[at].sequence = report.sequence;
+        if self.sources[at].is_new(report) {
             self.take_tallies(now, at, report);
         }
     }
@@ -238,48 +225,6 @@
     }
 }
 
-impl Source {
-    fn empty(report: &Report) -> Self {
-        Self {
-            instance: report.instance.clone(),
-            sequence: 0,
-            closed: Vec::new(),
-        }
-    }
-
-    // The first report of an instance counts from zero; a later one shows
-    // where to begin.
-    fn first(report: &Report) -> Self {
-        if report.sequence <= 1 {
-            return Self::empty(report);
-        }
-        Self {
-            instance: report.instance.clone(),
-            sequence: report.sequence,
-            closed: report.routes.clone(),
-        }
-    }
-
-    // Closes the stratum of a route if it tells enough. The rule looks at how
-    // many requests there were, never at how they ended.
-    fn close(&mut self, tally: &RouteTally) -> Option<RouteTally> {
-        let found = self.closed.binary_search_by(|r| r.route.cmp(&tally.route));
-        let fresh = match found {
-            Ok(at) => tally.since(&self.closed[at]),
-            Err(_) => tally.clone(),
-        };
-        let (old, new) = (fresh.old.total, fresh.new.total);
-        if (old == 0 || new == 0) && old + new < STRATUM_MOST {
-            return None;
-        }
-        match found {
-            Ok(at) => self.closed[at] = tally.clone(),
-            Err(at) => self.closed.insert(at, tally.clone()),
-        }
-        Some(fresh)
-    }
-}
-
 impl RouteScope {
     fn tail(&self) -> Option<u8> {
         let known = self.old.answered() >= TAIL_SAMPLES;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -82,6 +82,7 @@
 mod schedule;
 mod scope;
 mod share;
+mod source;
 mod splitter;
 mod tally;
 mod track;
