routing: failures count beyond the pool's mean; a short first refusal

Cause: one client account whose requests fail everywhere made every backend server doubtful and ejected half of a pool; and two chance deaths refused an innocent for ten minutes. Ruled out: weighing failures by account (state for 5,000 accounts on every server row) and three deaths before any refusal (one backend server more for every killer). Change: failures count by what they exceed the mean of the pool's others; two deaths refuse for 30 s, more for 10 minutes.

--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -28,7 +28,10 @@
 const REPEAT: Duration = Duration::from_secs(5);
 // A trial run that has not ended by then no longer holds up the others.
 const TRIAL: Duration = Duration::from_secs(2);
-// How long a condemned request is refused after its last death.
+// How long a request is refused after its last death while it was at the fewest
+// that condemn, so that chance costs an innocent little.
+const PROBATION: Duration = Duration::from_secs(30);
+// How long it is refused after more, and how long a death counts.
 const HOLD: Duration = Duration::from_mins(10);
 // Bounds of the memory: about 1 MB in all.
 const MOST_CRASHES: usize = 128;
@@ -167,9 +170,10 @@
         self.judge();
     }
 
-    /// The signatures refused now.
-    pub fn refused(&self) -> impl Iterator<Item = u64> + '_ {
-        self.refused.iter().map(|(signature, _)| *signature)
+    /// The signatures that are refused.
+    pub fn refused(&self, now: Time) -> impl Iterator<Item = u64> + '_ {
+        let refused = self.refused.iter().filter(move |(_, until)| now < *until);
+        refused.map(|(signature, _)| *signature)
     }
 
     fn add(&mut self, crash: &Crash, at: Time) {
@@ -230,7 +234,12 @@
         let part = count as f64 / around as f64;
         let alone = count >= ALONE_DEATHS && part >= ALONE_PART && self.is_alone(signature);
         let shared = count >= SHARED_DEATHS && part >= SHARED_PART;
-        (alone || shared).then(|| last + HOLD)
+        let hold = if count > ALONE_DEATHS {
+            HOLD
+        } else {
+            PROBATION
+        };
+        (alone || shared).then(|| last + hold)
     }
 
     // Whether no other suspect was at every death that this one was at.
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -27,7 +27,7 @@
 // A success this recent outweighs failing health reports.
 const VOUCH: Duration = Duration::from_secs(3);
 const FAILURE_GAIN: f64 = 0.15;
-const DOUBTFUL_FAILURES: f64 = 0.3;
+const DOUBTFUL_EXCESS: f64 = 0.3;
 const CONDEMNED_FAILURES: f64 = 0.55;
 const CONDEMNED_REPORTS: u32 = 3;
 const RISE_GAIN: f64 = 0.3;
@@ -53,7 +53,7 @@
     pub(crate) missing: bool,
     pub(crate) listed: Time,
     touched: Time,
-    failures: f64,
+    pub(crate) failures: f64,
     reports: u32,
     vouched: Option<Time>,
     ramp: Time,
@@ -63,6 +63,15 @@
     shut: bool,
 }
 
+/// The rest of a backend server's pool.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Peers {
+    // Whether they can carry the work without it.
+    pub(crate) spare: bool,
+    // The mean of their failures.
+    pub(crate) failures: f64,
+}
+
 impl Server {
     pub(crate) fn new(backend: Backend, state: State, place: (u32, u32), now: Time) -> Self {
         let (group, pool) = place;
@@ -164,11 +173,11 @@
         f64::from(self.load.own) >= MOST_OWN * self.slots()
     }
 
-    pub(crate) fn holds(&self, guard: Guard, now: Time, spare: bool) -> bool {
+    pub(crate) fn holds(&self, guard: Guard, now: Time, peers: &Peers) -> bool {
         match guard {
             Guard::Vouched => self.is_vouched(now),
-            Guard::Condemned => spare && self.is_condemned(now),
-            Guard::Doubtful => self.failures >= DOUBTFUL_FAILURES || self.reports > 0,
+            Guard::Condemned => peers.spare && self.is_condemned(peers, now),
+            Guard::Doubtful => self.excess(peers) >= DOUBTFUL_EXCESS || self.reports > 0,
             Guard::Ramped => now.since(self.ramp) >= RAMP,
             Guard::Held => now < self.until,
             Guard::Marked => self.marked,
@@ -259,8 +268,14 @@
         self.vouched.is_some_and(|at| now.since(at) < VOUCH)
     }
 
-    fn is_condemned(&self, now: Time) -> bool {
+    fn is_condemned(&self, peers: &Peers, now: Time) -> bool {
         let told = self.reports >= CONDEMNED_REPORTS && !self.is_vouched(now);
-        self.failures >= CONDEMNED_FAILURES || told
+        let fails = self.failures >= CONDEMNED_FAILURES;
+        fails && self.excess(peers) >= DOUBTFUL_EXCESS || told
+    }
+
+    // Failures that its peers do not share; shared ones speak against the requests.
+    fn excess(&self, peers: &Peers) -> f64 {
+        self.failures - peers.failures
     }
 }
--- a/crates/routing/src/upkeep.rs
+++ b/crates/routing/src/upkeep.rs
@@ -9,6 +9,7 @@
 use crate::group::Pool;
 use crate::lifecycle::Event;
 use crate::lifecycle::State;
+use crate::server::Peers;
 use crate::server::Server;
 
 // Changes kept until they are taken; later ones are dropped.
@@ -47,11 +48,16 @@
             return;
         };
         let from = server.state;
-        let spare = event == Event::Failed || event == Event::ReportFailing;
-        let spare = spare && self.has_spare(server);
+        let peers = match event {
+            Event::Failed | Event::ReportFailing => self.peers(handle, server),
+            Event::Succeeded | Event::ReportHealthy if from == State::Suspect => {
+                self.peers(handle, server)
+            }
+            _ => Peers::default(),
+        };
         let step = self
             .chart
-            .step(from, event, |g| server.holds(g, now, spare));
+            .step(from, event, |g| server.holds(g, now, &peers));
         if step.to == from && step.actions.is_empty() {
             return;
         }
@@ -121,12 +127,21 @@
         group.blind /= group.slots.max(1.0);
     }
 
-    // Whether the rest of its pool can carry the work without this one.
-    fn has_spare(&self, server: &Server) -> bool {
+    // What the rest of its pool says on the fate of a backend server.
+    fn peers(&self, handle: Handle, server: &Server) -> Peers {
         let pool = &self.groups[server.group as usize].pools[server.pool as usize];
         let tally = self.tally(pool);
         let kept = tally.usable - server.slots();
-        kept >= KEPT_PART * (tally.usable + tally.ejected) && tally.taken <= KEPT_FILL * kept
+        let enough = kept >= KEPT_PART * (tally.usable + tally.ejected);
+        let others = pool.usable.iter().filter(|at| **at != handle.0);
+        let others = others.filter_map(|at| self.servers[*at as usize].as_ref());
+        let (sum, count) = others.fold((0.0, 0.0), |(sum, count), s| {
+            (sum + s.failures, count + 1.0)
+        });
+        Peers {
+            spare: enough && tally.taken <= KEPT_FILL * kept,
+            failures: sum / f64::max(count, 1.0),
+        }
     }
 
     fn ejected_beyond_bound(&self, pool: &Pool) -> Option<u32> {
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -197,6 +197,22 @@
     assert!(bench.fleet.server(handle).unwrap().weight() < 0.3);
 }
 
+// Such as the requests of one client account that no backend server can serve.
+#[test]
+fn failures_that_all_servers_share_eject_none() {
+    let mut bench = Bench::new();
+    for round in 0..100 {
+        bench.finish(round % SERVERS, Outcome::Failed);
+    }
+    assert!((0..SERVERS).all(|at| bench.state(at).is_usable()));
+    for round in 0..20 * SERVERS {
+        let at = round % SERVERS;
+        let outcome = Outcome::Answered(TICK);
+        bench.finish(at, if at == 2 { Outcome::Failed } else { outcome });
+    }
+    assert_eq!(bench.state(2), State::Ejected);
+}
+
 #[test]
 fn own_success_outweighs_failing_reports() {
     let mut bench = Bench::new();
