cli: status shows version moves and drains too

Cause: an operator had to ask three groups of verbs for one view of the fleet. Change: status lists the moves and drains in force beside the instances.

--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -25,7 +25,7 @@
 use crate::wait::Span;
 
 /// The kind of the platform's objects.
-const KIND: &str = "drains";
+pub const KIND: &str = "drains";
 
 xflags::xflags! {
     /// Drains of a backend server, a failure domain or a region.
@@ -181,7 +181,8 @@
     })
 }
 
-fn sentence(record: &Record) -> String {
+/// One line on where it stands.
+pub fn sentence(record: &Record) -> String {
     let why = match record.state {
         DrainState::Planned => "waits until the rest can carry the load",
         DrainState::Draining => "gets no new work; requests in flight end",
--- a/crates/cli/src/moves.rs
+++ b/crates/cli/src/moves.rs
@@ -27,7 +27,7 @@
 use crate::wait::Span;
 
 /// The kind of the platform's objects.
-const KIND: &str = "moves";
+pub const KIND: &str = "moves";
 
 xflags::xflags! {
     /// Moves of a service from one version to the next.
@@ -213,7 +213,8 @@
     Ok(())
 }
 
-fn sentence(record: &Record) -> String {
+/// One line on where it stands.
+pub fn sentence(record: &Record) -> String {
     format!(
         "{} from {} to {}: {} at {}, {} left, last written by {}",
         record.service,
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -10,11 +10,13 @@
 use snafu::ResultExt;
 
 use crate::client::Client;
+use crate::drain;
 use crate::error::AnswerSnafu;
 use crate::error::Error;
 use crate::error::Result;
 use crate::error::UnreachableSnafu;
 use crate::error::ValueSnafu;
+use crate::moves;
 use crate::output::Output;
 use crate::platform::Platform;
 
@@ -22,7 +24,8 @@
 const INSTANCES_VARIABLE: &str = "CORIANDERWAY_INSTANCES";
 
 xflags::xflags! {
-    /// The fleet: entry instances, backend servers, and what instances say.
+    /// The fleet: entry instances, backend servers, version moves, drains, and
+    /// what instances say.
     cmd status {
         /// The platform's address.
         optional --platform addr: SocketAddr
@@ -50,12 +53,25 @@
         Err(error) => json!({ "addr": addr, "error": error.to_string() }),
     });
     let views: Vec<Value> = views.collect();
+    let (moved, drained) = (platform.list(moves::KIND)?, platform.list(drain::KIND)?);
     let value = json!({
         "entries": list.entries,
         "backends": list.backends,
+        "moves": moved,
+        "drains": drained,
         "instances": views,
     });
-    out.result(&value, text(&list, &views));
+    let mut lines = lists(&list);
+    lines.push(format!("{} version moves", moved.len()));
+    for held in &moved {
+        lines.push(format!("  {}", moves::sentence(&held.read()?)));
+    }
+    lines.push(format!("{} drains", drained.len()));
+    for held in &drained {
+        lines.push(format!("  {}", drain::sentence(&held.read()?)));
+    }
+    told_by(&views, &mut lines);
+    out.result(&value, lines.join("\n"));
     Ok(())
 }
 
@@ -94,7 +110,7 @@
     serde_json::from_str(&reply.body).context(ValueSnafu { object: path })
 }
 
-fn text(list: &Instances, views: &[Value]) -> String {
+fn lists(list: &Instances) -> Vec<String> {
     let mut lines = vec![format!("{} entry instances", list.entries.len())];
     lines.extend(list.entries.iter().map(|entry| {
         let (region, domain) = (&entry.region, &entry.domain);
@@ -114,12 +130,15 @@
             backend.id
         )
     }));
+    lines
+}
+
+fn told_by(views: &[Value], lines: &mut Vec<String>) {
     for view in views {
         lines.push(format!("instance at {}", plain(&view["addr"])));
-        fields(&view["view"], &mut lines);
-        fields(&view["error"], &mut lines);
+        fields(&view["view"], lines);
+        fields(&view["error"], lines);
     }
-    lines.join("\n")
 }
 
 // Lists the fields of an answer, one for each line; rows of a list on one.
