limits: a limit that is dropped and taken up again is still lent

Cause: a home that lost a contract forgot its loans; when the contract came back within their term, floor and loans were used together. Change: a dropped limit that is lent stays, at an amount of zero.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -10,10 +10,10 @@
 use crate::bucket::Bucket;
 use crate::bucket::Tokens;
 use crate::bucket::Verdict;
+use crate::demand::Demand;
 use crate::group::Group;
 use crate::limit::Limit;
 use crate::loan::Book;
-use crate::loan::Demand;
 use crate::loan::Taken;
 use crate::message::Ask;
 use crate::message::Grant;
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Keeps a limit that is in force no longer, at an amount of zero, while
+    /// it is lent: it may come back sooner than the loans end.
+    pub(crate) fn retire(mut self, now: Time) -> Option<Self> {
+        self.set_amount(now, Amount::default());
+        (!self.book.is_empty()).then_some(self)
+    }
+
     pub(crate) fn share(&self) -> Parts {
         self.bucket.share()
     }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -62,6 +62,7 @@
 mod borrow;
 mod bucket;
 mod chart;
+mod demand;
 mod entry;
 mod epoch;
 mod event;
--- a/crates/limits/src/quota.rs
+++ b/crates/limits/src/quota.rs
@@ -1,9 +1,10 @@
 //! The step function for all limits of one instance.
 
+mod messages;
+
 use corianderway_model::InstanceId;
 use corianderway_model::Time;
 
-use crate::borrow::Plea;
 use crate::bucket::Amount;
 use crate::bucket::Tokens;
 use crate::bucket::Verdict;
@@ -13,12 +14,6 @@
 use crate::event::Event;
 use crate::group::Group;
 use crate::limit::Limit;
-use crate::message::Ask;
-use crate::message::Body;
-use crate::message::Grant;
-use crate::message::Message;
-use crate::message::Query;
-use crate::message::Release;
 use crate::parts::Parts;
 use crate::proposal::Proposer;
 use crate::terms::Terms;
@@ -193,12 +188,15 @@
         limits.dedup_by(|a, b| a.0 == b.0);
         let mut old = std::mem::take(&mut self.entries).into_iter().peekable();
         for (limit, amount) in limits {
-            while old.next_if(|e| e.limit < limit).is_some() {}
+            while let Some(gone) = old.next_if(|e| e.limit < limit) {
+                self.entries.extend(gone.retire(now));
+            }
             let kept = old.next_if(|e| e.limit == limit);
             let mut entry = kept.unwrap_or_else(|| Entry::new(now, limit, amount));
             entry.set_amount(now, amount);
             self.entries.push(entry);
         }
+        self.entries.extend(old.filter_map(|e| e.retire(now)));
         self.swept.1 = 0;
         self.active.clear();
         self.active.reserve(self.entries.len());
@@ -206,56 +204,6 @@
         self.active.extend(active.map(|(at, _)| at as u32));
     }
 
-    fn receive(&mut self, now: Time, message: Message, out: &mut Vec<Action>) {
-        let Message { from, to, body } = message;
-        if to != self.group.me {
-            return;
-        }
-        match body {
-            Body::Query(query) => self.group.answer(now, from, query, out),
-            Body::Vouch(vouch) => self.group.vouched(now, from, vouch),
-            Body::Prepare(query) => self.prepare(from, query, out),
-            Body::Promise(query) => {
-                self.proposer
-                    .promised(now, from, query, &mut self.group, out);
-            }
-            Body::Ask(asks) => self.lend(now, &from, &asks, out),
-            Body::Grant(grants) => self.take(now, from, &grants, out),
-            Body::Release(releases) => {
-                for release in releases {
-                    let group = &self.group;
-                    if let Some(entry) = find(&mut self.entries, &release.limit) {
-                        entry.release(now, &from, &release, group);
-                    }
-                }
-            }
-        }
-    }
-
-    fn prepare(&mut self, from: InstanceId, query: Query, out: &mut Vec<Action>) {
-        if self.group.promise(query.number) {
-            self.group.send(from, Body::Promise(query), out);
-        }
-    }
-
-    fn lend(&mut self, now: Time, from: &InstanceId, asks: &[Ask], out: &mut Vec<Action>) {
-        let mut grants: Vec<Grant> = vec![];
-        for ask in asks {
-            let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(&ask.limit)) else {
-                continue;
-            };
-            let entry = &mut self.entries[at];
-            grants.extend(entry.lend(now, from, ask, &self.group));
-            if !entry.active {
-                entry.active = true;
-                self.active.push(at as u32);
-            }
-        }
-        if !grants.is_empty() {
-            self.group.send(from.clone(), Body::Grant(grants), out);
-        }
-    }
-
     fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
         self.group.surrender(now);
         let mut pleas = vec![];
@@ -266,46 +214,4 @@
         }
         self.send(pleas, out);
     }
-
-    fn take(&mut self, now: Time, from: InstanceId, grants: &[Grant], out: &mut Vec<Action>) {
-        let mut releases = vec![];
-        for grant in grants {
-            if let Some(entry) = find(&mut self.entries, &grant.limit) {
-                releases.extend(entry.take(now, &from, grant, &self.group));
-            }
-        }
-        if !releases.is_empty() {
-            self.group.send(from, Body::Release(releases), out);
-        }
-    }
-
-    // Sends one message of each kind to each home.
-    fn send(&self, pleas: Vec<Plea>, out: &mut Vec<Action>) {
-        let mut asks: Vec<(InstanceId, Vec<Ask>)> = vec![];
-        let mut releases: Vec<(InstanceId, Vec<Release>)> = vec![];
-        for plea in pleas {
-            match plea {
-                Plea::Ask(to, ask) => group_by(&mut asks, to, ask),
-                Plea::Release(to, release) => group_by(&mut releases, to, release),
-            }
-        }
-        for (to, list) in asks {
-            self.group.send(to, Body::Ask(list), out);
-        }
-        for (to, list) in releases {
-            self.group.send(to, Body::Release(list), out);
-        }
-    }
-}
-
-fn find<'e>(entries: &'e mut [Entry], limit: &Limit) -> Option<&'e mut Entry> {
-    let at = entries.binary_search_by(|e| e.limit.cmp(limit)).ok()?;
-    entries.get_mut(at)
-}
-
-fn group_by<T>(all: &mut Vec<(InstanceId, Vec<T>)>, to: InstanceId, item: T) {
-    match all.binary_search_by(|(id, _)| id.cmp(&to)) {
-        Ok(at) => all[at].1.push(item),
-        Err(at) => all.insert(at, (to, vec![item])),
-    }
 }
--- a/crates/limits/tests/conserve.rs
+++ b/crates/limits/tests/conserve.rs
@@ -149,3 +149,23 @@
     assert!((1..=8).all(|seed| conserved(seed, Sabotage::None)));
     assert!((1..=8).any(|seed| !conserved(seed, Sabotage::SameName)));
 }
+
+// A home drops a limit that it has lent and takes it up again.
+#[test]
+fn a_limit_that_comes_back_is_still_lent() {
+    for seed in seeds(4) {
+        let mut fleet = Fleet::new(seed, 4, RATE, BURST, Terms::default());
+        fleet.faults.delay_ms = 20;
+        for node in &mut fleet.nodes[1..] {
+            node.weight = 0.01;
+        }
+        fleet.run(Duration::from_secs(15));
+        for at in 1..4 {
+            fleet.set_limit(at, false);
+            fleet.run(Duration::from_millis(200));
+            fleet.set_limit(at, true);
+            fleet.run(Duration::from_secs(3));
+        }
+        assert!(fleet.conserved(), "LIMITS_SEED={seed}");
+    }
+}
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -552,6 +552,13 @@
         self.worst_share <= Parts::WHOLE.get() && self.worst_level <= self.burst + slack
     }
 
+    /// Takes the limit away from one instance, or gives it back.
+    pub fn set_limit(&mut self, at: usize, present: bool) {
+        let limit = (self.limit.clone(), self.amount);
+        let limits = if present { vec![limit] } else { vec![] };
+        self.post(at, 0, Event::Limits(limits));
+    }
+
     /// Tells one instance that an operator confirmed the loss of the others.
     pub fn confirm(&mut self) {
         let at = self.nodes.len() - 1;
