rollout: proof takes the worse of two estimates of the old version's ratio

Change: each window is weighed by its own ratio, which follows a fault of both versions, and by that of the last 1,000 requests, which is steadier; the worse result counts. Samples and the fading memory have a module of their own.

--- a/crates/rollout/src/doubt.rs
+++ b/crates/rollout/src/doubt.rs
@@ -12,6 +12,10 @@
 
 use corianderway_model::Time;
 
+use crate::sample::Memory;
+use crate::sample::Sample;
+use crate::sample::Stratum;
+
 /// The multiples of the margin that are bet on.
 const MULTIPLES: [f64; 2] = [1.0, 8.0];
 /// The part of the stake on a fault from the start; the rest is spread over the move.
@@ -24,8 +28,6 @@
 const LEAST_FACTOR: f64 = 1.01;
 /// The bad requests, and all requests, reckoned with before the first is seen.
 const PRIOR: (f64, f64) = (0.5, 20.0);
-/// Requests of the old version of which its ratio is remembered.
-const MEMORY: u64 = 1000;
 /// The highest ratio of bad requests that is bet on.
 const HIGHEST: f64 = 0.98;
 /// The lowest ratio of bad requests that is reckoned with.
@@ -33,25 +35,11 @@
 /// Keeps the products finite.
 const MOST: f64 = 1e280;
 
-/// Requests of both versions that ran side by side, and how many were bad.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Stratum {
-    pub(crate) old: Sample,
-    pub(crate) new: Sample,
-}
-
-/// Requests of one version, and how many were bad.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Sample {
-    pub(crate) total: u64,
-    pub(crate) bad: u64,
-}
-
 /// The tests on one kind of fault in one scope.
 #[derive(Clone, Debug)]
 pub(crate) struct Doubt {
     margin: f64,
-    past: Sample,
+    past: Memory,
     // Against a version that is no worse.
     any: Bets,
     // Against a version that is worse by less than half of the margin.
@@ -71,7 +59,7 @@
     pub(crate) fn new(margin: f64, span: Duration, now: Time) -> Self {
         Self {
             margin,
-            past: Sample::default(),
+            past: Memory::default(),
             any: Bets::new(span, now),
             large: Bets::new(span, now),
         }
@@ -89,7 +77,7 @@
         let own = |ratio| own_gain(stratum.new, negligible, ratio);
         self.any.take(now, ratios.map(shared));
         self.large.take(now, ratios.map(own));
-        self.remember(stratum.old);
+        self.past.add(stratum.old);
     }
 
     /// The log of the e-value against a version that is no worse.
@@ -102,17 +90,10 @@
         self.large.evidence() >= -LARGE_ERROR.ln()
     }
 
-    fn remember(&mut self, old: Sample) {
-        self.past.add(old);
-        if self.past.total > MEMORY {
-            self.past.total /= 2;
-            self.past.bad = self.past.bad.div_ceil(2);
-        }
-    }
-
     // From earlier strata only, so that the bets are fixed in advance.
     fn base(&self) -> f64 {
-        let (bad, total) = (self.past.bad as f64, self.past.total as f64);
+        let past = self.past.sample();
+        let (bad, total) = (past.bad as f64, past.total as f64);
         ((bad + PRIOR.0) / (total + PRIOR.1)).max(FLOOR)
     }
 }
@@ -150,20 +131,6 @@
     }
 }
 
-impl Stratum {
-    pub(crate) fn add(&mut self, other: Self) {
-        self.old.add(other.old);
-        self.new.add(other.new);
-    }
-}
-
-impl Sample {
-    pub(crate) fn add(&mut self, other: Self) {
-        self.total += other.total;
-        self.bad += other.bad;
-    }
-}
-
 // The log likelihood ratio of how the bad requests fell to the versions, if
 // the new one fails `factor` times as often against as often.
 fn shared_gain(stratum: Stratum, factor: f64) -> f64 {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -79,6 +79,7 @@
 mod rank;
 mod record;
 mod rollout;
+mod sample;
 mod schedule;
 mod scope;
 mod share;
--- a/crates/rollout/src/proof.rs
+++ b/crates/rollout/src/proof.rs
@@ -1,8 +1,9 @@
 //! The test that passes: a sequential likelihood ratio of "no worse" to
 //! "worse by the margin", against the old version at the same time.
 
-use crate::doubt::Sample;
-use crate::doubt::Stratum;
+use crate::sample::Memory;
+use crate::sample::Sample;
+use crate::sample::Stratum;
 
 /// Requests of the old version from which its failure ratio is estimated.
 const OLD_SAMPLES: u64 = 50;
@@ -18,6 +19,8 @@
 pub(crate) struct Proof {
     margin: f64,
     window: Stratum,
+    // The old version's requests of late, for a steadier estimate.
+    past: Memory,
     gained: f64,
 }
 
@@ -26,6 +29,7 @@
         Self {
             margin,
             window: Stratum::default(),
+            past: Memory::default(),
             gained: 0.0,
         }
     }
@@ -37,7 +41,12 @@
         if old.total < OLD_SAMPLES || new.total < NEW_SAMPLES {
             return;
         }
-        self.gained += log_ratio(old, new, self.margin);
+        self.past.add(old);
+        // A window's own estimate follows a fault of both versions, the longer
+        // one is steadier; the worse of the two for the new version counts.
+        let now = log_ratio(old, new, self.margin);
+        let past = log_ratio(self.past.sample(), new, self.margin);
+        self.gained += now.min(past);
         self.window = Stratum::default();
     }
 
@@ -48,7 +57,8 @@
 
     /// Starts again from nothing, at a new share.
     pub(crate) fn restart(&mut self) {
-        *self = Self::new(self.margin);
+        self.window = Stratum::default();
+        self.gained = 0.0;
     }
 }
 
--- a/crates/rollout/src/scope.rs
+++ b/crates/rollout/src/scope.rs
@@ -5,9 +5,9 @@
 use corianderway_model::Time;
 
 use crate::doubt::Doubt;
-use crate::doubt::Stratum;
 use crate::evidence::FaultKind;
 use crate::proof::Proof;
+use crate::sample::Stratum;
 
 /// How many margins more answers may fall into the old version's slow tail.
 const SLOW_MARGINS: f64 = 2.0;
