control: sizes by which messages are bounded follow their encoding

Cause: the sizes were guessed; a stamp takes 72 bytes beside its name in CBOR and not 24, an object 54 and not 16.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -73,19 +73,24 @@
             }
             Self::Want(ids) => ids.iter().map(|id| id.name.len() + ID_BYTES).sum(),
             Self::Root(_) => DIGEST_BYTES,
-            Self::Groups(digests) | Self::Buckets { digests, .. } => digests.len() * DIGEST_BYTES,
+            Self::Groups(digests) => digests.len() * DIGEST_BYTES,
+            Self::Buckets { digests, .. } => digests.len() * DIGEST_BYTES + FLAG_BYTES,
             Self::Page { after } => after.as_ref().map_or(0, |id| id.name.len() + ID_BYTES),
-            Self::Ask(stamp) | Self::Held { stamp, .. } => stamp.size(),
+            Self::Ask(stamp) => stamp.size(),
+            Self::Held { stamp, .. } => stamp.size() + FLAG_BYTES,
         };
         FRAME_BYTES + body
     }
 }
 
 /// What a message takes beside its body: the variant's name, lengths and the frame.
-const FRAME_BYTES: usize = 24;
+const FRAME_BYTES: usize = 16;
+
+/// What a named flag or number takes.
+const FLAG_BYTES: usize = 12;
 
 /// What a digest takes.
 const DIGEST_BYTES: usize = 9;
 
 /// What an identity takes beside its name.
-const ID_BYTES: usize = 12;
+const ID_BYTES: usize = 22;
--- a/crates/control/src/object.rs
+++ b/crates/control/src/object.rs
@@ -227,10 +227,10 @@
 }
 
 /// What an object takes in a message beside its name and value, in bytes.
-const OBJECT_BYTES: usize = 16;
+const OBJECT_BYTES: usize = 54;
 
 /// What a stamp takes in a message beside its name, in bytes.
-const STAMP_BYTES: usize = 24;
+const STAMP_BYTES: usize = 72;
 
 /// What an entry instance takes in a message, in bytes.
-const MEMBER_BYTES: usize = 160;
+const MEMBER_BYTES: usize = 110;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -426,8 +426,8 @@
     const HEADERS: usize = 60;
     let body = match message {
         PeerMessage::Config(message) | PeerMessage::Members(message) => message.size(),
-        PeerMessage::Ask(_) => 16,
-        PeerMessage::Answer(_, word) => 50 + word.domains.len() * 6,
+        PeerMessage::Ask(_) => 12,
+        PeerMessage::Answer(_, word) => 76 + word.domains.len() * 7,
     };
     (HEADERS + body) as u64
 }
