--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -33,15 +33,16 @@
 
 /// The part of a group's help that describes one verb, or all of it.
 pub fn section(help: &str, group: &str, verb: Option<&str>) -> String {
-    let Some(verb) = verb else {
-        return help.to_owned();
-    };
-    let heading = format!("{group} {verb}");
-    let from = help.lines().skip_while(|line| *line != heading);
-    let other = |line: &&str| !line.starts_with(&format!("{group} ")) || *line == heading;
-    let lines: Vec<&str> = from.take_while(other).collect();
+    let (common, verbs) = help.split_once("SUBCOMMANDS:").unwrap_or((help, ""));
+    let options = common.split_once("OPTIONS:").map_or("", |(_, o)| o);
+    let heading = |line: &&str| line.starts_with(&format!("{group} "));
+    let wanted = verb.map(|verb| format!("{group} {verb}"));
+    let from = verbs.lines().skip_while(|l| wanted.as_deref() != Some(*l));
+    let rest = from.clone().skip(1).take_while(|line| !heading(line));
+    let lines: Vec<&str> = from.take(1).chain(rest).collect();
     if lines.is_empty() {
         return help.to_owned();
     }
-    lines.join("\n").trim_end().to_owned() + "\n"
+    let section = lines.join("\n");
+    format!("{}\n\n  OPTIONS OF ALL VERBS:{options}", section.trim_end())
 }
