standins: latency of each client account

Cause: steady load has a p99 of 254 ms on lookups, and the routes do not say whose. Change: the table and the spread show p50 and p99 of each client account.

--- a/crates/standins/src/load/figures.rs
+++ b/crates/standins/src/load/figures.rs
@@ -72,6 +72,8 @@
     pub wrongful: u64,
     /// Served as a share of those within its rate and burst.
     pub share: f64,
+    /// The latency of those that were served.
+    pub latency: Latency,
 }
 
 /// One second of a run.
--- a/crates/standins/src/load/summary.rs
+++ b/crates/standins/src/load/summary.rs
@@ -105,7 +105,8 @@
 }
 
 fn account(name: &str, group: &[Pair<'_>]) -> AccountFigures {
-    let ends = gather(group).ends;
+    let gathered = gather(group);
+    let ends = gathered.ends;
     let within = group.iter().filter(|(a, _)| a.within);
     let wrongful = within
         .clone()
@@ -120,6 +121,7 @@
         within,
         wrongful,
         share: ends.served as f64 / within.max(1) as f64,
+        latency: gathered.latency(),
     }
 }
 
--- a/crates/standins/src/load/table.rs
+++ b/crates/standins/src/load/table.rs
@@ -27,7 +27,8 @@
     for figures in &summary.accounts {
         let ends = ends(&figures.ends);
         let (within, wrongful, share) = (figures.within, figures.wrongful, figures.share);
-        let rest = format!("{within:>7} {wrongful:>8} {share:>6.3}");
+        let (p50, p99) = (figures.latency.p50, figures.latency.p99);
+        let rest = format!("{within:>7} {wrongful:>8} {share:>6.3} {p50:>9.2} {p99:>9.2}");
         lines.push(format!("{:<23} {ends} {rest}", figures.account));
     }
     lines.push(usage(summary));
@@ -83,6 +84,11 @@
         range(wrongful.map(|n| n as f64))
     ));
     lines.push(format!("worst-served account's share {}", range(worst)));
+    let tails = runs
+        .iter()
+        .map(|r| r.accounts.iter().map(|a| a.latency.p99));
+    let worst = tails.map(|t| t.fold(0.0, f64::max));
+    lines.push(format!("worst-served account's p99 {} ms", range(worst)));
     lines.join("\n")
 }
 
@@ -107,8 +113,8 @@
 fn account_head() -> String {
     let ends = ends_head();
     format!(
-        "{:<23} {ends} {:>7} {:>8} {:>6}",
-        "account", "within", "wrongful", "share"
+        "{:<23} {ends} {:>7} {:>8} {:>6} {:>9} {:>9}",
+        "account", "within", "wrongful", "share", "p50 ms", "p99 ms"
     )
 }
 
