limits: limits found by hash; admission is counted to allocate nothing

Cause: with 5,000 accounts a search by name missed the cache at each step. Change: entries sorted by hash, keys side by side; a counting allocator over 20,000 admissions across a lapse; a quickcheck of buckets that pass shares on.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) limit: Limit,
-    key: u64,
+    pub(crate) key: u64,
     amount: Amount,
     bucket: Bucket,
     // The epoch and the generation of the floors that the share was set from.
--- a/crates/limits/src/quota.rs
+++ b/crates/limits/src/quota.rs
@@ -29,8 +29,10 @@
 pub struct Quota {
     group: Group,
     proposer: Proposer,
-    // Sorted by limit.
+    // Sorted by key, the hash of the limit, then by limit.
     entries: Vec<Entry>,
+    // The keys of the entries, close together for the search.
+    keys: Vec<u64>,
     // Indices of entries with demand, loans or borrowers.
     active: Vec<u32>,
     // The generation of floors being swept, and how far the sweep is.
@@ -63,6 +65,7 @@
             group: Group::new(me, terms, seed),
             proposer: Proposer::new(),
             entries: vec![],
+            keys: vec![],
             active: vec![],
             swept: (0, 0),
             seq: 0,
@@ -86,7 +89,7 @@
 
     fn spend(&mut self, now: Time, limit: &Limit, cost: Tokens, again: bool) -> Verdict {
         self.turn(now);
-        let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(limit)) else {
+        let Some(at) = self.find(limit) else {
             let retry_after = self.group.terms.answer;
             return Verdict::Refused { retry_after };
         };
@@ -118,7 +121,7 @@
     /// What this instance holds of a limit at a moment.
     pub fn holding(&mut self, now: Time, limit: &Limit) -> Holding {
         self.turn(now);
-        let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(limit)) else {
+        let Some(at) = self.find(limit) else {
             return Holding::default();
         };
         let entry = &mut self.entries[at];
@@ -184,11 +187,12 @@
     }
 
     fn set_limits(&mut self, now: Time, mut limits: Vec<(Limit, Amount)>) {
-        limits.sort_by(|a, b| a.0.cmp(&b.0));
+        limits.sort_by_cached_key(|(limit, _)| (limit.hash(), limit.clone()));
         limits.dedup_by(|a, b| a.0 == b.0);
         let mut old = std::mem::take(&mut self.entries).into_iter().peekable();
         for (limit, amount) in limits {
-            while let Some(gone) = old.next_if(|e| e.limit < limit) {
+            let name = (limit.hash(), &limit);
+            while let Some(gone) = old.next_if(|e| (e.key, &e.limit) < name) {
                 self.entries.extend(gone.retire(now));
             }
             let kept = old.next_if(|e| e.limit == limit);
@@ -197,6 +201,7 @@
             self.entries.push(entry);
         }
         self.entries.extend(old.filter_map(|e| e.retire(now)));
+        self.keys = self.entries.iter().map(|e| e.key).collect();
         self.swept.1 = 0;
         self.active.clear();
         self.active.reserve(self.entries.len());
@@ -204,6 +209,13 @@
         self.active.extend(active.map(|(at, _)| at as u32));
     }
 
+    fn find(&self, limit: &Limit) -> Option<usize> {
+        let key = limit.hash();
+        let first = self.keys.partition_point(|k| *k < key);
+        let same = self.keys[first..].iter().take_while(|k| **k == key);
+        (first..first + same.count()).find(|at| self.entries[*at].limit == *limit)
+    }
+
     fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
         self.group.surrender(now);
         let mut pleas = vec![];
--- a/crates/limits/src/quota/messages.rs
+++ b/crates/limits/src/quota/messages.rs
@@ -5,9 +5,7 @@
 
 use super::Quota;
 use crate::borrow::Plea;
-use crate::entry::Entry;
 use crate::event::Action;
-use crate::limit::Limit;
 use crate::message::Ask;
 use crate::message::Body;
 use crate::message::Grant;
@@ -33,9 +31,8 @@
             Body::Grant(grants) => self.take(now, from, &grants, out),
             Body::Release(releases) => {
                 for release in releases {
-                    let group = &self.group;
-                    if let Some(entry) = find(&mut self.entries, &release.limit) {
-                        entry.release(now, &from, &release, group);
+                    if let Some(at) = self.find(&release.limit) {
+                        self.entries[at].release(now, &from, &release, &self.group);
                     }
                 }
             }
@@ -51,7 +48,7 @@
     fn lend(&mut self, now: Time, from: &InstanceId, asks: &[Ask], out: &mut Vec<Action>) {
         let mut grants: Vec<Grant> = vec![];
         for ask in asks {
-            let Ok(at) = self.entries.binary_search_by(|e| e.limit.cmp(&ask.limit)) else {
+            let Some(at) = self.find(&ask.limit) else {
                 continue;
             };
             let entry = &mut self.entries[at];
@@ -69,7 +66,8 @@
     fn take(&mut self, now: Time, from: InstanceId, grants: &[Grant], out: &mut Vec<Action>) {
         let mut releases = vec![];
         for grant in grants {
-            if let Some(entry) = find(&mut self.entries, &grant.limit) {
+            if let Some(at) = self.find(&grant.limit) {
+                let entry = &mut self.entries[at];
                 releases.extend(entry.take(now, &from, grant, &self.group));
             }
         }
@@ -97,11 +95,6 @@
     }
 }
 
-fn find<'e>(entries: &'e mut [Entry], limit: &Limit) -> Option<&'e mut Entry> {
-    let at = entries.binary_search_by(|e| e.limit.cmp(limit)).ok()?;
-    entries.get_mut(at)
-}
-
 fn group_by<T>(all: &mut Vec<(InstanceId, Vec<T>)>, to: InstanceId, item: T) {
     match all.binary_search_by(|(id, _)| id.cmp(&to)) {
         Ok(at) => all[at].1.push(item),
--- /dev/null
+++ b/crates/limits/tests/alloc.rs
@@ -0,0 +1,93 @@
+//! Admitting requests allocates nothing, also when the standing changes.
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use corianderway_limits::Action;
+use corianderway_limits::Amount;
+use corianderway_limits::Basis;
+use corianderway_limits::Epoch;
+use corianderway_limits::Event;
+use corianderway_limits::Limit;
+use corianderway_limits::Quota;
+use corianderway_limits::Standing;
+use corianderway_limits::Stored;
+use corianderway_limits::Terms;
+use corianderway_limits::Tokens;
+use corianderway_limits::Verdict;
+use corianderway_model::Account;
+use corianderway_model::InstanceId;
+use corianderway_model::Time;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+struct Counting;
+
+#[expect(unsafe_code, reason = "an allocator can't be counted otherwise")]
+// SAFETY: every call is handed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: `ptr` came from `alloc` above with this layout.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+fn learn(quota: &mut Quota, now: Time, members: Vec<InstanceId>) {
+    let mut out = vec![];
+    quota.step(now, Event::Tick, &mut out);
+    let epoch = Epoch::new(1, Basis::Confirmed, members);
+    for action in std::mem::take(&mut out) {
+        if let Action::Read { nonce } = action {
+            let stored = Some(Stored {
+                version: 1,
+                epoch: epoch.clone(),
+            });
+            quota.step(now, Event::Read { nonce, stored }, &mut out);
+        }
+    }
+}
+
+// The only test of this file: another thread's allocations would count too.
+#[test]
+fn admission_allocates_nothing() {
+    let name = |at| InstanceId::try_from(format!("entry-{at}")).unwrap();
+    let limit = |at| Limit::Rate(Account::try_from(format!("account-{at}")).unwrap());
+    let limits: Vec<_> = (0..1_000).map(limit).collect();
+    let mut quota = Quota::new(name(0), Terms::default(), 1);
+    let amounts = limits.iter().map(|l| (l.clone(), Amount::new(100.0, 50.0)));
+    let start = Time::from_millis(60_000);
+    quota.step(start, Event::Limits(amounts.collect()), &mut vec![]);
+    learn(&mut quota, start, (0..40).map(name).collect());
+    quota.step(start, Event::Live(vec![]), &mut vec![]);
+    assert_eq!(quota.standing(), Standing::Held);
+
+    let before = ALLOCATIONS.load(Ordering::Relaxed);
+    let (mut admitted, mut refused) = (0, 0);
+    // The lease lapses half way through.
+    for step in 0..20_000 {
+        let now = Time::from_millis(60_000 + step);
+        match quota.admit(now, &limits[step as usize % 1_000], Tokens::ONE) {
+            Verdict::Admitted => admitted += 1,
+            Verdict::Refused { .. } => refused += 1,
+        }
+    }
+    let after = ALLOCATIONS.load(Ordering::Relaxed);
+    assert_eq!(quota.standing(), Standing::Stale);
+    assert!(
+        admitted > 0 && refused > 0,
+        "{admitted} admitted, {refused} refused"
+    );
+    assert_eq!(after - before, 0);
+}
--- a/crates/limits/tests/local.rs
+++ b/crates/limits/tests/local.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
+use corianderway_limits::Amount;
+use corianderway_limits::Bucket;
 use corianderway_limits::FairQueue;
+use corianderway_limits::Parts;
 use corianderway_limits::RetryBudget;
+use corianderway_limits::Tokens;
+use corianderway_limits::Verdict;
 use corianderway_limits::Waiting;
 use corianderway_model::Account;
 use corianderway_model::Priority;
@@ -25,6 +30,37 @@
 }
 
 quickcheck! {
+    // Buckets that pass share and tokens on, losing some, admit no more
+    // than the whole limit would.
+    fn buckets_never_exceed_the_whole(steps: Vec<(u8, u8, u8, bool)>) -> bool {
+        let whole = Amount::new(100.0, 20.0);
+        let mut buckets = vec![Bucket::new(Time::ZERO); 4];
+        buckets[0].set(Time::ZERO, Parts::WHOLE, whole);
+        let (mut ms, mut level, mut lost) = (0, 0.0_f64, Parts::NONE);
+        for (gap, at, part, lose) in steps {
+            ms += u64::from(gap);
+            level = (level - 0.1 * f64::from(gap)).max(0.0);
+            let (now, at) = (Time::from_millis(ms), usize::from(at) % 4);
+            for _ in 0..part {
+                level += f64::from(u8::from(buckets[at].admit(now, Tokens::ONE) == Verdict::Admitted));
+            }
+            let share = Parts::new(buckets[at].share().get() / 256 * u64::from(part));
+            let tokens = buckets[at].split(share);
+            let rest = buckets[at].share().less(share);
+            buckets[at].set(now, rest, whole);
+            if lose {
+                lost = lost + share;
+                continue;
+            }
+            let to = (at + 1) % 4;
+            let more = buckets[to].share() + share;
+            buckets[to].set(now, more, whole);
+            buckets[to].add(tokens);
+        }
+        let held: Parts = buckets.iter().map(Bucket::share).sum();
+        level <= 20.0 + 1e-6 && held + lost == Parts::WHOLE
+    }
+
     fn retries_stay_a_fraction(steps: Vec<(u8, bool)>) -> bool {
         let mut budget = RetryBudget::new(0.1, 2, Duration::from_secs(1));
         let (mut now, mut tries, mut retries) = (0, vec![], vec![]);
