--- a/crates/rollout/examples/outcomes/fleet.rs
+++ b/crates/rollout/examples/outcomes/fleet.rs
@@ -1,7 +1,11 @@
 //! A few instances and a platform under one logical clock.
 
+#[path = "measure.rs"]
+mod measure;
+#[path = "platform.rs"]
+mod platform;
+
 use std::collections::BTreeMap;
-use std::ops::Range;
 use std::time::Duration;
 
 use corianderway_model::InstanceId;
@@ -27,66 +31,20 @@
 use crate::traffic::Kind;
 use crate::traffic::Setting;
 
+pub use self::measure::Run;
+pub use self::measure::Size;
+pub use self::measure::Trouble;
+
 /// The time between two looks at the clock.
 pub const TICK: Duration = Duration::from_millis(100);
 /// Ticks for a message between instances, and for a call of the platform.
 const MESSAGE_TICKS: u64 = 1;
 const CALL_TICKS: u64 = 1;
-/// Ticks until a watch tells an instance of a change, at most.
-const WATCH_TICKS: u64 = 10;
-/// Ticks until the list of instances tells of a change.
-const LIST_TICKS: u64 = 50;
 /// The margin of the contract.
 pub const MARGIN: f64 = 0.05;
 /// The share of the contract.
 pub const SHARE: f64 = 0.05;
 
-/// The size of a run.
-#[derive(Clone, Copy, Debug)]
-pub struct Size {
-    pub instances: usize,
-    /// Requests a second, over all instances.
-    pub rate: f64,
-    pub deadline: Duration,
-}
-
-/// What goes wrong beside the new version.
-#[derive(Clone, Debug, Default)]
-pub struct Trouble {
-    /// When the platform takes no call, in seconds.
-    pub outage: Range<f64>,
-    /// The part of the platform's answers that is lost after a write.
-    pub lost: f64,
-    /// The part of the messages between instances that is lost.
-    pub dropped: f64,
-    /// Whether each instance takes itself for the only one, so that all write.
-    pub alone: bool,
-    /// The instance that writes this state dies before it learns of it.
-    pub killer: Option<State>,
-}
-
-/// How a run went.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Run {
-    pub finished: bool,
-    pub withdrawn: bool,
-    /// Seconds from the start to the end.
-    pub secs: f64,
-    /// Requests at the new version.
-    pub new: u64,
-    /// Requests that met the fault.
-    pub met: u64,
-    /// Requests at the new version that began after the first stop.
-    pub after: u64,
-    /// Seconds from the first request that met the fault to the first stop.
-    pub reaction: f64,
-    /// Writes asked of the platform, and those that it took.
-    pub writes: u64,
-    pub revisions: usize,
-    /// The largest share of any instance before the end.
-    pub most: f64,
-}
-
 /// The state of one run.
 pub struct Fleet {
     size: Size,
@@ -296,70 +254,8 @@
                 self.nodes[node].finished(at, &service, &route, &version, end);
             }
             Delivery::Write(node, record, expect) => self.write(node, *record, expect),
-            Delivery::Read(node) if self.trouble.outage.contains(&self.secs()) => {
-                let service = self.stored.value.service.clone();
-                self.answer(node, Event::Unknown { service });
-            }
-            Delivery::Read(node) => {
-                let current = Some(self.stored.clone());
-                let service = self.stored.value.service.clone();
-                self.answer(node, Event::ReadBack { service, current });
-            }
-        }
-    }
-
-    fn write(&mut self, node: usize, record: Move, expect: u64) {
-        let service = record.service.clone();
-        if self.trouble.outage.contains(&self.secs()) {
-            self.answer(node, Event::Unknown { service });
-            return;
-        }
-        if expect != self.stored.version {
-            let current = Some(self.stored.clone());
-            self.answer(node, Event::Conflict { service, current });
-            return;
-        }
-        let version = expect + 1;
-        self.stored = Stored {
-            value: record,
-            version,
-        };
-        self.history.push(self.stored.clone());
-        if self.trouble.killer == Some(self.stored.value.state) {
-            self.trouble.killer = None;
-            self.kill(node);
-        } else if self.rng.random_bool(self.trouble.lost) {
-            self.answer(node, Event::Unknown { service });
-        } else {
-            self.answer(node, Event::Written { service, version });
+            Delivery::Read(node) => self.read(node),
         }
-        for other in 0..self.nodes.len() {
-            let lag = self.rng.random_range(1..=WATCH_TICKS);
-            let back = (self.trouble.outage.end / TICK.as_secs_f64()) as u64;
-            let out = self.trouble.outage.contains(&(self.secs() + 1.0));
-            let ticks = if out {
-                back.saturating_sub(self.tick) + lag
-            } else {
-                lag
-            };
-            let event = Event::Record(self.stored.clone());
-            self.later(ticks, Delivery::Event(other, Box::new(event)));
-        }
-    }
-
-    // The list of instances lags by a few seconds.
-    fn kill(&mut self, node: usize) {
-        self.dead[node] = true;
-        let alive = self.live.iter().zip(&self.dead).filter(|(_, dead)| !**dead);
-        let live: Vec<InstanceId> = alive.map(|(id, _)| id.clone()).collect();
-        for other in 0..self.nodes.len() {
-            let event = Event::Live(live.clone());
-            self.later(LIST_TICKS, Delivery::Event(other, Box::new(event)));
-        }
-    }
-
-    fn answer(&mut self, node: usize, event: Event) {
-        self.later(CALL_TICKS, Delivery::Event(node, Box::new(event)));
     }
 
     fn step(&mut self, node: usize, event: Event) {
