routing: load reports count by their difference; doc examples of each part

Cause: each load report counted its whole region anew, 4.8 µs at 10,000 endpoints, so a report a second of each took 48 ms, 4.8 % of a core. Ruled out: counting on the tick only, which leaves a region's room up to a quarter of a second old. Change: a report adds the difference; lib.rs shows a look-up and a quarantine. Before / after, 56, 560, 3,000, 10,000 endpoints: 144, 309, 1,500, 4,786 ns / 126, 189, 251, 410 ns. The property counts_kept_up_equal_counts_made_anew holds the difference to what a tick finds.

--- a/crates/routing/benches/decide.rs
+++ b/crates/routing/benches/decide.rs
@@ -22,6 +22,7 @@
 use corianderway_routing::Outcome;
 use corianderway_routing::Quarantine;
 use corianderway_routing::Query;
+use corianderway_routing::Report;
 use corianderway_routing::Router;
 use corianderway_routing::Site;
 use criterion::BenchmarkId;
@@ -167,6 +168,13 @@
         group.bench_function(BenchmarkId::new("sync", endpoints), |b| {
             b.iter(|| black_box(fleet.sync(&list, Time::ZERO)));
         });
+        let mut turn = 0;
+        group.bench_function(BenchmarkId::new("report", endpoints), |b| {
+            b.iter(|| {
+                turn = (turn + 1) % endpoints;
+                fleet.report(&list[turn].id, Report::Load(2), Time::ZERO);
+            });
+        });
         let router = Router::new(region(0), domain(0));
         let (service, home) = (service(0), region(0));
         let query = Query {
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -210,10 +210,10 @@
             }
             Report::Leaving => self.step(handle, Event::Leaving, now),
             Report::Load(total) => {
+                let before = server.load.clone();
                 server.note_load(total, now);
                 server.refresh(self.instances, now);
-                let group = server.group;
-                self.recount(group);
+                self.groups[server.group as usize].amend(&before, server);
             }
         }
     }
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -4,6 +4,9 @@
 use corianderway_model::Service;
 use corianderway_model::Version;
 
+use crate::load::Load;
+use crate::server::Server;
+
 // Backend servers that are cold or suspect count at least this part of their
 // slots in the bound of a region, or a whole set of new ones could serve nobody.
 const LEAST_PART: f64 = 0.5;
@@ -88,6 +91,17 @@
         }
     }
 
+    // Counts a change of one backend server's load without the others.
+    pub(crate) fn amend(&mut self, before: &Load, server: &Server) {
+        if !server.state.is_usable() {
+            return;
+        }
+        let slots = server.slots() * counted_part(server.weight);
+        let lost = before.trust - server.load.trust;
+        self.others = (self.others + server.load.counted - before.counted).max(0.0);
+        self.blind = (self.blind + lost * slots / self.slots.max(1.0)).clamp(0.0, 1.0);
+    }
+
     pub(crate) fn pool(&self, version: &Version) -> Option<&Pool> {
         self.pools.iter().find(|p| p.version == *version)
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,7 +3,13 @@
 //! Everything here decides and does nothing else: the time and a random
 //! number are handed in, and a decision with its reason comes back.
 //!
-//! # Example
+//! - [`Fleet`] and [`Router`] choose a region and a backend server; [`Attempts`]
+//!   says whether a request is tried again.
+//! - [`Lookup`] finds the site for a client's address, [`Entries`] the entry
+//!   instances that a caller should use.
+//! - [`Quarantine`] recognises the request that crashes backend servers.
+//!
+//! # Example: a request
 //!
 //! ```
 //! use std::time::Duration;
@@ -49,6 +55,57 @@
 //! # Ok(())
 //! # }
 //! ```
+//!
+//! # Example: a site for an address
+//!
+//! ```
+//! use corianderway_routing::Block;
+//! use corianderway_routing::Cause;
+//! use corianderway_routing::Lookup;
+//! use corianderway_routing::Site;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let mut sites = Vec::new();
+//! for name in ["duluth", "marquette"] {
+//!     let region = "north".try_into()?;
+//!     sites.push(Site { name: name.into(), region, keep: 1.0, room: 1.0 });
+//! }
+//! let block = Block { prefix: "10.2.0.0/16".try_into()?, site: "duluth".into() };
+//! let mut lookup = Lookup::build(sites, &[block])?;
+//! let client = "10.2.3.4".parse()?;
+//! assert_eq!(&*lookup.find(client).unwrap().site.name, "duluth");
+//!
+//! lookup.adjust("duluth", 0.0, 0.0)?;
+//! let found = lookup.find(client).unwrap();
+//! assert_eq!((&*found.site.name, found.cause), ("marquette", Cause::Moved));
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! # Example: a request that crashes backend servers
+//!
+//! ```
+//! use corianderway_model::Time;
+//! use corianderway_routing::Crash;
+//! use corianderway_routing::Quarantine;
+//! use corianderway_routing::Verdict;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let (guilty, innocent) = (17, 4);
+//! let mut quarantine = Quarantine::new();
+//! let signatures = vec![guilty, innocent];
+//! let first = Crash { server: "finder-1".try_into()?, signatures };
+//! quarantine.crash(first, Time::from_millis(100));
+//! quarantine.complete(innocent, Time::from_millis(150));
+//!
+//! let second = Crash { server: "finder-2".try_into()?, signatures: vec![guilty] };
+//! quarantine.crash(second, Time::from_millis(200));
+//! let now = Time::from_millis(300);
+//! assert_eq!(quarantine.admit(guilty, now), Verdict::Refuse);
+//! assert_eq!(quarantine.admit(innocent, now), Verdict::Run);
+//! # Ok(())
+//! # }
+//! ```
 
 mod attempts;
 mod choice;
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -259,6 +259,44 @@
     common::check(300, property as fn(Vec<(u8, u8)>) -> bool);
 }
 
+// What reports and requests add to the count of a region is what a tick finds anew.
+#[test]
+fn counts_kept_up_equal_counts_made_anew() {
+    fn property(ops: Vec<(u8, u8)>) -> bool {
+        let list = list();
+        let (mut fleet, _) = fleet(&list);
+        fleet.set_instances(3);
+        let now = Time::from_millis(500);
+        let mut sent: Vec<Ticket> = Vec::new();
+        for (kind, value) in ops {
+            let id = &list[usize::from(value) % list.len()].id;
+            let load = u32::from(value / 8);
+            match kind % 3 {
+                0 => fleet.report(id, Report::Load(load), now),
+                1 => sent.push(fleet.begin(fleet.find(id).unwrap())),
+                _ => sent
+                    .pop()
+                    .into_iter()
+                    .for_each(|ticket| fleet.finish(ticket, Outcome::Cancelled, now)),
+            }
+        }
+        let taken = |fleet: &Fleet| {
+            let room = fleet.occupancy(&list[0].service, &list[0].region);
+            room.unwrap().taken
+        };
+        fleet.tick(now);
+        let anew = taken(&fleet);
+        for backend in &list {
+            fleet.report(&backend.id, Report::Load(3), now);
+        }
+        let kept = taken(&fleet);
+        // No time passes, so the second tick only counts.
+        fleet.tick(now);
+        (taken(&fleet) - kept).abs() < 1e-6 && anew >= 0.0
+    }
+    common::check(200, property as fn(Vec<(u8, u8)>) -> bool);
+}
+
 #[test]
 fn a_server_that_reports_too_much_takes_only_its_own_slots() {
     let list = list();
