--- a/crates/limits/tests/serve.rs
+++ b/crates/limits/tests/serve.rs
@@ -113,3 +113,27 @@
     assert!(fleet.shares() > WHOLE / 10 * 9);
     assert!(fleet.conserved());
 }
+
+// Between a majority's promises and the sight of the write, an outage stops
+// renewals; the test bounds that span and lists where it lies.
+#[test]
+fn few_moments_of_a_change_are_exposed_to_an_outage() {
+    let mut exposed = vec![];
+    // The proposal falls into this second after the loss.
+    for ms in (3_500..4_500).step_by(50) {
+        let mut fleet = settled(1, 10);
+        fleet.kill(3);
+        fleet.run(Duration::from_millis(ms));
+        fleet.outage(60_000);
+        fleet.run(Duration::from_secs(25));
+        let ratio = ratio(&mut fleet, Duration::from_secs(20));
+        if ratio < 0.95 {
+            exposed.push((ms, ratio));
+        }
+        assert!(fleet.conserved());
+        fleet.run(Duration::from_secs(30));
+        assert!(fleet.shares() > WHOLE / 10 * 8, "back after the outage");
+    }
+    println!("exposed at ms after the loss: {exposed:?}");
+    assert!(exposed.len() <= 5);
+}
