rollout: a version that hangs gets few requests before anything can be judged

Ruled out: counting a request as slow while it runs (needs a timer for each). Change: an instance gives the new version nothing while far more requests wait for it than the share explains (4, and 4 times as many as at the old one).

--- a/crates/rollout/examples/outcomes/traffic.rs
+++ b/crates/rollout/examples/outcomes/traffic.rs
@@ -21,6 +21,12 @@
 /// The requests a second above which the fault under load shows.
 const LOAD_RATE: f64 = 40.0;
 
+/// What becomes of a request that hangs.
+const HANG: Answer = Answer {
+    failed: true,
+    latency: Duration::from_secs(10),
+};
+
 /// How the new version behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -46,6 +52,8 @@
     Slow,
     /// Takes four times as long on the route with 15% of the traffic.
     SlowRoute,
+    /// Gives no answer until the deadline of 10 s.
+    Hangs,
     /// Fails always while both versions fail 30% for a fifth of the move.
     HiddenByShared,
 }
@@ -79,7 +87,7 @@
         Self::BelowMargin,
     ];
     /// The versions that should be taken back.
-    pub const BAD: [Self; 8] = [
+    pub const BAD: [Self; 9] = [
         Self::AtOnce,
         Self::AtMargin,
         Self::Late,
@@ -87,6 +95,7 @@
         Self::SingleRoute,
         Self::Slow,
         Self::SlowRoute,
+        Self::Hangs,
         Self::HiddenByShared,
     ];
 
@@ -95,7 +104,7 @@
         at.new
             && match self {
                 Self::Good | Self::SharedFault | Self::ColdStart | Self::BelowMargin => false,
-                Self::AtOnce | Self::AtMargin | Self::Slow => true,
+                Self::AtOnce | Self::AtMargin | Self::Slow | Self::Hangs => true,
                 Self::Late => at.part >= 0.5,
                 Self::UnderLoad => at.load > LOAD_RATE,
                 Self::SingleRoute => at.route == 3,
@@ -119,6 +128,7 @@
                 Self::Late | Self::UnderLoad => failures += 0.3,
                 Self::SingleRoute => failures += 0.5,
                 Self::HiddenByShared => failures = 1.0,
+                Self::Hangs => return HANG,
                 Self::Slow => slowdown = 2.0,
                 Self::SlowRoute => slowdown = 4.0,
                 Self::Good | Self::SharedFault | Self::ColdStart | Self::BelowMargin => {}
--- a/crates/rollout/src/track.rs
+++ b/crates/rollout/src/track.rs
@@ -27,6 +27,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The same when nothing has changed, since a report may be lost.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
+/// Requests that may always wait for the new version, and how many times as
+/// many as the share explains.
+const CHOKE_LEAST: f64 = 4.0;
+const CHOKE_FACTOR: f64 = 4.0;
 /// The longest time for which cold backend servers may be slow.
 const WARM_UP: Duration = Duration::from_secs(10);
 /// The part of a move for which cold backend servers may be slow.
@@ -42,6 +46,8 @@
     pub(crate) room: Share,
     pub(crate) quiet: Quiet,
     own: Report,
+    // Requests in flight at the old version.
+    old_busy: u64,
     splitter: Splitter,
     reported: Time,
     dirty: bool,
@@ -59,6 +65,7 @@
             room: Share::ZERO,
             quiet: Quiet::default(),
             own: report,
+            old_busy: 0,
             splitter: Splitter::default(),
             reported: at.time,
             dirty: true,
@@ -86,8 +93,16 @@
         if self.record.state == State::Done {
             return self.record.to.clone();
         }
-        match self.splitter.choose(self.share(), draw) {
-            Arm::Old => self.record.from.clone(),
+        let share = if self.is_choked() {
+            Share::ZERO
+        } else {
+            self.share()
+        };
+        match self.splitter.choose(share, draw) {
+            Arm::Old => {
+                self.old_busy += 1;
+                self.record.from.clone()
+            }
             Arm::New => {
                 self.own.busy += 1;
                 self.dirty = true;
@@ -113,8 +128,9 @@
             _ => return,
         };
         self.dirty = true;
-        if arm == Arm::New {
-            self.own.busy = self.own.busy.saturating_sub(1);
+        match arm {
+            Arm::Old => self.old_busy = self.old_busy.saturating_sub(1),
+            Arm::New => self.own.busy = self.own.busy.saturating_sub(1),
         }
         if end == Outcome::Unjudged || !self.is_compared() {
             return;
@@ -167,6 +183,14 @@
         out.push(Action::Report(own.clone()));
     }
 
+    // Whether far more requests than the share explains wait for the new
+    // version, as when it hangs and nothing has ended yet that could be judged.
+    fn is_choked(&self) -> bool {
+        let share = self.record.share.ratio();
+        let usual = self.old_busy as f64 * share / (1.0 - share).max(f64::EPSILON);
+        self.own.busy as f64 >= CHOKE_LEAST + CHOKE_FACTOR * usual
+    }
+
     // Whether both versions run side by side.
     fn is_compared(&self) -> bool {
         matches!(
--- a/crates/rollout/tests/moves.rs
+++ b/crates/rollout/tests/moves.rs
@@ -29,7 +29,7 @@
 fn most_met(kind: Kind) -> u64 {
     match kind {
         Kind::Good | Kind::SharedFault | Kind::ColdStart | Kind::BelowMargin => 0,
-        Kind::SingleRoute | Kind::SlowRoute => 40,
+        Kind::SingleRoute | Kind::SlowRoute | Kind::Hangs => 40,
         Kind::HiddenByShared => 60,
         Kind::Late => 100,
         Kind::AtOnce | Kind::Slow => 130,
