standins: keys withdrawn, versions and operator's commands as parts of a scenario

Cause: withdrawal, drains and version moves could not be timed under load. Change: a scenario can withdraw an account's keys, start backend servers of another version with faults of its own, and run the operator's command, whose end is timed. The report adds the last request served after a withdrawal, the last new work at leaving servers, and the runs and failures of a new version. Refusals for the key no longer count as wrongful.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -3,6 +3,7 @@
 //! [`Fleet`] starts what a [`Topology`] lists, tells the platform stand-in of
 //! it, applies contracts and grants keys. Dropping it ends every process.
 
+mod change;
 mod error;
 mod folder;
 mod keys;
--- a/crates/standins/src/fleet/keys.rs
+++ b/crates/standins/src/fleet/keys.rs
@@ -1,12 +1,14 @@
 //! Keys for tests and load, made from a seed.
 
 use corianderway_control::KeyRecord;
+use corianderway_control::KeyState;
 use corianderway_control::NONCE_BYTES;
 use corianderway_model::Account;
 use corianderway_model::KeyId;
 use rand::rngs::StdRng;
 use rand::RngCore;
 use rand::SeedableRng;
+use serde_json::json;
 
 use crate::fleet::error::Error;
 use crate::harness::Platform;
@@ -48,3 +50,14 @@
         })
     }
 }
+
+/// Withdraws a key.
+pub(crate) fn withdraw(platform: &Platform, granted: &Granted) -> Result<(), Error> {
+    let name = granted.id.as_str();
+    if let Some(held) = platform.get("keys", name)? {
+        let mut record = (*held.value).clone();
+        record["state"] = json!(KeyState::Withdrawn);
+        platform.update("keys", name, held.version, &record)?;
+    }
+    Ok(())
+}
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -7,6 +7,7 @@
 //! plot.
 
 mod act;
+mod aftermath;
 mod book;
 mod caller;
 mod error;
--- a/crates/standins/src/load/act.rs
+++ b/crates/standins/src/load/act.rs
@@ -43,6 +43,22 @@
     Platform(platform::Faults),
     /// The faults of one backend server change.
     Server(String, backend::Faults),
+    /// The keys of a client account are withdrawn.
+    WithdrawKey(String),
+    /// Backend servers of another version start beside the old ones.
+    StartVersion {
+        /// The service.
+        service: String,
+        /// The version.
+        version: String,
+        /// How many.
+        count: usize,
+        /// The faults of the version.
+        #[serde(default)]
+        faults: backend::Faults,
+    },
+    /// The operator's command runs with these arguments.
+    Operator(Vec<String>),
 }
 
 impl Act {
@@ -56,6 +72,11 @@
             Self::ReplaceEntries(count) => format!("replace {count} entries"),
             Self::Platform(faults) => format!("platform {:?}", faults.down).to_lowercase(),
             Self::Server(id, _) => format!("faults of {id}"),
+            Self::WithdrawKey(account) => format!("withdraw key of {account}"),
+            Self::StartVersion {
+                service, version, ..
+            } => format!("start {service} {version}"),
+            Self::Operator(args) => args.join(" "),
         }
     }
 
@@ -73,6 +94,15 @@
             Self::ReplaceEntries(count) => replace_entries(fleet, *count),
             Self::Platform(faults) => Ok(fleet.platform.set_faults(faults)?),
             Self::Server(id, faults) => set_faults(fleet, id, faults),
+            Self::WithdrawKey(account) => Ok(fleet.withdraw(account)?),
+            Self::StartVersion {
+                service,
+                version,
+                count,
+                faults,
+            } => start_version(fleet, service, version, *count, faults),
+            // The run keeps the process and watches it.
+            Self::Operator(_) => Ok(()),
         }
     }
 }
@@ -132,6 +162,19 @@
     Ok(())
 }
 
+fn start_version(
+    fleet: &mut Fleet,
+    service: &str,
+    version: &str,
+    count: usize,
+    faults: &backend::Faults,
+) -> Result<(), Error> {
+    for id in fleet.add_version(service, version, count)? {
+        set_faults(fleet, &id, faults)?;
+    }
+    Ok(())
+}
+
 fn set_faults(fleet: &Fleet, id: &str, faults: &backend::Faults) -> Result<(), Error> {
     for server in &fleet.servers {
         if server.describe()?.id.as_str() == id {
--- a/crates/standins/src/load/figures.rs
+++ b/crates/standins/src/load/figures.rs
@@ -68,7 +68,7 @@
     pub ends: Ends,
     /// Requests within its rate and burst.
     pub within: u64,
-    /// Refused for any reason although within rate and burst.
+    /// Refused although within rate and burst, other than for the key.
     pub wrongful: u64,
     /// Served as a share of those within its rate and burst.
     pub share: f64,
--- a/crates/standins/src/load/table.rs
+++ b/crates/standins/src/load/table.rs
@@ -37,6 +37,7 @@
         .iter()
         .map(|(code, n)| format!(" {code}={n}"));
     lines.push(format!("refusals{}", refused.collect::<String>()));
+    lines.extend(summary.aftermath.iter().cloned());
     let found = summary.violations.len();
     lines.push(format!(
         "violations {found}, foreign runs {}",
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,5 +1,19 @@
 //! The stand-in for the platform: object API, instance list and faults.
 //!
+//! | Call | Answer |
+//! |---|---|
+//! | `GET /objects/KIND/NAME` | the object with its version and an `ETag`, or 404 |
+//! | `PUT /objects/KIND/NAME` with `If-None-Match: *` or `If-Match: "VERSION"` | the new version; 412 with the object as it is, 428 without a condition, 413 above 1 MiB |
+//! | `DELETE /objects/KIND/NAME` with `If-Match` | the new version; 412 or 404 |
+//! | `GET /objects/KIND` | the revision and all objects of the kind |
+//! | `GET /watch?kinds=A,B&since=REVISION&wait_ms=N` | the objects changed since then, as soon as there are any; 410 when the revision is too old or yet to come |
+//! | `GET /instances` | live and leaving instances, with a lag |
+//! | `PUT` and `DELETE /standin/entries/ID`, `/standin/backends/ID` | changes the instance list |
+//! | `PUT /standin/faults` | replaces the [`Faults`] |
+//! | `GET /standin/calls`, `/standin/dump` | the [`Calls`] and all objects |
+//!
+//! Versions come from one revision counter, which is 1 after the first write.
+//!
 //! [`Store`] decides; it takes an [`Operation`] and the time and gives back a
 //! [`Reply`]. [`run`] puts it on a thread of its own behind the HTTP front.
 
