limits: promises are given back when a proposal is surely not written

Cause: an outage that began between a majority's promises and the write stopped all floors until the platform was back (4.05 to 4.15 s after a loss, steps of 50 ms). Ruled out: taking promises back after a lost answer; the write may still land. Change: Outcome::Unsent (nothing was sent, so nothing will be written) and a Withdraw to the members; a proposal withdrawn once is never promised again.

--- a/crates/limits/src/event.rs
+++ b/crates/limits/src/event.rs
@@ -52,6 +52,8 @@
     Written(u64),
     /// Another write came first.
     Conflict,
+    /// Nothing was sent, so nothing is written and nothing will be.
+    Unsent,
     /// The answer was lost; the write may have taken effect or still may.
     Unknown,
 }
--- a/crates/limits/src/group.rs
+++ b/crates/limits/src/group.rs
@@ -18,7 +18,9 @@
 use crate::lease::Evidence;
 use crate::message::Body;
 use crate::message::Message;
+use crate::message::Query;
 use crate::message::Stored;
+use crate::promises::Promises;
 use crate::ranking::Ranking;
 use crate::reads::Reads;
 use crate::standing::Facts;
@@ -35,7 +37,7 @@
     // The epoch before, if this instance held it and no other came between.
     previous: Option<Ranking>,
     evidence: Evidence,
-    promised: bool,
+    promises: Promises,
     round: Round,
     polled: Time,
     reads: Reads,
@@ -59,7 +61,7 @@
             current: None,
             previous: None,
             evidence: Evidence::default(),
-            promised: false,
+            promises: Promises::default(),
             round: Round::default(),
             polled: Time::ZERO,
             reads: Reads::default(),
@@ -91,7 +93,7 @@
     }
 
     pub(crate) fn promised(&self) -> bool {
-        self.promised
+        self.promises.any()
     }
 
     pub(crate) fn ripe(&self, now: Time) -> bool {
@@ -137,10 +139,15 @@
     }
 
     /// Promises to vouch for the current epoch no longer.
-    pub(crate) fn promise(&mut self, number: u64) -> bool {
-        let known = number == self.number();
-        self.promised |= known;
-        known
+    pub(crate) fn promise(&mut self, query: Query) -> bool {
+        query.number == self.number() && self.promises.give(query.nonce)
+    }
+
+    /// Takes a promise back; its proposal is surely not written.
+    pub(crate) fn withdraw(&mut self, query: Query) {
+        if query.number == self.number() {
+            self.promises.withdraw(query.nonce);
+        }
     }
 
     /// Takes what the platform held at some moment after `sent`.
@@ -173,7 +180,7 @@
         let before = self.current.replace(known);
         self.previous = before.filter(|_| next).map(|k| k.ranking);
         self.evidence = evidence;
-        self.promised = false;
+        self.promises = Promises::default();
         self.round.standing.clear();
         self.change(now, Change::Adopted);
     }
--- a/crates/limits/src/group/poll.rs
+++ b/crates/limits/src/group/poll.rs
@@ -103,7 +103,7 @@
             return;
         }
         let nonce = self.rng.random();
-        let standing = if self.promised {
+        let standing = if self.promised() {
             vec![]
         } else {
             vec![self.me.clone()]
@@ -126,7 +126,7 @@
         let vouch = Vouch {
             nonce: query.nonce,
             number: self.number(),
-            promised: self.promised,
+            promised: self.promised(),
             platform,
             majority,
             newer: newer.cloned(),
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -73,6 +73,7 @@
 mod loan;
 mod message;
 mod parts;
+mod promises;
 mod proposal;
 mod quota;
 mod ranking;
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -46,6 +46,8 @@
     Prepare(Query),
     /// Gives the promise.
     Promise(Query),
+    /// Gives a promise back: its proposal is not written and never will be.
+    Withdraw(Query),
     /// Asks for loans, or renews them.
     Ask(Vec<Ask>),
     /// Grants loans.
--- a/crates/limits/src/proposal.rs
+++ b/crates/limits/src/proposal.rs
@@ -48,8 +48,7 @@
 
 #[derive(Debug)]
 struct Preparing {
-    nonce: u64,
-    number: u64,
+    query: Query,
     since: Time,
     sent: Time,
     promises: Vec<InstanceId>,
@@ -152,17 +151,16 @@
         if group.current.is_none() || self.confirmed {
             return self.write(now, Basis::Confirmed, group, out);
         }
-        let promises = if group.promise(group.number()) {
-            vec![group.me.clone()]
-        } else {
-            vec![]
-        };
-        self.phase = Phase::Preparing(Preparing {
+        let query = Query {
             nonce: group.rng.random(),
             number: group.number(),
+        };
+        group.promise(query);
+        self.phase = Phase::Preparing(Preparing {
+            query,
             since: now,
             sent: now,
-            promises,
+            promises: vec![group.me.clone()],
         });
         self.ask(group, out);
         self.prepare(now, group, out);
@@ -172,10 +170,7 @@
         let (Phase::Preparing(round), Some(known)) = (&self.phase, &group.current) else {
             return;
         };
-        let query = Query {
-            nonce: round.nonce,
-            number: round.number,
-        };
+        let query = round.query;
         let members = known.stored.epoch.members().iter();
         for to in members.filter(|m| !round.promises.contains(m)) {
             group.send(to.clone(), Body::Prepare(query), out);
@@ -187,7 +182,13 @@
             return;
         };
         let epoch = &known.stored.epoch;
-        if epoch.number() != round.number {
+        if epoch.number() != round.query.number {
+            self.end(now, group, out);
+            return;
+        }
+        if group.outage() {
+            let query = round.query;
+            withdraw(query, group, out);
             self.end(now, group, out);
             return;
         }
@@ -213,10 +214,7 @@
         let Phase::Preparing(round) = &mut self.phase else {
             return;
         };
-        if round.nonce == query.nonce
-            && round.number == query.number
-            && !round.promises.contains(&from)
-        {
+        if round.query == query && !round.promises.contains(&from) {
             round.promises.push(from);
             self.prepare(now, group, out);
         }
@@ -224,7 +222,10 @@
 
     fn write(&mut self, now: Time, basis: Basis, group: &mut Group, out: &mut Vec<Action>) {
         let epoch = Epoch::new(group.number() + 1, basis, self.live.iter().cloned());
-        let nonce = group.rng.random();
+        let nonce = match &self.phase {
+            Phase::Preparing(round) => round.query.nonce,
+            _ => group.rng.random(),
+        };
         out.push(Action::Propose {
             nonce,
             expect: group.current.as_ref().map(|k| k.stored.version),
@@ -257,6 +258,9 @@
             let epoch = epoch.clone();
             group.seen(now, *sent, Stored { version, epoch });
             self.confirmed = false;
+        } else if outcome == Outcome::Unsent {
+            let number = epoch.number() - 1;
+            withdraw(Query { nonce, number }, group, out);
         }
         self.end(now, group, out);
     }
@@ -268,3 +272,13 @@
         group.read(now, out);
     }
 }
+
+// Lets the members vouch again; the proposal was not sent and won't be.
+fn withdraw(query: Query, group: &mut Group, out: &mut Vec<Action>) {
+    group.withdraw(query);
+    let Some(known) = &group.current else { return };
+    let members = known.stored.epoch.members();
+    for to in members.iter().filter(|m| **m != group.me) {
+        group.send(to.clone(), Body::Withdraw(query), out);
+    }
+}
--- a/crates/limits/src/quota/messages.rs
+++ b/crates/limits/src/quota/messages.rs
@@ -27,6 +27,7 @@
                 self.proposer
                     .promised(now, from, query, &mut self.group, out);
             }
+            Body::Withdraw(query) => self.group.withdraw(query),
             Body::Ask(asks) => self.lend(now, &from, &asks, out),
             Body::Grant(grants) => self.take(now, from, &grants, out),
             Body::Release(releases) => {
@@ -40,7 +41,7 @@
     }
 
     fn prepare(&mut self, from: InstanceId, query: Query, out: &mut Vec<Action>) {
-        if self.group.promise(query.number) {
+        if self.group.promise(query) {
             self.group.send(from, Body::Promise(query), out);
         }
     }
--- a/crates/limits/tests/conserve.rs
+++ b/crates/limits/tests/conserve.rs
@@ -43,6 +43,7 @@
     fleet.idle_ms = [0, 2_000, 7_000][seed as usize % 3];
     fleet.run(Duration::from_secs(15));
     fleet.faults = stormy();
+    fleet.silent = seed % 2 == 1;
     fleet.run(Duration::from_mins(3));
     fleet
 }
