cli: chart list names every chart of the workspace

Cause: the chart that removes old claims came after the list was written. Change: it is listed, and a test compares the list with the chart files, so that the next one is not forgotten.

--- a/crates/cli/src/chart.rs
+++ b/crates/cli/src/chart.rs
@@ -13,7 +13,7 @@
 use crate::output::Output;
 
 /// The charts that the fleet runs by, by name.
-const CHARTS: [(&str, &str); 9] = [
+const CHARTS: [(&str, &str); 10] = [
     ("claim", corianderway_control::CLAIM_CHART),
     ("drain", corianderway_rollout::DRAIN_CHART),
     ("key", corianderway_control::KEY_CHART),
@@ -22,6 +22,7 @@
     ("quota", corianderway_limits::CHART),
     ("request", corianderway_node::REQUEST_CHART),
     ("server", corianderway_routing::SERVER_CHART),
+    ("sweep", corianderway_control::SWEEP_CHART),
     ("watch", corianderway_control::WATCH_CHART),
 ];
 
--- a/crates/cli/tests/usage.rs
+++ b/crates/cli/tests/usage.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::path::Path;
+use std::path::PathBuf;
+
 use corianderway_standins::platform::Down;
 use corianderway_standins::platform::Faults;
 
@@ -12,6 +15,27 @@
 use crate::support::UNREACHABLE;
 use crate::support::USAGE;
 
+// The file names of all charts but those of the stand-ins.
+fn chart_files() -> Vec<String> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let packages = crates.read_dir().unwrap().map(|p| p.unwrap().path());
+    let shipped = packages.filter(|p| !p.ends_with("standins"));
+    let folders = shipped.filter_map(|p| p.join("charts").read_dir().ok());
+    let files = folders.flatten().map(|file| file.unwrap().path());
+    let name = |file: PathBuf| file.file_stem().unwrap().to_string_lossy().into_owned();
+    let mut names: Vec<String> = files.map(name).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn every_chart_of_the_workspace_is_listed() {
+    let list = command(&["chart", "list", "--json"], None).done().json();
+    let charts = list.as_array().unwrap().iter();
+    let names: Vec<&str> = charts.map(|c| c["name"].as_str().unwrap()).collect();
+    assert_eq!(names, chart_files());
+}
+
 #[test]
 fn charts_are_listed_drawn_and_checked() {
     let list = command(&["chart", "list", "--json"], None).done().json();
