cli: move show tells a passed deadline from an operator's word

Cause: both were given as one sentence with "or", since neither has a fault. Change: a withdrawal without a fault at or after the deadline is the deadline's.

--- a/crates/cli/src/moves.rs
+++ b/crates/cli/src/moves.rs
@@ -239,9 +239,10 @@
     } = &record.evidence;
     let why = match (fault, record.state) {
         (Some(fault), _) => format!("the new version shows {fault}"),
-        (None, State::Withdrawing | State::Withdrawn) => {
-            "the deadline passed or an operator took it back".to_owned()
+        (None, State::Withdrawing | State::Withdrawn) if record.changed >= record.deadline => {
+            "the deadline passed before the new version was proven".to_owned()
         }
+        (None, State::Withdrawing | State::Withdrawn) => "an operator took it back".to_owned(),
         (None, State::Planned) => "no backend server of the new version takes requests yet".into(),
         (None, _) => "no fault is seen".to_owned(),
     };
--- a/crates/cli/tests/steering.rs
+++ b/crates/cli/tests/steering.rs
@@ -57,6 +57,16 @@
     let told = command(&watch, Some(&platform));
     assert_eq!(told.code, FAILED);
     assert!(told.err.contains("withdrawn"), "{}", told.err);
+    let why = command(&["move", "show", "finder"], Some(&platform)).done();
+    assert!(why.out.contains("an operator took it back"), "{}", why.out);
+    set(
+        &platform,
+        "moves",
+        "finder",
+        &json!({ "changed": u32::MAX, "deadline": 0 }),
+    );
+    let why = command(&["move", "show", "finder"], Some(&platform)).done();
+    assert!(why.out.contains("the deadline passed"), "{}", why.out);
 
     command(&start, Some(&platform)).done();
     set(&platform, "moves", "finder", &json!({ "state": "done" }));
