node: fault matrix of a request; in force is told as it is; a lost fleet serves again

Cause: (1) a caller that left while its claimed request waited for a slot made the node forward and take back the claim without end: the process hung (seen as a test of the new matrix that ran for 10 minutes). (2) An operator could not learn whether a change is in force everywhere. (3) After the loss of the whole fleet the old epoch's floors stay unused for 12 h, and an instance between two epochs called itself ready and refused with 429. Ruled out: a bound on the attempts of a claim (the cause is that nobody is left to send for); taking "in force" from the platform's answer; a shorter wait for a lost epoch (it would be unsafe while its members only pause). Change: a claim without callers is not in time any more; /in-force asks every member; an operator's word, the object epochs/confirmed, lets the epoch be replaced; ready means quota of its own. Routing: slots are counted among the instances of the region, a shed answer tells the fleet, a full home region is left only after a wait, callers are directed by the routing part. Failed first: the cell queued/claimed/caller-left never ended; the restart test got 429 in place of rate-unchecked.

--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -177,7 +177,8 @@
         out: &mut Vec<ClaimAction>,
     ) {
         let step = chart.step(self.state, input, |guard| match guard {
-            Guard::InTime => now <= self.start_by,
+            // With no caller left nothing can be forwarded any more.
+            Guard::InTime => now <= self.start_by && !self.callers.is_empty(),
             Guard::Trying => self.writes < MOST_WRITES,
         });
         self.state = step.to;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -9,6 +9,8 @@
 use async_std::future;
 use async_std::net;
 use async_std::task;
+use corianderway_control::Id;
+use corianderway_control::Kind;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
@@ -59,11 +61,24 @@
         "/ready" => Question::Ready,
         "/status" => Question::Status,
         "/explain" => Question::Explain(asked("request").unwrap_or_default()),
+        "/in-force" => match object(asked("object"), asked("version")) {
+            Some(question) => question,
+            None => return Ok(Response::new(StatusCode::BadRequest)),
+        },
         _ => return Ok(Response::new(StatusCode::NotFound)),
     };
     Ok(ask(question, &decisions).await)
 }
 
+// Reads an object such as `contracts/finder` and a version.
+fn object(object: Option<String>, version: Option<String>) -> Option<Question> {
+    let object = object?;
+    let (collection, name) = object.split_once('/')?;
+    let kind = Kind::from_collection(collection)?;
+    let version = version?.parse().ok()?;
+    Some(Question::InForce(Id::new(kind, name), version))
+}
+
 async fn ask(question: Question, decisions: &Sender<Input>) -> Response {
     let ready = question == Question::Ready;
     let (sender, answers) = async_channel::bounded(1);
--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -99,8 +99,9 @@
             }
             Input::Event(event) => self.pass(event),
             Input::Ask(question, answer) => {
+                let text = self.answer(&question);
                 // A questioner that left needs no answer.
-                drop(answer.try_send(self.answer(&question)));
+                drop(answer.try_send(text));
             }
         }
     }
@@ -209,7 +210,7 @@
         drop(self.samples.try_send(record));
     }
 
-    fn answer(&self, question: &Question) -> String {
+    fn answer(&mut self, question: &Question) -> String {
         match question {
             Question::Ready if self.node.is_ready() => "ready".to_owned(),
             Question::Ready => "not-ready".to_owned(),
@@ -217,6 +218,15 @@
                 let status = self.node.status();
                 serde_json::to_string(&status).unwrap_or_default()
             }
+            Question::InForce(id, version) => {
+                let mut actions = Vec::new();
+                let now = self.clock.now();
+                let reach = self.node.reach(now, id, *version, &mut actions);
+                for action in actions {
+                    self.carry(action);
+                }
+                serde_json::to_string(&reach).unwrap_or_default()
+            }
             Question::Explain(trace) => self.history.explain(trace),
         }
     }
--- a/crates/daemon/src/rings.rs
+++ b/crates/daemon/src/rings.rs
@@ -7,6 +7,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use corianderway_control::ClaimOutcome;
+use corianderway_control::Id;
 use corianderway_model::Backend;
 use corianderway_model::ServerId;
 use corianderway_model::Time;
@@ -75,6 +76,8 @@
     Ready,
     /// What it sees.
     Status,
+    /// Where a version of a configuration object is in force.
+    InForce(Id, u64),
     /// Why a request was routed or refused as it was.
     Explain(String),
 }
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -3,12 +3,14 @@
 mod support;
 
 use corianderway_control::KeyState;
+use corianderway_standins::harness::until;
 use corianderway_standins::harness::Request;
 use serde_json::Value;
 
 use crate::support::admin;
 use crate::support::Fleet;
 use crate::support::HOST;
+use crate::support::PATIENCE;
 
 #[test]
 fn a_request_is_served_from_one_end_to_the_other() {
@@ -61,9 +63,19 @@
     let written = fleet
         .platform
         .update("keys", record.id.as_str(), stored.version, &withdrawn);
-    written.unwrap();
-    for entry in 0..2 {
-        fleet.wait_status(entry, &keyed, 403);
+    let page = format!(
+        "/in-force?object=keys/{}&version={}",
+        record.id,
+        written.unwrap()
+    );
+    until("the withdrawal", PATIENCE, || {
+        let told: Value = admin(&fleet.entries[0], &page)?.json().ok()?;
+        (told["in_force"] == true).then_some(())
+    })
+    .unwrap();
+    // Told "in force", it is: no instance is given time to hear of it.
+    for entry in &fleet.entries {
+        assert_eq!(entry.call(&keyed).unwrap().status, 403);
     }
 
     let trace = refused.header("x-request-id").unwrap();
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -9,6 +9,7 @@
 use corianderway_standins::harness::Request;
 use corianderway_standins::platform::Down;
 use corianderway_standins::platform::Faults;
+use serde_json::json;
 use serde_json::Value;
 
 use crate::support::admin;
@@ -71,3 +72,33 @@
     fleet.wait_status(2, &keyed, 200);
     assert_eq!(fleet.entries[0].call(&keyed).unwrap().status, 200);
 }
+
+#[test]
+fn a_fleet_lost_at_once_serves_again_by_an_operators_word() {
+    let mut fleet = Fleet::start(3, 1);
+    let request = Request::get("/capsules/1").host(HOST);
+    assert_eq!(fleet.entries[0].call(&request).unwrap().status, 200);
+    for mut entry in std::mem::take(&mut fleet.entries) {
+        let id = entry.process.field("instance").unwrap().to_owned();
+        entry.process.kill().unwrap();
+        fleet.platform.forget_entry(&id).unwrap();
+    }
+    for at in 0..3 {
+        fleet.add_entry(&format!("entry-new-{at}"));
+    }
+    let epoch = until("the old epoch", PATIENCE, || {
+        let status: Value = admin(&fleet.entries[0], "/status")?.json().ok()?;
+        status["epoch"].as_u64().filter(|epoch| *epoch > 0)
+    })
+    .unwrap();
+    let refused = fleet.entries[0].call(&request).unwrap();
+    let body: Value = refused.json().unwrap();
+    assert_eq!(
+        (&body["code"], &body["ran"]),
+        (&"rate-unchecked".into(), &"not-run".into())
+    );
+    let word = json!({ "epoch": epoch, "who": "test" });
+    fleet.platform.create("epochs", "confirmed", &word).unwrap();
+    fleet.wait_ready();
+    assert_eq!(fleet.entries[0].call(&request).unwrap().status, 200);
+}
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -47,7 +47,7 @@
             attempts: Attempts::new(route.replay, ATTEMPTS),
             rated: false,
             give_up: None,
-            waited: false,
+            waits: None,
             forwarded: None,
             ticket: None,
             claim: None,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts: a request's way along its chart, from server to server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use corianderway_control::ClaimOutcome;
 use corianderway_model::Replay;
@@ -158,7 +159,7 @@
             }
             Effect::Forward => return self.forward(now, open, out),
             Effect::WaitForSlot => {
-                open.waited = true;
+                open.waits.get_or_insert(now);
                 self.wait_for_slot(now, open);
             }
             Effect::Refuse => tell_refusal(open, out),
@@ -183,7 +184,7 @@
     fn forward(&mut self, now: Time, open: &mut Open, out: &mut Vec<Action>) -> Option<Signal> {
         // A new request does not pass those that wait already.
         let first = open.forwarded.is_none() && open.state == State::Forwarded;
-        if first && !open.waited && self.is_crowded(&open.route.service) {
+        if first && open.waits.is_none() && self.is_crowded(&open.route.service) {
             return Some(Signal::Full);
         }
         match self.choose(now, open) {
@@ -239,7 +240,9 @@
         let (quota, moved) = (&mut self.quota, &mut self.shifts);
         let (contract, again) = (&open.contract, open.give_up.is_some());
         let allowed = |region: &_| shifts::may_shift(now, quota, moved, contract, region, again);
-        let routed = self.router.route(&self.fleet, &query, draw, allowed);
+        let waited = open.waits.map_or(Duration::ZERO, |at| now.since(at));
+        let router = &self.router;
+        let routed = router.route_waiting(&self.fleet, &query, draw, waited, allowed);
         let decision = routed.map_err(|no| match no {
             NoServer::ShiftCapped => Blocked::Quota(Reason::ShiftCapped),
             NoServer::NoRegion | NoServer::NoServer | NoServer::TooLate | NoServer::Overloaded => {
@@ -384,7 +387,8 @@
     match outcome {
         Outcome::Answered { status, took } if status < 500 => ServerOutcome::Answered(took),
         Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut => ServerOutcome::Failed,
-        Outcome::Shed | Outcome::NotSent => ServerOutcome::Cancelled,
+        Outcome::Shed => ServerOutcome::Shed,
+        Outcome::NotSent => ServerOutcome::Cancelled,
         Outcome::Unreachable => ServerOutcome::Refused,
     }
 }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -17,6 +17,8 @@
 
 use crate::event::Action;
 use crate::node::Node;
+use crate::quota::Confirmation;
+use crate::quota::CONFIRMED_NAME;
 use crate::record::Record;
 
 /// Whether a stored object can be put in force; one that can't never is, anywhere.
@@ -32,6 +34,7 @@
     NoKey(KeyId),
     Move(Stored<Move>),
     Drain(Stored<Drain>),
+    Confirmed(u64),
     /// Kept and passed on, but read by another part.
     Other,
 }
@@ -58,6 +61,10 @@
             (Kind::Key, None) => Ok(Self::NoKey(KeyId::try_from(name).map_err(plain)?)),
             (Kind::Move, Some(text)) => Ok(Self::Move(stored(object.version, text)?)),
             (Kind::Drain, Some(text)) => Ok(Self::Drain(stored(object.version, text)?)),
+            (Kind::Epoch, Some(text)) if name == CONFIRMED_NAME => {
+                let word: Confirmation = serde_json::from_str(text).map_err(|e| e.to_string())?;
+                Ok(Self::Confirmed(word.epoch))
+            }
             (Kind::Move | Kind::Drain, None)
             | (Kind::Epoch | Kind::Quarantine | Kind::Member, _) => Ok(Self::Other),
         }
@@ -100,6 +107,10 @@
                 self.withhold(now);
                 "in-force".into()
             }
+            Ok(Sound::Confirmed(epoch)) => {
+                self.confirmed = Some(epoch);
+                "in-force".into()
+            }
             Ok(Sound::Other) => return,
             Err(error) => error.into(),
         };
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -9,7 +9,6 @@
 use corianderway_control::BodyHash;
 use corianderway_control::ClaimOutcome as Remembered;
 use corianderway_control::Object;
-use corianderway_control::Stamp;
 use corianderway_model::Backend;
 use corianderway_model::Entry;
 use corianderway_model::InstanceId;
@@ -244,8 +243,6 @@
         /// What was found.
         found: Found,
     },
-    /// An operator waits for a change to be in force everywhere.
-    Follow(Stamp),
     /// Time passed; due every [`TICK`].
     Tick {
         /// The wall clock, in milliseconds since the Unix epoch.
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -118,7 +118,8 @@
         self.control(now, ControlEvent::Listing(all), out);
     }
 
-    fn known_entries(&self) -> Vec<Entry> {
+    /// Every entry instance that is known and not gone.
+    pub(crate) fn known_entries(&self) -> Vec<Entry> {
         let entries = self.control.entries();
         entries.map(|(entry, _)| Entry::clone(entry)).collect()
     }
@@ -134,7 +135,10 @@
                 .join(",")
                 .into(),
         }));
-        self.fleet.set_instances(live.len());
+        let region = &self.me.region;
+        let near = self.live_entries().filter(|e| e.region == *region).count();
+        self.fleet.set_instances(near);
+        self.update_directory(now);
         self.choose_asked();
         self.moves(now, MoveEvent::Live(live.clone()), out);
         self.drain(now, DrainEvent::Live(live.clone()), out);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,7 @@
 use corianderway_rollout::Drains;
 use corianderway_rollout::Event as MoveEvent;
 use corianderway_rollout::Rollout;
+use corianderway_routing::Entries;
 use corianderway_routing::Fleet;
 use corianderway_routing::Quarantine;
 use corianderway_routing::Router;
@@ -37,6 +38,7 @@
 use crate::chart::REQUEST_CHART;
 use crate::configuration;
 use crate::contracts::Contracts;
+use crate::directory::ADVICE;
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Found;
@@ -78,6 +80,10 @@
     pub(crate) contracts: Contracts,
     pub(crate) keys: KeyTable,
     pub(crate) quota: Quota,
+    /// Whether this instance has quota of its own.
+    pub(crate) shared: bool,
+    /// The epoch whose silent members have ended, by an operator's word.
+    pub(crate) confirmed: Option<u64>,
     pub(crate) claims: Claims,
     /// What the claim part wants and is not yet carried out.
     pub(crate) wanted: VecDeque<ClaimAction>,
@@ -95,6 +101,7 @@
     /// Reports that the other instances are not told yet.
     pub(crate) untold: Vec<SharedReport>,
     pub(crate) router: Router,
+    pub(crate) directory: Entries,
     pub(crate) requests: Table,
     pub(crate) rooms: Rooms,
     /// Requests that lost their place in a full queue.
@@ -133,12 +140,16 @@
     /// Fails when a chart file is faulty.
     pub fn new(me: Entry, bootstrap: Vec<SocketAddr>, seed: u64) -> Result<Self, Error> {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let mut directory = Entries::new(me.id.clone(), ADVICE);
+        directory.sync(std::slice::from_ref(&me), Time::ZERO);
         Ok(Self {
             chart: RequestChart::parse(REQUEST_CHART).context(RequestSnafu)?,
             control: Control::new(me.clone(), rng.random(), configuration::is_sound),
             contracts: Contracts::default(),
             keys: KeyTable::new(),
             quota: Quota::new(me.id.clone(), Terms::default(), rng.random()),
+            shared: false,
+            confirmed: None,
             claims: Claims::new(),
             wanted: VecDeque::new(),
             rollout: Rollout::new(me.id.clone()).context(RolloutSnafu)?,
@@ -152,6 +163,7 @@
             asked: Vec::new(),
             untold: Vec::new(),
             router: Router::new(me.region.clone(), me.domain.clone()),
+            directory,
             requests: Table::default(),
             rooms: Rooms::default(),
             displaced: Vec::new(),
@@ -182,7 +194,6 @@
             Event::Reported(report) => self.take_report(now, &report, out),
             Event::Wrote { ticket, wrote } => self.wrote(now, ticket, wrote, out),
             Event::Read { ticket, found } => self.read(now, ticket, found, out),
-            Event::Follow(stamp) => self.control(now, ControlEvent::Follow(stamp), out),
             Event::Tick { wall } => {
                 self.wall = (now, wall);
                 self.tick(now, out);
@@ -285,7 +296,9 @@
             return;
         }
         self.due = now + SLOW_TICK;
+        self.look_at_quota(now);
         self.fleet.tick(now);
+        self.directory.refresh(now);
         self.greet(out);
         self.control(now, ControlEvent::Tick, out);
         self.step_claims(now, ClaimEvent::Tick);
@@ -293,6 +306,7 @@
         self.drain(now, DrainEvent::Tick, out);
         if now.since(self.measured) >= MEASURE {
             self.measured = now;
+            self.heed_confirmation(now, out);
             self.tell_room(now, out);
             self.follow_drains(now, out);
             self.share_reports(out);
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -31,8 +31,8 @@
     pub(crate) rated: bool,
     /// When it stops to wait for quota.
     pub(crate) give_up: Option<Time>,
-    /// Whether it has waited for a slot.
-    pub(crate) waited: bool,
+    /// Since when it waits for a slot, or has waited.
+    pub(crate) waits: Option<Time>,
     /// When the last attempt was decided.
     pub(crate) forwarded: Option<Time>,
     /// The attempt that runs, at a backend server.
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -5,9 +5,12 @@
 use corianderway_limits::Event as LimitEvent;
 use corianderway_limits::Limit;
 use corianderway_limits::Outcome as LimitOutcome;
+use corianderway_limits::Parts;
 use corianderway_limits::Standing;
 use corianderway_limits::Stored;
 use corianderway_model::Time;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::event::Action;
 use crate::event::Found;
@@ -88,17 +91,40 @@
         let outcome = match wrote {
             Wrote::Done(version) => LimitOutcome::Written(*version),
             Wrote::Conflict(_) => LimitOutcome::Conflict,
-            Wrote::Unknown | Wrote::Unreached => LimitOutcome::Unknown,
+            Wrote::Unreached => LimitOutcome::Unsent,
+            Wrote::Unknown => LimitOutcome::Unknown,
         };
         self.limits(now, LimitEvent::Proposed { nonce, outcome }, out);
     }
 
-    /// Whether this instance has quota of its own.
+    /// Takes an operator's word that no member of an epoch runs any more that
+    /// is not on the list of live instances.
+    pub(crate) fn heed_confirmation(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self
+            .confirmed
+            .is_some_and(|epoch| epoch == self.quota.epoch())
+        {
+            self.confirmed = None;
+            self.limits(now, LimitEvent::Confirmed, out);
+        }
+    }
+
+    /// Whether this instance has quota of its own, as of the last look.
     pub(crate) fn has_quota(&self) -> bool {
-        match self.quota.standing() {
-            Standing::Waiting | Standing::Held => true,
+        self.shared
+    }
+
+    /// Looks whether this instance has quota of its own.
+    pub(crate) fn look_at_quota(&mut self, now: Time) {
+        self.shared = match self.quota.standing() {
+            Standing::Held => true,
+            // Between two epochs an instance has what both give it, if anything.
+            Standing::Waiting => self.contracts.all().first().is_some_and(|contract| {
+                let limit = Limit::Rate(contract.account.clone());
+                self.quota.holding(now, &limit).share > Parts::NONE
+            }),
             Standing::Empty | Standing::Stale | Standing::Surrendered => false,
-        }
+        };
     }
 
     fn read_epoch(&mut self, nonce: u64, out: &mut Vec<Action>) {
@@ -131,6 +157,18 @@
     }
 }
 
+/// The name of the object by which an operator confirms an epoch.
+pub(crate) const CONFIRMED_NAME: &str = "confirmed";
+
+/// An operator's word that the silent members of an epoch have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Confirmation {
+    /// The number of the epoch.
+    pub epoch: u64,
+    /// Who gives it.
+    pub who: String,
+}
+
 fn decode(held: &Held) -> Option<Stored> {
     let epoch = serde_json::from_str(&held.value).ok()?;
     let version = held.version;
--- /dev/null
+++ b/crates/node/tests/matrix.rs
@@ -0,0 +1,172 @@
+//! The fault matrix of a request: every fault at every state of its chart.
+
+mod rig;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use corianderway_chart::Outline;
+use corianderway_node::Event;
+use corianderway_node::Outcome;
+use corianderway_node::RequestId;
+use corianderway_node::REQUEST_CHART;
+use serde::Deserialize;
+
+use crate::rig::token;
+use crate::rig::Platform;
+use crate::rig::Rig;
+use crate::rig::Told;
+
+/// Faults that a cell may name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Fault {
+    Refused,
+    Cut,
+    Shed,
+    TimedOut,
+    CallerLeft,
+    PlatformLost,
+    DeadlinePassed,
+    StopPlanned,
+    ServersGone,
+}
+
+const FAULTS: [Fault; 9] = [
+    Fault::Refused,
+    Fault::Cut,
+    Fault::Shed,
+    Fault::TimedOut,
+    Fault::CallerLeft,
+    Fault::PlatformLost,
+    Fault::DeadlinePassed,
+    Fault::StopPlanned,
+    Fault::ServersGone,
+];
+
+/// One cell: where the request stands, what goes wrong, what its caller is told.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Cell {
+    state: String,
+    #[serde(default)]
+    claimed: bool,
+    fault: Fault,
+    /// `code/ran`, `sent-again`, `served`, `nothing` or `not-run: why`.
+    told: String,
+}
+
+/// Brings a request into a state of the chart.
+fn bring(state: &str, claimed: bool) -> (Rig, RequestId) {
+    let (rate, slots) = match state {
+        "waiting" => (1.0, 8),
+        "queued" => (100.0, 1),
+        _ => (100.0, 8),
+    };
+    let mut rig = Rig::start(rate, slots, 2);
+    let token = token();
+    if state == "waiting" {
+        rig.send("GET", "/find/0", None);
+    }
+    if state == "queued" {
+        fill(&mut rig);
+    }
+    if state == "claiming" {
+        rig.platform = Platform::Silent;
+    }
+    let id = if claimed {
+        rig.send("POST", "/move/1", Some(&token))
+    } else {
+        rig.send("GET", "/find/1", None)
+    };
+    if state == "answering" {
+        answer(&mut rig, id);
+    }
+    (rig, id)
+}
+
+// Takes every slot that this instance may use.
+fn fill(rig: &mut Rig) {
+    for at in 0..64 {
+        let id = rig.send("GET", &format!("/find/fill-{at}"), None);
+        if rig.told(id).is_empty() {
+            return;
+        }
+    }
+    panic!("no slot is ever missing");
+}
+
+fn answer(rig: &mut Rig, id: RequestId) {
+    let took = Duration::from_millis(5);
+    rig.end(id, Outcome::Answered { status: 200, took });
+}
+
+fn strike(rig: &mut Rig, id: RequestId, fault: Fault) {
+    match fault {
+        Fault::Refused => rig.end(id, Outcome::Unreachable),
+        Fault::Cut => rig.end(id, Outcome::Broken),
+        Fault::Shed => rig.end(id, Outcome::Shed),
+        Fault::TimedOut => rig.end(id, Outcome::TimedOut),
+        Fault::CallerLeft => rig.step(Event::Ended {
+            id,
+            whole: false,
+            answer: None,
+        }),
+        Fault::PlatformLost => {
+            rig.platform = Platform::Lost;
+            rig.run(Duration::from_secs(5));
+        }
+        Fault::DeadlinePassed => rig.run(Duration::from_secs(5)),
+        Fault::StopPlanned => rig.step(Event::Stop),
+        Fault::ServersGone => {
+            rig.list(8, 0);
+            rig.run(Duration::from_millis(200));
+        }
+    }
+}
+
+// What the caller is told after the fault, as the table writes it.
+fn outcome(rig: &Rig, id: RequestId, before: usize) -> String {
+    let told = rig.told(id);
+    match told[before..].last() {
+        Some(Told::Refused(code, ran)) => format!("{code}/{ran}"),
+        Some(Told::Sent) => "sent-again".to_owned(),
+        Some(Told::Replayed) => "served".to_owned(),
+        None => "nothing".to_owned(),
+    }
+}
+
+#[test]
+fn every_fault_at_every_state_is_told_as_the_table_says() {
+    let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
+    let mut wrong = Vec::new();
+    for cell in &cells {
+        if cell.told.starts_with("not-run: ") {
+            continue;
+        }
+        let (mut rig, id) = bring(&cell.state, cell.claimed);
+        let before = rig.told(id).len();
+        strike(&mut rig, id, cell.fault);
+        let told = outcome(&rig, id, before);
+        if told != cell.told {
+            wrong.push(format!(
+                "{} claimed={} {:?}: {told}, not {}",
+                cell.state, cell.claimed, cell.fault, cell.told
+            ));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[test]
+fn every_state_has_a_cell_for_every_fault() {
+    let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
+    let chart = Outline::parse(REQUEST_CHART).unwrap();
+    let known: BTreeSet<_> = cells.iter().map(|c| (c.state.as_str(), c.fault)).collect();
+    for (state, node) in &chart.states {
+        for fault in FAULTS.iter().filter(|_| !node.last) {
+            let listed = known.contains(&(state.as_str(), *fault));
+            assert!(listed, "no cell for {fault:?} at {state}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/rig/mod.rs
@@ -0,0 +1,313 @@
+//! One node under a logical clock, with a platform in memory.
+
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderway_control::BodyHash;
+use corianderway_control::Id;
+use corianderway_control::KeyRecord;
+use corianderway_control::Kind;
+use corianderway_control::Object;
+use corianderway_control::NONCE_BYTES;
+use corianderway_control::WATCH_WAIT;
+use corianderway_model::Backend;
+use corianderway_model::Entry;
+use corianderway_model::Presence;
+use corianderway_model::Time;
+use corianderway_node::Action;
+use corianderway_node::Event;
+use corianderway_node::Found;
+use corianderway_node::Held;
+use corianderway_node::Node;
+use corianderway_node::Outcome;
+use corianderway_node::Query;
+use corianderway_node::RequestId;
+use corianderway_node::Secret;
+use corianderway_node::Ticket;
+use corianderway_node::Write;
+use corianderway_node::Wrote;
+use corianderway_node::TICK;
+
+/// The host of the contract.
+pub const HOST: &str = "finder.example";
+
+/// The wall clock at the origin of the logical clock, in milliseconds.
+const WALL: u64 = 1_790_000_000_000;
+
+/// What the platform does with claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Platform {
+    /// Answers at once.
+    Up,
+    /// Keeps what it is asked, and answers nothing yet.
+    Silent,
+    /// Answers that nothing is known of any write or read.
+    Lost,
+}
+
+/// What a caller was told, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Sent to a backend server.
+    Sent,
+    /// Refused, with the code and whether it ran.
+    Refused(&'static str, &'static str),
+    /// Given a remembered answer.
+    Replayed,
+}
+
+/// A node and everything around it.
+pub struct Rig {
+    pub node: Node,
+    pub now: Time,
+    pub platform: Platform,
+    pub key: String,
+    record: KeyRecord,
+    revision: u64,
+    stored: Vec<(String, Held)>,
+    asked: Vec<Action>,
+    watch: Option<(Time, u64)>,
+    told: Vec<(RequestId, Told)>,
+    next: u64,
+}
+
+impl Rig {
+    /// Starts a node with a contract of this rate, and waits until it is ready.
+    pub fn start(rate: f64, slots: u32, servers: usize) -> Self {
+        let account = "finder".try_into().unwrap();
+        let (record, text) = KeyRecord::generate(account, &[7; NONCE_BYTES], WALL / 1_000);
+        let mut rig = Self {
+            node: Node::new(entry(), Vec::new(), 7).unwrap(),
+            now: Time::ZERO,
+            platform: Platform::Up,
+            key: text.reveal().to_owned(),
+            record,
+            revision: 1,
+            stored: Vec::new(),
+            asked: Vec::new(),
+            watch: None,
+            told: Vec::new(),
+            next: 0,
+        };
+        rig.store("contracts/finder", &contract(rate));
+        let key = format!("keys/{}", rig.record.id);
+        let value = serde_json::to_string(&rig.record).unwrap();
+        rig.store(&key, &value);
+        rig.list(slots, servers);
+        rig.run(Duration::from_secs(30));
+        assert!(rig.node.is_ready());
+        rig
+    }
+
+    /// Lists backend servers anew.
+    pub fn list(&mut self, slots: u32, servers: usize) {
+        let backends = (0..servers).map(|at| backend(at, slots)).collect();
+        let entries = vec![entry()];
+        self.step(Event::Instances { entries, backends });
+    }
+
+    /// Sends a request and returns its number.
+    pub fn send(&mut self, method: &str, path: &str, token: Option<&str>) -> RequestId {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let query = Query {
+            id,
+            trace: format!("t-{}", self.next).into(),
+            host: HOST.into(),
+            method: method.into(),
+            path: path.into(),
+            key: Some(Secret::new(&self.key)),
+            token: token.map(Arc::from),
+            digest: self.next,
+            body: BodyHash::new([path.as_bytes()]),
+            client: "127.0.0.1".parse().unwrap(),
+            patience: None,
+        };
+        self.step(Event::Request(query));
+        id
+    }
+
+    /// Ends the attempt of a request.
+    pub fn end(&mut self, id: RequestId, outcome: Outcome) {
+        self.step(Event::Attempted { id, outcome });
+    }
+
+    /// Takes the time forward, a tick at a time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.end_watch();
+            let wall = WALL + self.now.nanos() / 1_000_000;
+            self.step(Event::Tick { wall });
+        }
+    }
+
+    /// What a caller was told so far.
+    pub fn told(&self, id: RequestId) -> Vec<Told> {
+        let of = self.told.iter().filter(|row| row.0 == id);
+        of.map(|row| row.1.clone()).collect()
+    }
+
+    /// Answers everything that the platform was silent about.
+    pub fn speak(&mut self) {
+        self.platform = Platform::Up;
+        for action in std::mem::take(&mut self.asked) {
+            self.serve(action);
+        }
+    }
+
+    /// Hands an event to the node and carries out what it wants.
+    pub fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.node.step(self.now, event, &mut actions);
+        for action in actions {
+            self.carry(action);
+        }
+    }
+
+    fn carry(&mut self, action: Action) {
+        match action {
+            Action::Forward { id, .. } => self.told.push((id, Told::Sent)),
+            Action::Refuse { id, refusal } => {
+                let told = Told::Refused(refusal.reason.code(), refusal.ran.code());
+                self.told.push((id, told));
+            }
+            Action::Replay { id, .. } => self.told.push((id, Told::Replayed)),
+            Action::List { call } => self.answer_list(call),
+            Action::Watch { call, .. } => self.watch = Some((self.now + WATCH_WAIT, call)),
+            Action::Write { .. } | Action::Read { .. } => self.serve(action),
+            Action::Direct { .. } | Action::Send { .. } | Action::Probe { .. } | Action::Log(_) => {
+            }
+        }
+    }
+
+    fn end_watch(&mut self) {
+        let Some((at, call)) = self.watch else { return };
+        if self.now >= at {
+            self.watch = None;
+            let (revision, objects) = (self.revision, Vec::new());
+            self.step(Event::Watched {
+                call,
+                revision,
+                objects,
+            });
+        }
+    }
+
+    fn serve(&mut self, action: Action) {
+        let about_claims = match &action {
+            Action::Write { write, .. } => &*write.kind == "claims",
+            Action::Read { kind, .. } => &**kind == "claims",
+            _ => false,
+        };
+        let platform = if about_claims {
+            self.platform
+        } else {
+            Platform::Up
+        };
+        match (platform, action) {
+            (Platform::Silent, action) => self.asked.push(action),
+            (Platform::Lost, Action::Write { ticket, .. }) => {
+                let wrote = Wrote::Unknown;
+                self.step(Event::Wrote { ticket, wrote });
+            }
+            (Platform::Lost, Action::Read { ticket, .. }) => {
+                let found = Found::Unknown;
+                self.step(Event::Read { ticket, found });
+            }
+            (_, Action::Write { ticket, write }) => self.write(ticket, write),
+            (_, Action::Read { ticket, kind, name }) => {
+                let held = self.find(&format!("{kind}/{name}"));
+                let found = held.map_or(Found::Nothing, Found::Held);
+                self.step(Event::Read { ticket, found });
+            }
+            (_, _) => (),
+        }
+    }
+
+    fn write(&mut self, ticket: Ticket, write: Write) {
+        let name = format!("{}/{}", write.kind, write.name);
+        let held = self.find(&name);
+        let wrote = if held.as_ref().map(|h| h.version) == write.expect {
+            self.store(&name, &write.value.unwrap_or_default());
+            Wrote::Done(self.revision)
+        } else {
+            Wrote::Conflict(held)
+        };
+        self.step(Event::Wrote { ticket, wrote });
+    }
+
+    fn find(&self, name: &str) -> Option<Held> {
+        let found = self.stored.iter().find(|row| row.0 == name);
+        found.map(|row| row.1.clone())
+    }
+
+    fn store(&mut self, name: &str, value: &str) {
+        self.revision += 1;
+        self.stored.retain(|row| row.0 != name);
+        let held = Held {
+            version: self.revision,
+            value: value.into(),
+        };
+        self.stored.push((name.to_owned(), held));
+    }
+
+    fn answer_list(&mut self, call: u64) {
+        let objects = self.stored.iter().filter_map(|(name, held)| {
+            let (kind, name) = name.split_once('/')?;
+            let id = Id::new(Kind::from_collection(kind)?, name);
+            Some(Object::new(id, held.version, Arc::clone(&held.value)))
+        });
+        let (revision, objects) = (self.revision, objects.collect());
+        self.step(Event::Listed {
+            call,
+            revision,
+            objects,
+        });
+    }
+}
+
+/// An idempotency key: a UUID of version 7 made at the origin of the clock.
+pub fn token() -> String {
+    let (high, low) = (WALL >> 16, WALL & 0xffff);
+    format!("{high:08x}-{low:04x}-7000-8000-000000000001")
+}
+
+fn entry() -> Entry {
+    Entry {
+        id: "entry-1".try_into().unwrap(),
+        callers: "127.0.0.1:8001".parse().unwrap(),
+        peers: "127.0.0.1:9001".parse().unwrap(),
+        region: "north".try_into().unwrap(),
+        domain: "north-a".try_into().unwrap(),
+        presence: Presence::Live,
+    }
+}
+
+fn backend(at: usize, slots: u32) -> Backend {
+    Backend {
+        id: format!("server-{at}").try_into().unwrap(),
+        addr: format!("127.0.0.1:{}", 7_000 + at).parse().unwrap(),
+        service: "finder".try_into().unwrap(),
+        version: "v1".try_into().unwrap(),
+        region: "north".try_into().unwrap(),
+        domain: "north-a".try_into().unwrap(),
+        slots,
+        presence: Presence::Live,
+    }
+}
+
+fn contract(rate: f64) -> String {
+    format!(
+        "{{\"account\": \"finder\", \"hosts\": [\"{HOST}\"], \"rate\": {rate}, \"burst\": {rate},
+          \"routes\": [
+            {{\"name\": \"find\", \"path\": \"/find/\", \"methods\": [\"GET\"],
+              \"service\": \"finder\", \"deadline\": \"4s\"}},
+            {{\"name\": \"move\", \"path\": \"/move/\", \"methods\": [\"POST\"],
+              \"service\": \"finder\", \"replay\": \"once\", \"deadline\": \"4s\"}}],
+          \"regions\": [{{\"name\": \"north\", \"capacity\": 1000, \"shift\": 10}}]}}"
+    )
+}
