--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -89,9 +89,13 @@
     waits(fleet, "the key", &keyed, 200);
     assert_eq!(ask(fleet, &seals).status, 401);
     let id = granted["id"].as_str().unwrap();
-    operator.runs(&["key", "withdraw", id]).done();
-    let refused = || (ask(fleet, &keyed).status != 200).then_some(());
-    until("the withdrawal", SOON, refused).unwrap();
+    let withdraw = ["key", "withdraw", id, "--wait", "10s", "--instance"];
+    let told = operator.runs(&[&withdraw[..], &[operator.instance.as_str()]].concat());
+    assert!(told.done().err.contains("in force everywhere"));
+    for node in &fleet.nodes {
+        let reply = node.daemon.call(&keyed.clone().host(HOST)).unwrap();
+        assert_eq!(reply.status, 403, "{}", reply.text());
+    }
 }
 
 // Without traffic nothing is proven, so the move stays in its trial until the
