--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -25,6 +25,7 @@
 use crate::set::ConfigSet;
 use crate::set::Digest;
 use crate::set::Outcome;
+use crate::wanted::Wanted;
 
 /// Peers that a change is passed to.
 const FANOUT: usize = 4;
@@ -35,9 +36,6 @@
 /// The time between comparisons while sets differ.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How long an object asked of one peer is not asked of another.
-const WANT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// How long a page may take before another peer is asked.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,14 +48,7 @@
     peers: Arc<[InstanceId]>,
     compare_at: Time,
     filling: Filling,
-    // Sorted by identity.
-    wanted: Vec<Wanted>,
-}
-
-#[derive(Clone, Debug)]
-struct Wanted {
-    id: Id,
-    asked: Time,
+    wanted: Wanted,
 }
 
 #[derive(Clone, Debug)]
@@ -82,7 +73,7 @@
             peers: Arc::new([]),
             compare_at: Time::ZERO,
             filling: Filling::Empty,
-            wanted: Vec::new(),
+            wanted: Wanted::default(),
         }
     }
 
@@ -121,7 +112,7 @@
             return;
         }
         self.compare_at = now + COMPARE_INTERVAL;
-        self.wanted.retain(|w| now.since(w.asked) < WANT_TIMEOUT);
+        self.wanted.tick(now);
         if let Some(peer) = self.pick(None) {
             send(out, peer, Message::Root(self.set.root()));
         }
@@ -243,9 +234,7 @@
     }
 
     fn take(&mut self, object: Object, out: &mut Vec<GossipAction>) -> bool {
-        if let Ok(at) = self.wanted.binary_search_by(|w| w.id.cmp(&object.id)) {
-            self.wanted.remove(at);
-        }
+        self.wanted.received(&object.id);
         if !(self.validate)(&object) {
             out.push(GossipAction::Rejected(object.stamp()));
             return false;
@@ -282,7 +271,7 @@
     ) {
         let mut ids = Vec::new();
         for stamp in stamps {
-            if self.set.rank(&stamp.id) < Some(stamp.rank) && self.may_ask(now, &stamp.id) {
+            if self.set.rank(&stamp.id) < Some(stamp.rank) && self.wanted.may_ask(now, &stamp.id) {
                 ids.push(stamp.id);
             }
         }
@@ -291,21 +280,6 @@
         }
     }
 
-    fn may_ask(&mut self, now: Time, id: &Id) -> bool {
-        match self.wanted.binary_search_by(|w| w.id.cmp(id)) {
-            Ok(at) if now.since(self.wanted[at].asked) < WANT_TIMEOUT => false,
-            Ok(at) => {
-                self.wanted[at].asked = now;
-                true
-            }
-            Err(at) => {
-                let id = id.clone();
-                self.wanted.insert(at, Wanted { id, asked: now });
-                true
-            }
-        }
-    }
-
     fn pick(&mut self, except: Option<&InstanceId>) -> Option<InstanceId> {
         if self.peers.is_empty() {
             return None;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -67,6 +67,7 @@
 mod source;
 mod source_event;
 mod sweep;
+mod wanted;
 mod watchers;
 
 pub use crate::claim_chart::ClaimState;
