Claims are removed, a lost epoch is confirmed by a verb, histories are checked under faults

Cause: claims stayed for ever; OPERATIONS named a verb that was not there; a new version without a free server refused requests that the old one could take; no check looked at whole histories of the real processes. Ruled out: removal by each instance (each list is a call); letting the new version take over from the old one.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -9,6 +9,7 @@
 use crate::chart;
 use crate::contract;
 use crate::drain;
+use crate::epoch;
 use crate::error::Result;
 use crate::error::UsageSnafu;
 use crate::explain;
@@ -57,6 +58,7 @@
         "key" => verb(group, rest, key::Key::from_vec, key::run),
         "move" => verb(group, rest, moves::Move::from_vec, moves::run),
         "drain" => verb(group, rest, drain::Drain::from_vec, drain::run),
+        "epoch" => verb(group, rest, epoch::Epochs::from_vec, epoch::run),
         "status" => verb(group, rest, status::Status::from_vec, status::run),
         "explain" => verb(group, rest, explain::Explain::from_vec, explain::run),
         "chart" => verb(group, rest, chart::Chart::from_vec, chart::run),
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -12,6 +12,7 @@
   key      grant ACCOUNT | withdraw ID | list
   move     start SERVICE VERSION | watch SERVICE | back SERVICE | show SERVICE | list
   drain    plan SCOPE NAME | watch SCOPE NAME | cancel SCOPE NAME | list
+  epoch    show | confirm
   status   [--instance ADDR]..
   explain  REQUEST --instance ADDR..
   chart    list | print NAME | check FILE
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod contract;
 mod diff;
 mod drain;
+mod epoch;
 mod error;
 mod explain;
 mod force;
--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -170,6 +170,11 @@
             }
             Action::List { call } => self.call(call, Order::List(call)),
             Action::Watch { call, after } => self.call(call, Order::Watch(call, after)),
+            Action::ListClaims => {
+                if self.outputs.platform.try_send(Order::Claims).is_err() {
+                    self.step_nested(Event::Claims(None));
+                }
+            }
             Action::Send { to, message } => self.send(to, message),
             Action::Probe { server, addr } => {
                 // A full ring leaves it to the next list.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use async_std::task;
 use corianderway_control::Object;
+use corianderway_control::SWEEP_PAGE;
 use corianderway_control::WATCH_WAIT;
 use corianderway_node::Event;
 use corianderway_node::Found;
@@ -64,6 +65,7 @@
                 Order::Read(ticket, kind, name) => {
                     task::spawn_local(read(desk, ticket, kind, name))
                 }
+                Order::Claims => task::spawn_local(list_claims(desk)),
                 Order::List(call) => task::spawn_local(list(desk, call)),
                 Order::Watch(call, after) => task::spawn_local(watch(desk, call, after)),
             };
@@ -111,6 +113,22 @@
     Some((lowest, objects))
 }
 
+// The platform may know no limit and list all; the first ones are taken.
+async fn list_claims(desk: Rc<Desk>) {
+    let path = format!("/objects/claims?limit={SWEEP_PAGE}");
+    let reply = desk.client.call("GET", &path, &[], None, ANSWER).await;
+    let listing = reply.ok().filter(|r| r.status == OK);
+    let listing = listing.and_then(|r| r.json::<Listing>());
+    let claims = listing.map(|listing| {
+        let mut objects = listing.objects;
+        objects.sort_by(|a, b| a.name.cmp(&b.name));
+        objects.truncate(SWEEP_PAGE);
+        let named = |stored: Stored| (stored.name.as_str().into(), Held::from(stored));
+        objects.into_iter().map(named).collect()
+    });
+    tell(&desk, Event::Claims(claims)).await;
+}
+
 async fn watch(desk: Rc<Desk>, call: u64, after: u64) {
     let kinds = stored::collections().collect::<Vec<_>>().join(",");
     let wait = WATCH_WAIT.as_millis();
--- a/crates/daemon/src/rings.rs
+++ b/crates/daemon/src/rings.rs
@@ -115,6 +115,8 @@
     Read(Ticket, Arc<str>, Arc<str>),
     /// List the whole configuration, under the number of the call.
     List(u64),
+    /// List the first claims.
+    Claims,
     /// Wait for changes after a revision, under the number of the call.
     Watch(u64, u64),
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -11,6 +11,8 @@
 
 use corianderway_control::KeyRecord;
 use corianderway_control::NONCE_BYTES;
+use corianderway_standins::backend::Record;
+use corianderway_standins::checker::read_runs;
 use corianderway_standins::harness::until;
 use corianderway_standins::harness::Daemon;
 use corianderway_standins::harness::Platform;
@@ -34,6 +36,7 @@
     pub platform: Platform,
     pub servers: Vec<Server>,
     pub entries: Vec<Daemon>,
+    histories: Vec<PathBuf>,
 }
 
 impl Fleet {
@@ -43,6 +46,7 @@
             platform: Platform::start().unwrap(),
             servers: Vec::new(),
             entries: Vec::new(),
+            histories: Vec::new(),
         };
         let contract = finder(1_000.0, 1_000.0);
         fleet
@@ -63,12 +67,21 @@
     pub fn add_server(&mut self, id: &str, version: &str, more: &[&str]) {
         let mut args = vec!["--id", id, "--service", "finder", "--version", version];
         args.extend(["--region", "north", "--domain", "north-a", "--slots", "8"]);
+        let history = scratch_file(id, "");
+        args.extend(["--history", history.to_str().unwrap()]);
         args.extend(more);
         let server = Server::start(&args).unwrap();
         self.platform
             .register_backend(&server.describe().unwrap())
             .unwrap();
         self.servers.push(server);
+        self.histories.push(history);
+    }
+
+    /// What every backend server ran, those that have ended among them.
+    pub fn runs(&self) -> Vec<Record> {
+        let files = self.histories.iter();
+        files.flat_map(|file| read_runs(file).unwrap()).collect()
     }
 
     /// Starts an entry instance and lists it.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -215,10 +215,19 @@
             weight: 1.0,
         }];
         let routed = self.route(now, open, &only);
-        if routed.is_err() {
-            self.count_version(now, open, VersionOutcome::Unjudged);
+        if routed.is_ok() {
+            return routed;
         }
-        routed
+        self.count_version(now, open, VersionOutcome::Unjudged);
+        // The old version may take over from the new one, never the reverse.
+        let Some(old) = self.old_version(&open.route.service, &version) else {
+            return routed;
+        };
+        let only = [Share {
+            version: &old,
+            weight: 1.0,
+        }];
+        self.route(now, open, &only)
     }
 
     fn route(
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -34,7 +34,7 @@
 use crate::tickets::Purpose;
 
 /// The kind of the objects that hold claims.
-const CLAIM_KIND: &str = "claims";
+pub(crate) const CLAIM_KIND: &str = "claims";
 
 /// The part of a request's time in which it may still be sent; the rest is for
 /// its answer.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -236,6 +236,8 @@
         /// How it ended.
         wrote: Wrote,
     },
+    /// The platform listed claims, or did not answer.
+    Claims(Option<Vec<(Arc<str>, Held)>>),
     /// A read ended.
     Read {
         /// The read.
@@ -336,6 +338,8 @@
         /// Where it takes requests.
         addr: SocketAddr,
     },
+    /// List the first claims in the order of their names, for their removal.
+    ListClaims,
     /// Write a log line.
     Log(Record),
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -56,6 +56,7 @@
 mod shifts;
 mod status;
 mod suspects;
+mod sweep;
 mod tickets;
 mod waiting;
 
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -139,6 +139,7 @@
         let near = self.live_entries().filter(|e| e.region == *region).count();
         self.fleet.set_instances(near);
         self.update_directory(now);
+        self.choose_sweeper(now, out);
         self.choose_asked();
         self.moves(now, MoveEvent::Live(live.clone()), out);
         self.drain(now, DrainEvent::Live(live.clone()), out);
--- a/crates/node/src/moves.rs
+++ b/crates/node/src/moves.rs
@@ -15,6 +15,7 @@
 use corianderway_rollout::Move;
 use corianderway_rollout::Outcome as VersionOutcome;
 use corianderway_rollout::Share;
+use corianderway_rollout::State as MoveState;
 use corianderway_rollout::Stored;
 use rand::Rng as _;
 
@@ -75,6 +76,12 @@
         picked
     }
 
+    /// The version that may take over where the new one has no free server.
+    pub(crate) fn old_version(&self, service: &Service, picked: &Version) -> Option<Version> {
+        let record = self.rollout.standpoint(service)?.record.value;
+        (record.to == *picked && record.state != MoveState::Done).then_some(record.from)
+    }
+
     /// Counts how a request ended at the version that was picked for it.
     pub(crate) fn count_version(&mut self, now: Time, open: &mut Open, end: VersionOutcome) {
         if let Some(version) = open.picked.take() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,8 @@
 use corianderway_control::Event as ControlEvent;
 use corianderway_control::KeyTable;
 use corianderway_control::SourceEvent;
+use corianderway_control::Sweep;
+use corianderway_control::SweepEvent;
 use corianderway_limits::Event as LimitEvent;
 use corianderway_limits::Quota;
 use corianderway_limits::RetryBudget;
@@ -87,6 +89,7 @@
     pub(crate) claims: Claims,
     /// What the claim part wants and is not yet carried out.
     pub(crate) wanted: VecDeque<ClaimAction>,
+    pub(crate) sweep: Sweep,
     pub(crate) rollout: Rollout,
     pub(crate) drains: Drains,
     pub(crate) quarantine: Quarantine,
@@ -152,6 +155,7 @@
             confirmed: None,
             claims: Claims::new(),
             wanted: VecDeque::new(),
+            sweep: Sweep::new(),
             rollout: Rollout::new(me.id.clone()).context(RolloutSnafu)?,
             drains: Drains::new(me.id.clone()).context(RolloutSnafu)?,
             quarantine: Quarantine::new(),
@@ -194,6 +198,7 @@
             Event::Reported(report) => self.take_report(now, &report, out),
             Event::Wrote { ticket, wrote } => self.wrote(now, ticket, wrote, out),
             Event::Read { ticket, found } => self.read(now, ticket, found, out),
+            Event::Claims(listed) => self.take_claims(now, listed, out),
             Event::Tick { wall } => {
                 self.wall = (now, wall);
                 self.tick(now, out);
@@ -274,8 +279,8 @@
                 self.move_wrote(now, service, text, wrote, out);
             }
             Some(Purpose::Drain(scope, text)) => self.drain_wrote(now, scope, text, wrote, out),
-            // The next list shows whether the object is back.
-            Some(Purpose::Restore) | None => (),
+            // The next list shows what became of it.
+            Some(Purpose::Restore | Purpose::Removal) | None => (),
         }
     }
 
@@ -285,7 +290,7 @@
             Some(Purpose::Claim(name, call)) => self.claim_read(now, name, call, &found),
             Some(Purpose::Move(service, _)) => self.move_read(now, service, &found, out),
             Some(Purpose::Drain(scope, _)) => self.drain_read(now, scope, &found, out),
-            Some(Purpose::Restore) | None => (),
+            Some(Purpose::Restore | Purpose::Removal) | None => (),
         }
     }
 
@@ -302,6 +307,7 @@
         self.greet(out);
         self.control(now, ControlEvent::Tick, out);
         self.step_claims(now, ClaimEvent::Tick);
+        self.sweep(now, SweepEvent::Tick, out);
         self.moves(now, MoveEvent::Tick, out);
         self.drain(now, DrainEvent::Tick, out);
         if now.since(self.measured) >= MEASURE {
--- a/crates/node/src/tickets.rs
+++ b/crates/node/src/tickets.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Purpose {
     /// Putting back an object that the store has lost.
     Restore,
+    /// Removing an old claim.
+    Removal,
     /// Reading or writing the epoch of the limits, under their nonce.
     Epoch(u64),
     /// Reading or writing the claim of this name, under the number of the call.
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -179,8 +179,11 @@
             Action::List { call } => self.answer_list(call),
             Action::Watch { call, .. } => self.watch = Some((self.now + WATCH_WAIT, call)),
             Action::Write { .. } | Action::Read { .. } => self.serve(action),
-            Action::Direct { .. } | Action::Send { .. } | Action::Probe { .. } | Action::Log(_) => {
-            }
+            Action::Direct { .. }
+            | Action::ListClaims
+            | Action::Send { .. }
+            | Action::Probe { .. }
+            | Action::Log(_) => {}
         }
     }
 
