--- a/crates/standins/src/load/aftermath.rs
+++ b/crates/standins/src/load/aftermath.rs
@@ -12,6 +12,7 @@
 use crate::load::act::Act;
 use crate::load::sample::Sample;
 use crate::load::schedule::Schedule;
+use crate::load::schedule::Way;
 
 const NANOS: f64 = 1e9;
 
@@ -46,10 +47,8 @@
                 let left = |b: &&Backend| b.domain.as_str() == domain;
                 let ids = self.backends.iter().filter(left);
                 let ids = ids.map(|b| b.id.as_str()).collect::<Vec<_>>();
-                let runs = self
-                    .runs
-                    .iter()
-                    .filter(|r| ids.contains(&r.server.as_str()));
+                let runs = self.tested();
+                let runs = runs.filter(|r| ids.contains(&r.server.as_str()));
                 let last = after(runs.map(|r| r.start), happened.at);
                 Some(format!("{label}: last new work after {last:.2} s"))
             }
@@ -62,6 +61,18 @@
         }
     }
 
+    // Runs that went the tested way; direct callers heed no announcement.
+    fn tested(&self) -> impl Iterator<Item = &Record> + Clone + '_ {
+        let way = |r: &Record| {
+            let (_, place) = r.path.rsplit_once('-')?;
+            let arrival = self.schedule.arrivals.get(place.parse::<usize>().ok()?)?;
+            Some(arrival.way)
+        };
+        self.runs
+            .iter()
+            .filter(move |r| way(r) == Some(Way::Tested))
+    }
+
     // When the served requests with a key of a client account were sent.
     fn keyed<'k>(&'k self, account: &'k str) -> impl Iterator<Item = u64> + 'k {
         self.samples.iter().filter_map(move |sample| {
@@ -76,10 +87,8 @@
         let of = |b: &&Backend| b.version.as_str() == version;
         let ids = self.backends.iter().filter(of);
         let ids = ids.map(|b| b.id.as_str()).collect::<Vec<_>>();
-        let runs = self
-            .runs
-            .iter()
-            .filter(|r| ids.contains(&r.server.as_str()));
+        let runs = self.tested();
+        let runs = runs.filter(|r| ids.contains(&r.server.as_str()));
         let failed = runs
             .clone()
             .filter(|r| r.outcome == Outcome::Failed)
