limits: hungry instances ask for three times the demand seen

Ruled out: counting a waiting request again (it is one request); the waiting queue of the node (it grants as many as there are tokens each 20 ms). Change: while requests are refused, three times the demand seen is asked for; homes still divide by max-min. Conclusion: demand under refusal is a lower bound.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -23,6 +23,9 @@
 
 /// Shares are wanted for this many times the demand seen, over four.
 const MARGIN_QUARTERS: u64 = 5;
+/// The same while requests are refused: callers that wait for their answers
+/// ask for no more than they get, so the demand seen is too low.
+const HUNGRY_QUARTERS: u64 = 12;
 /// Requests that a wanted share holds at least in its bucket.
 const LEAST_BURST: u64 = 2;
 const NEVER: Time = Time::from_nanos(u64::MAX);
@@ -147,7 +150,12 @@
         let share = |rate: u64| Parts::ratio(rate, self.amount.rate.get());
         let burst = self.cost.saturating_mul(LEAST_BURST);
         let burst = Parts::ratio(burst, self.amount.burst.get());
-        let ample = rate.saturating_mul(MARGIN_QUARTERS) / 4;
+        let quarters = if self.hungry {
+            HUNGRY_QUARTERS
+        } else {
+            MARGIN_QUARTERS
+        };
+        let ample = rate.saturating_mul(quarters) / 4;
         (share(rate).max(burst), share(ample).max(burst))
     }
 
