daemon: fewer wakes: small answers in one hop, the decision duty parks without a timer

Ruled out: a larger tick (loans of quota wait for it); one thread for callers and servers (the shape asks for a thread for each duty).

--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -15,13 +15,12 @@
 use corianderway_node::RequestId;
 use corianderway_node::Wrote;
 use corianderway_node::TICK;
-use futures_lite::future;
-use futures_lite::future::FutureExt as _;
 
 use crate::clock;
 use crate::clock::Clock;
 use crate::history::History;
 use crate::logs::Log;
+use crate::park;
 use crate::record;
 use crate::rings::Input;
 use crate::rings::Order;
@@ -257,10 +256,5 @@
 
 // Waits for an input, or for the time to pass.
 fn receive(inputs: &Receiver<Input>, wait: Duration) -> Option<Input> {
-    let input = async { inputs.recv().await.ok() };
-    let pause = async {
-        async_std::task::sleep(wait).await;
-        None
-    };
-    future::block_on(input.or(pause))
+    park::wait_for(inputs.recv(), wait)?.ok()
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -18,6 +18,7 @@
 use futures_lite::future::poll_once;
 use futures_lite::future::FutureExt as _;
 use futures_lite::io;
+use futures_lite::AsyncReadExt as _;
 use http_types::headers::HeaderValues;
 use http_types::Body;
 use http_types::Method;
@@ -37,6 +38,9 @@
 /// The longest time for an answer's body.
 const BODY_TIME: Duration = Duration::from_mins(10);
 
+/// Bodies up to this size, in bytes, are read whole before the answer is handed on.
+const WHOLE_BYTES: u64 = 64 * 1024;
+
 /// The header with which a backend server says that it ran nothing.
 const SHED_HEADER: &str = "x-not-run";
 
@@ -214,6 +218,14 @@
     for name in HOP_HEADERS {
         response.remove_header(name);
     }
+    if let Framing::Length(length @ 1..=WHOLE_BYTES) = framing {
+        read_whole(&mut response, length).await?;
+        return Ok(Answer {
+            response,
+            framing: Framing::Length(0),
+            reusable,
+        });
+    }
     Ok(Answer {
         response,
         framing,
@@ -246,6 +258,19 @@
     decoded.map_err(|_malformed| Outcome::Broken)
 }
 
+// Reads a small body before the answer is handed on: one hop between the duties
+// in place of three, and a cut leaves the request free to be sent elsewhere.
+async fn read_whole(response: &mut Response, length: u64) -> Result<(), Outcome> {
+    let mut body = response.take_body();
+    let mut bytes = Vec::with_capacity(length as usize);
+    let read = body.read_to_end(&mut bytes).await;
+    if read.is_err() || bytes.len() as u64 != length {
+        return Err(Outcome::Broken);
+    }
+    response.set_body(Body::from_bytes(bytes));
+    Ok(())
+}
+
 fn is_close(values: &HeaderValues) -> bool {
     values.as_str().eq_ignore_ascii_case("close")
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,6 +15,7 @@
 mod history;
 mod logs;
 mod metrics;
+mod park;
 mod peers;
 mod platform;
 mod pool;
