daemon: callers are told to close from the beginning of a planned stop

Ruled out: lingering on idle connections after the exit, which a process that has ended can't do. Change: every answer from SIGTERM on says connection: close; after two seconds no new connection is taken; a kept connection is served until the exit. Conclusion: a caller that is silent for the two seconds and sends at the very exit can still meet a closed connection.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -32,6 +32,8 @@
     pub clock: Clock,
     /// Set when a planned stop begins.
     pub stopping: Arc<AtomicBool>,
+    /// Set when no further connection is taken.
+    pub closed: Arc<AtomicBool>,
     /// Requests whose answers are not yet delivered.
     pub open: Arc<AtomicU64>,
     /// The first part of each request id, unique to this run.
@@ -46,6 +48,7 @@
         rings: Requests,
         clock: Clock,
         stopping: Arc<AtomicBool>,
+        closed: Arc<AtomicBool>,
         open: Arc<AtomicU64>,
         prefix: Arc<str>,
     ) -> Self {
@@ -53,6 +56,7 @@
             rings,
             clock,
             stopping,
+            closed,
             open,
             prefix,
             connections: Cell::new(0),
@@ -89,7 +93,7 @@
 
 fn admit(desk: &Rc<Desk>, stream: net::TcpStream, client: std::net::SocketAddr) {
     let open = desk.connections.get();
-    if open >= CONNECTIONS {
+    if open >= CONNECTIONS || desk.closed.load(Ordering::Acquire) {
         return;
     }
     desk.connections.set(open + 1);
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -72,11 +72,7 @@
         return;
     }
     let mut carry = Vec::new();
-    while serve_one(&stream, client, desk, &mut carry).await == Next::Keep {
-        if desk.is_stopping() {
-            return;
-        }
-    }
+    while serve_one(&stream, client, desk, &mut carry).await == Next::Keep {}
 }
 
 async fn serve_one(
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -131,6 +131,7 @@
     let (instruments, scrape) = Instruments::new().context(MetricsSnafu)?;
     let stopping = Arc::new(AtomicBool::new(false));
     let open = Arc::new(AtomicU64::new(0));
+    let closed = Arc::new(AtomicBool::new(false));
     let done = Arc::new(AtomicBool::new(false));
 
     let node = Node::new(me.clone(), settings.bootstrap.clone(), rand::random());
@@ -143,6 +144,7 @@
     let desk = Decisions::new(node, clock, outputs, probes, samples, log.clone());
     let stop = Stop::new(
         Arc::clone(&stopping),
+        Arc::clone(&closed),
         Arc::clone(&open),
         decisions.clone(),
         log.clone(),
@@ -165,7 +167,7 @@
     duty::spawn("admin", move || admin::run(metrics, scrape, ring)).context(ThreadSnafu)?;
     let requests = Requests { decisions, jobs };
     let prefix = Arc::from(me.id.as_str());
-    let make = move || Desk::new(requests, clock, stopping, open, prefix);
+    let make = move || Desk::new(requests, clock, stopping, closed, open, prefix);
     duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
 
     println!("{ready}");
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -20,7 +20,8 @@
 use crate::logs::Log;
 use crate::rings::Input;
 
-/// The time in which callers and peers hear of the stop while requests are still taken.
+/// The time in which callers and peers hear of the stop while requests are still
+/// taken; every answer in it asks its caller to close the connection.
 const LEAD: Duration = Duration::from_secs(2);
 
 /// The time between two looks at the open requests.
@@ -31,6 +32,7 @@
 pub struct Stop {
     signals: Signals,
     stopping: Arc<AtomicBool>,
+    closed: Arc<AtomicBool>,
     open: Arc<AtomicU64>,
     decisions: Sender<Input>,
     log: Log,
@@ -44,6 +46,7 @@
     /// Fails when the system takes no handler.
     pub fn new(
         stopping: Arc<AtomicBool>,
+        closed: Arc<AtomicBool>,
         open: Arc<AtomicU64>,
         decisions: Sender<Input>,
         log: Log,
@@ -52,6 +55,7 @@
         Ok(Self {
             signals,
             stopping,
+            closed,
             open,
             decisions,
             log,
@@ -67,8 +71,9 @@
         self.log.put(Level::Info, Line::new("stop-begins"));
         // The decision duty ends last.
         drop(self.decisions.send_blocking(Input::Event(Event::Stop)));
-        thread::sleep(LEAD);
         self.stopping.store(true, Ordering::Release);
+        thread::sleep(LEAD);
+        self.closed.store(true, Ordering::Release);
         let begun = Instant::now();
         while self.open.load(Ordering::Acquire) > 0 && begun.elapsed() < grace {
             thread::sleep(LOOK);
