node: a request that may have run is never refused as not run

Cause: a history of region-lost held one FalseRefusal: a request was cut off at a backend server, tried again, found its region's quota used up, and was then refused with "not run". Refusals for want of quota, and those of a suspect that waits, took no account of earlier attempts. Ruled out: the checker (the backend server's record and the caller's answer name the same request). Change: refusals of open requests are made in one place, which asks whether an attempt may have run. The measurement duty is woken once a second and no longer by each peer message. Conclusion: the matrix has one fault a cell; this one needed two.

--- a/crates/daemon/src/decide.rs
+++ b/crates/daemon/src/decide.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use corianderway_model::Time;
 use corianderway_node::Action;
 use corianderway_node::Event;
 use corianderway_node::Found;
@@ -29,6 +30,9 @@
 use crate::rings::Question;
 use crate::rings::Verdict;
 
+/// The time between two lists for the measurement duty.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Everything that the decision duty owns.
 #[derive(Debug)]
 pub struct Decisions {
@@ -42,6 +46,8 @@
     // The rings of open requests, sorted by number.
     verdicts: Vec<(RequestId, Sender<Verdict>)>,
     actions: Vec<Action>,
+    // When the measurement duty was last given a list.
+    listed: Time,
 }
 
 impl Decisions {
@@ -64,6 +70,7 @@
             history: History::default(),
             verdicts: Vec::new(),
             actions: Vec::new(),
+            listed: Time::ZERO,
         }
     }
 
@@ -78,6 +85,7 @@
                     wall: clock::wall(),
                 });
                 next = self.clock.now() + TICK;
+                self.list_probes();
             } else if let Some(input) = receive(&inputs, wait) {
                 self.take(input);
             }
@@ -105,18 +113,24 @@
         }
     }
 
+    // Tells the measurement duty which servers to look at.
+    fn list_probes(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.listed) < PROBE_PERIOD {
+            return;
+        }
+        self.listed = now;
+        // A full ring is followed by a later list.
+        let list = self.node.asked().to_vec();
+        drop(self.probes.try_send(Probe::List(list)));
+    }
+
     fn pass(&mut self, event: Event) {
         let ended = match &event {
             Event::Ended { id, .. } => Some(*id),
             _ => None,
         };
-        let listed = matches!(event, Event::Instances { .. } | Event::Peer { .. });
         self.step(event);
-        if listed && self.probes.is_empty() {
-            // The measurement duty takes a list each time it probes.
-            let list = self.node.asked().to_vec();
-            drop(self.probes.try_send(Probe::List(list)));
-        }
         if let Some(id) = ended {
             self.close(id);
         }
--- a/crates/daemon/src/probes.rs
+++ b/crates/daemon/src/probes.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -17,9 +16,6 @@
 use crate::rings::Input;
 use crate::rings::Probe;
 
-/// The time between two probes of a backend server.
-const PERIOD: Duration = Duration::from_secs(1);
-
 /// The longest wait for a report.
 const ANSWER: Duration = Duration::from_millis(800);
 
@@ -39,18 +35,14 @@
 pub fn run(probes: Receiver<Probe>, decisions: Sender<Input>) {
     task::block_on(async move {
         let decisions = Rc::new(decisions);
-        let mut listed: Option<Instant> = None;
         while let Ok(probe) = probes.recv().await {
             match probe {
-                Probe::List(servers) if listed.is_none_or(|at| at.elapsed() >= PERIOD) => {
-                    listed = Some(Instant::now());
+                Probe::List(servers) => {
                     for server in servers {
                         let look = look(server.id, server.addr, Rc::clone(&decisions));
                         task::spawn_local(look);
                     }
                 }
-                // The servers were looked at not long ago.
-                Probe::List(_) => (),
                 Probe::One(server, addr) => {
                     task::spawn_local(look(server, addr, Rc::clone(&decisions)));
                 }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -197,7 +197,7 @@
                 None
             }
             Err(Blocked::Quota(reason)) => {
-                open.refusal = Some(Refusal::not_run(reason));
+                open.refusal = Some(open.refuse(reason));
                 Some(Signal::Short)
             }
             Err(Blocked::Server(NoServer::Overloaded)) => Some(Signal::Full),
@@ -369,11 +369,7 @@
         NoServer::Overloaded => Reason::Overloaded,
         NoServer::ShiftCapped => Reason::ShiftCapped,
     };
-    if open.attempts.may_have_run() {
-        Refusal::may_have_run(reason)
-    } else {
-        Refusal::not_run(reason)
-    }
+    open.refuse(reason)
 }
 
 fn failure(outcome: Outcome) -> Option<Failure> {
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -14,6 +14,7 @@
 use crate::event::Outcome;
 use crate::event::Query;
 use crate::event::RequestId;
+use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
 /// One open request.
@@ -55,6 +56,17 @@
     pub(crate) refusal: Option<Refusal>,
 }
 
+impl Open {
+    /// The refusal for a reason; true also after an attempt that may have run.
+    pub(crate) fn refuse(&self, reason: Reason) -> Refusal {
+        if self.attempts.may_have_run() {
+            Refusal::may_have_run(reason)
+        } else {
+            Refusal::not_run(reason)
+        }
+    }
+}
+
 /// All open requests, by number.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
--- a/crates/node/src/waiting.rs
+++ b/crates/node/src/waiting.rs
@@ -49,12 +49,12 @@
         match self.suspicion(now, open) {
             Suspect::Run => (),
             Suspect::Wait => {
-                let refusal = Refusal::not_run(Reason::Overloaded);
+                let refusal = open.refuse(Reason::Overloaded);
                 open.refusal = Some(refusal.retry_after(QUOTA_WAIT));
                 return Signal::Short;
             }
             Suspect::Refuse => {
-                open.refusal = Some(Refusal::not_run(Reason::Quarantined));
+                open.refusal = Some(open.refuse(Reason::Quarantined));
                 return Signal::Refused;
             }
         }
@@ -75,7 +75,7 @@
             }
             Verdict::Refused { .. } => {
                 self.quarantine.release(open.query.digest);
-                let refusal = Refusal::not_run(self.rate_reason());
+                let refusal = open.refuse(self.rate_reason());
                 open.refusal = Some(refusal.retry_after(QUOTA_WAIT));
                 Signal::Short
             }
@@ -84,7 +84,7 @@
 
     /// Lets a request wait until quota can have come from the peers.
     pub(crate) fn wait_for_quota(&mut self, now: Time, open: &mut Open) -> Result<(), Refusal> {
-        let told = open.refusal.unwrap_or(Refusal::not_run(Reason::Overloaded));
+        let told = open.refusal.unwrap_or(open.refuse(Reason::Overloaded));
         let refusal = told.retry_after(QUOTA_WAIT);
         if self.rooms.quota.len() >= QUOTA_WAITERS {
             return Err(refusal);
@@ -218,12 +218,7 @@
     }
 
     fn turn_back(&mut self, now: Time, mut open: Open, reason: Reason, out: &mut Vec<Action>) {
-        let may_have_run = open.attempts.may_have_run();
-        let refusal = if may_have_run {
-            Refusal::may_have_run(reason)
-        } else {
-            Refusal::not_run(reason)
-        };
+        let refusal = open.refuse(reason);
         open.refusal = Some(refusal.retry_after(QUOTA_WAIT));
         self.advance(now, open, Signal::Refused, out);
     }
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -158,6 +158,19 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+// Found by a history of region-lost: a request that was cut, tried again and
+// then short of region capacity was told "not run".
+#[test]
+fn a_request_that_was_cut_is_never_told_not_run_for_want_of_quota() {
+    let mut rig = Rig::with_capacity(100.0, 2.0, 8, 2);
+    let id = rig.send("GET", "/brief/1", None);
+    assert_eq!(rig.told(id), [Told::Sent]);
+    rig.end(id, Outcome::Broken);
+    rig.run(Duration::from_secs(2));
+    let refused = Told::Refused("region-full", "may-have-run");
+    assert_eq!(rig.told(id), [Told::Sent, refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -76,6 +76,11 @@
 impl Rig {
     /// Starts a node with a contract of this rate, and waits until it is ready.
     pub fn start(rate: f64, slots: u32, servers: usize) -> Self {
+        Self::with_capacity(rate, 1_000.0, slots, servers)
+    }
+
+    /// The same with the capacity of the region.
+    pub fn with_capacity(rate: f64, capacity: f64, slots: u32, servers: usize) -> Self {
         let account = "finder".try_into().unwrap();
         let (record, text) = KeyRecord::generate(account, &[7; NONCE_BYTES], WALL / 1_000);
         let mut rig = Self {
@@ -91,7 +96,7 @@
             told: Vec::new(),
             next: 0,
         };
-        rig.store("contracts/finder", &contract(rate));
+        rig.store("contracts/finder", &contract(rate, capacity));
         let key = format!("keys/{}", rig.record.id);
         let value = serde_json::to_string(&rig.record).unwrap();
         rig.store(&key, &value);
@@ -303,14 +308,16 @@
     }
 }
 
-fn contract(rate: f64) -> String {
+fn contract(rate: f64, capacity: f64) -> String {
     format!(
         "{{\"account\": \"finder\", \"hosts\": [\"{HOST}\"], \"rate\": {rate}, \"burst\": {rate},
           \"routes\": [
             {{\"name\": \"find\", \"path\": \"/find/\", \"methods\": [\"GET\"],
               \"service\": \"finder\", \"deadline\": \"4s\"}},
+            {{\"name\": \"brief\", \"path\": \"/brief/\", \"methods\": [\"GET\"],
+              \"service\": \"finder\", \"deadline\": \"1s\"}},
             {{\"name\": \"move\", \"path\": \"/move/\", \"methods\": [\"POST\"],
               \"service\": \"finder\", \"replay\": \"once\", \"deadline\": \"4s\"}}],
-          \"regions\": [{{\"name\": \"north\", \"capacity\": 1000, \"shift\": 10}}]}}"
+          \"regions\": [{{\"name\": \"north\", \"capacity\": {capacity}, \"shift\": 10}}]}}"
     )
 }
