node: a version without a move gets nothing

Cause: servers of a new version that were listed before their move took requests like the others, so a bad version could get all of its share at once. Ruled out: asking operators to start the move first, which nobody can rely on; the lowest name as the old version. Change: where no move says which version is in service, it is the one that this instance knows as such while any server runs it, else that of the most slots. Failed first: by reading; a_version_without_a_move_gets_no_request now holds it over real processes (v2 ran 0 requests while v1 ran more than 100). Conclusion: two instances that start while versions are half and half may disagree until a move says which; the most slots decide for both.

--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -19,8 +19,10 @@
 use corianderway_rollout::Plan;
 use corianderway_standins::backend::Faults;
 use corianderway_standins::backend::Rule;
+use corianderway_standins::harness::call;
 use corianderway_standins::harness::until;
 use corianderway_standins::harness::Client;
+use corianderway_standins::harness::Daemon;
 use corianderway_standins::harness::Request;
 use serde_json::Value;
 
@@ -114,6 +116,25 @@
     assert_eq!(ran["version"], "v2");
 }
 
+#[test]
+fn a_version_without_a_move_gets_no_request() {
+    let mut fleet = Fleet::start(2, 2);
+    fleet.add_server("finder-new-0", "v2", &[]);
+    let listed = Request::get("/status");
+    until("the new server", MOVE_TIME, || {
+        let known = |entry: &Daemon| {
+            call(entry.metrics, &listed).is_ok_and(|r| r.text().contains("finder-new-0"))
+        };
+        fleet.entries.iter().all(known).then_some(())
+    })
+    .unwrap();
+    let load = Load::start(fleet.entries.iter().map(|e| e.callers));
+    let ran = || fleet.servers[0].history().unwrap().len();
+    until("requests", MOVE_TIME, || (ran() > 100).then_some(())).unwrap();
+    assert_eq!(load.stop(), 0);
+    assert!(fleet.servers[2].history().unwrap().is_empty());
+}
+
 #[test]
 fn a_bad_version_is_withdrawn_after_few_requests() {
     let mut fleet = Fleet::start(2, 2);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -212,7 +212,7 @@
     // Chooses a version and a server that runs it.
     fn choose(&mut self, now: Time, open: &mut Open) -> Result<Decision, Blocked> {
         let Some(version) = self.pick_version(open) else {
-            return self.route(now, open, &[]);
+            return self.route_unmoved(now, open);
         };
         let only = [Share {
             version: &version,
@@ -234,6 +234,18 @@
         self.route(now, open, &only)
     }
 
+    // Without a move the version in service takes everything.
+    fn route_unmoved(&mut self, now: Time, open: &Open) -> Result<Decision, Blocked> {
+        let Some(version) = self.incumbents.find(&open.route.service).cloned() else {
+            return self.route(now, open, &[]);
+        };
+        let only = [Share {
+            version: &version,
+            weight: 1.0,
+        }];
+        self.route(now, open, &only)
+    }
+
     fn route(
         &mut self,
         now: Time,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,6 +44,7 @@
 mod directory;
 mod drains;
 mod event;
+mod incumbents;
 mod members;
 mod message;
 mod moves;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -47,6 +47,7 @@
 use crate::event::RequestId;
 use crate::event::Ticket;
 use crate::event::Wrote;
+use crate::incumbents::Incumbents;
 use crate::message::Message;
 use crate::open::Table;
 use crate::record::Record;
@@ -99,6 +100,7 @@
     pub(crate) fleet: Fleet,
     // Sorted by identity.
     pub(crate) backends: Vec<Backend>,
+    pub(crate) incumbents: Incumbents,
     /// The servers that this instance asks for their health and load.
     pub(crate) asked: Vec<Backend>,
     /// Reports that the other instances are not told yet.
@@ -164,6 +166,7 @@
             retries: RetryBudget::new(RETRY_RATIO, RETRY_SPARE, RETRY_SPAN),
             fleet: Fleet::new().context(FleetSnafu)?,
             backends: Vec::new(),
+            incumbents: Incumbents::default(),
             asked: Vec::new(),
             untold: Vec::new(),
             router: Router::new(me.region.clone(), me.domain.clone()),
@@ -267,6 +270,7 @@
         backends.sort_by(|a, b| a.id.cmp(&b.id));
         if self.backends != backends {
             self.backends = backends;
+            self.incumbents.take(&self.backends);
             self.choose_asked();
         }
     }
