wire, daemon: one reader of the table of heads

Cause: the parser's tests and the process test each had their own copy of the case type and of how its bytes are made, so the two could drift apart. Ruled out: moving the table into the stand-ins, which the parser's tests need for nothing else. Change: tests/heads/mod.rs of wire reads the table for both; assertions are the same. Before: two copies.

--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -1,49 +1,24 @@
 //! HTTP as callers use and misuse it, over real processes.
 
+#[path = "../../wire/tests/heads/mod.rs"]
+mod heads;
 mod support;
 
 use corianderway_standins::harness::call;
 use corianderway_standins::harness::Client;
 use corianderway_standins::harness::Request;
-use serde::Deserialize;
 use serde_json::Value;
 
 use crate::support::Fleet;
 use crate::support::HOST;
 
-#[derive(Debug, Deserialize)]
-struct Case {
-    name: String,
-    #[serde(default)]
-    lines: Vec<String>,
-    bytes: Option<String>,
-    #[serde(default)]
-    pad: usize,
-    #[serde(default)]
-    repeat: usize,
-    status: Option<u16>,
-}
-
-impl Case {
-    fn bytes(&self) -> Vec<u8> {
-        let mut lines = self.lines.clone();
-        lines.extend((0..self.repeat).map(|at| format!("X-{at}: y")));
-        if self.pad > 0 {
-            lines.push(format!("X-Pad: {}", "y".repeat(self.pad)));
-        }
-        let joined = lines.join("\r\n") + "\r\n\r\n";
-        self.bytes.clone().unwrap_or(joined).into_bytes()
-    }
-}
-
 #[test]
 fn misshapen_heads_are_refused_and_other_callers_notice_nothing() {
     let fleet = Fleet::start(1, 1);
     let addr = fleet.entries[0].callers;
     let mut other = Client::connect(addr).unwrap();
     let fine = Request::get("/capsules/1").host(HOST);
-    let cases = include_str!("../../wire/tests/heads.yaml");
-    let cases: Vec<Case> = serde_yaml_ng::from_str(cases).unwrap();
+    let cases = heads::cases();
     for case in cases.iter().filter(|case| case.status.is_some()) {
         let mut client = Client::connect(addr).unwrap();
         client.write(&case.bytes()).unwrap();
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -1,5 +1,7 @@
 //! Heads, credentials, kept answers, settings and log lines.
 
+mod heads;
+
 use corianderway_node::Reason;
 use corianderway_node::Refusal;
 use corianderway_wire::answer;
@@ -18,32 +20,6 @@
 
 const KEY: &str = "1f2e.c0ffee00c0ffee00";
 
-#[derive(Debug, Deserialize)]
-struct Case {
-    name: String,
-    #[serde(default)]
-    lines: Vec<String>,
-    bytes: Option<String>,
-    #[serde(default)]
-    pad: usize,
-    #[serde(default)]
-    repeat: usize,
-    framing: Option<serde_yaml_ng::Value>,
-    status: Option<u16>,
-}
-
-impl Case {
-    fn bytes(&self) -> Vec<u8> {
-        let mut lines = self.lines.clone();
-        lines.extend((0..self.repeat).map(|at| format!("X-{at}: y")));
-        if self.pad > 0 {
-            lines.push(format!("X-Pad: {}", "y".repeat(self.pad)));
-        }
-        let joined = lines.join("\r\n") + "\r\n\r\n";
-        self.bytes.clone().unwrap_or(joined).into_bytes()
-    }
-}
-
 fn check(bytes: &[u8]) -> Result<Framing, HeadError> {
     let end = head::end(bytes)?.unwrap_or(bytes.len());
     head::check_request(&bytes[..end])
@@ -51,8 +27,7 @@
 
 #[test]
 fn heads_are_taken_or_refused_as_the_table_says() {
-    let cases: Vec<Case> = serde_yaml_ng::from_str(include_str!("heads.yaml")).unwrap();
-    for case in cases {
+    for case in heads::cases() {
         let found = check(&case.bytes());
         let status = found.as_ref().err().map(HeadError::status);
         assert_eq!(status, case.status, "{}: {found:?}", case.name);
