--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -7,6 +7,8 @@
     cmd corianderwayd {
         /// The settings file, in YAML.
         optional --settings file: PathBuf
+        /// Runs on the platform, with the settings file that it writes.
+        optional --platform
         /// Checks the settings file and ends.
         optional --check
         /// Prints the version and ends.
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -10,10 +10,18 @@
 use http_types::Request;
 use http_types::Url;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 
 /// The longest time to make a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// The silence on a connection after which it is probed, and between probes.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is broken.
+const SILENT_PROBES: u32 = 2;
+
 /// Calls to one address.
 #[derive(Clone, Copy, Debug)]
 pub struct Client(SocketAddr);
@@ -61,6 +69,7 @@
         let Some(request) = self.request(method, path, headers, body) else {
             return Err(Unanswered { nothing_sent });
         };
+        probe_silence(&stream);
         let nothing_sent = false;
         let answered = future::timeout(limit, answer(stream, request)).await;
         answered.ok().flatten().ok_or(Unanswered { nothing_sent })
@@ -87,6 +96,17 @@
     }
 }
 
+// Has the system probe a silent connection, so that one whose other end is gone
+// breaks instead of waiting out its time.
+fn probe_silence(stream: &TcpStream) {
+    let probes = TcpKeepalive::new()
+        .with_time(SILENCE)
+        .with_interval(SILENCE)
+        .with_retries(SILENT_PROBES);
+    // Without probes the call's own time limit remains.
+    drop(SockRef::from(stream).set_tcp_keepalive(&probes));
+}
+
 impl Reply {
     /// The body as JSON, if it is what is expected.
     pub fn json<T: DeserializeOwned>(&self) -> Option<T> {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -39,10 +39,11 @@
 use crate::stop::Stop;
 
 /// The exit code when a planned stop had to cut requests off.
-const EXIT_CUT: u8 = 3;
+pub const EXIT_CUT: u8 = 3;
 
 /// Why the daemon can't start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum StartError {
     /// An address can't be listened on.
     #[snafu(display("{field}: {addr}: {source}; give a free address of this instance"))]
@@ -78,6 +79,12 @@
         /// The node's error.
         source: corianderway_node::Error,
     },
+    /// A chart of the decisions on the platform is faulty.
+    #[snafu(display("{source}"))]
+    Steer {
+        /// What is wrong with it.
+        source: corianderway_steer::ChartError,
+    },
     /// The name is not usable.
     #[snafu(display("instance: {source}"))]
     Name {
--- /dev/null
+++ b/crates/daemon/src/edge/metrics.rs
@@ -0,0 +1,85 @@
+//! The metrics duty: counts the notes of the decisions.
+
+use async_channel::Receiver;
+use corianderway_steer::Note;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+
+use crate::metrics;
+use crate::metrics::Scrape;
+
+/// The pause between two looks at the samples, so that many are counted at
+/// one wake-up.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(250);
+
+/// Values of notes that become labels; the sets of their values are bounded by
+/// the configuration.
+const LABELS: [&str; 7] = ["route", "service", "account", "reason", "status", "from", "to"];
+
+/// The instruments of one process.
+#[derive(Debug)]
+pub struct Instruments {
+    // Kept, since the instruments record nothing once it is dropped.
+    _provider: SdkMeterProvider,
+    events: Counter<u64>,
+    held: Histogram<f64>,
+    attempts: Histogram<f64>,
+}
+
+impl Instruments {
+    /// Makes the instruments and their scrape end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter can't be made.
+    pub fn new() -> Result<(Self, Scrape), OTelSdkError> {
+        let (provider, scrape) = metrics::provider()?;
+        let meter = provider.meter("corianderway");
+        let latency = |name: &'static str, about: &'static str| {
+            let histogram = meter.f64_histogram(name).with_description(about);
+            histogram
+                .with_boundaries(metrics::LATENCY_BOUNDS.to_vec())
+                .build()
+        };
+        let instruments = Self {
+            events: meter.u64_counter("corianderway_events").build(),
+            held: latency("corianderway_held_seconds", "Time to the final answer"),
+            attempts: latency("corianderway_attempt_seconds", "Time of one attempt"),
+            _provider: provider,
+        };
+        Ok((instruments, scrape))
+    }
+
+    fn record(&self, note: &Note) {
+        let mut labels = vec![KeyValue::new("event", note.event)];
+        for (name, value) in &note.pairs {
+            match *name {
+                "held_ms" => self.held.record(seconds(value), &[]),
+                "took_ms" => self.attempts.record(seconds(value), &[]),
+                name if LABELS.contains(&name) => labels.push(KeyValue::new(name, value.clone())),
+                _ => (),
+            }
+        }
+        self.events.add(1, &labels);
+    }
+}
+
+/// Records samples until every sender is gone.
+pub fn run(samples: &Receiver<Note>, instruments: &Instruments) {
+    while let Ok(note) = samples.recv_blocking() {
+        instruments.record(&note);
+        while let Ok(note) = samples.try_recv() {
+            instruments.record(&note);
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
+
+fn seconds(millis: &str) -> f64 {
+    // The decisions write whole numbers here.
+    millis.parse::<f64>().map_or(0.0, |millis| millis / 1_000.0)
+}
--- /dev/null
+++ b/crates/daemon/src/edge/recent.rs
@@ -0,0 +1,36 @@
+//! The latest notes about requests, kept to explain them.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use corianderway_steer::Note;
+use corianderway_wire::line::Line;
+use serde_json::json;
+
+/// Lines that are kept.
+const KEPT: usize = 2_048;
+
+/// The latest lines about requests, oldest first.
+#[derive(Debug, Default)]
+pub struct Recent(VecDeque<(Arc<str>, String)>);
+
+impl Recent {
+    /// Keeps the line of a note if it is about a request.
+    pub fn note(&mut self, note: &Note, line: &Line) {
+        let Some(trace) = &note.trace else {
+            return;
+        };
+        if self.0.len() == KEPT {
+            self.0.pop_front();
+        }
+        let text = line.clone().into_text();
+        self.0.push_back((Arc::clone(trace), text));
+    }
+
+    /// What is kept about one request, as JSON.
+    pub fn explain(&self, trace: &str) -> String {
+        let rows = self.0.iter().filter(|row| &*row.0 == trace);
+        let lines: Vec<&str> = rows.map(|row| row.1.as_str()).collect();
+        json!({ "request": trace, "lines": lines }).to_string()
+    }
+}
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -29,6 +29,16 @@
         (Self { lines, lost }, taken)
     }
 
+    /// Hands a line to the log duty if the ring is less than half full, or
+    /// counts it, so that lines which matter more still find room.
+    pub fn put_plain(&self, level: Level, line: Line) {
+        if self.lines.len() < rings::LINES / 2 {
+            self.put(level, line);
+        } else {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Hands a line to the log duty, or counts it when the ring is full.
     pub fn put(&self, level: Level, line: Line) {
         if self.lines.try_send((level, line.into_text())).is_err() {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod decide;
 mod duty;
+mod edge;
 mod exchange;
 mod feed;
 mod history;
@@ -29,6 +30,8 @@
 
 use std::process::ExitCode;
 
+use corianderway_platform::settings::Settings as PlatformSettings;
+use corianderway_platform::settings::SETTINGS_PATH;
 use corianderway_wire::settings::Settings;
 
 use crate::args::Corianderwayd;
@@ -50,8 +53,11 @@
         println!("corianderwayd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if args.platform {
+        return run_on_platform(args.check);
+    }
     let Some(file) = args.settings else {
-        eprintln!("error: no settings; give --settings FILE");
+        eprintln!("error: no settings; give --settings FILE or --platform");
         return ExitCode::from(EXIT_USAGE);
     };
     let settings = match Settings::load(&file.to_string_lossy()) {
@@ -65,6 +71,22 @@
     daemon::run(&settings).unwrap_or_else(|error| fail(&error, EXIT_START))
 }
 
+fn run_on_platform(check: bool) -> ExitCode {
+    let Ok(file) = std::env::var(SETTINGS_PATH) else {
+        eprintln!("error: no settings; set {SETTINGS_PATH} to the path of the settings file");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match PlatformSettings::load(&file, rand::random()) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error, EXIT_USAGE),
+    };
+    if check {
+        println!("{file}: ok");
+        return ExitCode::SUCCESS;
+    }
+    edge::run(&file, settings).unwrap_or_else(|error| fail(&error, EXIT_START))
+}
+
 fn fail(error: &dyn std::error::Error, code: u8) -> ExitCode {
     eprintln!("error: {error}");
     ExitCode::from(code)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -12,7 +12,7 @@
 use prometheus::TextEncoder;
 
 /// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BOUNDS: [f64; 12] = [
+pub const LATENCY_BOUNDS: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 10.0,
 ];
 
@@ -37,11 +37,7 @@
     ///
     /// Fails when the exporter can't be made.
     pub fn new() -> Result<(Self, Scrape), opentelemetry_sdk::error::OTelSdkError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (provider, scrape) = provider()?;
         let meter = provider.meter("corianderway");
         let latency = meter
             .f64_histogram("corianderway_latency_seconds")
@@ -54,7 +50,7 @@
             refused: meter.u64_counter("corianderway_refused").build(),
             latency,
         };
-        Ok((instruments, Scrape(registry)))
+        Ok((instruments, scrape))
     }
 
     // Labels come from contracts and the instance list only, so their number
@@ -88,6 +84,20 @@
     }
 }
 
+/// Makes a provider of instruments and its scrape end.
+///
+/// # Errors
+///
+/// Fails when the exporter can't be made.
+pub fn provider() -> Result<(SdkMeterProvider, Scrape), opentelemetry_sdk::error::OTelSdkError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    Ok((provider, Scrape(registry)))
+}
+
 /// Records samples until every sender is gone.
 pub fn run(samples: Receiver<Record>, instruments: Instruments) {
     while let Ok(record) = samples.recv_blocking() {
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -23,18 +23,34 @@
 struct Idle {
     stream: TcpStream,
     since: Instant,
+    // How long the connection may stay idle.
+    keep: Duration,
 }
 
 impl Pool {
     /// Takes the connection that became idle last.
     pub fn take(&mut self, addr: SocketAddr) -> Option<TcpStream> {
+        self.take_within(addr, IDLE)
+    }
+
+    /// Takes the connection that became idle last, if that is not longer ago
+    /// than `most`.
+    pub fn take_within(&mut self, addr: SocketAddr, most: Duration) -> Option<TcpStream> {
         let at = self.rows.binary_search_by_key(&addr, |row| row.0).ok()?;
-        let idle = self.rows[at].1.pop()?;
-        (idle.since.elapsed() < IDLE).then_some(idle.stream)
+        let last = self.rows[at].1.last()?;
+        if last.since.elapsed() >= last.keep.min(most) {
+            return None;
+        }
+        self.rows[at].1.pop().map(|idle| idle.stream)
     }
 
     /// Keeps a connection on which no answer is owed.
     pub fn put(&mut self, addr: SocketAddr, stream: TcpStream) {
+        self.put_for(addr, stream, IDLE);
+    }
+
+    /// Keeps a connection on which no answer is owed, for a span at most.
+    pub fn put_for(&mut self, addr: SocketAddr, stream: TcpStream, keep: Duration) {
         let at = match self.rows.binary_search_by_key(&addr, |row| row.0) {
             Ok(at) => at,
             Err(at) => {
@@ -45,14 +61,18 @@
         let kept = &mut self.rows[at].1;
         if kept.len() < KEPT {
             let since = Instant::now();
-            kept.push(Idle { stream, since });
+            kept.push(Idle {
+                stream,
+                since,
+                keep,
+            });
         }
     }
 
     /// Closes the connections that were idle for too long.
     pub fn expire(&mut self) {
         for (_, kept) in &mut self.rows {
-            kept.retain(|idle| idle.since.elapsed() < IDLE);
+            kept.retain(|idle| idle.since.elapsed() < idle.keep);
         }
         self.rows.retain(|(_, kept)| !kept.is_empty());
     }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -34,6 +34,8 @@
 mod fleet;
 mod name;
 pub mod raw;
+mod secret;
+mod sorted;
 mod time;
 
 pub use crate::contract::Access;
@@ -56,5 +58,7 @@
 pub use crate::name::ServerId;
 pub use crate::name::Service;
 pub use crate::name::Version;
+pub use crate::secret::Secret;
+pub use crate::sorted::Sorted;
 pub use crate::time::Text as DurationText;
 pub use crate::time::Time;
--- /dev/null
+++ b/crates/model/src/sorted.rs
@@ -0,0 +1,109 @@
+//! A map kept as a sorted vector.
+
+use std::borrow::Borrow;
+
+/// A map that keeps its rows sorted by key and looks them up by binary search.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sorted<K, V> {
+    rows: Vec<(K, V)>,
+}
+
+impl<K, V> Default for Sorted<K, V> {
+    fn default() -> Self {
+        Self { rows: Vec::new() }
+    }
+}
+
+impl<K: Ord, V> Sorted<K, V> {
+    /// The value under a key.
+    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+    {
+        let at = self.find(key).ok()?;
+        Some(&self.rows[at].1)
+    }
+
+    /// The value under a key, to be changed.
+    pub fn get_mut<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<&mut V>
+    where
+        K: Borrow<Q>,
+    {
+        let at = self.find(key).ok()?;
+        Some(&mut self.rows[at].1)
+    }
+
+    /// The value under a key, made if there is none.
+    pub fn get_or(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let at = match self.find(&key) {
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, (key, make()));
+                at
+            }
+        };
+        &mut self.rows[at].1
+    }
+
+    /// Puts a value under a key, and returns the one that was there.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.find(&key) {
+            Ok(at) => Some(std::mem::replace(&mut self.rows[at].1, value)),
+            Err(at) => {
+                self.rows.insert(at, (key, value));
+                None
+            }
+        }
+    }
+
+    /// Takes the value under a key out.
+    pub fn remove<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<V>
+    where
+        K: Borrow<Q>,
+    {
+        let at = self.find(key).ok()?;
+        Some(self.rows.remove(at).1)
+    }
+
+    /// Keeps the rows for which `keep` holds.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.rows.retain_mut(|(key, value)| keep(key, value));
+    }
+
+    /// The rows in the order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.rows.iter().map(|(key, value)| (key, value))
+    }
+
+    /// The rows in the order of their keys, with values to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
+        self.rows.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// The number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there are no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn find<Q: Ord + ?Sized>(&self, key: &Q) -> Result<usize, usize>
+    where
+        K: Borrow<Q>,
+    {
+        self.rows.binary_search_by(|row| row.0.borrow().cmp(key))
+    }
+}
+
+impl<K: Ord, V> FromIterator<(K, V)> for Sorted<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(rows: I) -> Self {
+        let mut sorted = Self::default();
+        for (key, value) in rows {
+            sorted.insert(key, value);
+        }
+        sorted
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,6 +1,5 @@
 //! What goes into a node and what comes out of it.
 
-use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +11,7 @@
 use corianderway_model::Backend;
 use corianderway_model::Entry;
 use corianderway_model::InstanceId;
+use corianderway_model::Secret;
 use corianderway_model::ServerId;
 use corianderway_model::Time;
 
@@ -27,28 +27,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
-/// Text that is never printed.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Secret(Arc<str>);
-
-impl Secret {
-    /// Wraps a secret text.
-    pub fn new(text: &str) -> Self {
-        Self(text.into())
-    }
-
-    /// The text, for comparing only.
-    pub fn expose(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("[redacted]")
-    }
-}
-
 /// What a caller asks, without its body.
 #[derive(Clone, Debug)]
 pub struct Query {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -70,7 +70,6 @@
 pub use crate::event::Query;
 pub use crate::event::Report;
 pub use crate::event::RequestId;
-pub use crate::event::Secret;
 pub use crate::event::Ticket;
 pub use crate::event::Write;
 pub use crate::event::Wrote;
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -24,7 +24,7 @@
 use corianderway_node::Outcome;
 use corianderway_node::Query;
 use corianderway_node::RequestId;
-use corianderway_node::Secret;
+use corianderway_model::Secret;
 use corianderway_node::Ticket;
 use corianderway_node::Write;
 use corianderway_node::Wrote;
--- /dev/null
+++ b/crates/steer/src/choice.rs
@@ -0,0 +1,246 @@
+//! Which backend server runs a request: the one expected to answer first.
+
+use std::fmt;
+use std::time::Duration;
+
+use corianderway_model::FailureDomain;
+use corianderway_model::Region;
+use corianderway_model::ServerId;
+use corianderway_model::Sorted;
+use corianderway_model::Time;
+
+use crate::fleet::Fleet;
+use crate::hash;
+use crate::moves::Lane;
+use crate::pace::Warmth;
+use crate::plan::Route;
+use crate::server::millis;
+use crate::server::Server;
+use crate::server::State;
+use crate::shift::Drift;
+
+/// What another failure domain costs, in milliseconds: the way there and back,
+/// and what the bytes between failure domains are worth.
+const DOMAIN_MS: f64 = 25.0;
+
+/// What another region costs, in milliseconds: the way there and back.
+const REGION_MS: f64 = 75.0;
+
+/// How much slower a cold server is.
+const COLD_FACTOR: f64 = 2.0;
+
+/// The least wait for a slot that is accepted, as a part of the objective.
+const WAIT_PART: f64 = 0.25;
+
+/// How much of its remaining time a request may be expected to need.
+const LEFT_PART: f64 = 1.0;
+
+/// What is asked of the fleet for one request.
+#[derive(Debug)]
+pub(crate) struct Ask<'a> {
+    pub(crate) route: &'a Route,
+    pub(crate) servers: &'a [ServerId],
+    pub(crate) object: Option<u64>,
+    pub(crate) tried: &'a [ServerId],
+    /// The regions that may run it; each list binds unless it is empty.
+    pub(crate) homes: [&'a [Region]; 2],
+    pub(crate) lane: &'a Lane,
+    pub(crate) left: Duration,
+    pub(crate) drift: Drift,
+    /// A random number from 0 to 1.
+    pub(crate) draw: f64,
+}
+
+/// A backend server, and what it is expected to cost, in milliseconds.
+#[derive(Clone, Debug)]
+pub(crate) struct Choice {
+    pub(crate) server: ServerId,
+    pub(crate) warmth: Warmth,
+    /// Whether it stands in another region.
+    pub(crate) away: bool,
+    pub(crate) path: f64,
+    pub(crate) wait: f64,
+    pub(crate) work: f64,
+    /// What its failures and slow requests add.
+    pub(crate) risk: f64,
+    pub(crate) occupancy: u32,
+    /// The servers it was chosen from.
+    pub(crate) candidates: usize,
+}
+
+/// Why no backend server is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Blocked {
+    /// None may run it.
+    NoServer,
+    /// Each that may is full, cold or left alone for a while.
+    Full,
+    /// None would answer in the time that is left.
+    TooLate,
+}
+
+impl Choice {
+    /// The time to its answer, with what it costs besides.
+    fn cost(&self) -> f64 {
+        self.path + self.wait + self.work + self.risk
+    }
+
+    /// The time that it is expected to take from the sending to the answer.
+    pub(crate) fn expected(&self) -> f64 {
+        self.wait + self.work
+    }
+}
+
+impl fmt::Display for Choice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "of:{}/{:?}/path:{:.0}/wait:{:.0}/work:{:.0}/risk:{:.0}/occupied:{}",
+            self.candidates,
+            self.warmth,
+            self.path,
+            self.wait,
+            self.work,
+            self.risk,
+            self.occupancy
+        )
+    }
+}
+
+impl Fleet {
+    /// Chooses the backend server for a request.
+    pub(crate) fn choose(&self, now: Time, ask: &Ask<'_>) -> Result<Choice, Blocked> {
+        let listed: Vec<&Server> = ask
+            .servers
+            .iter()
+            .filter_map(|id| self.server(id))
+            .filter(|server| self.may_run(server, ask))
+            .collect();
+        if listed.is_empty() {
+            return Err(Blocked::NoServer);
+        }
+        let open: Vec<&Server> = listed
+            .iter()
+            .copied()
+            .filter(|server| self.has_turn(now, server))
+            .collect();
+        let owners = owners(&open, ask.object);
+        let objective = millis(ask.route.objective);
+        let choices = open.iter().map(|server| {
+            let warmth = warmth(server, ask.object, &owners);
+            self.weigh(now, server, warmth, ask)
+        });
+        let homely = listed
+            .iter()
+            .any(|server| server.listed.backend.region == *self.region());
+        let choices: Vec<Choice> = choices
+            .filter(|choice| !(homely && choice.away && ask.drift == Drift::HomeOnly))
+            .collect();
+        let best = choices.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
+        let best = best.ok_or(Blocked::Full)?;
+        let wait_most = (objective - best.work).max(objective * WAIT_PART);
+        if best.wait > wait_most {
+            return Err(Blocked::Full);
+        }
+        if best.path + best.expected() > millis(ask.left) * LEFT_PART && ask.left < ask.route.objective {
+            return Err(Blocked::TooLate);
+        }
+        let candidates = choices.len();
+        Ok(Choice {
+            candidates,
+            ..best.clone()
+        })
+    }
+
+    // Whether the rules let a server run the request, now or later.
+    fn may_run(&self, server: &Server, ask: &Ask<'_>) -> bool {
+        let backend = &server.listed.backend;
+        let home = |homes: &[Region]| homes.is_empty() || homes.contains(&backend.region);
+        server.state != State::Leaving
+            && ask.lane.admits(&backend.version)
+            && ask.homes.into_iter().all(home)
+            && !self.is_evacuated(&backend.domain)
+            && !ask.tried.contains(&backend.id)
+    }
+
+    // Whether a server may be given a request right now.
+    fn has_turn(&self, now: Time, server: &Server) -> bool {
+        match server.state {
+            State::Serving => !server.is_full(now),
+            State::Warming => server.cold_next <= now && self.cold_gap(server).is_some(),
+            State::Ejected | State::Leaving => false,
+        }
+    }
+
+    fn weigh(&self, now: Time, server: &Server, warmth: Warmth, ask: &Ask<'_>) -> Choice {
+        let backend = &server.listed.backend;
+        let objective = millis(ask.route.objective);
+        let away = backend.region != *self.region();
+        let mut path = if away {
+            REGION_MS
+        } else if backend.domain == *self.domain() {
+            0.0
+        } else {
+            DOMAIN_MS
+        };
+        // Requests that run away come home no faster than the shift allows.
+        if ask.drift == Drift::AwayFirst {
+            path = if away { 0.0 } else { path + REGION_MS };
+        }
+        let pace = |warmth| self.paces.expect(&ask.route.name, objective, warmth);
+        let mut work = pace(warmth) * server.slowness(now);
+        if server.state == State::Warming {
+            work *= COLD_FACTOR;
+        }
+        let occupancy = server.occupancy(now);
+        let slots = backend.slots.max(1);
+        let free = occupancy < slots;
+        let wait = if free {
+            0.0
+        } else {
+            let hold = pace(Warmth::Known) * server.slowness(now);
+            f64::from(occupancy - slots + 1) * hold / f64::from(slots)
+        };
+        // A server that runs few requests wins between equals.
+        let crowd = f64::from(occupancy) / f64::from(slots) + ask.draw;
+        let risk = server.faults() * objective + server.overdue(now) + crowd;
+        Choice {
+            server: backend.id.clone(),
+            warmth,
+            away,
+            path,
+            wait,
+            work,
+            risk,
+            occupancy,
+            candidates: 0,
+        }
+    }
+}
+
+// The server of each failure domain that ranks first for the object.
+fn owners(open: &[&Server], object: Option<u64>) -> Vec<u64> {
+    let Some(object) = object else {
+        return Vec::new();
+    };
+    let mut best: Sorted<FailureDomain, (u64, u64)> = Sorted::default();
+    for server in open {
+        let rank = hash::rank(object, server.hash);
+        let domain = server.listed.backend.domain.clone();
+        let row = best.get_or(domain, || (rank, server.hash));
+        if rank > row.0 {
+            *row = (rank, server.hash);
+        }
+    }
+    best.iter().map(|(_, row)| row.1).collect()
+}
+
+fn warmth(server: &Server, object: Option<u64>, owners: &[u64]) -> Warmth {
+    match object {
+        // Without an object no server is better prepared than another.
+        None => Warmth::Known,
+        Some(object) if server.knows(object) => Warmth::Known,
+        Some(_) if owners.contains(&server.hash) => Warmth::Likely,
+        Some(_) => Warmth::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,101 @@
+//! The decisions of one instance on a platform that lists its backend servers
+//! and keeps its configuration.
+//!
+//! A [`Steer`] is told what happened and when, and answers with what to do. It
+//! opens no socket, reads no clock and knows no encoding.
+//!
+//! * [`Plan`] is one version of what the operator configured.
+//! * [`Listed`], [`Member`] and [`Order`] are what the platform's store holds.
+//! * [`Digest`] is what instances tell each other.
+//!
+//! # Example
+//!
+//! ```
+//! use corianderway_model::Entry;
+//! use corianderway_model::Presence;
+//! use corianderway_model::Time;
+//! use corianderway_steer::Action;
+//! use corianderway_steer::Bounds;
+//! use corianderway_steer::Event;
+//! use corianderway_steer::Member;
+//! use corianderway_steer::RequestId;
+//! use corianderway_steer::Steer;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let entry = Entry {
+//!     id: "entry-1".try_into()?,
+//!     callers: "127.0.0.1:8001".parse()?,
+//!     peers: "127.0.0.1:9001".parse()?,
+//!     region: "north".try_into()?,
+//!     domain: "north-a".try_into()?,
+//!     presence: Presence::Live,
+//! };
+//! let replica = "127.0.0.1:9002".parse()?;
+//! let me = Member { entry, replica, run: 1 };
+//! let mut steer = Steer::new(me, Bounds::default(), 7)?;
+//! let mut actions = Vec::new();
+//! let event = Event::Directory { id: RequestId(1), region: None, domain: None };
+//! steer.step(Time::from_millis(1), event, &mut actions);
+//! // Nothing is known of the platform yet, so nobody is named.
+//! let Action::Direct { entries, .. } = &actions[0] else { panic!() };
+//! assert!(entries.is_empty());
+//! # Ok(())
+//! # }
+//! ```
+
+mod advice;
+mod bounds;
+mod choice;
+mod crashes;
+mod digest;
+mod event;
+mod fleet;
+mod hash;
+mod listing;
+mod members;
+mod moves;
+mod note;
+mod pace;
+mod plan;
+mod quota;
+mod refusal;
+mod request;
+mod serve;
+mod server;
+mod shift;
+mod split;
+mod steer;
+mod waiting;
+
+pub use crate::bounds::Bounds;
+pub use crate::bounds::SHIFT_SPAN;
+pub use crate::digest::Digest;
+pub use crate::digest::Sighting;
+pub use crate::digest::Tally;
+pub use crate::event::Action;
+pub use crate::event::Event;
+pub use crate::event::Load;
+pub use crate::event::Outcome;
+pub use crate::event::Query;
+pub use crate::event::Reach;
+pub use crate::event::RequestId;
+pub use crate::listing::Listed;
+pub use crate::listing::Member;
+pub use crate::listing::Order;
+pub use crate::listing::Progress;
+pub use crate::listing::ServerChange;
+pub use crate::moves::MOVE_CHART;
+pub use crate::note::Note;
+pub use crate::note::Weight;
+pub use crate::plan::AccountTerms;
+pub use crate::plan::CallerLimits;
+pub use crate::plan::Plan;
+pub use crate::plan::PlanError;
+pub use crate::plan::Route;
+pub use crate::plan::ServiceTerms;
+pub use crate::refusal::Reason;
+pub use crate::refusal::Refusal;
+pub use crate::request::REQUEST_CHART;
+pub use crate::server::SERVER_CHART;
+pub use crate::steer::ChartError;
+pub use crate::steer::Steer;
--- /dev/null
+++ b/crates/steer/src/listing.rs
@@ -0,0 +1,75 @@
+//! What the platform lists: backend servers, instances, moves to new versions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderway_model::Backend;
+use corianderway_model::Entry;
+use corianderway_model::ServerId;
+use corianderway_model::Service;
+use corianderway_model::Version;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A backend server as its entry in the platform's store describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The backend server.
+    pub backend: Backend,
+    /// When this run of it began, by its own wall clock, in milliseconds
+    /// since the Unix epoch; tells two runs under one identity apart.
+    pub born: u64,
+    /// The number of its report within this run.
+    pub report: u64,
+    /// How much longer it stays cold, counted from the report.
+    pub cold_left: Duration,
+}
+
+/// An instance as its entry in the platform's store describes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The instance.
+    pub entry: Entry,
+    /// Where it serves its copy of the store to other instances.
+    pub replica: SocketAddr,
+    /// Drawn at each start; tells two runs under one name apart.
+    pub run: u64,
+}
+
+/// An operator's order to move a service to another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The service.
+    pub service: Service,
+    /// The version that is to take over.
+    pub target: Version,
+    /// The time from the order to its deadline.
+    pub span: Duration,
+    /// The store's revision of the entry, the condition of the next write.
+    pub revision: u64,
+    /// The store's revision at which the entry was made; tells two orders apart.
+    pub created: u64,
+    /// What the entry says of its progress.
+    pub progress: Option<Progress>,
+}
+
+/// How far an order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Progress {
+    /// The move is under way.
+    Running,
+    /// The target has taken over; the old backend servers stop.
+    Completed,
+    /// The target was found bad and gets nothing any more.
+    RolledBack,
+}
+
+/// A change of the list of backend servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServerChange {
+    /// The entry is there, with these contents.
+    Put(Listed),
+    /// The entry is no longer there.
+    Removed(ServerId),
+}
--- /dev/null
+++ b/crates/steer/src/members.rs
@@ -0,0 +1,119 @@
+//! The other instances: who is listed, and who was heard of late.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderway_model::InstanceId;
+use corianderway_model::Presence;
+use corianderway_model::Sorted;
+use corianderway_model::Time;
+
+use crate::digest::Digest;
+use crate::listing::Member;
+
+/// An instance that was not heard for this long is taken for gone: three
+/// digests in a row would have to be lost.
+const SILENCE: Duration = Duration::from_millis(3_500);
+
+/// The entry of an instance that was not heard for this long is removed.
+const FORGET: Duration = Duration::from_secs(20);
+
+/// The instances of the fleet, this one included.
+#[derive(Debug)]
+pub(crate) struct Members {
+    me: Member,
+    rows: Sorted<InstanceId, Row>,
+}
+
+#[derive(Debug)]
+struct Row {
+    member: Member,
+    listed: Time,
+    heard: Option<(Time, Digest)>,
+}
+
+impl Members {
+    pub(crate) fn new(me: Member) -> Self {
+        let rows = Sorted::default();
+        Self { me, rows }
+    }
+
+    /// Takes the list of instances; what was heard of those that stay is kept.
+    pub(crate) fn list(&mut self, now: Time, members: Vec<Member>) {
+        let mut rows = Sorted::default();
+        for member in members {
+            let id = member.entry.id.clone();
+            if id == self.me.entry.id {
+                continue;
+            }
+            let old = self.rows.remove(&id);
+            let same = old.filter(|row| row.member.run == member.run);
+            let (listed, heard) = same.map_or((now, None), |row| (row.listed, row.heard));
+            let row = Row {
+                member,
+                listed,
+                heard,
+            };
+            rows.insert(id, row);
+        }
+        self.rows = rows;
+    }
+
+    /// Takes a digest; false if it is old or of an instance that is not listed.
+    pub(crate) fn hear(&mut self, now: Time, digest: Digest) -> bool {
+        let Some(row) = self.rows.get_mut(&digest.from) else {
+            return false;
+        };
+        let known = row.heard.as_ref();
+        let old = known.is_some_and(|(_, d)| d.run == digest.run && d.number >= digest.number);
+        if !old {
+            row.heard = Some((now, digest));
+        }
+        !old
+    }
+
+    /// The number of listed instances, this one included.
+    pub(crate) fn count(&self) -> usize {
+        self.rows.len() + 1
+    }
+
+    /// The latest digests of the instances that were heard lately.
+    pub(crate) fn heard(&self, now: Time) -> impl Iterator<Item = (&Member, &Digest)> {
+        self.rows.iter().filter_map(move |(_, row)| {
+            let (at, digest) = row.heard.as_ref()?;
+            (now.since(*at) < SILENCE).then_some((&row.member, digest))
+        })
+    }
+
+    /// The instances to name to callers, without this one.
+    pub(crate) fn serving(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let live = |d: &Digest| d.ready && d.presence == Presence::Live;
+        self.heard(now)
+            .filter(move |(_, digest)| live(digest))
+            .map(|(member, _)| member)
+    }
+
+    /// Whether this instance is the first of those that reach the store.
+    pub(crate) fn leads(&self, now: Time, stored: bool) -> bool {
+        let me = &self.me.entry.id;
+        stored && !self.heard(now).any(|(m, d)| d.stored && m.entry.id < *me)
+    }
+
+    /// Where the other instances listen.
+    pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.rows.iter().map(|(_, row)| row.member.entry.peers)
+    }
+
+    /// The instances whose entries outlived them.
+    pub(crate) fn lost(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.rows.iter().filter_map(move |(_, row)| {
+            let since = row.heard.as_ref().map_or(row.listed, |(at, _)| *at);
+            (now.since(since) > FORGET).then_some(&row.member)
+        })
+    }
+
+    /// This instance.
+    pub(crate) fn me(&self) -> &Member {
+        &self.me
+    }
+}
--- /dev/null
+++ b/crates/steer/src/moves.rs
@@ -0,0 +1,519 @@
+//! Moves of services to other versions: what share a target gets, when it is
+//! proven or found bad, and when the old version has nothing left to do.
+
+use std::time::Duration;
+
+use corianderway_chart::Chart;
+use corianderway_model::InstanceId;
+use corianderway_model::RouteName;
+use corianderway_model::Service;
+use corianderway_model::Sorted;
+use corianderway_model::Time;
+use corianderway_model::Version;
+use serde::Deserialize;
+
+use crate::digest::Sighting;
+use crate::digest::Tally;
+use crate::hash;
+use crate::listing::Order;
+use crate::listing::Progress;
+
+/// The chart file of a move.
+pub const MOVE_CHART: &str = include_str!("../charts/move.yaml");
+
+/// The checked chart of a move.
+pub(crate) type MoveChart = Chart<Phase, Signal, Guard, Effect>;
+
+/// The part of the permitted share that a target gets at first; the rest of
+/// it is left for the wider phases, should the fault show only there.
+const CANARY_PART: f64 = 0.5;
+
+/// The share that a target gets in the wider phase.
+const WIDER_SHARE: f64 = 0.3;
+
+/// The part of the time to the deadline after which a target may be proven.
+const PROOF_PART: f64 = 0.35;
+
+/// The part after which fewer answers are enough, so that the deadline is kept.
+const HASTE_PART: f64 = 0.55;
+
+/// Answers that prove a target.
+const PROOF: u32 = 12;
+
+/// Answers that prove a target when time runs out.
+const PROOF_LEAST: u32 = 3;
+
+/// How long the wider phase lasts: a few answers of every instance.
+const WIDER_SPAN: Duration = Duration::from_millis(1_500);
+
+/// How long a target takes everything before the old version may stop.
+const FULL_SPAN: Duration = Duration::from_millis(1_500);
+
+/// The longest wait for the last requests of the old version.
+const DRAIN_MOST: Duration = Duration::from_secs(4);
+
+/// Bad answers on one route below which nothing is concluded.
+const BAD_LEAST: u32 = 4;
+
+/// The part of bad answers, beyond twice the old version's, that is a fault.
+const BAD_PART: f64 = 0.15;
+
+/// A version that is listed beside others without an order gets nothing for
+/// this long, since the order may be on its way.
+const UNORDERED: Duration = Duration::from_secs(5);
+
+/// How far a move has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Phase {
+    Canary,
+    Wider,
+    Full,
+    Completed,
+    RolledBack,
+}
+
+/// What happens to a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Signal {
+    /// Time passed.
+    Tick,
+    /// Another instance is in the wider phase.
+    PeerWider,
+    /// Another instance gives the target everything.
+    PeerFull,
+    /// The store or another instance says that the target took over.
+    Completed,
+    /// The store or another instance says that the target was found bad.
+    Withdrawn,
+}
+
+/// What decides between two branches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Guard {
+    /// The answers of the target show a fault.
+    Bad,
+    /// Enough answers are known, and this instance leads.
+    Proven,
+    /// The wider phase lasted long enough, and this instance leads.
+    Settled,
+    /// The old version has nothing left to do, and this instance leads.
+    Drained,
+}
+
+/// What is done on the way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Effect {
+    /// Note when the phase began.
+    Mark,
+}
+
+/// Which versions of a service a request may go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Lane {
+    /// Any.
+    Any,
+    /// Only this one.
+    Only(Version),
+    /// Any but this one.
+    Not(Version),
+}
+
+impl Lane {
+    /// Whether the lane leads to a version.
+    pub(crate) fn admits(&self, version: &Version) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == version,
+            Self::Not(not) => not != version,
+        }
+    }
+}
+
+/// The moves of all services.
+#[derive(Debug)]
+pub(crate) struct Moves {
+    chart: MoveChart,
+    canary: f64,
+    rows: Sorted<Service, Move>,
+    // When each version of a service was first listed.
+    versions: Sorted<Service, Vec<(Version, Time)>>,
+}
+
+/// One move.
+#[derive(Debug)]
+pub(crate) struct Move {
+    pub(crate) order: Order,
+    pub(crate) phase: Phase,
+    since: Time,
+    phase_since: Time,
+    target: Vec<Tally>,
+    base: Vec<Tally>,
+    peers: Sorted<InstanceId, Sighting>,
+    old_open: u32,
+    reported: Option<Time>,
+}
+
+/// A change of a move, for the log and the store.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    pub(crate) service: Service,
+    pub(crate) from: Phase,
+    pub(crate) to: Phase,
+    pub(crate) evidence: String,
+}
+
+impl Phase {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Canary => "canary",
+            Self::Wider => "wider",
+            Self::Full => "full",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled-back",
+        }
+    }
+
+    /// What the store is to say of a move in this phase.
+    pub(crate) fn progress(self) -> Progress {
+        match self {
+            Self::Canary | Self::Wider | Self::Full => Progress::Running,
+            Self::Completed => Progress::Completed,
+            Self::RolledBack => Progress::RolledBack,
+        }
+    }
+
+    fn signal(self) -> Option<Signal> {
+        match self {
+            Self::Canary => None,
+            Self::Wider => Some(Signal::PeerWider),
+            Self::Full => Some(Signal::PeerFull),
+            Self::Completed => Some(Signal::Completed),
+            Self::RolledBack => Some(Signal::Withdrawn),
+        }
+    }
+
+    fn from_number(number: u8) -> Option<Self> {
+        let all = [
+            Self::Canary,
+            Self::Wider,
+            Self::Full,
+            Self::Completed,
+            Self::RolledBack,
+        ];
+        all.get(usize::from(number)).copied()
+    }
+}
+
+impl Moves {
+    pub(crate) fn new(chart: MoveChart, canary: f64) -> Self {
+        Self {
+            chart,
+            canary: canary * CANARY_PART,
+            rows: Sorted::default(),
+            versions: Sorted::default(),
+        }
+    }
+
+    /// Takes the orders that the store holds.
+    pub(crate) fn order(&mut self, now: Time, orders: Vec<Order>) {
+        let mut rows = Sorted::default();
+        for order in orders {
+            let service = order.service.clone();
+            let old = self.rows.remove(&service);
+            let same = old.filter(|m| m.order.created == order.created);
+            let mut row = same.unwrap_or_else(|| Move::new(now, order.clone()));
+            row.order = order;
+            rows.insert(service, row);
+        }
+        self.rows = rows;
+    }
+
+    /// Takes the versions of a service that are listed.
+    pub(crate) fn see(&mut self, now: Time, service: &Service, listed: &[&Version]) {
+        let known = self.versions.get_or(service.clone(), Vec::new);
+        known.retain(|(version, _)| listed.contains(&version));
+        let first = known.is_empty();
+        for version in listed {
+            if !known.iter().any(|(v, _)| v == *version) {
+                // What is there from the beginning needs no order.
+                let since = if first { Time::ZERO } else { now };
+                known.push(((*version).clone(), since));
+            }
+        }
+    }
+
+    /// Which versions a request may go to; `draw` is a random number from 0 to 1.
+    pub(crate) fn lane(&self, now: Time, service: &Service, draw: f64) -> Lane {
+        let Some(row) = self.rows.get(service) else {
+            return self.unordered(now, service);
+        };
+        let target = row.order.target.clone();
+        let share = match row.phase {
+            Phase::Canary => self.canary,
+            Phase::Wider => WIDER_SHARE,
+            Phase::Full | Phase::Completed => 1.0,
+            Phase::RolledBack => 0.0,
+        };
+        if draw < share {
+            Lane::Only(target)
+        } else {
+            Lane::Not(target)
+        }
+    }
+
+    /// The lane for a request that found no room in its first one.
+    pub(crate) fn fallback(&self, service: &Service, lane: &Lane) -> Option<Lane> {
+        let phase = self.rows.get(service)?.phase;
+        match (lane, phase) {
+            (Lane::Only(target), Phase::Canary | Phase::Wider) => Some(Lane::Not(target.clone())),
+            // The old servers stop when the move completes, and what is listed
+            // of them may be gone.
+            (Lane::Only(_) | Lane::Not(_) | Lane::Any, _) => None,
+        }
+    }
+
+    /// Counts an answer or a failure of a version.
+    pub(crate) fn count(
+        &mut self,
+        service: &Service,
+        version: &Version,
+        route: &RouteName,
+        bad: bool,
+    ) {
+        let Some(row) = self.rows.get_mut(service) else {
+            return;
+        };
+        let of_target = row.order.target == *version;
+        let tallies = if of_target {
+            &mut row.target
+        } else {
+            &mut row.base
+        };
+        add(
+            tallies,
+            Tally {
+                route: hash::short(route.as_str()),
+                all: 1,
+                bad: u32::from(bad),
+            },
+        );
+    }
+
+    /// Services whose move runs, with their targets.
+    pub(crate) fn running(&self) -> impl Iterator<Item = (&Service, &Version)> {
+        let rows = self.rows.iter().filter(|(_, m)| m.phase < Phase::Completed);
+        rows.map(|(service, m)| (service, &m.order.target))
+    }
+
+    /// Takes how many requests the old version of a service runs here.
+    pub(crate) fn note_open(&mut self, service: &Service, open: u32) {
+        if let Some(row) = self.rows.get_mut(service) {
+            row.old_open = open;
+        }
+    }
+
+    /// What to tell the other instances.
+    pub(crate) fn tell(&self, now: Time) -> Vec<Sighting> {
+        let rows = self.rows.iter();
+        rows.map(|(service, row)| Sighting {
+            service: service.clone(),
+            order: row.order.created,
+            age_ms: now.since(row.since).as_millis() as u64,
+            phase: row.phase as u8,
+            target: row.target.clone(),
+            base: row.base.clone(),
+            old_open: row.old_open,
+        })
+        .collect()
+    }
+
+    /// Takes what another instance told.
+    pub(crate) fn hear(&mut self, now: Time, from: &InstanceId, told: &[Sighting]) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for sighting in told {
+            let Some(row) = self.rows.get_mut(&sighting.service) else {
+                continue;
+            };
+            if row.order.created != sighting.order {
+                continue;
+            }
+            // An instance that started later takes over the age of the order.
+            let age = Duration::from_millis(sighting.age_ms);
+            if now.since(row.since) < age {
+                row.since = Time::from_nanos(now.nanos().saturating_sub(age.as_nanos() as u64));
+            }
+            row.peers.insert(from.clone(), sighting.clone());
+            let phase = Phase::from_number(sighting.phase);
+            if let Some(signal) = phase.and_then(Phase::signal) {
+                let why = || format!("told-by:{from}");
+                turns.extend(row.advance(&self.chart, now, signal, false, &why));
+            }
+        }
+        turns
+    }
+
+    /// Lets time pass: judges, widens and ends moves.
+    pub(crate) fn tick(&mut self, now: Time, leads: bool) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for (_, row) in self.rows.iter_mut() {
+            let stored = match row.order.progress {
+                Some(Progress::Completed) => Some(Signal::Completed),
+                Some(Progress::RolledBack) => Some(Signal::Withdrawn),
+                Some(Progress::Running) | None => None,
+            };
+            if let Some(signal) = stored {
+                let why = || "stored".to_owned();
+                turns.extend(row.advance(&self.chart, now, signal, leads, &why));
+            }
+            let evidence = row.evidence();
+            turns.extend(row.advance(&self.chart, now, Signal::Tick, leads, &|| evidence.clone()));
+        }
+        turns
+    }
+
+    /// The orders whose progress in the store is not what it should be, at
+    /// most once in `pause` each.
+    pub(crate) fn unreported(&mut self, now: Time, pause: Duration) -> Vec<(Order, Progress)> {
+        let mut due = Vec::new();
+        for (_, row) in self.rows.iter_mut() {
+            let progress = row.phase.progress();
+            let said = row.order.progress;
+            let known = said == Some(progress) || said > Some(Progress::Running);
+            let waits = row.reported.is_some_and(|at| now.since(at) < pause);
+            if !known && !waits {
+                row.reported = Some(now);
+                due.push((row.order.clone(), progress));
+            }
+        }
+        due
+    }
+
+    // A version that appeared beside others waits for its order.
+    fn unordered(&self, now: Time, service: &Service) -> Lane {
+        let known = self.versions.get(service);
+        let young = known.and_then(|rows| {
+            let young = |(_, at): &&(Version, Time)| *at > Time::ZERO && now.since(*at) < UNORDERED;
+            rows.iter().find(young)
+        });
+        young.map_or(Lane::Any, |(version, _)| Lane::Not(version.clone()))
+    }
+}
+
+impl Move {
+    fn new(now: Time, order: Order) -> Self {
+        Self {
+            order,
+            phase: Phase::Canary,
+            since: now,
+            phase_since: now,
+            target: Vec::new(),
+            base: Vec::new(),
+            peers: Sorted::default(),
+            old_open: 0,
+            reported: None,
+        }
+    }
+
+    fn advance(
+        &mut self,
+        chart: &MoveChart,
+        now: Time,
+        signal: Signal,
+        leads: bool,
+        why: &dyn Fn() -> String,
+    ) -> Option<Turn> {
+        if chart.is_final(self.phase) {
+            return None;
+        }
+        let from = self.phase;
+        let step = chart.step(from, signal, |guard| self.holds(guard, now, leads));
+        self.phase = step.to;
+        for effect in step.actions {
+            match effect {
+                Effect::Mark => self.phase_since = now,
+            }
+        }
+        (from != self.phase).then(|| Turn {
+            service: self.order.service.clone(),
+            from,
+            to: self.phase,
+            evidence: why(),
+        })
+    }
+
+    fn holds(&self, guard: Guard, now: Time, leads: bool) -> bool {
+        let lasted = now.since(self.phase_since);
+        match guard {
+            Guard::Bad => self.is_bad(),
+            Guard::Proven => {
+                let age = now.since(self.since).as_secs_f64() / self.order.span.as_secs_f64();
+                let answers: u32 = self.sum(true).iter().map(|t| t.all).sum();
+                let enough = answers >= PROOF && age >= PROOF_PART;
+                leads && (enough || (answers >= PROOF_LEAST && age >= HASTE_PART))
+            }
+            Guard::Settled => leads && lasted >= WIDER_SPAN,
+            Guard::Drained => {
+                let open = self.old_open + self.peers.iter().map(|p| p.1.old_open).sum::<u32>();
+                leads && lasted >= FULL_SPAN && (open == 0 || lasted >= DRAIN_MOST)
+            }
+        }
+    }
+
+    fn is_bad(&self) -> bool {
+        let base = self.sum(false);
+        self.sum(true).iter().any(|target| {
+            let old = base.iter().find(|t| t.route == target.route);
+            let usual = old.map_or(0.0, |t| part(*t));
+            target.bad >= BAD_LEAST && part(*target) > BAD_PART + 2.0 * usual
+        })
+    }
+
+    // The tallies of all instances together.
+    fn sum(&self, target: bool) -> Vec<Tally> {
+        let of = |s: &Sighting| {
+            if target {
+                s.target.clone()
+            } else {
+                s.base.clone()
+            }
+        };
+        let mut sum = if target {
+            self.target.clone()
+        } else {
+            self.base.clone()
+        };
+        for (_, sighting) in self.peers.iter() {
+            for tally in of(sighting) {
+                add(&mut sum, tally);
+            }
+        }
+        sum
+    }
+
+    fn evidence(&self) -> String {
+        let text = |tallies: &[Tally]| {
+            let rows = tallies.iter().map(|t| format!("{}/{}", t.bad, t.all));
+            rows.collect::<Vec<_>>().join(",")
+        };
+        let (target, base) = (self.sum(true), self.sum(false));
+        format!("target-bad:{} old-bad:{}", text(&target), text(&base))
+    }
+}
+
+fn add(tallies: &mut Vec<Tally>, more: Tally) {
+    match tallies.iter_mut().find(|t| t.route == more.route) {
+        Some(tally) => {
+            tally.all += more.all;
+            tally.bad += more.bad;
+        }
+        None => tallies.push(more),
+    }
+}
+
+fn part(tally: Tally) -> f64 {
+    f64::from(tally.bad) / f64::from(tally.all.max(1))
+}
--- /dev/null
+++ b/crates/steer/src/pace.rs
@@ -0,0 +1,74 @@
+//! How long requests take, learnt from answers.
+
+use corianderway_model::RouteName;
+use corianderway_model::Sorted;
+
+/// The weight of a new measurement.
+const GAIN: f64 = 0.08;
+
+/// The expected time before the first measurement, as a part of the route's
+/// objective: an objective leaves room for a server that knows the object.
+const FIRST_KNOWN: f64 = 0.4;
+
+/// The same for a server that has not handled the object.
+const FIRST_UNKNOWN: f64 = 1.2;
+
+/// How likely a backend server has the state of an object at hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Warmth {
+    /// This instance sent it requests for the object lately.
+    Known,
+    /// The first choice of the instances of its failure domain for the object.
+    Likely,
+    /// Neither.
+    Unknown,
+}
+
+/// The mean times of a route, in milliseconds, by warmth.
+#[derive(Clone, Copy, Debug)]
+struct Means {
+    known: f64,
+    likely: f64,
+    unknown: f64,
+}
+
+/// The times that requests take, by route.
+#[derive(Debug, Default)]
+pub(crate) struct Paces(Sorted<RouteName, Means>);
+
+impl Paces {
+    /// The time that a request is expected to run, in milliseconds.
+    pub(crate) fn expect(&self, route: &RouteName, objective: f64, warmth: Warmth) -> f64 {
+        let means = self.0.get(route).copied();
+        means.unwrap_or_else(|| first(objective)).of(warmth)
+    }
+
+    /// Takes a measurement of a request that did not have to wait.
+    pub(crate) fn learn(&mut self, route: &RouteName, objective: f64, warmth: Warmth, took: f64) {
+        let means = self.0.get_or(route.clone(), || first(objective));
+        let mean = match warmth {
+            Warmth::Known => &mut means.known,
+            Warmth::Likely => &mut means.likely,
+            Warmth::Unknown => &mut means.unknown,
+        };
+        *mean += (took - *mean) * GAIN;
+    }
+}
+
+impl Means {
+    fn of(self, warmth: Warmth) -> f64 {
+        match warmth {
+            Warmth::Known => self.known,
+            Warmth::Likely => self.likely,
+            Warmth::Unknown => self.unknown,
+        }
+    }
+}
+
+fn first(objective: f64) -> Means {
+    Means {
+        known: objective * FIRST_KNOWN,
+        likely: objective * (FIRST_KNOWN + FIRST_UNKNOWN) / 2.0,
+        unknown: objective * FIRST_UNKNOWN,
+    }
+}
--- /dev/null
+++ b/crates/steer/src/steer.rs
@@ -0,0 +1,503 @@
+//! The decisions of one instance: one state, one step function.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderway_limits::RetryBudget;
+use corianderway_model::FailureDomain;
+use corianderway_model::Presence;
+use corianderway_model::Region;
+use corianderway_model::Service;
+use corianderway_model::Sorted;
+use corianderway_model::Time;
+use rand::rngs::SmallRng;
+use rand::SeedableRng as _;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+
+use crate::advice;
+use crate::bounds::Bounds;
+use crate::crashes::Crashes;
+use crate::digest::Digest;
+use crate::event::Action;
+use crate::event::Event;
+use crate::event::Reach;
+use crate::event::RequestId;
+use crate::fleet::Fleet;
+use crate::fleet::Neighbour;
+use crate::listing::Member;
+use crate::members::Members;
+use crate::moves::Moves;
+use crate::moves::Turn;
+use crate::moves::MOVE_CHART;
+use crate::note::Note;
+use crate::note::Weight;
+use crate::plan::CallerLimits;
+use crate::plan::Plan;
+use crate::quota::Quotas;
+use crate::request::Open;
+use crate::request::RequestChart;
+use crate::request::REQUEST_CHART;
+use crate::server::SERVER_CHART;
+use crate::shift::Shifts;
+use crate::split::Splits;
+use crate::waiting::Rooms;
+
+/// The time between two looks at everything that time alone changes.
+const SWEEP: Duration = Duration::from_millis(100);
+
+/// The time between two digests when nothing important happens.
+const DIGEST: Duration = Duration::from_secs(1);
+
+/// The least time between two digests.
+const DIGEST_LEAST: Duration = Duration::from_millis(100);
+
+/// How long the directory's advice holds.
+const ADVICE: Duration = Duration::from_secs(2);
+
+/// The time between two tries to record the progress of a move.
+const REPORT: Duration = Duration::from_secs(1);
+
+/// The time between two tries to remove the entries of lost instances.
+const FORGET: Duration = Duration::from_secs(5);
+
+/// The store counts as unsettled for this long after it was last out of reach:
+/// the endpoints' entries that lapsed meanwhile are back by then.
+const UNSETTLED: Duration = Duration::from_secs(3);
+
+/// How long a change that others have seen may be on its way here.
+const DEAF: Duration = Duration::from_millis(500);
+
+/// The part of the fleet's retry budget that its instances use.
+const RETRY_CAUTION: f64 = 0.8;
+
+/// The part of a stop's grace in which requests are still taken.
+const STOP_TAKES: f64 = 0.5;
+
+/// Why the decisions can't start: a chart file is faulty.
+#[derive(Debug, Snafu)]
+pub struct ChartError(ChartKind);
+
+#[derive(Debug, Snafu)]
+enum ChartKind {
+    #[snafu(display("charts/{file}: {source}; correct the chart"))]
+    Chart {
+        file: &'static str,
+        source: corianderway_chart::Error,
+    },
+}
+
+/// What has been learnt of the platform since the start.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    plan: bool,
+    servers: bool,
+    orders: bool,
+    evacuations: bool,
+    members: bool,
+}
+
+/// The decisions of one instance.
+#[derive(Debug)]
+pub struct Steer {
+    pub(crate) bounds: Bounds,
+    pub(crate) chart: RequestChart,
+    pub(crate) plan: Option<Arc<Plan>>,
+    pub(crate) fleet: Fleet,
+    pub(crate) members: Members,
+    pub(crate) moves: Moves,
+    pub(crate) quotas: Quotas,
+    pub(crate) splits: Splits,
+    pub(crate) shifts: Shifts,
+    pub(crate) crashes: Crashes,
+    pub(crate) budgets: Sorted<Service, RetryBudget>,
+    pub(crate) requests: Sorted<RequestId, Open>,
+    pub(crate) rooms: Rooms,
+    pub(crate) rng: SmallRng,
+    pub(crate) stopping: Option<Time>,
+    reach: (Reach, Time),
+    unsettled: Time,
+    // The latest change in the store that was seen.
+    revision: u64,
+    // Since when another instance has told a later one.
+    deaf: Option<Time>,
+    known: Known,
+    digests: u64,
+    swept: Time,
+    told: Time,
+    forgot: Time,
+    /// Whether something happened that the others should hear at once.
+    pub(crate) urgent: bool,
+}
+
+impl Steer {
+    /// Makes the decisions of an instance; `seed` feeds its random choices.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a chart file is faulty.
+    pub fn new(me: Member, bounds: Bounds, seed: u64) -> Result<Self, ChartError> {
+        let chart = |file| ChartSnafu { file };
+        let here = Neighbour {
+            id: me.entry.id.clone(),
+            region: me.entry.region.clone(),
+            domain: me.entry.domain.clone(),
+        };
+        let servers = corianderway_chart::Chart::parse(SERVER_CHART);
+        let moves = corianderway_chart::Chart::parse(MOVE_CHART);
+        let requests = corianderway_chart::Chart::parse(REQUEST_CHART);
+        Ok(Self {
+            chart: requests.context(chart("request.yaml"))?,
+            plan: None,
+            fleet: Fleet::new(here, servers.context(chart("server.yaml"))?),
+            members: Members::new(me),
+            moves: Moves::new(moves.context(chart("move.yaml"))?, bounds.canary_share),
+            quotas: Quotas::default(),
+            splits: Splits::default(),
+            shifts: Shifts::new(bounds.shift_most),
+            crashes: Crashes::default(),
+            budgets: Sorted::default(),
+            requests: Sorted::default(),
+            rooms: Rooms::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            stopping: None,
+            reach: (Reach::Nothing, Time::ZERO),
+            unsettled: Time::ZERO,
+            revision: 0,
+            deaf: None,
+            known: Known::default(),
+            digests: 0,
+            swept: Time::ZERO,
+            told: Time::ZERO,
+            forgot: Time::ZERO,
+            urgent: false,
+            bounds,
+        })
+    }
+
+    /// Takes one event, and adds what to do to `out`.
+    pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request(query) => self.receive(now, query, out),
+            Event::Left(id) => self.depart(now, id, out),
+            Event::Attempted { id, outcome } => self.attempted(now, id, outcome, out),
+            Event::Directory { id, region, domain } => {
+                self.direct(now, id, region.as_ref(), domain.as_ref(), out);
+            }
+            Event::Plan(plan) => self.take_plan(now, plan, out),
+            Event::Servers(changes) => {
+                self.known.servers = true;
+                let unsettled = self.is_unsettled(now);
+                self.fleet.change(now, changes, unsettled);
+                for service in self.fleet.services() {
+                    let versions = self.fleet.versions(&service);
+                    self.moves.see(now, &service, &versions);
+                }
+                self.serve_waiting(now, out);
+            }
+            Event::Evacuated(domains) => self.take_evacuations(domains, out),
+            Event::Orders(orders) => {
+                self.known.orders = true;
+                self.moves.order(now, orders);
+            }
+            Event::Members(members) => {
+                self.known.members = true;
+                self.members.list(now, members);
+                self.urgent = true;
+            }
+            Event::Reach(reach) => self.take_reach(now, reach, out),
+            Event::Revision(revision) => self.revision = self.revision.max(revision),
+            Event::Digest(digest) => self.take_digest(now, digest, out),
+            Event::Tick => self.sweep(now, out),
+            Event::Stop => {
+                self.stopping = Some(now);
+                self.urgent = true;
+            }
+        }
+        self.expire(now, out);
+        self.tell(now, out);
+        self.note_changes(out);
+    }
+
+    /// The moment at which the next [`Event::Tick`] is due.
+    pub fn due(&self) -> Time {
+        let deadlines = self.requests.iter().map(|(_, open)| self.expiry(open));
+        let sweep = self.swept + SWEEP;
+        deadlines.fold(sweep, Ord::min)
+    }
+
+    /// Whether the instance knows enough to serve callers, and stays.
+    pub fn is_ready(&self) -> bool {
+        self.is_informed() && self.stopping.is_none()
+    }
+
+    /// Requests whose end is not known yet.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// What callers may send, as last configured.
+    pub fn callers(&self) -> CallerLimits {
+        self.plan
+            .as_ref()
+            .map_or_else(CallerLimits::default, |plan| plan.callers())
+    }
+
+    /// Whether everything that decides on requests is known.
+    pub(crate) fn is_informed(&self) -> bool {
+        let known = &self.known;
+        known.plan && known.servers && known.orders && known.evacuations && known.members
+    }
+
+    /// Whether a request still may begin, for a stop that has begun.
+    pub(crate) fn takes_requests(&self, now: Time) -> bool {
+        let taking = self.bounds.grace.mul_f64(STOP_TAKES);
+        self.stopping.is_none_or(|at| now.since(at) < taking)
+    }
+
+    /// Whether what is known may be older than a caller's key or route.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.reach.0 == Reach::Nothing
+    }
+
+    /// The retry budget of a service.
+    pub(crate) fn budget(&mut self, service: &Service) -> &mut RetryBudget {
+        let bounds = &self.bounds;
+        let count = self.members.count() as f64;
+        self.budgets.get_or(service.clone(), || {
+            let ratio = bounds.retry_ratio * RETRY_CAUTION;
+            let spare = (bounds.retry_extra * RETRY_CAUTION / count).floor() as u64;
+            RetryBudget::new(ratio, spare, bounds.retry_window)
+        })
+    }
+
+    fn take_plan(&mut self, now: Time, plan: Arc<Plan>, out: &mut Vec<Action>) {
+        let known = self.plan.as_ref().map_or(0, |p| p.version());
+        if self.known.plan && plan.version() <= known {
+            return;
+        }
+        self.known.plan = true;
+        let note = Note::new(Weight::Notable, "configured")
+            .with("from", known)
+            .with("to", plan.version())
+            .with("routes", plan.routes().len());
+        out.push(Action::Log(note));
+        for route in plan.routes() {
+            for (service, _) in &route.targets {
+                if let Some(terms) = plan.service(service) {
+                    self.fleet.set_terms(service, *terms);
+                }
+            }
+        }
+        self.quotas.configure(now, &plan);
+        self.plan = Some(plan);
+        self.share_quotas(now);
+    }
+
+    fn take_evacuations(&mut self, domains: Vec<FailureDomain>, out: &mut Vec<Action>) {
+        self.known.evacuations = true;
+        let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
+        let note = Note::new(Weight::Notable, "evacuations").with("domains", names.join(","));
+        out.push(Action::Log(note));
+        self.fleet.evacuate(domains);
+    }
+
+    fn take_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Action>) {
+        let (from, since) = self.reach;
+        if from == Reach::Store || reach != Reach::Store {
+            self.unsettled = now;
+        }
+        if from != reach {
+            let note = Note::new(Weight::Notable, "store-reach")
+                .with("from", format!("{from:?}"))
+                .with("to", format!("{reach:?}"))
+                .with("after_ms", now.since(since).as_millis());
+            out.push(Action::Log(note));
+            self.reach = (reach, now);
+            self.urgent = true;
+        }
+    }
+
+    // An outage of the store lets entries lapse that are still true.
+    fn is_unsettled(&self, now: Time) -> bool {
+        let disturbed = self.unsettled > Time::ZERO && now.since(self.unsettled) < UNSETTLED;
+        self.reach.0 != Reach::Store || disturbed
+    }
+
+    fn take_digest(&mut self, now: Time, digest: Digest, out: &mut Vec<Action>) {
+        let (from, crashes) = (digest.from.clone(), digest.crashes.clone());
+        let moves = digest.moves.clone();
+        let was = self.members.heard(now).count();
+        if !self.members.hear(now, digest) {
+            return;
+        }
+        if self.members.heard(now).count() != was {
+            let note = Note::new(Weight::Notable, "instance-heard").with("instance", &from);
+            out.push(Action::Log(note));
+        }
+        self.crashes.merge(now, &crashes);
+        let turns = self.moves.hear(now, &from, &moves);
+        self.note_turns(turns, out);
+    }
+
+    fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.swept) < SWEEP {
+            self.serve_waiting(now, out);
+            return;
+        }
+        self.swept = now;
+        self.fleet.tick(now);
+        let serving = self.members.serving(now).map(neighbour).collect();
+        self.fleet.set_neighbours(serving);
+        self.share_quotas(now);
+        self.sweep_moves(now, out);
+        self.crashes.expire(now);
+        self.forget_lost(now, out);
+        self.check_watches(now, out);
+        self.serve_waiting(now, out);
+    }
+
+    // A watch that no longer hears shows by what other instances have seen.
+    fn check_watches(&mut self, now: Time, out: &mut Vec<Action>) {
+        let latest = self.members.heard(now).map(|(_, d)| d.revision).max();
+        if latest.unwrap_or(0) <= self.revision || self.reach.0 != Reach::Store {
+            self.deaf = None;
+            return;
+        }
+        let since = *self.deaf.get_or_insert(now);
+        if now.since(since) >= DEAF {
+            self.deaf = Some(now);
+            let note = Note::new(Weight::Notable, "watch-deaf")
+                .with("seen", self.revision)
+                .with("told", latest.unwrap_or(0));
+            out.push(Action::Log(note));
+            out.push(Action::Reread);
+        }
+    }
+
+    fn share_quotas(&mut self, now: Time) {
+        let listed = self.members.count();
+        let others = self.members.heard(now).map(|(_, d)| d.demands.as_slice());
+        self.quotas.share(now, listed, others);
+    }
+
+    fn sweep_moves(&mut self, now: Time, out: &mut Vec<Action>) {
+        let running: Vec<_> = self
+            .moves
+            .running()
+            .map(|(service, target)| (service.clone(), self.fleet.open_outside(service, target)))
+            .collect();
+        for (service, open) in running {
+            self.moves.note_open(&service, open);
+        }
+        let leads = self.members.leads(now, self.reach.0 == Reach::Store);
+        let turns = self.moves.tick(now, leads);
+        self.note_turns(turns, out);
+        if leads {
+            for (order, progress) in self.moves.unreported(now, REPORT) {
+                let service = order.service.clone();
+                out.push(Action::Report {
+                    service,
+                    order,
+                    progress,
+                });
+            }
+        }
+    }
+
+    fn forget_lost(&mut self, now: Time, out: &mut Vec<Action>) {
+        let stored = self.reach.0 == Reach::Store;
+        if now.since(self.forgot) < FORGET || !self.members.leads(now, stored) {
+            return;
+        }
+        self.forgot = now;
+        for member in self.members.lost(now) {
+            let note = Note::new(Weight::Notable, "instance-lost")
+                .with("instance", &member.entry.id)
+                .with("callers", member.entry.callers);
+            out.push(Action::Log(note));
+            out.push(Action::Forget(member.clone()));
+        }
+    }
+
+    fn direct(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        region: Option<&Region>,
+        domain: Option<&FailureDomain>,
+        out: &mut Vec<Action>,
+    ) {
+        let me = self.is_ready().then(|| self.members.me());
+        let serving = me.into_iter().chain(self.members.serving(now));
+        let entries = advice::advise(serving, region, domain);
+        let ttl = ADVICE.min(self.bounds.advice_most);
+        out.push(Action::Direct { id, entries, ttl });
+    }
+
+    // Tells the other instances once in a while, and soon after what matters.
+    fn tell(&mut self, now: Time, out: &mut Vec<Action>) {
+        let since = now.since(self.told);
+        if since < DIGEST_LEAST || (since < DIGEST && !self.urgent) {
+            return;
+        }
+        if since >= DIGEST {
+            self.told = now;
+        }
+        self.urgent = false;
+        self.digests += 1;
+        let presence = if self.stopping.is_some() {
+            Presence::Leaving
+        } else {
+            Presence::Live
+        };
+        let me = self.members.me();
+        let digest = Arc::new(Digest {
+            from: me.entry.id.clone(),
+            run: me.run,
+            number: self.digests,
+            presence,
+            ready: self.is_ready(),
+            stored: self.reach.0 == Reach::Store,
+            revision: self.revision,
+            demands: self.quotas.tell(now),
+            moves: self.moves.tell(now),
+            crashes: self.crashes.tell(),
+        });
+        for to in self.members.addresses() {
+            let digest = Arc::clone(&digest);
+            out.push(Action::Send { to, digest });
+        }
+    }
+
+    fn note_turns(&mut self, turns: Vec<Turn>, out: &mut Vec<Action>) {
+        for turn in turns {
+            self.urgent = true;
+            let note = Note::new(Weight::Notable, "move")
+                .with("service", &turn.service)
+                .with("from", turn.from.as_str())
+                .with("to", turn.to.as_str())
+                .with("evidence", turn.evidence);
+            out.push(Action::Log(note));
+        }
+    }
+
+    fn note_changes(&mut self, out: &mut Vec<Action>) {
+        for change in self.fleet.take_changes() {
+            let note = Note::new(Weight::Notable, "server")
+                .with("server", &change.server)
+                .with("from", format!("{:?}", change.from))
+                .with("to", format!("{:?}", change.to))
+                .with("why", change.why);
+            out.push(Action::Log(note));
+        }
+    }
+}
+
+fn neighbour(member: &Member) -> Neighbour {
+    Neighbour {
+        id: member.entry.id.clone(),
+        region: member.entry.region.clone(),
+        domain: member.entry.domain.clone(),
+    }
+}
--- /dev/null
+++ b/crates/steer/src/waiting.rs
@@ -0,0 +1,129 @@
+//! Requests that wait for room at the backend servers of a service.
+
+use std::time::Duration;
+
+use corianderway_limits::FairQueue;
+use corianderway_limits::Waiting;
+use corianderway_model::Service;
+use corianderway_model::Sorted;
+use corianderway_model::Time;
+
+use crate::event::Action;
+use crate::event::RequestId;
+use crate::refusal::Reason;
+use crate::request::Open;
+use crate::request::Signal;
+use crate::request::State;
+use crate::steer::Steer;
+
+/// Requests that wait for one service.
+const WAITERS: usize = 256;
+
+/// How long a request waits here, as a part of its objective: what waits
+/// longer had better be tried at another instance.
+const WAIT_PART: f64 = 0.125;
+
+/// Requests of one service that are tried in one go.
+const TRIED_AT_ONCE: usize = 32;
+
+/// The weight of a request of no client account.
+const PLAIN_WEIGHT: f64 = 100.0;
+
+/// The name under which requests of no client account wait.
+const NO_ACCOUNT: &str = "-";
+
+/// Where requests wait, by service.
+#[derive(Debug, Default)]
+pub(crate) struct Rooms(Sorted<Service, FairQueue<RequestId>>);
+
+impl Steer {
+    /// Lets a request wait for room.
+    pub(crate) fn wait(&mut self, now: Time, open: &mut Open) {
+        let span = open.route.objective.mul_f64(WAIT_PART);
+        let until = *open.wait_until.get_or_insert(now + span);
+        let account = open.account.as_ref().map(|terms| terms.account.clone());
+        let Some(account) = account.or_else(|| NO_ACCOUNT.try_into().ok()) else {
+            return;
+        };
+        let rate = open.account.as_ref().and_then(|terms| terms.rate);
+        let waiting = Waiting {
+            account,
+            weight: rate.unwrap_or(PLAIN_WEIGHT).max(1.0),
+            priority: open.priority(),
+            deadline: until,
+            item: open.query.id,
+        };
+        let queue = self
+            .rooms
+            .0
+            .get_or(open.service.clone(), || FairQueue::new(WAITERS));
+        // What is displaced expires with its own time.
+        queue.push(waiting);
+    }
+
+    /// Tries the waiting requests again.
+    pub(crate) fn serve_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
+        let services: Vec<Service> = self.rooms.0.iter().map(|row| row.0.clone()).collect();
+        for service in services {
+            self.serve_room(now, &service, out);
+        }
+    }
+
+    /// Tries the requests that wait for a service again.
+    pub(crate) fn serve_room(&mut self, now: Time, service: &Service, out: &mut Vec<Action>) {
+        for _ in 0..TRIED_AT_ONCE {
+            let Some(queue) = self.rooms.0.get_mut(service) else {
+                return;
+            };
+            let Some(id) = queue.pop(now) else {
+                return;
+            };
+            let waits = self.requests.get(&id).map(|open| open.state);
+            if waits != Some(State::Waiting) {
+                continue;
+            }
+            if let Some(open) = self.requests.remove(&id) {
+                self.advance(now, open, Signal::Free, out);
+            }
+            if self.requests.get(&id).map(|open| open.state) == Some(State::Waiting) {
+                return;
+            }
+        }
+    }
+
+    /// Ends the requests whose time is over.
+    pub(crate) fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
+        let late: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, open)| self.expiry(open) <= now)
+            .map(|row| *row.0)
+            .collect();
+        for id in late {
+            let Some(mut open) = self.requests.remove(&id) else {
+                continue;
+            };
+            let reason = match open.state {
+                State::Waiting => Reason::Overloaded,
+                State::Received | State::Sent | State::Orphaned | State::Done => Reason::TimedOut,
+            };
+            // An attempt that is stopped may have run.
+            open.runs += u32::from(open.attempt.is_some());
+            open.refusal = Some(open.refuse(reason));
+            self.advance(now, open, Signal::Late, out);
+        }
+    }
+
+    /// When the time of a request is over, waiting or sent.
+    pub(crate) fn expiry(&self, open: &Open) -> Time {
+        match (open.state, open.wait_until) {
+            (State::Waiting, Some(until)) => until.min(open.deadline),
+            _ => open.deadline,
+        }
+    }
+
+    /// When a request that found no room should come back.
+    pub(crate) fn retry_after(open: &Open) -> Duration {
+        open.route.objective.mul_f64(2.0 * WAIT_PART)
+    }
+}
--- a/crates/wire/src/credential.rs
+++ b/crates/wire/src/credential.rs
@@ -1,6 +1,6 @@
 //! Finding a caller's key in a request, and removing every trace of it.
 
-use corianderway_node::Secret;
+use corianderway_model::Secret;
 use http_types::Request;
 
 /// Headers that carry credentials; none is forwarded.
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -34,7 +34,7 @@
         detail: &'static str,
     },
     /// The head is longer than the limit.
-    #[snafu(display("the head is too large; send at most 8191 bytes and 128 headers"))]
+    #[snafu(display("the head is too large; send a shorter one, with at most 128 headers"))]
     TooLarge,
     /// The body's length is given twice or in two ways.
     #[snafu(display("the body's length is ambiguous; send one Content-Length or chunks"))]
@@ -61,10 +61,19 @@
 /// Fails when the limit is reached without an empty line, or a line ends
 /// otherwise than with CR LF.
 pub fn end(bytes: &[u8]) -> Result<Option<usize>, HeadError> {
+    end_within(bytes, HEAD_BYTES)
+}
+
+/// Finds the end of a head of at most `most` bytes, as [`end`] does.
+///
+/// # Errors
+///
+/// Fails as [`end`] does.
+pub fn end_within(bytes: &[u8], most: usize) -> Result<Option<usize>, HeadError> {
     let found = bytes.windows(4).position(|w| w == b"\r\n\r\n");
     let head = &bytes[..found.map_or(bytes.len(), |at| at + 4)];
     check_lines(head, found.is_some())?;
-    ensure!(head.len() <= HEAD_BYTES, TooLargeSnafu);
+    ensure!(head.len() <= most, TooLargeSnafu);
     Ok(found.map(|at| at + 4))
 }
 
