store duty: the last of several changes of one object counts

Changes are kept in their order now. Ruled out: cut machines (they followed by replica within 300 ms).

--- a/crates/daemon/src/edge/copy.rs
+++ b/crates/daemon/src/edge/copy.rs
@@ -4,7 +4,7 @@
 
 use corianderway_model::Sorted;
 use corianderway_platform::store;
-use corianderway_platform::store::Changes;
+use corianderway_platform::store::Change;
 use corianderway_platform::store::Kind;
 use corianderway_platform::store::Object;
 use corianderway_platform::store::KINDS;
@@ -18,15 +18,6 @@
     pub revision: Option<u64>,
 }
 
-/// What changed in a copy.
-#[derive(Debug, Default)]
-pub struct Difference {
-    /// Objects that are new or have new contents.
-    pub put: Vec<Object>,
-    /// The names of objects that are gone.
-    pub removed: Vec<Arc<str>>,
-}
-
 /// The copies of all kinds.
 #[derive(Debug, Default)]
 pub struct Copies([Copied; KINDS.len()]);
@@ -50,43 +41,46 @@
 }
 
 impl Copied {
-    /// Takes a whole list; one that is older than the copy is left out.
-    pub fn replace(&mut self, objects: Vec<Object>, revision: u64) -> Option<Difference> {
+    /// Takes a whole list, and gives back what changed; one that is older than
+    /// the copy is left out.
+    pub fn replace(&mut self, objects: Vec<Object>, revision: u64) -> Vec<Change> {
         if self.revision.is_some_and(|known| revision < known) {
-            return None;
+            return Vec::new();
         }
-        let mut difference = Difference::default();
+        let mut changes = Vec::new();
         let mut known = Sorted::default();
         for object in objects {
             let old = self.objects.remove(&object.name);
             if old.is_none_or(|old| old.revision != object.revision) {
-                difference.put.push(object.clone());
+                changes.push(Change::Put(object.clone()));
             }
             known.insert(Arc::clone(&object.name), object);
         }
         let gone = self.objects.iter().map(|row| Arc::clone(row.0));
-        difference.removed.extend(gone);
+        changes.extend(gone.map(Change::Removed));
         self.objects = known;
         self.revision = Some(revision);
-        Some(difference)
+        changes
     }
 
-    /// Takes what a watch heard.
-    pub fn change(&mut self, changes: Changes) -> Difference {
-        let mut difference = Difference::default();
-        for object in changes.put {
-            let old = self.objects.insert(Arc::clone(&object.name), object.clone());
-            if old.is_none_or(|old| old.revision != object.revision) {
-                difference.put.push(object);
-            }
-        }
-        for name in changes.removed {
-            if self.objects.remove(&name).is_some() {
-                difference.removed.push(name);
+    /// Takes what a watch heard, and gives back what changed.
+    pub fn change(&mut self, heard: Vec<Change>, revision: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for change in heard {
+            let news = match &change {
+                Change::Put(object) => {
+                    let name = Arc::clone(&object.name);
+                    let old = self.objects.insert(name, object.clone());
+                    old.is_none_or(|old| old.revision != object.revision)
+                }
+                Change::Removed(name) => self.objects.remove(name).is_some(),
+            };
+            if news {
+                changes.push(change);
             }
         }
-        self.revision = self.revision.max(Some(changes.revision));
-        difference
+        self.revision = self.revision.max(Some(revision));
+        changes
     }
 
     /// Every object, in the order of the names.
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -16,15 +16,18 @@
 use corianderway_model::ServerId;
 use corianderway_model::Sorted;
 use corianderway_platform::objects;
+use corianderway_platform::objects::ObjectError;
 use corianderway_platform::settings::Settings;
 use corianderway_platform::store;
 use corianderway_platform::store::Call;
+use corianderway_platform::store::Change;
 use corianderway_platform::store::Kind;
 use corianderway_platform::store::Object;
 use corianderway_platform::store::KINDS;
 use corianderway_steer::Event;
 use corianderway_steer::Member;
 use corianderway_steer::Order;
+use corianderway_steer::Plan;
 use corianderway_steer::Progress;
 use corianderway_steer::Reach;
 use corianderway_steer::ServerChange;
@@ -34,7 +37,6 @@
 use crate::client::Client;
 use crate::client::Reply;
 use crate::edge::copy::Copies;
-use crate::edge::copy::Difference;
 use crate::edge::replica;
 use crate::edge::rings::Input;
 use crate::edge::rings::StoreOrder;
@@ -197,8 +199,11 @@
                 for error in &changes.unread {
                     note(desk, "object-unread", kind, error);
                 }
-                let difference = desk.copies.borrow_mut().of_mut(kind).change(changes);
-                tell(desk, kind, &difference).await;
+                let (heard, revision) = (changes.changes, changes.revision);
+                let mut copies = desk.copies.borrow_mut();
+                let news = copies.of_mut(kind).change(heard, revision);
+                drop(copies);
+                tell(desk, kind, &news).await;
             }
             Err(error) => return Fault::Unanswered(error.to_string()),
         }
@@ -224,10 +229,11 @@
         match page.next {
             Some(name) => after = Some(name),
             None => {
-                let copies = &desk.copies;
-                let difference = copies.borrow_mut().of_mut(kind).replace(objects, first);
+                let mut copies = desk.copies.borrow_mut();
+                let news = copies.of_mut(kind).replace(objects, first);
+                drop(copies);
                 // A list also tells that there is nothing.
-                tell(desk, kind, &difference.unwrap_or_default()).await;
+                tell(desk, kind, &news).await;
                 return Ok(());
             }
         }
@@ -322,11 +328,9 @@
             return false;
         };
         let mut copies = desk.copies.borrow_mut();
-        let difference = copies.of_mut(kind).replace(page.objects, page.revision);
+        let news = copies.of_mut(kind).replace(page.objects, page.revision);
         drop(copies);
-        if let Some(difference) = difference {
-            tell(desk, kind, &difference).await;
-        }
+        tell(desk, kind, &news).await;
     }
     true
 }
@@ -358,77 +362,87 @@
 }
 
 // Tells the decision duty what changed, in the product's own types.
-async fn tell(desk: &Rc<Desk>, kind: Kind, difference: &Difference) {
-    let told = match kind {
-        Kind::Configuration => configuration(desk, difference),
-        Kind::Servers => Some(Event::Servers(servers(desk, difference))),
-        Kind::Orders => Some(Event::Orders(decode(desk, kind, objects::order))),
-        Kind::Evacuations => Some(Event::Evacuated(decode(desk, kind, objects::evacuated))),
-        Kind::Members => Some(Event::Members(decode(desk, kind, objects::member))),
-    };
-    if let Some(told) = told {
-        event(desk, told).await;
+async fn tell(desk: &Rc<Desk>, kind: Kind, news: &[Change]) {
+    match kind {
+        Kind::Configuration => {
+            for plan in plans(desk, news) {
+                event(desk, Event::Plan(plan.into())).await;
+            }
+        }
+        Kind::Servers => event(desk, Event::Servers(servers(desk, news))).await,
+        Kind::Orders => event(desk, Event::Orders(decode(desk, kind, objects::order))).await,
+        Kind::Evacuations => {
+            let domains = decode(desk, kind, objects::evacuated);
+            event(desk, Event::Evacuated(domains)).await;
+        }
+        Kind::Members => {
+            let members = decode(desk, kind, objects::member);
+            event(desk, Event::Members(members)).await;
+            let me = desk.me.entry.id.as_str();
+            let gone = |change: &Change| matches!(change, Change::Removed(name) if **name == *me);
+            if news.iter().any(gone) {
+                task::spawn_local(enlist(Rc::clone(desk)));
+            }
+        }
     }
     let latest = desk.copies.borrow().latest();
     event(desk, Event::Revision(latest)).await;
-    let gone = difference.removed.iter();
-    let mut gone = gone.filter(|name| kind == Kind::Members && ***name == *desk.me.entry.id.as_str());
-    if gone.next().is_some() {
-        task::spawn_local(enlist(Rc::clone(desk)));
-    }
 }
 
-fn configuration(desk: &Rc<Desk>, difference: &Difference) -> Option<Event> {
-    let object = difference.put.first()?;
-    match objects::plan(object) {
-        Ok(plan) => Some(Event::Plan(plan.into())),
-        Err(error) => {
-            let why = format!("{}: {error}", object.name);
-            note(desk, "object-refused", Kind::Configuration, &why);
-            None
+fn plans(desk: &Desk, news: &[Change]) -> Vec<Plan> {
+    let mut plans = Vec::new();
+    for change in news {
+        let Change::Put(object) = change else {
+            continue;
+        };
+        match objects::plan(object) {
+            Ok(plan) => plans.push(plan),
+            Err(error) => refused(desk, Kind::Configuration, object, &error),
         }
     }
+    plans
 }
 
-fn servers(desk: &Rc<Desk>, difference: &Difference) -> Vec<ServerChange> {
+fn servers(desk: &Desk, news: &[Change]) -> Vec<ServerChange> {
     let mut changes = Vec::new();
-    for object in &difference.put {
-        match objects::listed(object, &desk.regions) {
-            Ok(listed) => changes.push(ServerChange::Put(listed)),
-            Err(error) => {
-                let why = format!("{}: {error}", object.name);
-                note(desk, "object-refused", Kind::Servers, &why);
+    for change in news {
+        match change {
+            Change::Put(object) => match objects::listed(object, &desk.regions) {
+                Ok(listed) => changes.push(ServerChange::Put(listed)),
+                Err(error) => refused(desk, Kind::Servers, object, &error),
+            },
+            // An entry under another kind of name was never taken.
+            Change::Removed(name) => {
+                let id = ServerId::try_from(&**name).ok();
+                changes.extend(id.map(ServerChange::Removed));
             }
         }
     }
-    for name in &difference.removed {
-        // An entry under another kind of name was never taken.
-        if let Ok(id) = ServerId::try_from(&**name) {
-            changes.push(ServerChange::Removed(id));
-        }
-    }
     changes
 }
 
 fn decode<T>(
     desk: &Desk,
     kind: Kind,
-    read: impl Fn(&Object) -> Result<T, objects::ObjectError>,
+    read: impl Fn(&Object) -> Result<T, ObjectError>,
 ) -> Vec<T> {
     let copies = desk.copies.borrow();
     let mut decoded = Vec::new();
     for object in copies.of(kind).objects() {
         match read(object) {
             Ok(value) => decoded.push(value),
-            Err(error) => {
-                let why = format!("{}: {error}", object.name);
-                note(desk, "object-refused", kind, &why);
-            }
+            Err(error) => refused(desk, kind, object, &error),
         }
     }
     decoded
 }
 
+// An entry that another writer left, or one that a fault spoilt.
+fn refused(desk: &Desk, kind: Kind, object: &Object, error: &ObjectError) {
+    let why = format!("{}: {error}", object.name);
+    note(desk, "object-refused", kind, &why);
+}
+
 // Writes this instance's entry, until the store has it.
 async fn enlist(desk: Rc<Desk>) {
     let (name, spec) = (desk.me.entry.id.as_str(), objects::member_spec(&desk.me));
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -32,8 +32,8 @@
 /// The least wait for a slot that is accepted, as a part of the objective.
 const WAIT_PART: f64 = 0.25;
 
-/// How much of its remaining time a request may be expected to need.
-const LEFT_PART: f64 = 1.0;
+/// How much longer than expected a request is given to be answered in time.
+const LATE_FACTOR: f64 = 1.1;
 
 /// What is asked of the fleet for one request.
 #[derive(Debug)]
@@ -63,6 +63,9 @@
     pub(crate) work: f64,
     /// What its failures and slow requests add.
     pub(crate) risk: f64,
+    /// How long another request for the object, with which the server builds
+    /// up its state, still runs there.
+    pub(crate) builds: Option<Duration>,
     pub(crate) occupancy: u32,
     /// The servers it was chosen from.
     pub(crate) candidates: usize,
@@ -75,6 +78,8 @@
     NoServer,
     /// Each that may is full, cold or left alone for a while.
     Full,
+    /// The best one builds up the state of the object for this long.
+    Building(Duration),
     /// None would answer in the time that is left.
     TooLate,
 }
@@ -142,9 +147,12 @@
         if best.wait > wait_most {
             return Err(Blocked::Full);
         }
-        if best.path + best.expected() > millis(ask.left) * LEFT_PART && ask.left < ask.route.objective {
+        if best.path + best.expected() * LATE_FACTOR > millis(ask.left) {
             return Err(Blocked::TooLate);
         }
+        if let Some(span) = best.builds {
+            return Err(Blocked::Building(span));
+        }
         let candidates = choices.len();
         Ok(Choice {
             candidates,
@@ -189,17 +197,24 @@
         }
         let pace = |warmth| self.paces.expect(&ask.route.name, objective, warmth);
         let mut work = pace(warmth) * server.slowness(now);
+        let known = pace(Warmth::Known) * server.slowness(now);
+        let builds = ask
+            .object
+            .filter(|_| warmth != Warmth::Known)
+            .and_then(|object| server.builds(object, now));
+        if let Some(rest) = builds {
+            work = rest + known;
+        }
         if server.state == State::Warming {
             work *= COLD_FACTOR;
         }
-        let occupancy = server.occupancy(now);
+        let occupancy = server.occupancy(now, self.sharers(server));
         let slots = backend.slots.max(1);
         let free = occupancy < slots;
         let wait = if free {
             0.0
         } else {
-            let hold = pace(Warmth::Known) * server.slowness(now);
-            f64::from(occupancy - slots + 1) * hold / f64::from(slots)
+            f64::from(occupancy - slots + 1) * known / f64::from(slots)
         };
         // A server that runs few requests wins between equals.
         let crowd = f64::from(occupancy) / f64::from(slots) + ask.draw;
@@ -212,6 +227,7 @@
             wait,
             work,
             risk,
+            builds: builds.map(|rest| Duration::from_secs_f64(rest / 1_000.0)),
             occupancy,
             candidates: 0,
         }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -176,12 +176,21 @@
     }
 
     /// Notes that a request is sent to a server.
-    pub(crate) fn begin(&mut self, now: Time, id: &ServerId, request: RequestId, expected: f64) {
+    ///
+    /// `builds` is the object whose state the server builds up with it.
+    pub(crate) fn begin(
+        &mut self,
+        now: Time,
+        id: &ServerId,
+        request: RequestId,
+        expected: f64,
+        builds: Option<u64>,
+    ) {
         let gap = self.servers.get(id).and_then(|server| {
             (server.state == State::Warming).then(|| self.cold_gap(server))?
         });
         if let Some(server) = self.servers.get_mut(id) {
-            server.begin(request, now, expected);
+            server.begin(request, now, expected, builds);
             if let Some(gap) = gap {
                 server.cold_next = now + gap;
             }
@@ -267,6 +276,12 @@
         ((ahead as f64) < count).then_some(gap)
     }
 
+    /// The instances that are taken to send a server as much as this one does.
+    pub(crate) fn sharers(&self, server: &Server) -> u32 {
+        let near = self.nearest(server);
+        near.len().max(1) as u32
+    }
+
     /// The changes of states since the last call.
     pub(crate) fn take_changes(&mut self) -> Vec<Change> {
         std::mem::take(&mut self.changes)
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -49,6 +49,10 @@
 /// against a version.
 const FAR_TOO_SLOW: f64 = 3.0;
 
+/// How much longer than expected a request waits for a server to build up the
+/// state of its object.
+const BUILD_PATIENCE: f64 = 1.5;
+
 /// The lowest HTTP status that is a failure of the backend server.
 const SERVER_FAULT: u16 = 500;
 
@@ -264,13 +268,16 @@
     fn send(&mut self, now: Time, open: &mut Open, out: &mut Vec<Action>) -> Option<Signal> {
         let choice = match self.choose(now, open) {
             Ok(choice) => choice,
-            Err(blocked) => return Some(block(open, blocked)),
+            Err(blocked) => return Some(block(now, open, blocked)),
         };
         let server = self.fleet.server(&choice.server)?;
         let (id, addr) = (open.query.id, server.listed.backend.addr);
         let version = server.listed.backend.version.clone();
         self.shifts.count(now, choice.away);
-        self.fleet.begin(now, &choice.server, id, choice.expected());
+        let object = open.query.object.filter(|_| open.route.sticky);
+        let builds = object.filter(|_| choice.warmth != Warmth::Known);
+        self.fleet
+            .begin(now, &choice.server, id, choice.expected(), builds);
         let note = self
             .note(Weight::Plain, "sent", open)
             .with("attempt", open.tried.len() + 1)
@@ -463,8 +470,14 @@
 }
 
 // What becomes of a request for which no backend server was found.
-fn block(open: &mut Open, blocked: Blocked) -> Signal {
+fn block(now: Time, open: &mut Open, blocked: Blocked) -> Signal {
     let reason = match blocked {
+        Blocked::Building(span) => {
+            // It is answered faster after that than by a server of its own.
+            let until = (now + span.mul_f64(BUILD_PATIENCE)).min(open.deadline);
+            open.wait_until = open.wait_until.max(Some(until));
+            return Signal::Full;
+        }
         Blocked::Full if open.tried.is_empty() => return Signal::Full,
         Blocked::Full => Reason::Overloaded,
         Blocked::NoServer => Reason::NoServer,
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -41,6 +41,10 @@
 /// How long a told load is taken for true.
 const TOLD_LIFE: Duration = Duration::from_secs(1);
 
+/// The least time that a request which builds up state is expected to run on,
+/// in milliseconds, once it is over its time.
+const BUILD_LEAST_MS: f64 = 40.0;
+
 /// Objects remembered for one server; more than any of them keeps warm.
 const OBJECTS: usize = 128;
 
@@ -103,6 +107,8 @@
     since: Time,
     // The time that it was expected to take, in milliseconds.
     expected: f64,
+    // The object whose state the server builds up with it.
+    builds: Option<u64>,
 }
 
 /// One backend server, as this instance knows it.
@@ -188,15 +194,29 @@
     }
 
     /// Notes that a request was sent to it.
-    pub(crate) fn begin(&mut self, id: RequestId, now: Time, expected: f64) {
+    pub(crate) fn begin(
+        &mut self,
+        id: RequestId,
+        now: Time,
+        expected: f64,
+        builds: Option<u64>,
+    ) {
         let since = now;
         self.runs.push(Run {
             id,
             since,
             expected,
+            builds,
         });
     }
 
+    /// How many milliseconds the first request for an object, with which the
+    /// server builds up its state, is still expected to run.
+    pub(crate) fn builds(&self, object: u64, now: Time) -> Option<f64> {
+        let run = self.runs.iter().find(|run| run.builds == Some(object))?;
+        Some((run.expected - millis(now.since(run.since))).max(BUILD_LEAST_MS))
+    }
+
     /// Notes that a request ended there; gives back how long it ran and how
     /// long it was expected to, in milliseconds.
     pub(crate) fn end(&mut self, id: RequestId, now: Time) -> Option<(f64, f64)> {
@@ -215,12 +235,14 @@
         self.runs.len() as u32
     }
 
-    /// Requests that run or wait there, of all instances, as far as known.
-    pub(crate) fn occupancy(&self, now: Time) -> u32 {
+    /// Requests that run or wait there, of all instances, as far as known;
+    /// `sharers` instances are taken to send it as many as this one.
+    pub(crate) fn occupancy(&self, now: Time, sharers: u32) -> u32 {
         let own = self.own();
         let told = self.told.filter(|(at, ..)| now.since(*at) < TOLD_LIFE);
-        told.map_or(own, |(_, total, then)| {
-            own.max((total + own).saturating_sub(then))
+        told.map_or(own * sharers, |(_, total, then)| {
+            let since = own.saturating_sub(then) * sharers;
+            own.max((total + since).saturating_sub(then.saturating_sub(own)))
         })
     }
 
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -70,6 +70,10 @@
             span.0 += home;
             span.1 += away;
         }
+        // Without a span to compare with nothing is a shift.
+        if before.0 + before.1 < FEW {
+            return Drift::Free;
+        }
         let was = share(before, 0.0);
         let step = self.step.max(1.0 / FEW.max(present.0 + present.1));
         if share(present, 1.0) > was + step {
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -24,7 +24,7 @@
 const WAIT_PART: f64 = 0.125;
 
 /// Requests of one service that are tried in one go.
-const TRIED_AT_ONCE: usize = 32;
+const TRIED_AT_ONCE: usize = 64;
 
 /// The weight of a request of no client account.
 const PLAIN_WEIGHT: f64 = 100.0;
@@ -70,23 +70,26 @@
     }
 
     /// Tries the requests that wait for a service again.
+    ///
+    /// One that still finds no room does not hold up the others, which may
+    /// concern other objects.
     pub(crate) fn serve_room(&mut self, now: Time, service: &Service, out: &mut Vec<Action>) {
-        for _ in 0..TRIED_AT_ONCE {
-            let Some(queue) = self.rooms.0.get_mut(service) else {
-                return;
-            };
-            let Some(id) = queue.pop(now) else {
-                return;
-            };
-            let waits = self.requests.get(&id).map(|open| open.state);
-            if waits != Some(State::Waiting) {
-                continue;
-            }
-            if let Some(open) = self.requests.remove(&id) {
-                self.advance(now, open, Signal::Free, out);
+        let Some(queue) = self.rooms.0.get_mut(service) else {
+            return;
+        };
+        let mut next = Vec::new();
+        while next.len() < TRIED_AT_ONCE {
+            match queue.pop(now) {
+                Some(id) => next.push(id),
+                None => break,
             }
-            if self.requests.get(&id).map(|open| open.state) == Some(State::Waiting) {
-                return;
+        }
+        for id in next {
+            let waits = self.requests.get(&id).map(|open| open.state);
+            if waits == Some(State::Waiting) {
+                if let Some(open) = self.requests.remove(&id) {
+                    self.advance(now, open, Signal::Free, out);
+                }
             }
         }
     }
