steer: servers of the own failure domain are preferred for what they will keep warm

Cause: a first request for an object went to another failure domain whenever the own server was building the object up, so objects stayed spread over domains; the reach of the store was unknown until its first fault, so no instance led a move; a slowness above 1 was an artefact of clipping. Ruled out: homes of client accounts (12 of 500 requests).

--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -125,7 +125,7 @@
             regions: settings.regions,
             seeds: RefCell::new(settings.seeds),
             copies: RefCell::default(),
-            reach: Cell::new(Reach::Store),
+            reach: Cell::new(Reach::Nothing),
             rereads: Cell::new(0),
             turn: Cell::new(0),
         });
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -26,6 +26,10 @@
 /// What another region costs, in milliseconds: the way there and back.
 const REGION_MS: f64 = 75.0;
 
+/// The part of the time in which a server of this failure domain builds up the
+/// state of an object that is not counted against it: later requests gain it.
+const INVESTED: f64 = 0.8;
+
 /// How much slower a cold server is.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -61,7 +65,7 @@
     pub(crate) path: f64,
     pub(crate) wait: f64,
     pub(crate) work: f64,
-    /// What its failures and slow requests add.
+    /// What its failures and slow requests add, and later requests gain.
     pub(crate) risk: f64,
     /// How long another request for the object, with which the server builds
     /// up its state, still runs there.
@@ -100,9 +104,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "of:{}/{:?}/path:{:.0}/wait:{:.0}/work:{:.0}/risk:{:.0}/occupied:{}",
+            "of:{}/{:?}/away:{}/path:{:.0}/wait:{:.0}/work:{:.0}/risk:{:.0}/occupied:{}",
             self.candidates,
             self.warmth,
+            self.away,
             self.path,
             self.wait,
             self.work,
@@ -184,17 +189,13 @@
         let backend = &server.listed.backend;
         let objective = millis(ask.route.objective);
         let away = backend.region != *self.region();
-        let mut path = if away {
-            REGION_MS
-        } else if backend.domain == *self.domain() {
-            0.0
-        } else {
-            DOMAIN_MS
+        let path = match (away, backend.domain == *self.domain()) {
+            // Requests that run away come home no faster than the shift allows.
+            (true, _) if ask.drift == Drift::AwayFirst => 0.0,
+            (true, _) => REGION_MS,
+            (false, true) => 0.0,
+            (false, false) => DOMAIN_MS,
         };
-        // Requests that run away come home no faster than the shift allows.
-        if ask.drift == Drift::AwayFirst {
-            path = if away { 0.0 } else { path + REGION_MS };
-        }
         let pace = |warmth| self.paces.expect(&ask.route.name, objective, warmth);
         let mut work = pace(warmth) * server.slowness(now);
         let known = pace(Warmth::Known) * server.slowness(now);
@@ -218,7 +219,11 @@
         };
         // A server that runs few requests wins between equals.
         let crowd = f64::from(occupancy) / f64::from(slots) + ask.draw;
-        let risk = server.faults() * objective + server.overdue(now) + crowd;
+        let invested = match (warmth, path <= 0.0) {
+            (Warmth::Likely, true) => (work - known).max(0.0) * INVESTED,
+            _ => 0.0,
+        };
+        let risk = server.faults() * objective + server.overdue(now) + crowd - invested;
         Choice {
             server: backend.id.clone(),
             warmth,
--- a/crates/steer/src/pace.rs
+++ b/crates/steer/src/pace.rs
@@ -68,7 +68,7 @@
 fn first(objective: f64) -> Means {
     Means {
         known: objective * FIRST_KNOWN,
-        likely: objective * (FIRST_KNOWN + FIRST_UNKNOWN) / 2.0,
+        likely: objective * FIRST_UNKNOWN,
         unknown: objective * FIRST_UNKNOWN,
     }
 }
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -38,6 +38,10 @@
 /// The time in which a slowness that is not confirmed loses half of its excess.
 const SLOW_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// The mean of times over expected times up to which a server is not slow: an
+/// object whose state it has dropped takes several times as long as expected.
+const SLOW_SPREAD: f64 = 1.8;
+
 /// How long a told load is taken for true.
 const TOLD_LIFE: Duration = Duration::from_secs(1);
 
@@ -250,8 +254,8 @@
     pub(crate) fn pass(&mut self, now: Time, ratio: f64, failed: bool) {
         self.strikes = 0;
         self.faults += (f64::from(u8::from(failed)) - self.faults) * FAULT_GAIN;
-        let slow = self.slowness(now);
-        self.slow = (now, (slow + (ratio - slow) * SLOW_GAIN).max(1.0));
+        let slow = self.mean_ratio(now);
+        self.slow = (now, slow + (ratio - slow) * SLOW_GAIN);
     }
 
     /// Notes an attempt that brought no answer.
@@ -270,8 +274,18 @@
         now < self.full_until
     }
 
-    /// How many times longer than its like it takes; at least 1.
+    /// How many times longer than its like it takes; 1 within the usual spread.
     pub(crate) fn slowness(&self, now: Time) -> f64 {
+        let slow = self.mean_ratio(now);
+        if slow > SLOW_SPREAD {
+            slow
+        } else {
+            1.0
+        }
+    }
+
+    // The mean of the times it took over those expected, of late.
+    fn mean_ratio(&self, now: Time) -> f64 {
         let (at, slow) = self.slow;
         let halves = now.since(at).as_secs_f64() / SLOW_HALF_LIFE.as_secs_f64();
         1.0 + (slow - 1.0) * 0.5_f64.powf(halves)
