--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -30,6 +30,10 @@
 /// state of an object that is not counted against it: later requests gain it.
 const INVESTED: f64 = 0.8;
 
+/// The part of its slots up to which a server is idle enough to build up the
+/// state of an object that another server has.
+const IDLE_PART: f64 = 0.5;
+
 /// How much slower a cold server is.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -71,6 +75,7 @@
     /// up its state, still runs there.
     pub(crate) builds: Option<Duration>,
     pub(crate) occupancy: u32,
+    pub(crate) slots: u32,
     /// The servers it was chosen from.
     pub(crate) candidates: usize,
 }
@@ -94,6 +99,11 @@
         self.path + self.wait + self.work + self.risk
     }
 
+    // Whether a request that takes long, for want of state, harms no other.
+    fn is_idle(&self) -> bool {
+        f64::from(self.occupancy) < f64::from(self.slots) * IDLE_PART
+    }
+
     /// The time that it is expected to take from the sending to the answer.
     pub(crate) fn expected(&self) -> f64 {
         self.wait + self.work
@@ -145,6 +155,7 @@
             .any(|server| server.listed.backend.region == *self.region());
         let choices: Vec<Choice> = choices
             .filter(|choice| !(homely && choice.away && ask.drift == Drift::HomeOnly))
+            .filter(|choice| choice.warmth != Warmth::Unknown || choice.is_idle())
             .collect();
         let best = choices.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
         let best = best.ok_or(Blocked::Full)?;
@@ -178,6 +189,9 @@
 
     // Whether a server may be given a request right now.
     fn has_turn(&self, now: Time, server: &Server) -> bool {
+        if !server.has_window() {
+            return false;
+        }
         match server.state {
             State::Serving => !server.is_full(now),
             State::Warming => server.cold_next <= now && self.cold_gap(server).is_some(),
@@ -234,6 +248,7 @@
             risk,
             builds: builds.map(|rest| Duration::from_secs_f64(rest / 1_000.0)),
             occupancy,
+            slots,
             candidates: 0,
         }
     }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -38,6 +38,10 @@
 /// The most instances that share a cold server.
 const COLD_SHARERS: f64 = 3.0;
 
+/// Requests that a server of another failure domain is given at once before it
+/// has told its load.
+const FAR_WINDOW: f64 = 2.0;
+
 /// The cold time of a service whose terms are not known.
 const COLD_SPAN: Duration = Duration::from_secs(3);
 
@@ -208,9 +212,11 @@
         self.servers.get_mut(id)?.end(request, now)
     }
 
-    pub(crate) fn tell(&mut self, now: Time, id: &ServerId, load: Option<Load>) {
+    /// Takes the load that an answer of a server told; `tolerated` is the wait
+    /// there that does no harm, in requests for each slot.
+    pub(crate) fn tell(&mut self, now: Time, id: &ServerId, load: Option<Load>, tolerated: f64) {
         if let (Some(server), Some(load)) = (self.servers.get_mut(id), load) {
-            server.tell(now, load);
+            server.tell(now, load, tolerated * f64::from(load.slots));
         }
     }
 
@@ -250,6 +256,7 @@
     pub(crate) fn fill(&mut self, now: Time, id: &ServerId, span: Duration) {
         if let Some(server) = self.servers.get_mut(id) {
             server.fill(now, span);
+            server.shrink(now);
         }
     }
 
@@ -334,8 +341,9 @@
             }
             Some(_) | None => {
                 let hash = hash::of(id.as_str().as_bytes());
+                let window = self.first_window(&listed);
                 self.servers
-                    .insert(id.clone(), Server::new(listed, hash, now));
+                    .insert(id.clone(), Server::new(listed, hash, window, now));
             }
         }
         if presence == Presence::Leaving {
@@ -344,6 +352,18 @@
         self.signal(now, &id, Signal::Tick, "entry");
     }
 
+    // Requests that a server is given at once before it has told its load: its
+    // slots are divided between the instances of its failure domain.
+    fn first_window(&self, listed: &Listed) -> f64 {
+        let backend = &listed.backend;
+        if backend.domain != self.me.domain {
+            return FAR_WINDOW;
+        }
+        let near = self.neighbours.iter();
+        let sharers = near.filter(|n| n.domain == backend.domain).count();
+        f64::from(backend.slots) / sharers.max(1) as f64 + 1.0
+    }
+
     fn remove(&mut self, now: Time, id: &ServerId, unsettled: bool) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -53,6 +53,10 @@
 /// state of its object.
 const BUILD_PATIENCE: f64 = 1.5;
 
+/// The part of a route's slack, its objective less the usual time, that
+/// requests may wait at a backend server.
+const WAIT_TOLERATED: f64 = 0.4;
+
 /// The lowest HTTP status that is a failure of the backend server.
 const SERVER_FAULT: u16 = 500;
 
@@ -350,11 +354,14 @@
         let object = open.query.object.filter(|_| open.route.sticky);
         let objective = millis(open.route.objective);
         let short = hash::short(server.as_str());
+        let paces = &self.fleet.paces;
+        let known = paces.expect(&open.route.name, objective, Warmth::Known);
+        let tolerated = ((objective - known) * WAIT_TOLERATED / known.max(1.0)).max(0.0);
         let mut judged = None;
         match outcome {
             Outcome::Answered { status, load } => {
                 let failed = status >= SERVER_FAULT;
-                self.fleet.tell(now, &server, load);
+                self.fleet.tell(now, &server, load, tolerated);
                 self.crashes.answered(now, open.query.signature);
                 let ratio = took / expected.max(1.0);
                 self.fleet.pass(now, &server, ratio, failed);
@@ -367,7 +374,7 @@
                 judged = Some(failed || took > FAR_TOO_SLOW * cold.max(objective));
             }
             Outcome::Full { load } => {
-                self.fleet.tell(now, &server, load);
+                self.fleet.tell(now, &server, load, tolerated);
                 self.fleet.fill(now, &server, FULL_SPAN);
             }
             Outcome::Misdirected => self.fleet.misdirect(now, &server),
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -49,6 +49,12 @@
 /// in milliseconds, once it is over its time.
 const BUILD_LEAST_MS: f64 = 40.0;
 
+/// What is left of a window after an answer told of too many waiting requests.
+const SHRINK: f64 = 0.8;
+
+/// The time between two reductions of a window, in which the first one shows.
+const SHRINK_PAUSE: Duration = Duration::from_millis(200);
+
 /// Objects remembered for one server; more than any of them keeps warm.
 const OBJECTS: usize = 128;
 
@@ -128,6 +134,9 @@
     pub(crate) cold_until: Time,
     /// When it may take its next request while cold.
     pub(crate) cold_next: Time,
+    // Requests that this instance may have there at once.
+    window: f64,
+    shrunk: Time,
     runs: Vec<Run>,
     told: Option<(Time, u32, u32)>,
     objects: Sorted<u64, Time>,
@@ -140,13 +149,16 @@
 }
 
 impl Server {
-    pub(crate) fn new(listed: Listed, hash: u64, now: Time) -> Self {
+    /// Makes a server that is given `window` requests at once at first.
+    pub(crate) fn new(listed: Listed, hash: u64, window: f64, now: Time) -> Self {
         Self {
             state: State::Warming,
             hash,
             missing: None,
             cold_until: now + listed.cold_left,
             cold_next: now,
+            window,
+            shrunk: now,
             runs: Vec::new(),
             told: None,
             objects: Sorted::default(),
@@ -229,9 +241,33 @@
         Some((millis(now.since(run.since)), run.expected))
     }
 
-    /// Takes the load that an answer told.
-    pub(crate) fn tell(&mut self, now: Time, load: Load) {
+    /// Takes the load that an answer told, and adapts the window to it: it
+    /// shrinks while more than `tolerated` requests wait there, and grows
+    /// while this instance uses it up and nothing much waits.
+    pub(crate) fn tell(&mut self, now: Time, load: Load, tolerated: f64) {
         self.told = Some((now, load.running + load.waiting, self.own()));
+        let waiting = f64::from(load.waiting);
+        if waiting > tolerated {
+            self.shrink(now);
+        } else if f64::from(self.own()) + 2.0 > self.window {
+            let free = load.running < load.slots;
+            let most = f64::from(load.slots) + tolerated;
+            let step = if free { 1.0 } else { 1.0 / self.window };
+            self.window = (self.window + step).min(most);
+        }
+    }
+
+    /// Makes the window smaller, at most once in a while.
+    pub(crate) fn shrink(&mut self, now: Time) {
+        if now.since(self.shrunk) >= SHRINK_PAUSE {
+            self.shrunk = now;
+            self.window = (self.window * SHRINK).max(1.0);
+        }
+    }
+
+    /// Whether this instance may send it another request.
+    pub(crate) fn has_window(&self) -> bool {
+        f64::from(self.own()) + 1.0 <= self.window
     }
 
     /// Requests that this instance has there.
