steer: an object belongs to one server of each region, not of each failure domain

Cause: under load no object ever stayed with a server: each (object, server) pair costs one slow first run, and with an owner in each of six failure domains those runs took more than all slots; a full owner was replaced for a moment by another, which ran slowly too. Ruled out: eviction (each server can hold all objects); queueing at the servers (windows bound it, and the slow runs stayed).

--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::time::Duration;
 
-use corianderway_model::FailureDomain;
 use corianderway_model::Region;
 use corianderway_model::ServerId;
 use corianderway_model::Sorted;
@@ -26,7 +25,11 @@
 /// What another region costs, in milliseconds: the way there and back.
 const REGION_MS: f64 = 75.0;
 
-/// The part of the time in which a server of this failure domain builds up the
+/// By how much the lowest rank for an object counts against a server, in
+/// milliseconds, so that all instances spread an object in the same order.
+const RANK_MS: f64 = 20.0;
+
+/// The part of the time in which a server of this region builds up the
 /// state of an object that is not counted against it: later requests gain it.
 const INVESTED: f64 = 0.8;
 
@@ -144,7 +147,7 @@
             .copied()
             .filter(|server| self.has_turn(now, server))
             .collect();
-        let owners = owners(&open, ask.object);
+        let owners = owners(&listed, ask.object);
         let objective = millis(ask.route.objective);
         let choices = open.iter().map(|server| {
             let warmth = warmth(server, ask.object, &owners);
@@ -231,10 +234,15 @@
         } else {
             f64::from(occupancy - slots + 1) * known / f64::from(slots)
         };
-        // A server that runs few requests wins between equals.
-        let crowd = f64::from(occupancy) / f64::from(slots) + ask.draw;
-        let invested = match (warmth, path <= 0.0) {
-            (Warmth::Likely, true) => (work - known).max(0.0) * INVESTED,
+        // Between equals, the server wins that ranks higher for the object, or
+        // else one that runs few requests.
+        let tie = ask.object.map_or(ask.draw, |object| {
+            let rank = hash::rank(object, server.hash);
+            RANK_MS * (1.0 - rank as f64 / u64::MAX as f64)
+        });
+        let crowd = f64::from(occupancy) / f64::from(slots) + tie;
+        let invested = match (warmth, away) {
+            (Warmth::Likely, false) => (work - known).max(0.0) * INVESTED,
             _ => 0.0,
         };
         let risk = server.faults() * objective + server.overdue(now) + crowd - invested;
@@ -254,16 +262,18 @@
     }
 }
 
-// The server of each failure domain that ranks first for the object.
-fn owners(open: &[&Server], object: Option<u64>) -> Vec<u64> {
+// The server of each region that ranks first for the object, whether or not it
+// has room: one that stands in for it for a moment builds up nothing of use.
+fn owners(listed: &[&Server], object: Option<u64>) -> Vec<u64> {
     let Some(object) = object else {
         return Vec::new();
     };
-    let mut best: Sorted<FailureDomain, (u64, u64)> = Sorted::default();
-    for server in open {
+    let mut best: Sorted<Region, (u64, u64)> = Sorted::default();
+    let serving = listed.iter().filter(|s| s.state != State::Ejected);
+    for server in serving {
         let rank = hash::rank(object, server.hash);
-        let domain = server.listed.backend.domain.clone();
-        let row = best.get_or(domain, || (rank, server.hash));
+        let region = server.listed.backend.region.clone();
+        let row = best.get_or(region, || (rank, server.hash));
         if rank > row.0 {
             *row = (rank, server.hash);
         }
--- a/crates/steer/src/pace.rs
+++ b/crates/steer/src/pace.rs
@@ -18,7 +18,7 @@
 pub(crate) enum Warmth {
     /// This instance sent it requests for the object lately.
     Known,
-    /// The first choice of the instances of its failure domain for the object.
+    /// The first choice of the instances of its region for the object.
     Likely,
     /// Neither.
     Unknown,
