--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -123,8 +123,10 @@
     let ring = decisions.clone();
     duty::spawn("servers", move || servers::run(taken, clock, ring)).context(ThreadSnafu)?;
     let (ring, lines) = (decisions.clone(), log.clone());
-    duty::spawn("store", move || store::run(settings, replica, ordered, ring, lines))
-        .context(ThreadSnafu)?;
+    duty::spawn("store", move || {
+        store::run(settings, replica, ordered, ring, lines);
+    })
+    .context(ThreadSnafu)?;
     let (ring, lines) = (decisions.clone(), log.clone());
     duty::spawn("peers", move || peers::run(peers, sent, ring, lines)).context(ThreadSnafu)?;
     let (ring, shown) = (decisions.clone(), board.clone());
--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -47,7 +47,10 @@
         }
         Framing::Chunked => read_chunks(stream, carry, most).await,
         Framing::Close => {
-            while more(stream, carry).await.map_err(|_broken| BodyError::Cut)? {
+            while more(stream, carry)
+                .await
+                .map_err(|_broken| BodyError::Cut)?
+            {
                 if carry.len() as u64 > most {
                     return Err(BodyError::TooLarge);
                 }
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -58,11 +58,7 @@
 
 impl Desk {
     /// Makes the desk of one process.
-    pub fn new(
-        decisions: Sender<Input>,
-        limits: SharedLimits,
-        stopping: Arc<AtomicBool>,
-    ) -> Self {
+    pub fn new(decisions: Sender<Input>, limits: SharedLimits, stopping: Arc<AtomicBool>) -> Self {
         Self {
             decisions,
             limits,
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -147,7 +147,9 @@
             self.carry(action);
         }
         self.actions = actions;
-        self.board.ready.store(self.steer.is_ready(), Ordering::Release);
+        self.board
+            .ready
+            .store(self.steer.is_ready(), Ordering::Release);
         self.board.open.store(self.steer.open(), Ordering::Release);
         self.board.limits.set(self.steer.callers());
     }
--- a/crates/daemon/src/edge/doors.rs
+++ b/crates/daemon/src/edge/doors.rs
@@ -2,6 +2,7 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -14,7 +15,6 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
-use std::sync::atomic::Ordering;
 
 use crate::edge::callers::Numbers;
 use crate::edge::decisions::Board;
@@ -105,7 +105,11 @@
             if desk.board.ready.load(Ordering::Acquire) {
                 text(StatusCode::Ok, "text/plain", "ready".to_owned())
             } else {
-                text(StatusCode::ServiceUnavailable, "text/plain", "not ready".to_owned())
+                text(
+                    StatusCode::ServiceUnavailable,
+                    "text/plain",
+                    "not ready".to_owned(),
+                )
             }
         }
         (Door::Directory, directory::PATH) => {
@@ -117,7 +121,11 @@
         (Door::Admin, "/explain") => {
             let mut pairs = url.query_pairs();
             let request = pairs.find(|(name, _)| name == "request");
-            explain(desk, request.map(|(_, id)| id.into_owned()).unwrap_or_default()).await
+            explain(
+                desk,
+                request.map(|(_, id)| id.into_owned()).unwrap_or_default(),
+            )
+            .await
         }
         _ => Response::new(StatusCode::NotFound),
     }
@@ -143,7 +151,10 @@
 async fn explain(desk: &Desk, trace: String) -> Response {
     let (sender, answers) = async_channel::bounded(1);
     let asked = async {
-        desk.decisions.send(Input::Explain(trace, sender)).await.ok()?;
+        desk.decisions
+            .send(Input::Explain(trace, sender))
+            .await
+            .ok()?;
         answers.recv().await.ok()
     };
     match future::timeout(ANSWER, asked).await.ok().flatten() {
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -91,11 +91,7 @@
     (Outcome::Answered { status, load }, Some(answer))
 }
 
-async fn open(
-    job: &Job,
-    clock: Clock,
-    pool: &RefCell<Pool>,
-) -> Result<(TcpStream, bool), Outcome> {
+async fn open(job: &Job, clock: Clock, pool: &RefCell<Pool>) -> Result<(TcpStream, bool), Outcome> {
     let most = if job.once { KEEP_ONCE } else { Duration::MAX };
     while let Some(stream) = take(pool, job.addr, most) {
         if is_silent(&stream).await {
--- a/crates/daemon/src/edge/metrics.rs
+++ b/crates/daemon/src/edge/metrics.rs
@@ -18,7 +18,9 @@
 
 /// Values of notes that become labels; the sets of their values are bounded by
 /// the configuration.
-const LABELS: [&str; 7] = ["route", "service", "account", "reason", "status", "from", "to"];
+const LABELS: [&str; 7] = [
+    "route", "service", "account", "reason", "status", "from", "to",
+];
 
 /// The instruments of one process.
 #[derive(Debug)]
--- a/crates/daemon/src/edge/stop.rs
+++ b/crates/daemon/src/edge/stop.rs
@@ -76,12 +76,9 @@
     /// Waits for the signal of a planned stop, then until no request is open
     /// or the grace is over; returns the number of requests still open.
     pub fn wait(mut self) -> usize {
-        loop {
-            // The iterator ends only with the process.
-            match self.signals.forever().next() {
-                Some(SIGHUP) => self.reload(),
-                Some(_) | None => break,
-            }
+        // The iterator ends only with the process.
+        while let Some(SIGHUP) = self.signals.forever().next() {
+            self.reload();
         }
         let grace = self.settings.bounds.grace;
         let line = Line::new("stop-begins").with("grace_ms", grace.as_millis());
@@ -98,7 +95,8 @@
             let age = begun.elapsed();
             if (open == 0 && age >= stay) || age >= most {
                 let line = Line::new("stop-ends").with("open", open);
-                self.log.put(Level::Info, line.with("after_ms", age.as_millis()));
+                self.log
+                    .put(Level::Info, line.with("after_ms", age.as_millis()));
                 return open;
             }
             thread::sleep(LOOK);
@@ -122,7 +120,10 @@
             .with("needs_restart", same != settings);
         self.log.put(Level::Info, line);
         // A full ring leaves the seeds as they were; instances are found by the store first.
-        drop(self.store.try_send(StoreOrder::Seeds(settings.seeds.clone())));
+        drop(
+            self.store
+                .try_send(StoreOrder::Seeds(settings.seeds.clone())),
+        );
         self.settings.seeds = settings.seeds;
     }
 }
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -106,6 +106,16 @@
     pub fn is_current(&self) -> bool {
         self.reach.get() == Reach::Store
     }
+
+    fn replace(&self, kind: Kind, objects: Vec<Object>, revision: u64) -> Vec<Change> {
+        let mut copies = self.copies.borrow_mut();
+        copies.of_mut(kind).replace(objects, revision)
+    }
+
+    fn change(&self, kind: Kind, heard: Vec<Change>, revision: u64) -> Vec<Change> {
+        let mut copies = self.copies.borrow_mut();
+        copies.of_mut(kind).change(heard, revision)
+    }
 }
 
 /// Runs until the decision duty is gone.
@@ -200,9 +210,7 @@
                     note(desk, "object-unread", kind, error);
                 }
                 let (heard, revision) = (changes.changes, changes.revision);
-                let mut copies = desk.copies.borrow_mut();
-                let news = copies.of_mut(kind).change(heard, revision);
-                drop(copies);
+                let news = desk.change(kind, heard, revision);
                 tell(desk, kind, &news).await;
             }
             Err(error) => return Fault::Unanswered(error.to_string()),
@@ -226,17 +234,13 @@
         objects.extend(page.objects);
         // What changed while the pages were read is heard by the watch.
         let first = *revision.get_or_insert(page.revision);
-        match page.next {
-            Some(name) => after = Some(name),
-            None => {
-                let mut copies = desk.copies.borrow_mut();
-                let news = copies.of_mut(kind).replace(objects, first);
-                drop(copies);
-                // A list also tells that there is nothing.
-                tell(desk, kind, &news).await;
-                return Ok(());
-            }
+        if page.next.is_none() {
+            let news = desk.replace(kind, objects, first);
+            // A list also tells that there is nothing.
+            tell(desk, kind, &news).await;
+            return Ok(());
         }
+        after = page.next;
     }
 }
 
@@ -327,9 +331,7 @@
         let Ok(page) = store::page(&reply.body) else {
             return false;
         };
-        let mut copies = desk.copies.borrow_mut();
-        let news = copies.of_mut(kind).replace(page.objects, page.revision);
-        drop(copies);
+        let news = desk.replace(kind, page.objects, page.revision);
         tell(desk, kind, &news).await;
     }
     true
@@ -421,11 +423,7 @@
     changes
 }
 
-fn decode<T>(
-    desk: &Desk,
-    kind: Kind,
-    read: impl Fn(&Object) -> Result<T, ObjectError>,
-) -> Vec<T> {
+fn decode<T>(desk: &Desk, kind: Kind, read: impl Fn(&Object) -> Result<T, ObjectError>) -> Vec<T> {
     let copies = desk.copies.borrow();
     let mut decoded = Vec::new();
     for object in copies.of(kind).objects() {
@@ -512,6 +510,8 @@
 }
 
 fn note(desk: &Desk, event: &str, kind: Kind, why: &str) {
-    let line = Line::new(event).with("kind", kind.as_str()).with("why", why);
+    let line = Line::new(event)
+        .with("kind", kind.as_str())
+        .with("why", why);
     desk.log.put(Level::Info, line);
 }
--- a/crates/model/src/sorted.rs
+++ b/crates/model/src/sorted.rs
@@ -99,9 +99,9 @@
 }
 
 impl<K: Ord, V> FromIterator<(K, V)> for Sorted<K, V> {
-    fn from_iter<I: IntoIterator<Item = (K, V)>>(rows: I) -> Self {
+    fn from_iter<T: IntoIterator<Item = (K, V)>>(iter: T) -> Self {
         let mut sorted = Self::default();
-        for (key, value) in rows {
+        for (key, value) in iter {
             sorted.insert(key, value);
         }
         sorted
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -190,9 +190,10 @@
         expected: f64,
         builds: Option<u64>,
     ) {
-        let gap = self.servers.get(id).and_then(|server| {
-            (server.state == State::Warming).then(|| self.cold_gap(server))?
-        });
+        let gap = self
+            .servers
+            .get(id)
+            .and_then(|server| (server.state == State::Warming).then(|| self.cold_gap(server))?);
         if let Some(server) = self.servers.get_mut(id) {
             server.begin(request, now, expected, builds);
             if let Some(gap) = gap {
@@ -270,7 +271,9 @@
     pub(crate) fn cold_gap(&self, server: &Server) -> Option<Duration> {
         let backend = &server.listed.backend;
         let terms = self.terms.get(&backend.service)?;
-        let sharers = (terms.cold_rate / COLD_EACH).floor().clamp(1.0, COLD_SHARERS);
+        let sharers = (terms.cold_rate / COLD_EACH)
+            .floor()
+            .clamp(1.0, COLD_SHARERS);
         let rank = |id: &InstanceId| hash::rank(server.hash, hash::of(id.as_str().as_bytes()));
         let mine = rank(&self.me.id);
         let near = self.nearest(server);
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -145,6 +145,14 @@
         }
     }
 
+    /// When its time is over, waiting or sent.
+    pub(crate) fn expiry(&self) -> Time {
+        match (self.state, self.wait_until) {
+            (State::Waiting, Some(until)) => until.min(self.deadline),
+            _ => self.deadline,
+        }
+    }
+
     /// The time that it has left.
     pub(crate) fn left(&self, now: Time) -> Duration {
         self.deadline.since(now)
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -78,7 +78,9 @@
         };
         let Admitted { route, account } = admitted;
         let allowed = query.allowed.unwrap_or(ALLOWED);
-        let limit = route.timeout.map_or(allowed, |timeout| timeout.min(allowed));
+        let limit = route
+            .timeout
+            .map_or(allowed, |timeout| timeout.min(allowed));
         let service = self.splits.next(&route.name, &route.targets);
         self.budget(&service).record(now);
         let open = Open {
@@ -370,7 +372,10 @@
                     let name = &open.route.name;
                     self.fleet.paces.learn(name, objective, choice.warmth, took);
                 }
-                let cold = self.fleet.paces.expect(&open.route.name, objective, Warmth::Unknown);
+                let cold = self
+                    .fleet
+                    .paces
+                    .expect(&open.route.name, objective, Warmth::Unknown);
                 judged = Some(failed || took > FAR_TOO_SLOW * cold.max(objective));
             }
             Outcome::Full { load } => {
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -210,13 +210,7 @@
     }
 
     /// Notes that a request was sent to it.
-    pub(crate) fn begin(
-        &mut self,
-        id: RequestId,
-        now: Time,
-        expected: f64,
-        builds: Option<u64>,
-    ) {
+    pub(crate) fn begin(&mut self, id: RequestId, now: Time, expected: f64, builds: Option<u64>) {
         let since = now;
         self.runs.push(Run {
             id,
--- a/crates/steer/src/split.rs
+++ b/crates/steer/src/split.rs
@@ -16,8 +16,8 @@
             return only.clone();
         }
         let credits = self.0.get_or(route.clone(), Vec::new);
-        let same = credits.len() == targets.len()
-            && credits.iter().zip(targets).all(|(c, t)| c.0 == t.0);
+        let same =
+            credits.len() == targets.len() && credits.iter().zip(targets).all(|(c, t)| c.0 == t.0);
         if !same {
             *credits = targets.iter().map(|t| (t.0.clone(), 0.0)).collect();
         }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -87,16 +87,25 @@
     },
 }
 
-/// What has been learnt of the platform since the start.
-#[derive(Clone, Copy, Debug, Default)]
-struct Known {
-    plan: bool,
-    servers: bool,
-    orders: bool,
-    evacuations: bool,
-    members: bool,
+/// What must be known of the platform before callers are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Topic {
+    Plan,
+    Servers,
+    Orders,
+    Evacuations,
+    Members,
 }
 
+/// Every topic.
+const TOPICS: [Topic; 5] = [
+    Topic::Plan,
+    Topic::Servers,
+    Topic::Orders,
+    Topic::Evacuations,
+    Topic::Members,
+];
+
 /// The decisions of one instance.
 #[derive(Debug)]
 pub struct Steer {
@@ -121,7 +130,8 @@
     revision: u64,
     // Since when another instance has told a later one.
     deaf: Option<Time>,
-    known: Known,
+    // What is not known yet.
+    unknown: Vec<Topic>,
     digests: u64,
     swept: Time,
     told: Time,
@@ -165,7 +175,7 @@
             unsettled: Time::ZERO,
             revision: 0,
             deaf: None,
-            known: Known::default(),
+            unknown: TOPICS.to_vec(),
             digests: 0,
             swept: Time::ZERO,
             told: Time::ZERO,
@@ -186,7 +196,7 @@
             }
             Event::Plan(plan) => self.take_plan(now, plan, out),
             Event::Servers(changes) => {
-                self.known.servers = true;
+                self.learn(Topic::Servers);
                 let unsettled = self.is_unsettled(now);
                 self.fleet.change(now, changes, unsettled);
                 for service in self.fleet.services() {
@@ -197,11 +207,11 @@
             }
             Event::Evacuated(domains) => self.take_evacuations(domains, out),
             Event::Orders(orders) => {
-                self.known.orders = true;
+                self.learn(Topic::Orders);
                 self.moves.order(now, orders);
             }
             Event::Members(members) => {
-                self.known.members = true;
+                self.learn(Topic::Members);
                 self.members.list(now, members);
                 self.urgent = true;
             }
@@ -221,7 +231,7 @@
 
     /// The moment at which the next [`Event::Tick`] is due.
     pub fn due(&self) -> Time {
-        let deadlines = self.requests.iter().map(|(_, open)| self.expiry(open));
+        let deadlines = self.requests.iter().map(|(_, open)| open.expiry());
         let sweep = self.swept + SWEEP;
         deadlines.fold(sweep, Ord::min)
     }
@@ -245,8 +255,7 @@
 
     /// Whether everything that decides on requests is known.
     pub(crate) fn is_informed(&self) -> bool {
-        let known = &self.known;
-        known.plan && known.servers && known.orders && known.evacuations && known.members
+        self.unknown.is_empty()
     }
 
     /// Whether a request still may begin, for a stop that has begun.
@@ -271,12 +280,16 @@
         })
     }
 
+    fn learn(&mut self, topic: Topic) {
+        self.unknown.retain(|unknown| *unknown != topic);
+    }
+
     fn take_plan(&mut self, now: Time, plan: Arc<Plan>, out: &mut Vec<Action>) {
         let known = self.plan.as_ref().map_or(0, |p| p.version());
-        if self.known.plan && plan.version() <= known {
+        if self.plan.is_some() && plan.version() <= known {
             return;
         }
-        self.known.plan = true;
+        self.learn(Topic::Plan);
         let note = Note::new(Weight::Notable, "configured")
             .with("from", known)
             .with("to", plan.version())
@@ -295,7 +308,7 @@
     }
 
     fn take_evacuations(&mut self, domains: Vec<FailureDomain>, out: &mut Vec<Action>) {
-        self.known.evacuations = true;
+        self.learn(Topic::Evacuations);
         let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
         let note = Note::new(Weight::Notable, "evacuations").with("domains", names.join(","));
         out.push(Action::Log(note));
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -99,7 +99,7 @@
         let late: Vec<RequestId> = self
             .requests
             .iter()
-            .filter(|(_, open)| self.expiry(open) <= now)
+            .filter(|(_, open)| open.expiry() <= now)
             .map(|row| *row.0)
             .collect();
         for id in late {
@@ -117,14 +117,6 @@
         }
     }
 
-    /// When the time of a request is over, waiting or sent.
-    pub(crate) fn expiry(&self, open: &Open) -> Time {
-        match (open.state, open.wait_until) {
-            (State::Waiting, Some(until)) => until.min(open.deadline),
-            _ => open.deadline,
-        }
-    }
-
     /// When a request that found no room should come back.
     pub(crate) fn retry_after(open: &Open) -> Duration {
         open.route.objective.mul_f64(2.0 * WAIT_PART)
