estate tests: whole instances against a stand-in of the platform's store and endpoints

The stand-in speaks the published protocol: pages, watches, 410 after its history is dropped, conditional writes, 503 to some callers. Four tests over real processes: a request and back, a withdrawn key at an instance that the store turns away, a draining endpoint, a planned stop.

--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -7,7 +7,8 @@
     cmd corianderwayd {
         /// The settings file, in YAML.
         optional --settings file: PathBuf
-        /// Runs on the platform, with the settings file that it writes.
+        /// Runs on the platform; its settings file is the one given, or the one that
+        /// the environment names.
         optional --platform
         /// Checks the settings file and ends.
         optional --check
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -28,6 +28,7 @@
 mod stop;
 mod tee;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use corianderway_platform::settings::Settings as PlatformSettings;
@@ -54,7 +55,7 @@
         return ExitCode::SUCCESS;
     }
     if args.platform {
-        return run_on_platform(args.check);
+        return run_on_platform(args.settings, args.check);
     }
     let Some(file) = args.settings else {
         eprintln!("error: no settings; give --settings FILE or --platform");
@@ -71,8 +72,9 @@
     daemon::run(&settings).unwrap_or_else(|error| fail(&error, EXIT_START))
 }
 
-fn run_on_platform(check: bool) -> ExitCode {
-    let Ok(file) = std::env::var(SETTINGS_PATH) else {
+fn run_on_platform(file: Option<PathBuf>, check: bool) -> ExitCode {
+    let given = file.map(|file| file.to_string_lossy().into_owned());
+    let Some(file) = given.or_else(|| std::env::var(SETTINGS_PATH).ok()) else {
         eprintln!("error: no settings; set {SETTINGS_PATH} to the path of the settings file");
         return ExitCode::from(EXIT_USAGE);
     };
--- /dev/null
+++ b/crates/daemon/tests/estate.rs
@@ -0,0 +1,236 @@
+//! Whole instances on the platform, as processes, against a stand-in of its
+//! store and its endpoints.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use corianderway_standins::estate::Endpoint;
+use corianderway_standins::estate::Store;
+use corianderway_standins::harness::call;
+use corianderway_standins::harness::until;
+use corianderway_standins::harness::Process;
+use corianderway_standins::harness::Reply;
+use corianderway_standins::harness::Request;
+use serde_json::json;
+use serde_json::Value;
+
+/// The longest wait for something to happen.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Instances listen on loopback addresses of their own, since their ports are alike.
+static HOSTS: AtomicU8 = AtomicU8::new(0);
+
+struct Instance {
+    process: Process,
+    ip: IpAddr,
+}
+
+struct Fleet {
+    store: Store,
+    endpoint: Endpoint,
+    instances: Vec<Instance>,
+}
+
+fn configuration(version: u64, keys: &[&str]) -> Value {
+    json!({
+        "version": version,
+        "routes": {
+            "columns": ["name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
+                "priority", "max_attempts", "public", "sticky", "service"],
+            "rows": [
+                ["read", "desk.example", "/read/", "safe", 3000, 600, 2, 2, false, true, "s1"],
+                ["slow", "desk.example", "/slow/", "unsafe", 3000, 600, 2, 2, true, false, "s1"],
+            ],
+        },
+        "services": {
+            "columns": ["name", "cold_start_s", "cold_per_s"],
+            "rows": [["s1", 3.0, 6.0]],
+        },
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+        "tenants": {
+            "columns": ["name", "api_keys", "rate_per_s", "burst"],
+            "rows": [["t1", keys, 0, 0]],
+        },
+    })
+}
+
+impl Fleet {
+    fn start(count: usize) -> Self {
+        let store = Store::start();
+        let endpoint = Endpoint::start("i-1");
+        store.put("config", "main", &configuration(1, &["k1", "k2"]));
+        store.put("servers", "i-1", &endpoint.entry("s1", "a", "ready", 1));
+        store.put("servers", "other", &json!("left by another writer"));
+        let pid = std::process::id();
+        let instances: Vec<Instance> = (0..count)
+            .map(|_| {
+                let host = HOSTS.fetch_add(1, Ordering::Relaxed);
+                let ip: IpAddr = format!("127.{}.{}.{}", 20 + pid % 200, pid / 200 % 250, host + 1)
+                    .parse()
+                    .unwrap();
+                let file = settings(ip, host, store.addr);
+                let path = file.to_string_lossy();
+                let args = ["--platform", "--settings", &path];
+                let process = Process::spawn("corianderwayd", &args).unwrap();
+                Instance { process, ip }
+            })
+            .collect();
+        let fleet = Self {
+            store,
+            endpoint,
+            instances,
+        };
+        for instance in &fleet.instances {
+            fleet.until("readiness", || {
+                let ready = instance.get(8680, "/ready", &[])?;
+                (ready.status == 200).then_some(())
+            });
+        }
+        fleet
+    }
+
+    fn until<T>(&self, what: &str, condition: impl FnMut() -> Option<T>) -> T {
+        until(what, LIMIT, condition).unwrap_or_else(|error| {
+            let logs = self.instances.iter().flat_map(|i| i.process.lines());
+            let logs: Vec<String> = logs.collect();
+            panic!("{error}\n{}", logs.join("\n"))
+        })
+    }
+}
+
+impl Instance {
+    fn get(&self, port: u16, path: &str, headers: &[(&str, &str)]) -> Option<Reply> {
+        self.call("GET", port, path, headers)
+    }
+
+    fn call(&self, method: &str, port: u16, path: &str, headers: &[(&str, &str)]) -> Option<Reply> {
+        let mut request = Request::new(method, path).header("Host", "desk.example");
+        for (name, value) in headers {
+            request = request.header(name, value);
+        }
+        call(SocketAddr::new(self.ip, port), &request).ok()
+    }
+
+    fn read(&self, key: &str) -> Option<Reply> {
+        let headers = [("Key", key), ("Request-Id", "r-1"), ("Deadline-Ms", "4000")];
+        self.get(8686, "/read/17?x=1", &headers)
+    }
+}
+
+fn settings(ip: IpAddr, host: u8, store: SocketAddr) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = dir.join(format!("estate-{}-{host}.yaml", std::process::id()));
+    let text = format!(
+        "node_name: node-{host}\nzone: a\nregion: north\nzones: {{ a: north }}\n\
+         listen: {{ front: '{ip}:8686', ready: '{ip}:8680', control: '{ip}:8688', directory: '{ip}:8684' }}\n\
+         port_range: [7740, 7755]\nseeds: []\nbounds: {{ grace_s: 4 }}\n\
+         platform: {{ address: '{store}' }}\n"
+    );
+    std::fs::write(&file, text).unwrap();
+    file
+}
+
+#[test]
+fn a_request_goes_to_an_endpoint_and_back() {
+    let fleet = Fleet::start(1);
+    let instance = &fleet.instances[0];
+    let reply = instance.read("k1").unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.text(), "answer of i-1");
+    assert_eq!(reply.header("server-stamp"), Some("3e1b.07.5a2"));
+    let seen = fleet.endpoint.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "GET /read/17?x=1");
+    assert_eq!(seen[0].account.as_deref(), Some("t1"));
+    assert!(!seen[0].headers.contains(&"key".to_owned()));
+    let unknown = instance.read("k9").unwrap();
+    assert_eq!(unknown.status, 401);
+    let nowhere = instance.get(8686, "/none/", &[("Key", "k1")]).unwrap();
+    assert_eq!(nowhere.status, 404);
+    let advice = instance.get(8684, "/resolve?name=desk.example&region=north&zone=a", &[]);
+    let advice: Value = serde_json::from_str(&advice.unwrap().text()).unwrap();
+    assert_eq!(
+        advice["addresses"],
+        json!([format!("{}:8686", instance.ip)])
+    );
+    let explained = instance.get(9464, "/explain?request=r-1", &[]).unwrap();
+    assert!(
+        explained.text().contains("event=sent"),
+        "{}",
+        explained.text()
+    );
+    let metrics = instance.get(9464, "/metrics", &[]).unwrap();
+    assert!(metrics.text().contains("corianderway_events"));
+}
+
+#[test]
+fn a_withdrawn_key_stops_also_where_the_store_turns_an_instance_away() {
+    let fleet = Fleet::start(2);
+    let [cut, whole] = &fleet.instances[..] else {
+        panic!("two instances");
+    };
+    assert_eq!(cut.read("k2").unwrap().status, 200);
+    fleet.store.turn_away(&[cut.ip]);
+    fleet.store.compact();
+    fleet
+        .store
+        .put("config", "main", &configuration(2, &["k1"]));
+    for instance in [whole, cut] {
+        fleet.until("the withdrawal", || {
+            (instance.read("k2")?.status == 401).then_some(())
+        });
+        assert_eq!(instance.read("k1").unwrap().status, 200);
+    }
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing_more() {
+    let fleet = Fleet::start(1);
+    let instance = &fleet.instances[0];
+    let second = Endpoint::start("i-2");
+    fleet
+        .store
+        .put("servers", "i-2", &second.entry("s1", "a", "ready", 1));
+    let draining = fleet.endpoint.entry("s1", "a", "draining", 2);
+    fleet.store.put("servers", "i-1", &draining);
+    fleet.until("the other endpoint", || {
+        let reply = instance.read("k1")?;
+        (reply.text() == "answer of i-2").then_some(())
+    });
+    let before = fleet.endpoint.seen().len();
+    for _ in 0..20 {
+        assert_eq!(instance.read("k1").unwrap().status, 200);
+    }
+    assert_eq!(fleet.endpoint.seen().len(), before);
+}
+
+#[test]
+fn a_planned_stop_delivers_what_it_has_taken() {
+    let mut fleet = Fleet::start(1);
+    let ip = fleet.instances[0].ip;
+    let caller = thread::spawn(move || {
+        let request = Request::new("POST", "/slow/1")
+            .header("Host", "desk.example")
+            .header("Request-Id", "r-2")
+            .header("Deadline-Ms", "4000");
+        call(SocketAddr::new(ip, 8686), &request)
+    });
+    fleet.until("the request at the endpoint", || {
+        (fleet.endpoint.seen().len() == 1).then_some(())
+    });
+    fleet.instances[0].process.terminate().unwrap();
+    let reply = caller.join().unwrap().unwrap();
+    assert_eq!(
+        (reply.status, reply.text().as_str()),
+        (200, "answer of i-1")
+    );
+    let status = fleet.instances[0].process.wait(LIMIT).unwrap();
+    assert!(status.success(), "{status}");
+    assert_eq!(fleet.endpoint.seen().len(), 1, "it ran once");
+}
--- /dev/null
+++ b/crates/standins/src/estate.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the platform behind the adapter: its object store and its endpoints.
+//!
+//! They speak the platform's published protocol and run in the test's own
+//! process, each as a duty on a thread of its own.
+
+mod endpoint;
+mod store;
+
+pub use crate::estate::endpoint::Endpoint;
+pub use crate::estate::endpoint::Seen;
+pub use crate::estate::store::Store;
--- /dev/null
+++ b/crates/standins/src/estate/store.rs
@@ -0,0 +1,266 @@
+//! The platform's object store.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_h1::server;
+use async_std::net;
+use async_std::task;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+use serde_json::Value;
+
+use crate::duty;
+
+/// The time between two looks of a waiting watch.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Objects in one page of a list.
+const PAGE: usize = 3;
+
+/// A running store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Where it answers.
+    pub addr: SocketAddr,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    revision: u64,
+    // By kind and name.
+    objects: BTreeMap<(String, String), Value>,
+    // The revision, the kind and the event.
+    history: Vec<(u64, String, Value)>,
+    // Watches from before this revision are answered with 410.
+    floor: u64,
+    // Callers that are answered with 503.
+    turned_away: Vec<IpAddr>,
+    calls: u64,
+}
+
+impl Store {
+    /// Starts a store.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the system gives no port.
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("the address of a listener");
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let store = Self { addr, shared };
+        let served = store.clone();
+        duty::spawn("store", move || serve(listener, served));
+        store
+    }
+
+    /// Writes an object as the operator or an endpoint would.
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        let mut shared = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        let status = shared.objects.get(&key).map(|o| o["status"].clone());
+        shared.write(key, spec.clone(), status.unwrap_or(Value::Null));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().remove(&(kind.to_owned(), name.to_owned()));
+    }
+
+    /// The object of a name.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.lock().objects.get(&key).cloned()
+    }
+
+    /// Forgets the history, so that watches must list anew.
+    pub fn compact(&self) {
+        let mut shared = self.lock();
+        shared.floor = shared.revision + 1;
+        shared.history.clear();
+    }
+
+    /// Answers 503 to these callers, and to these only.
+    pub fn turn_away(&self, callers: &[IpAddr]) {
+        self.lock().turned_away = callers.to_vec();
+    }
+
+    /// The calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Shared {
+    fn write(&mut self, key: (String, String), spec: Value, status: Value) -> Value {
+        self.revision += 1;
+        let old = self.objects.get(&key);
+        let created = old.map_or(json!(self.revision), |o| {
+            o["metadata"]["create_revision"].clone()
+        });
+        let object = json!({
+            "metadata": { "name": key.1, "rev": self.revision, "create_revision": created,
+                          "finalizers": [], "deleting": false },
+            "spec": spec,
+            "status": status,
+        });
+        let event = json!({ "removed": false, "object": object });
+        self.history.push((self.revision, key.0.clone(), event));
+        self.objects.insert(key, object.clone());
+        object
+    }
+
+    fn remove(&mut self, key: &(String, String)) -> bool {
+        let Some(object) = self.objects.remove(key) else {
+            return false;
+        };
+        self.revision += 1;
+        let event = json!({ "removed": true, "object": object });
+        self.history.push((self.revision, key.0.clone(), event));
+        true
+    }
+}
+
+async fn serve(listener: TcpListener, store: Store) {
+    let listener = net::TcpListener::from(listener);
+    let store = Rc::new(RefCell::new(store));
+    while let Ok((stream, caller)) = listener.accept().await {
+        let store = store.borrow().clone();
+        task::spawn_local(async move {
+            let answer = |request: Request| {
+                let store = store.clone();
+                async move { Ok(respond(request, caller.ip(), &store).await) }
+            };
+            // A connection that breaks concerns its caller only.
+            drop(server::accept(stream, answer).await);
+        });
+    }
+}
+
+async fn respond(mut request: Request, caller: IpAddr, store: &Store) -> Response {
+    let body: Value = request.body_json().await.unwrap_or(Value::Null);
+    let url = request.url().clone();
+    let asked = |name: &str| {
+        let mut pairs = url.query_pairs();
+        pairs.find(|(n, _)| n == name).map(|(_, v)| v.into_owned())
+    };
+    {
+        let mut shared = store.lock();
+        shared.calls += 1;
+        if shared.turned_away.contains(&caller) {
+            return Response::new(StatusCode::ServiceUnavailable);
+        }
+    }
+    let parts: Vec<&str> = url.path().split('/').skip(2).collect();
+    match (request.method(), parts.as_slice()) {
+        (Method::Get, [kind]) => match asked("watch").and_then(|text| text.parse().ok()) {
+            Some(from) => {
+                let wait = asked("wait_ms").and_then(|text| text.parse().ok());
+                watch(store, kind, from, Duration::from_millis(wait.unwrap_or(0))).await
+            }
+            None => list(store, kind, asked("after").as_deref()),
+        },
+        (Method::Post, [kind]) => create(store, kind, &body),
+        (Method::Put, [kind, name]) => replace(store, (kind, name), &body, false),
+        (Method::Put, [kind, name, "status"]) => replace(store, (kind, name), &body, true),
+        (Method::Delete, [kind, name]) => {
+            let key = ((*kind).to_owned(), (*name).to_owned());
+            status(if store.lock().remove(&key) { 200 } else { 404 })
+        }
+        _ => status(404),
+    }
+}
+
+fn list(store: &Store, kind: &str, after: Option<&str>) -> Response {
+    let shared = store.lock();
+    let of_kind = shared.objects.iter().filter(|(key, _)| key.0 == kind);
+    let mut items: Vec<&Value> = of_kind
+        .filter(|(key, _)| after.is_none_or(|after| key.1.as_str() > after))
+        .map(|row| row.1)
+        .collect();
+    let more = items.len() > PAGE;
+    items.truncate(PAGE);
+    answer(
+        200,
+        &json!({ "items": items, "has_more": more, "current_rev": shared.revision }),
+    )
+}
+
+async fn watch(store: &Store, kind: &str, from: u64, wait: Duration) -> Response {
+    let end = Instant::now() + wait;
+    loop {
+        {
+            let shared = store.lock();
+            if from + 1 < shared.floor {
+                return status(410);
+            }
+            let of_kind = shared.history.iter().filter(|row| row.1 == kind);
+            let events: Vec<&Value> = of_kind.filter(|row| row.0 > from).map(|r| &r.2).collect();
+            if !events.is_empty() || Instant::now() >= end {
+                let body = json!({ "events": events, "current_rev": shared.revision });
+                return answer(200, &body);
+            }
+        }
+        task::sleep(LOOK).await;
+    }
+}
+
+fn create(store: &Store, kind: &str, body: &Value) -> Response {
+    let mut shared = store.lock();
+    let name = body["metadata"]["name"].as_str().unwrap_or_default();
+    let key = (kind.to_owned(), name.to_owned());
+    if let Some(object) = shared.objects.get(&key) {
+        return answer(409, object);
+    }
+    let object = shared.write(key, body["spec"].clone(), body["status"].clone());
+    answer(201, &object)
+}
+
+fn replace(store: &Store, of: (&str, &str), body: &Value, only_status: bool) -> Response {
+    let mut shared = store.lock();
+    let key = (of.0.to_owned(), of.1.to_owned());
+    let Some(object) = shared.objects.get(&key).cloned() else {
+        return status(404);
+    };
+    let expected = body["metadata"]["rev"].as_u64();
+    if expected.is_some_and(|rev| Some(rev) != object["metadata"]["rev"].as_u64()) {
+        return answer(409, &object);
+    }
+    let (spec, told) = if only_status {
+        (object["spec"].clone(), body["status"].clone())
+    } else {
+        (body["spec"].clone(), object["status"].clone())
+    };
+    let object = shared.write(key, spec, told);
+    answer(200, &object)
+}
+
+fn status(code: u16) -> Response {
+    Response::new(StatusCode::try_from(code).unwrap_or(StatusCode::InternalServerError))
+}
+
+fn answer(code: u16, body: &Value) -> Response {
+    let mut response = status(code);
+    response.set_body(body.to_string());
+    response.insert_header("content-type", "application/json");
+    response
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, test harness, history checker and load tool; never shipped.
 //!
-//! The [`platform`] and [`backend`] stand-ins run as the example programs
+//! [`estate`] stands in for the platform of the adapter: its object store and its
+//! endpoints, within the test. The [`platform`] and [`backend`] stand-ins run as the example programs
 //! `platform` and `backend`, so that tests meet them as real processes over
 //! loopback. [`harness`] starts, freezes and ends processes and speaks HTTP
 //! to them.
@@ -8,6 +9,7 @@
 pub mod backend;
 pub mod checker;
 pub mod duty;
+pub mod estate;
 pub mod fleet;
 pub mod harness;
 pub mod load;
--- a/crates/steer/tests/quotas.rs
+++ b/crates/steer/tests/quotas.rs
@@ -2,8 +2,6 @@
 
 mod rig;
 
-use std::time::Duration;
-
 use corianderway_model::Time;
 use corianderway_steer::Action;
 use corianderway_steer::Digest;
@@ -18,9 +16,6 @@
 /// The span in which requests are counted, as on the platform.
 const WINDOW: usize = 500;
 
-/// The time between two turns.
-const TURN: Duration = Duration::from_millis(10);
-
 /// What is asked of an instance in a turn, by phase.
 type Load = [u8; 3];
 
