--- a/crates/daemon/tests/estate.rs
+++ b/crates/daemon/tests/estate.rs
@@ -45,6 +45,7 @@
             "rows": [
                 ["read", "desk.example", "/read/", "safe", 3000, 600, 2, 2, false, true, "s1"],
                 ["slow", "desk.example", "/slow/", "unsafe", 3000, 600, 2, 2, true, false, "s1"],
+                ["brief", "desk.example", "/slow/brief/", "unsafe", 300, 100, 2, 2, true, false, "s1"],
             ],
         },
         "services": {
@@ -105,6 +106,13 @@
 }
 
 impl Instance {
+    // The lines that `grep request=ID` finds in the instance's log.
+    fn lines_of(&self, id: &str) -> Vec<String> {
+        let id = format!("request={id} ");
+        let lines = self.process.lines().into_iter();
+        lines.filter(|line| line.contains(&id)).collect()
+    }
+
     fn get(&self, port: u16, path: &str, headers: &[(&str, &str)]) -> Option<Reply> {
         self.call("GET", port, path, headers)
     }
@@ -234,3 +242,83 @@
     assert!(status.success(), "{status}");
     assert_eq!(fleet.endpoint.seen().len(), 1, "it ran once");
 }
+
+/// A failed request, and the words on its lines that tell why, in their order.
+struct Failure {
+    id: &'static str,
+    path: &'static str,
+    key: &'static str,
+    status: u16,
+    words: &'static [&'static [&'static str]],
+}
+
+// Follows docs/OPERATIONS.md, "From a request's id to its cause".
+#[test]
+fn a_failed_request_is_explained_by_its_id() {
+    let fleet = Fleet::start(1);
+    let instance = &fleet.instances[0];
+    let follow = |failure: &Failure| {
+        let headers = [
+            ("Key", failure.key),
+            ("Request-Id", failure.id),
+            ("Deadline-Ms", "4000"),
+        ];
+        let reply = instance.get(8686, failure.path, &headers).unwrap();
+        assert_eq!(reply.status, failure.status, "{}", failure.id);
+        let lines = fleet.until("the lines", || {
+            let lines = instance.lines_of(failure.id);
+            (lines.len() >= failure.words.len()).then_some(lines)
+        });
+        let asked = format!("/explain?request={}", failure.id);
+        let explained = instance.get(9464, &asked, &[]).unwrap().text();
+        for (line, words) in lines.iter().zip(failure.words) {
+            for word in *words {
+                assert!(line.contains(word), "{word} in {line}");
+                assert!(explained.contains(word), "{word} in {explained}");
+            }
+        }
+    };
+    // The endpoint ran longer than the route allows.
+    follow(&Failure {
+        id: "f-504",
+        path: "/slow/brief/1",
+        key: "k1",
+        status: 504,
+        words: &[
+            &["event=sent", "server=i-1", "left_ms=300"],
+            &["event=attempted", "outcome=TimedOut"],
+            &["event=refused", "status=504", "tried=1"],
+        ],
+    });
+    // The key was withdrawn with version 2.
+    fleet
+        .store
+        .put("config", "main", &configuration(2, &["k1"]));
+    fleet.until("version 2", || {
+        let lines = instance.process.lines();
+        let configured = |l: &String| l.contains("event=configured from=1 to=2");
+        lines.iter().any(configured).then_some(())
+    });
+    follow(&Failure {
+        id: "f-401",
+        path: "/read/1",
+        key: "k2",
+        status: 401,
+        words: &[&["event=refused", "reason=unknown-key", "config=2"]],
+    });
+    // The only endpoint drains.
+    let draining = fleet.endpoint.entry("s1", "a", "draining", 2);
+    fleet.store.put("servers", "i-1", &draining);
+    fleet.until("the drain", || {
+        let lines = instance.process.lines();
+        let left = |l: &String| l.contains("event=server server=i-1") && l.contains("why=draining");
+        lines.iter().any(left).then_some(())
+    });
+    follow(&Failure {
+        id: "f-503",
+        path: "/read/1",
+        key: "k1",
+        status: 503,
+        words: &[&["event=refused", "reason=no-server", "tried=0", "leaving:1"]],
+    });
+}
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -119,6 +119,25 @@
         versions
     }
 
+    /// How the servers of a service stand, for the log: how many are in each
+    /// state, and how many of those that serve have no room.
+    pub(crate) fn explain(&self, now: Time, service: &Service) -> String {
+        let servers = self.of(service).iter().filter_map(|id| self.server(id));
+        let (mut states, mut windows, mut full, mut evacuated) = ([0; 4], 0, 0, 0);
+        for server in servers {
+            states[server.state as usize] += 1;
+            let serves = server.state == State::Serving;
+            windows += u32::from(serves && !server.has_window());
+            full += u32::from(serves && server.is_full(now));
+            evacuated += u32::from(self.is_evacuated(&server.listed.backend.domain));
+        }
+        let [warming, serving, ejected, leaving] = states;
+        format!(
+            "serving:{serving}/warming:{warming}/ejected:{ejected}/leaving:{leaving}\
+             /no-window:{windows}/full:{full}/evacuated:{evacuated}"
+        )
+    }
+
     /// The services that have servers.
     pub(crate) fn services(&self) -> Vec<Service> {
         self.services.iter().map(|row| row.0.clone()).collect()
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -443,7 +443,7 @@
             .with("status", refusal.status())
             .with("tried", open.tried.len())
             .with("held_ms", now.since(open.received).as_millis())
-            .with("servers", self.fleet.of(&open.service).len());
+            .with("servers", self.fleet.explain(now, &open.service));
         out.push(Action::Log(note));
         let id = open.query.id;
         out.push(Action::Refuse { id, refusal });
