--- a/crates/cli/src/chart.rs
+++ b/crates/cli/src/chart.rs
@@ -13,9 +13,12 @@
 use crate::output::Output;
 
 /// The charts that the fleet runs by, by name.
-const CHARTS: [(&str, &str); 10] = [
+const CHARTS: [(&str, &str); 13] = [
     ("claim", corianderway_control::CLAIM_CHART),
     ("drain", corianderway_rollout::DRAIN_CHART),
+    ("edge-move", corianderway_steer::MOVE_CHART),
+    ("edge-request", corianderway_steer::REQUEST_CHART),
+    ("edge-server", corianderway_steer::SERVER_CHART),
     ("key", corianderway_control::KEY_CHART),
     ("member", corianderway_control::MEMBER_CHART),
     ("move", corianderway_rollout::MOVE_CHART),
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -19,7 +19,7 @@
 use crate::listing::Progress;
 
 /// The chart file of a move.
-pub const MOVE_CHART: &str = include_str!("../charts/move.yaml");
+pub const MOVE_CHART: &str = include_str!("../charts/edge-move.yaml");
 
 /// The checked chart of a move.
 pub(crate) type MoveChart = Chart<Phase, Signal, Guard, Effect>;
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -21,7 +21,7 @@
 use crate::refusal::Refusal;
 
 /// The chart file of a request.
-pub const REQUEST_CHART: &str = include_str!("../charts/request.yaml");
+pub const REQUEST_CHART: &str = include_str!("../charts/edge-request.yaml");
 
 /// The checked chart of a request.
 pub(crate) type RequestChart = Chart<State, Signal, Guard, Effect>;
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -12,7 +12,7 @@
 use crate::listing::Listed;
 
 /// The chart file of a backend server.
-pub const SERVER_CHART: &str = include_str!("../charts/server.yaml");
+pub const SERVER_CHART: &str = include_str!("../charts/edge-server.yaml");
 
 /// The checked chart of a backend server.
 pub(crate) type ServerChart = Chart<State, Signal, Guard, Effect>;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -157,11 +157,11 @@
         let moves = corianderway_chart::Chart::parse(MOVE_CHART);
         let requests = corianderway_chart::Chart::parse(REQUEST_CHART);
         Ok(Self {
-            chart: requests.context(chart("request.yaml"))?,
+            chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
-            fleet: Fleet::new(here, servers.context(chart("server.yaml"))?),
+            fleet: Fleet::new(here, servers.context(chart("edge-server.yaml"))?),
             members: Members::new(me),
-            moves: Moves::new(moves.context(chart("move.yaml"))?, bounds.canary_share),
+            moves: Moves::new(moves.context(chart("edge-move.yaml"))?, bounds.canary_share),
             quotas: Quotas::default(),
             splits: Splits::default(),
             shifts: Shifts::new(bounds.shift_most),
