steer: instances begin with tokens and tell their demand sooner at first

Ruled out: the rate itself (accounts asked 0.6 of it). Tests: from the start (failed first, 33 of 42), no second burst after a restart.

--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -29,6 +29,11 @@
 /// Requests that an instance lets through at once in any case.
 const ALLOWANCE: f64 = 1.5;
 
+/// The tokens with which an instance begins, in seconds of an equal share: an earlier
+/// run of it may have spent its own within the platform's window, whose slack is
+/// a tenth of five seconds of rate and more.
+const START_SECONDS: f64 = 0.35;
+
 /// The time after which all instances that can be reached know a told demand.
 const SPREAD: Duration = Duration::from_millis(200);
 
@@ -59,6 +64,8 @@
     demand: f64,
     // The demand that the others were told last.
     told: f64,
+    // Whether a share was worked out, so that tokens were given for it.
+    begun: bool,
 }
 
 impl Quotas {
@@ -115,7 +122,8 @@
         others: impl Iterator<Item = &'a [(u32, f32)]>,
     ) {
         // Before the others know the demand they divide by the one before.
-        if now.since(self.told) < SPREAD {
+        let begun = self.rows.iter().all(|(_, row)| row.begun);
+        if begun && now.since(self.told) < SPREAD {
             return;
         }
         let others: Vec<&[(u32, f32)]> = others.collect();
@@ -136,6 +144,9 @@
                 (1.0 - EQUAL_PART) * mine / sum
             };
             row.share = if listed > 1 { equal + wanted } else { 1.0 };
+            if !std::mem::replace(&mut row.begun, true) {
+                row.tokens = ALLOWANCE + START_SECONDS * row.rate / listed as f64;
+            }
             row.tokens = row.tokens.min(row.capacity());
         }
     }
@@ -154,7 +165,6 @@
 }
 
 impl Row {
-    // Starts without tokens: another run of this instance may have spent them.
     fn new(now: Time, account: &Account) -> Self {
         Self {
             hash: hash::short(account.as_str()),
@@ -166,6 +176,7 @@
             asked: 0.0,
             demand: 0.0,
             told: 0.0,
+            begun: false,
         }
     }
 
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -49,6 +49,13 @@
 /// The time between two digests when nothing important happens.
 const DIGEST: Duration = Duration::from_secs(1);
 
+/// The time between the first digests of an instance, whose demands and
+/// neighbours are not known yet.
+const DIGEST_YOUNG: Duration = Duration::from_millis(300);
+
+/// How many digests are sent so soon after each other.
+const YOUNG_DIGESTS: u64 = 12;
+
 /// The least time between two digests.
 const DIGEST_LEAST: Duration = Duration::from_millis(100);
 
@@ -213,6 +220,7 @@
             Event::Members(members) => {
                 self.learn(Topic::Members);
                 self.members.list(now, members);
+                self.share_quotas(now);
                 self.urgent = true;
             }
             Event::Reach(reach) => self.take_reach(now, reach, out),
@@ -389,6 +397,10 @@
     }
 
     fn share_quotas(&mut self, now: Time) {
+        // Alone on the list, an instance would take whole rates.
+        if self.unknown.contains(&Topic::Members) {
+            return;
+        }
         let listed = self.members.count();
         let others = self.members.heard(now).map(|(_, d)| d.demands.as_slice());
         self.quotas.share(now, listed, others);
@@ -451,12 +463,12 @@
     // Tells the other instances once in a while, and soon after what matters.
     fn tell(&mut self, now: Time, out: &mut Vec<Action>) {
         let since = now.since(self.told);
-        if since < DIGEST_LEAST || (since < DIGEST && !self.urgent) {
+        let young = self.digests < YOUNG_DIGESTS;
+        let period = if young { DIGEST_YOUNG } else { DIGEST };
+        if since < DIGEST_LEAST || (since < period && !self.urgent) {
             return;
         }
-        if since >= DIGEST {
-            self.told = now;
-        }
+        self.told = now;
         self.urgent = false;
         self.digests += 1;
         let presence = if self.stopping.is_some() {
--- a/crates/steer/tests/quotas.rs
+++ b/crates/steer/tests/quotas.rs
@@ -2,10 +2,15 @@
 
 mod rig;
 
+use std::sync::Arc;
+
 use corianderway_model::Time;
 use corianderway_steer::Action;
 use corianderway_steer::Digest;
 use corianderway_steer::Event;
+use corianderway_steer::Member;
+use corianderway_steer::Reach;
+use corianderway_steer::ServerChange;
 use quickcheck::QuickCheck;
 
 use crate::rig::Rig;
@@ -19,24 +24,47 @@
 /// What is asked of an instance in a turn, by phase.
 type Load = [u8; 3];
 
+// Three instances that have just started and know the listing and each other.
+fn started(turn: usize) -> Vec<Rig> {
+    let names = ["entry-1", "entry-2", "entry-3"];
+    let members = names.map(|name| rig::member(name, "north", "north-a"));
+    let start = |me: &Member| {
+        let mut rig = Rig::bare(me.clone());
+        rig.now = at(turn);
+        rig.step(Event::Reach(Reach::Store));
+        let plan = rig::plan(1, rig::routes(), Some(RATE));
+        rig.step(Event::Plan(Arc::new(plan)));
+        let put = rig::servers().into_iter().map(ServerChange::Put).collect();
+        rig.step(Event::Servers(put));
+        rig.step(Event::Orders(Vec::new()));
+        rig.step(Event::Evacuated(Vec::new()));
+        rig.step(Event::Members(members.to_vec()));
+        rig
+    };
+    members.iter().map(start).collect()
+}
+
+// The moment of a turn.
+fn at(turn: usize) -> Time {
+    Time::from_millis(10_000 + turn as u64 * 10)
+}
+
 // Plays three instances for three phases of four seconds, and gives back what
 // was let through in each turn. A cut instance hears nobody and is not heard.
 fn play(loads: [Load; 3], cut: Option<usize>) -> Vec<u32> {
-    let names = ["entry-1", "entry-2", "entry-3"];
-    let members = names.map(|name| rig::member(name, "north", "north-a"));
-    let mut rigs: Vec<Rig> = members
-        .iter()
-        .map(|me| {
-            let mut rig = Rig::bare(me.clone());
-            rig.settle(rig::plan(1, rig::routes(), Some(RATE)), rig::servers());
-            rig.step(Event::Members(members.to_vec()));
-            rig
-        })
-        .collect();
+    play_with_restart(loads, cut, usize::MAX)
+}
+
+// The same; in one turn all instances start anew.
+fn play_with_restart(loads: [Load; 3], cut: Option<usize>, restart: usize) -> Vec<u32> {
+    let mut rigs = started(0);
     let mut passed = Vec::new();
     let mut digests: Vec<(usize, Digest)> = Vec::new();
     for turn in 0..1_200_usize {
         let mut admitted = 0;
+        if turn == restart {
+            rigs = started(turn);
+        }
         for (from, digest) in std::mem::take(&mut digests) {
             for (to, rig) in rigs.iter_mut().enumerate() {
                 if to != from && cut != Some(to) && cut != Some(from) {
@@ -44,9 +72,9 @@
                 }
             }
         }
-        for (at, rig) in rigs.iter_mut().enumerate() {
-            rig.now = Time::from_millis(10_000 + turn as u64 * 10);
-            let load = usize::from(loads[turn / 400][at]);
+        for (number, rig) in rigs.iter_mut().enumerate() {
+            rig.now = at(turn);
+            let load = usize::from(loads[turn / 400][number]);
             // Loads are requests for each second.
             let count = (turn + 1) * load / 100 - turn * load / 100;
             let mut done = rig.step(Event::Tick).to_vec();
@@ -59,7 +87,7 @@
             }
             for action in done {
                 if let Action::Send { digest, .. } = action {
-                    digests.push((at, (*digest).clone()));
+                    digests.push((number, (*digest).clone()));
                 }
             }
         }
@@ -121,3 +149,22 @@
         assert!(f64::from(passed) >= f64::from(asked) * 0.97, "{loads:?}");
     }
 }
+
+#[test]
+fn a_restart_of_all_instances_brings_no_second_burst() {
+    for restart in [450, 600, 800] {
+        let hot = [200, 200, 200];
+        let passed = play_with_restart([hot; 3], None, restart);
+        let most = f64::from(most(&passed));
+        assert!(most <= bound(), "restart at {restart}: {most}");
+    }
+}
+
+// Failed before instances began with tokens: of the first second after a start
+// a third was refused, within the rate.
+#[test]
+fn an_account_within_its_rate_is_served_from_the_start() {
+    let passed = play([[14, 14, 14]; 3], None);
+    let first: u32 = passed[..100].iter().sum();
+    assert!(f64::from(first) >= 42.0 * 0.9, "{first} of 42");
+}
