--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -52,6 +52,13 @@
 /// The pause between two watches, in which changes gather for one answer.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// The pause for each instance of the fleet, between two watches of the servers' list.
+const GATHER_EACH: Duration = Duration::from_millis(6);
+
+/// The longest such pause: a fifth of the 2.5 s in which a leaving server must
+/// get no new work.
+const GATHER_MOST: Duration = Duration::from_millis(500);
+
 /// The first pause after a call that failed; doubles with each next one.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -215,7 +222,18 @@
             }
             Err(error) => return Fault::Unanswered(error.to_string()),
         }
-        task::sleep(GATHER).await;
+        task::sleep(gather(desk, kind)).await;
+    }
+}
+
+// The pause between two watches: every instance pays for each answer, so in a
+// large fleet more changes of the servers' list wait for one another.
+fn gather(desk: &Desk, kind: Kind) -> Duration {
+    let copies = desk.copies.borrow();
+    let instances = copies.of(Kind::Members).objects().count() as u32;
+    match kind {
+        Kind::Servers => GATHER.max(GATHER_EACH * instances).min(GATHER_MOST),
+        Kind::Configuration | Kind::Orders | Kind::Evacuations | Kind::Members => GATHER,
     }
 }
 
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -400,7 +400,8 @@
     }
 
     fn signal(&mut self, now: Time, id: &ServerId, signal: Signal, why: &'static str) {
-        let spare = self.is_spare(id);
+        // Only a failure asks whether the others would do.
+        let spare = signal == Signal::Failed && self.is_spare(id);
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -15,6 +15,16 @@
 /// digests in a row would have to be lost.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
+/// The same for an instance of another region in a large fleet.
+const FAR_SILENCE: Duration = Duration::from_millis(6_500);
+
+/// Instances up to which each digest goes to all: the digests of a fleet grow
+/// with the square of its size.
+const WHOLE: usize = 24;
+
+/// In a larger fleet, the digests of which one goes to an instance of another region.
+const FAR_TURNS: u64 = 3;
+
 /// The entry of an instance that was not heard for this long is removed.
 const FORGET: Duration = Duration::from_secs(20);
 
@@ -81,10 +91,20 @@
     pub(crate) fn heard(&self, now: Time) -> impl Iterator<Item = (&Member, &Digest)> {
         self.rows.iter().filter_map(move |(_, row)| {
             let (at, digest) = row.heard.as_ref()?;
-            (now.since(*at) < SILENCE).then_some((&row.member, digest))
+            let silence = if self.is_far(&row.member) {
+                FAR_SILENCE
+            } else {
+                SILENCE
+            };
+            (now.since(*at) < silence).then_some((&row.member, digest))
         })
     }
 
+    /// Whether an instance was heard lately.
+    pub(crate) fn is_heard(&self, now: Time, id: &InstanceId) -> bool {
+        self.heard(now).any(|(member, _)| member.entry.id == *id)
+    }
+
     /// The instances to name to callers, without this one.
     pub(crate) fn serving(&self, now: Time) -> impl Iterator<Item = &Member> {
         let live = |d: &Digest| d.ready && d.presence == Presence::Live;
@@ -99,9 +119,20 @@
         stored && !self.heard(now).any(|(m, d)| d.stored && m.entry.id < *me)
     }
 
-    /// Where the other instances listen.
-    pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.rows.iter().map(|(_, row)| row.member.entry.peers)
+    /// Where the instances listen that a digest goes to: all, or in a large
+    /// fleet those of this region and a part of the others.
+    pub(crate) fn audience(&self, number: u64, urgent: bool) -> Vec<SocketAddr> {
+        let rows = self.rows.iter().enumerate();
+        let wanted = rows.filter(|(at, (_, row))| {
+            let turn = (*at as u64 + number).is_multiple_of(FAR_TURNS);
+            urgent || turn || !self.is_far(&row.member)
+        });
+        wanted.map(|(_, (_, row))| row.member.entry.peers).collect()
+    }
+
+    // Whether an instance is told and heard less often.
+    fn is_far(&self, member: &Member) -> bool {
+        self.rows.len() > WHOLE && member.entry.region != self.me.entry.region
     }
 
     /// The instances whose entries outlived them.
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -126,18 +126,31 @@
         if begun && now.since(self.told) < SPREAD {
             return;
         }
-        let others: Vec<&[(u32, f32)]> = others.collect();
+        // What the others demand of each account, by its hash: in one pass, since
+        // a large fleet tells thousands of demands.
+        let mut count = 0.0;
+        let mut told: Sorted<u32, Vec<f32>> = Sorted::default();
+        for (_, row) in self.rows.iter() {
+            told.insert(row.hash, Vec::new());
+        }
+        for demands in others {
+            count += 1.0;
+            for (hash, demand) in demands {
+                if let Some(demands) = told.get_mut(hash) {
+                    demands.push(*demand);
+                }
+            }
+        }
         for (_, row) in self.rows.iter_mut() {
             row.fill(now);
             let floor = row.rate * DEMAND_FLOOR;
             let mine = row.told.max(floor);
-            let mut sum = mine;
-            for told in &others {
-                let theirs = told.iter().find(|(hash, _)| *hash == row.hash);
-                sum += theirs.map_or(0.0, |(_, d)| f64::from(*d)).max(floor);
-            }
+            let theirs = told.get(&row.hash).map_or(&[][..], Vec::as_slice);
+            let silent = (count - theirs.len() as f64).max(0.0);
+            let wanted = theirs.iter().map(|d| f64::from(*d).max(floor));
+            let sum = mine + wanted.sum::<f64>() + silent * floor;
             let equal = EQUAL_PART / listed as f64;
-            let alone = others.is_empty() && listed > 1;
+            let alone = count < 1.0 && listed > 1;
             let wanted = if alone || sum <= 0.0 {
                 0.0
             } else {
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -46,6 +46,9 @@
 /// The time between two looks at everything that time alone changes.
 const SWEEP: Duration = Duration::from_millis(100);
 
+/// The time between two divisions of the rates.
+const SHARE: Duration = Duration::from_millis(250);
+
 /// The time between two digests when nothing important happens.
 const DIGEST: Duration = Duration::from_secs(1);
 
@@ -142,6 +145,7 @@
     digests: u64,
     swept: Time,
     told: Time,
+    shared: Time,
     forgot: Time,
     /// Whether something happened that the others should hear at once.
     pub(crate) urgent: bool,
@@ -186,6 +190,7 @@
             digests: 0,
             swept: Time::ZERO,
             told: Time::ZERO,
+            shared: Time::ZERO,
             forgot: Time::ZERO,
             urgent: false,
             bounds,
@@ -348,11 +353,11 @@
     fn take_digest(&mut self, now: Time, digest: Digest, out: &mut Vec<Action>) {
         let (from, crashes) = (digest.from.clone(), digest.crashes.clone());
         let moves = digest.moves.clone();
-        let was = self.members.heard(now).count();
+        let known = self.members.is_heard(now, &from);
         if !self.members.hear(now, digest) {
             return;
         }
-        if self.members.heard(now).count() != was {
+        if !known {
             let note = Note::new(Weight::Notable, "instance-heard").with("instance", &from);
             out.push(Action::Log(note));
         }
@@ -370,7 +375,10 @@
         self.fleet.tick(now);
         let serving = self.members.serving(now).map(neighbour).collect();
         self.fleet.set_neighbours(serving);
-        self.share_quotas(now);
+        if now.since(self.shared) >= SHARE {
+            self.shared = now;
+            self.share_quotas(now);
+        }
         self.sweep_moves(now, out);
         self.crashes.expire(now);
         self.forget_lost(now, out);
@@ -469,7 +477,7 @@
             return;
         }
         self.told = now;
-        self.urgent = false;
+        let urgent = std::mem::take(&mut self.urgent);
         self.digests += 1;
         let presence = if self.stopping.is_some() {
             Presence::Leaving
@@ -489,7 +497,7 @@
             moves: self.moves.tell(now),
             crashes: self.crashes.tell(),
         });
-        for to in self.members.addresses() {
+        for to in self.members.audience(self.digests, urgent) {
             let digest = Arc::clone(&digest);
             out.push(Action::Send { to, digest });
         }
