steer, edge: the exchange with other instances, lanes, news and entries in modules of their own

steer.rs, moves.rs and store.rs had grown a second job each; nothing decides differently. An evacuation's line is written only when the set changes.

--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -1,5 +1,5 @@
-//! The store duty: follows the platform's store, writes to it, and serves a
-//! copy of it to instances that the store turns away.
+//! The store duty: follows the platform's store, and other instances' copies of
+//! it while the store turns this one away.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -13,10 +13,8 @@
 use async_std::task;
 use corianderway_model::FailureDomain;
 use corianderway_model::Region;
-use corianderway_model::ServerId;
 use corianderway_model::Sorted;
 use corianderway_platform::objects;
-use corianderway_platform::objects::ObjectError;
 use corianderway_platform::settings::Settings;
 use corianderway_platform::store;
 use corianderway_platform::store::Call;
@@ -26,24 +24,22 @@
 use corianderway_platform::store::KINDS;
 use corianderway_steer::Event;
 use corianderway_steer::Member;
-use corianderway_steer::Order;
-use corianderway_steer::Plan;
-use corianderway_steer::Progress;
 use corianderway_steer::Reach;
-use corianderway_steer::ServerChange;
 use corianderway_wire::line::Line;
 use log::Level;
 
 use crate::client::Client;
 use crate::client::Reply;
 use crate::edge::copy::Copies;
+use crate::edge::entries;
+use crate::edge::news::tell;
 use crate::edge::replica;
 use crate::edge::rings::Input;
 use crate::edge::rings::StoreOrder;
 use crate::logs::Log;
 
 /// The longest wait for an answer of the store.
-const ANSWER: Duration = Duration::from_millis(1_500);
+pub(super) const ANSWER: Duration = Duration::from_millis(1_500);
 
 /// How long the store holds a watch that hears nothing: each watch is a call
 /// that is paid for, and a deaf one shows by what other instances have seen.
@@ -60,10 +56,10 @@
 const GATHER_MOST: Duration = Duration::from_millis(500);
 
 /// The first pause after a call that failed; doubles with each next one.
-const PAUSE: Duration = Duration::from_millis(100);
+pub(super) const PAUSE: Duration = Duration::from_millis(100);
 
 /// The longest pause after a call that failed.
-const PAUSE_MOST: Duration = Duration::from_millis(800);
+pub(super) const PAUSE_MOST: Duration = Duration::from_millis(800);
 
 /// The time between two looks at whether the store is back.
 const LOOK: Duration = Duration::from_millis(100);
@@ -75,20 +71,20 @@
 const REPLICA_ANSWER: Duration = Duration::from_millis(600);
 
 /// Statuses of the store's answers.
-const OK: u16 = 200;
-const CREATED: u16 = 201;
-const NOT_FOUND: u16 = 404;
-const CONFLICT: u16 = 409;
+pub(super) const OK: u16 = 200;
+pub(super) const CREATED: u16 = 201;
+pub(super) const NOT_FOUND: u16 = 404;
+pub(super) const CONFLICT: u16 = 409;
 const HISTORY_GONE: u16 = 410;
 
 /// What the tasks of the duty share.
 #[derive(Debug)]
 pub struct Desk {
-    client: Client,
-    decisions: Sender<Input>,
-    log: Log,
-    me: Member,
-    regions: Sorted<FailureDomain, Region>,
+    pub(super) client: Client,
+    pub(super) decisions: Sender<Input>,
+    pub(super) log: Log,
+    pub(super) me: Member,
+    pub(super) regions: Sorted<FailureDomain, Region>,
     seeds: RefCell<Vec<SocketAddr>>,
     /// The copies of the store.
     pub copies: RefCell<Copies>,
@@ -151,15 +147,17 @@
             task::spawn_local(follow(Rc::clone(&desk), kind));
         }
         task::spawn_local(recover(Rc::clone(&desk)));
-        task::spawn_local(enlist(Rc::clone(&desk)));
+        task::spawn_local(entries::enlist(Rc::clone(&desk)));
         while let Ok(order) = orders.recv().await {
             let desk = Rc::clone(&desk);
             match order {
                 StoreOrder::Report(order, progress) => {
-                    task::spawn_local(async move { report(&desk, &order, progress).await });
+                    task::spawn_local(
+                        async move { entries::report(&desk, &order, progress).await },
+                    );
                 }
                 StoreOrder::Forget(member) => {
-                    task::spawn_local(async move { forget(&desk, &member).await });
+                    task::spawn_local(async move { entries::forget(&desk, &member).await });
                 }
                 StoreOrder::Reread => desk.rereads.set(desk.rereads.get() + 1),
                 StoreOrder::Seeds(seeds) => *desk.seeds.borrow_mut() = seeds,
@@ -271,7 +269,7 @@
     }
 }
 
-async fn send(client: &Client, call: &Call, limit: Duration) -> Option<Reply> {
+pub(super) async fn send(client: &Client, call: &Call, limit: Duration) -> Option<Reply> {
     let body = call.body.clone();
     let reply = client.call(call.method, &call.path, &[], body, limit);
     reply.await.ok()
@@ -381,153 +379,12 @@
     event(desk, Event::Reach(reach)).await;
 }
 
-// Tells the decision duty what changed, in the product's own types.
-async fn tell(desk: &Rc<Desk>, kind: Kind, news: &[Change]) {
-    match kind {
-        Kind::Configuration => {
-            for plan in plans(desk, news) {
-                event(desk, Event::Plan(plan.into())).await;
-            }
-        }
-        Kind::Servers => event(desk, Event::Servers(servers(desk, news))).await,
-        Kind::Orders => event(desk, Event::Orders(decode(desk, kind, objects::order))).await,
-        Kind::Evacuations => {
-            let domains = decode(desk, kind, objects::evacuated);
-            event(desk, Event::Evacuated(domains)).await;
-        }
-        Kind::Members => {
-            let members = decode(desk, kind, objects::member);
-            event(desk, Event::Members(members)).await;
-            let me = desk.me.entry.id.as_str();
-            let gone = |change: &Change| matches!(change, Change::Removed(name) if **name == *me);
-            if news.iter().any(gone) {
-                task::spawn_local(enlist(Rc::clone(desk)));
-            }
-        }
-    }
-    let latest = desk.copies.borrow().latest();
-    event(desk, Event::Revision(latest)).await;
-}
-
-fn plans(desk: &Desk, news: &[Change]) -> Vec<Plan> {
-    let mut plans = Vec::new();
-    for change in news {
-        let Change::Put(object) = change else {
-            continue;
-        };
-        match objects::plan(object) {
-            Ok(plan) => plans.push(plan),
-            Err(error) => refused(desk, Kind::Configuration, object, &error),
-        }
-    }
-    plans
-}
-
-fn servers(desk: &Desk, news: &[Change]) -> Vec<ServerChange> {
-    let mut changes = Vec::new();
-    for change in news {
-        match change {
-            Change::Put(object) => match objects::listed(object, &desk.regions) {
-                Ok(listed) => changes.push(ServerChange::Put(listed)),
-                Err(error) => refused(desk, Kind::Servers, object, &error),
-            },
-            // An entry under another kind of name was never taken.
-            Change::Removed(name) => {
-                let id = ServerId::try_from(&**name).ok();
-                changes.extend(id.map(ServerChange::Removed));
-            }
-        }
-    }
-    changes
-}
-
-fn decode<T>(desk: &Desk, kind: Kind, read: impl Fn(&Object) -> Result<T, ObjectError>) -> Vec<T> {
-    let copies = desk.copies.borrow();
-    let mut decoded = Vec::new();
-    for object in copies.of(kind).objects() {
-        match read(object) {
-            Ok(value) => decoded.push(value),
-            Err(error) => refused(desk, kind, object, &error),
-        }
-    }
-    decoded
-}
-
-// An entry that another writer left, or one that a fault spoilt.
-fn refused(desk: &Desk, kind: Kind, object: &Object, error: &ObjectError) {
-    let why = format!("{}: {error}", object.name);
-    note(desk, "object-refused", kind, &why);
-}
-
-// Writes this instance's entry, until the store has it.
-async fn enlist(desk: Rc<Desk>) {
-    let (name, spec) = (desk.me.entry.id.as_str(), objects::member_spec(&desk.me));
-    let mut pause = PAUSE;
-    loop {
-        let create = Call::create(Kind::Members, name, &spec);
-        let reply = send(&desk.client, &create, ANSWER).await;
-        let done = match reply {
-            Some(reply) if matches!(reply.status, OK | CREATED) => true,
-            Some(reply) if reply.status == CONFLICT => overwrite(&desk, &spec, &reply).await,
-            Some(_) | None => false,
-        };
-        if done {
-            note(&desk, "enlisted", Kind::Members, "");
-            return;
-        }
-        task::sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
-        pause = (pause * 2).min(PAUSE_MOST);
-    }
-}
-
-// Replaces the entry of an earlier run of this instance; also settles a
-// creation whose answer was lost.
-async fn overwrite(desk: &Desk, spec: &str, conflict: &Reply) -> bool {
-    let Ok(object) = store::written(&conflict.body) else {
-        return false;
-    };
-    if objects::member(&object).is_ok_and(|member| member == desk.me) {
-        return true;
-    }
-    let name = desk.me.entry.id.as_str();
-    let call = Call::replace(Kind::Members, name, object.revision, spec);
-    let reply = send(&desk.client, &call, ANSWER).await;
-    reply.is_some_and(|reply| reply.status == OK)
-}
-
-async fn report(desk: &Desk, order: &Order, progress: Progress) {
-    let status = objects::progress_status(order, progress);
-    let name = order.service.as_str();
-    let call = Call::report(Kind::Orders, name, order.revision, &status);
-    let reply = send(&desk.client, &call, ANSWER).await;
-    let result = reply.map_or("no answer".to_owned(), |r| format!("status {}", r.status));
-    let line = Line::new("move-reported")
-        .with("service", name)
-        .with("progress", format!("{progress:?}"))
-        .with("revision", order.revision)
-        .with("result", result);
-    desk.log.put(Level::Info, line);
-}
-
-async fn forget(desk: &Desk, member: &Member) {
-    let name = member.entry.id.as_str();
-    let known = desk.copies.borrow().of(Kind::Members).object(name).cloned();
-    let Some(object) = known else {
-        return;
-    };
-    let call = Call::remove(Kind::Members, name, object.revision);
-    let reply = send(&desk.client, &call, ANSWER).await;
-    let gone = reply.is_some_and(|reply| matches!(reply.status, OK | NOT_FOUND));
-    let line = Line::new("instance-forgotten").with("instance", name);
-    desk.log.put(Level::Info, line.with("done", gone));
-}
-
-async fn event(desk: &Desk, event: Event) {
+pub(super) async fn event(desk: &Desk, event: Event) {
     // The decision duty ends last; when it is gone, so is the process.
     drop(desk.decisions.send(Input::Event(event)).await);
 }
 
-fn note(desk: &Desk, event: &str, kind: Kind, why: &str) {
+pub(super) fn note(desk: &Desk, event: &str, kind: Kind, why: &str) {
     let line = Line::new(event)
         .with("kind", kind.as_str())
         .with("why", why);
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -10,7 +10,7 @@
 
 use crate::fleet::Fleet;
 use crate::hash;
-use crate::moves::Lane;
+use crate::lane::Lane;
 use crate::pace::Warmth;
 use crate::plan::Route;
 use crate::server::millis;
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -159,8 +159,12 @@
         self.neighbours.push(self.me.clone());
     }
 
-    pub(crate) fn evacuate(&mut self, domains: Vec<FailureDomain>) {
-        self.evacuated = domains;
+    /// Takes the failure domains that are to get nothing; false if they are
+    /// the same as before.
+    pub(crate) fn evacuate(&mut self, domains: &[FailureDomain]) -> bool {
+        let news = self.evacuated != domains;
+        self.evacuated = domains.to_vec();
+        news
     }
 
     pub(crate) fn is_evacuated(&self, domain: &FailureDomain) -> bool {
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -15,6 +15,7 @@
 use crate::digest::Sighting;
 use crate::digest::Tally;
 use crate::hash;
+use crate::lane::Lane;
 use crate::listing::Order;
 use crate::listing::Progress;
 
@@ -111,28 +112,6 @@
     Mark,
 }
 
-/// Which versions of a service a request may go to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Lane {
-    /// Any.
-    Any,
-    /// Only this one.
-    Only(Version),
-    /// Any but this one.
-    Not(Version),
-}
-
-impl Lane {
-    /// Whether the lane leads to a version.
-    pub(crate) fn admits(&self, version: &Version) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(only) => only == version,
-            Self::Not(not) => not != version,
-        }
-    }
-}
-
 /// The moves of all services.
 #[derive(Debug)]
 pub(crate) struct Moves {
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::event::Query;
 use crate::event::RequestId;
 use crate::hash;
-use crate::moves::Lane;
+use crate::lane::Lane;
 use crate::note::Note;
 use crate::note::Weight;
 use crate::pace::Warmth;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -5,7 +5,6 @@
 
 use corianderway_limits::RetryBudget;
 use corianderway_model::FailureDomain;
-use corianderway_model::Presence;
 use corianderway_model::Region;
 use corianderway_model::Service;
 use corianderway_model::Sorted;
@@ -18,7 +17,6 @@
 use crate::advice;
 use crate::bounds::Bounds;
 use crate::crashes::Crashes;
-use crate::digest::Digest;
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Reach;
@@ -49,19 +47,6 @@
 /// The time between two divisions of the rates.
 const SHARE: Duration = Duration::from_millis(250);
 
-/// The time between two digests when nothing important happens.
-const DIGEST: Duration = Duration::from_secs(1);
-
-/// The time between the first digests of an instance, whose demands and
-/// neighbours are not known yet.
-const DIGEST_YOUNG: Duration = Duration::from_millis(300);
-
-/// How many digests are sent so soon after each other.
-const YOUNG_DIGESTS: u64 = 12;
-
-/// The least time between two digests.
-const DIGEST_LEAST: Duration = Duration::from_millis(100);
-
 /// How long the directory's advice holds.
 const ADVICE: Duration = Duration::from_secs(2);
 
@@ -75,9 +60,6 @@
 /// the endpoints' entries that lapsed meanwhile are back by then.
 const UNSETTLED: Duration = Duration::from_secs(3);
 
-/// How long a change that others have seen may be on its way here.
-const DEAF: Duration = Duration::from_millis(500);
-
 /// The part of the fleet's retry budget that its instances use.
 const RETRY_CAUTION: f64 = 0.8;
 
@@ -134,17 +116,17 @@
     pub(crate) rooms: Rooms,
     pub(crate) rng: SmallRng,
     pub(crate) stopping: Option<Time>,
-    reach: (Reach, Time),
+    pub(crate) reach: (Reach, Time),
     unsettled: Time,
     // The latest change in the store that was seen.
-    revision: u64,
+    pub(crate) revision: u64,
     // Since when another instance has told a later one.
-    deaf: Option<Time>,
+    pub(crate) deaf: Option<Time>,
     // What is not known yet.
     unknown: Vec<Topic>,
-    digests: u64,
+    pub(crate) digests: u64,
     swept: Time,
-    told: Time,
+    pub(crate) told: Time,
     shared: Time,
     forgot: Time,
     /// Whether something happened that the others should hear at once.
@@ -322,10 +304,12 @@
 
     fn take_evacuations(&mut self, domains: Vec<FailureDomain>, out: &mut Vec<Action>) {
         self.learn(Topic::Evacuations);
+        if !self.fleet.evacuate(&domains) {
+            return;
+        }
         let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
         let note = Note::new(Weight::Notable, "evacuations").with("domains", names.join(","));
         out.push(Action::Log(note));
-        self.fleet.evacuate(domains);
     }
 
     fn take_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Action>) {
@@ -350,22 +334,6 @@
         self.reach.0 != Reach::Store || disturbed
     }
 
-    fn take_digest(&mut self, now: Time, digest: Digest, out: &mut Vec<Action>) {
-        let (from, crashes) = (digest.from.clone(), digest.crashes.clone());
-        let moves = digest.moves.clone();
-        let known = self.members.is_heard(now, &from);
-        if !self.members.hear(now, digest) {
-            return;
-        }
-        if !known {
-            let note = Note::new(Weight::Notable, "instance-heard").with("instance", &from);
-            out.push(Action::Log(note));
-        }
-        self.crashes.merge(now, &crashes);
-        let turns = self.moves.hear(now, &from, &moves);
-        self.note_turns(turns, out);
-    }
-
     fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
         if now.since(self.swept) < SWEEP {
             self.serve_waiting(now, out);
@@ -386,24 +354,6 @@
         self.serve_waiting(now, out);
     }
 
-    // A watch that no longer hears shows by what other instances have seen.
-    fn check_watches(&mut self, now: Time, out: &mut Vec<Action>) {
-        let latest = self.members.heard(now).map(|(_, d)| d.revision).max();
-        if latest.unwrap_or(0) <= self.revision || self.reach.0 != Reach::Store {
-            self.deaf = None;
-            return;
-        }
-        let since = *self.deaf.get_or_insert(now);
-        if now.since(since) >= DEAF {
-            self.deaf = Some(now);
-            let note = Note::new(Weight::Notable, "watch-deaf")
-                .with("seen", self.revision)
-                .with("told", latest.unwrap_or(0));
-            out.push(Action::Log(note));
-            out.push(Action::Reread);
-        }
-    }
-
     fn share_quotas(&mut self, now: Time) {
         // Alone on the list, an instance would take whole rates.
         if self.unknown.contains(&Topic::Members) {
@@ -468,42 +418,7 @@
         out.push(Action::Direct { id, entries, ttl });
     }
 
-    // Tells the other instances once in a while, and soon after what matters.
-    fn tell(&mut self, now: Time, out: &mut Vec<Action>) {
-        let since = now.since(self.told);
-        let young = self.digests < YOUNG_DIGESTS;
-        let period = if young { DIGEST_YOUNG } else { DIGEST };
-        if since < DIGEST_LEAST || (since < period && !self.urgent) {
-            return;
-        }
-        self.told = now;
-        let urgent = std::mem::take(&mut self.urgent);
-        self.digests += 1;
-        let presence = if self.stopping.is_some() {
-            Presence::Leaving
-        } else {
-            Presence::Live
-        };
-        let me = self.members.me();
-        let digest = Arc::new(Digest {
-            from: me.entry.id.clone(),
-            run: me.run,
-            number: self.digests,
-            presence,
-            ready: self.is_ready(),
-            stored: self.reach.0 == Reach::Store,
-            revision: self.revision,
-            demands: self.quotas.tell(now),
-            moves: self.moves.tell(now),
-            crashes: self.crashes.tell(),
-        });
-        for to in self.members.audience(self.digests, urgent) {
-            let digest = Arc::clone(&digest);
-            out.push(Action::Send { to, digest });
-        }
-    }
-
-    fn note_turns(&mut self, turns: Vec<Turn>, out: &mut Vec<Action>) {
+    pub(crate) fn note_turns(&mut self, turns: Vec<Turn>, out: &mut Vec<Action>) {
         for turn in turns {
             self.urgent = true;
             let note = Note::new(Weight::Notable, "move")
