steer: each phase of a move is judged by its own answers

Cause: the good answers of the canary and of the wider phase stood in the same tally, so in the last phase a sixth of some hundred answers had to be bad before the fault showed. Ruled out: late news between instances alone (a turn is told at once). Each phase now starts its tally anew, and the wider one takes 0.2 in place of 0.3.

--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -30,7 +30,7 @@
 const CANARY_PART: f64 = 0.5;
 
 /// The share that a target gets in the wider phase.
-const WIDER_SHARE: f64 = 0.3;
+const WIDER_SHARE: f64 = 0.2;
 
 /// The part of the time to the deadline after which a target may be proven.
 const PROOF_PART: f64 = 0.35;
@@ -108,7 +108,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Effect {
-    /// Note when the phase began.
+    /// Note when the phase began, and judge it by its own answers: those of
+    /// the phase before would hide a fault that shows only now.
     Mark,
 }
 
@@ -413,7 +414,11 @@
         self.phase = step.to;
         for effect in step.actions {
             match effect {
-                Effect::Mark => self.phase_since = now,
+                Effect::Mark => {
+                    self.phase_since = now;
+                    self.target.clear();
+                    self.base.clear();
+                }
             }
         }
         (from != self.phase).then(|| Turn {
@@ -451,7 +456,7 @@
         })
     }
 
-    // The tallies of all instances together.
+    // The tallies of all instances that are in the same phase, together.
     fn sum(&self, target: bool) -> Vec<Tally> {
         let of = |s: &Sighting| {
             if target {
@@ -465,7 +470,8 @@
         } else {
             self.base.clone()
         };
-        for (_, sighting) in self.peers.iter() {
+        let same = |s: &&Sighting| s.phase == self.phase as u8;
+        for sighting in self.peers.iter().map(|row| row.1).filter(same) {
             for tally in of(sighting) {
                 add(&mut sum, tally);
             }
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -46,8 +46,8 @@
     targets
 }
 
-// Plays 40 requests a second against a move until its deadline.
-fn play(target: Target) -> Played {
+// Plays some requests a second against a move until its deadline.
+fn play(target: Target, rate: u64) -> Played {
     let mut rig = Rig::new();
     let put = targets().into_iter().map(ServerChange::Put).collect();
     rig.step(Event::Servers(put));
@@ -61,10 +61,10 @@
         target_after_end: 0,
     };
     let mut recent = 0.0_f64;
-    for turn in 0..560_u64 {
+    for turn in 0..SPAN.as_secs() * rate {
         let id = rig.ask("/bids/1", Some(turn % 7));
         let age = rig.now.since(begun);
-        recent *= 0.95;
+        recent *= 1.0 - 2.0 / rate as f64;
         if let Some(server) = rig.sent(id) {
             played.all += 1;
             let mut outcome = answered(200);
@@ -75,7 +75,7 @@
                 let fails = match target {
                     Target::Good => false,
                     Target::FailsFrom(from) => age >= from && turn % 2 == 0,
-                    Target::FailsUnderLoad => recent > 5.0,
+                    Target::FailsUnderLoad => recent > rate as f64 / 8.0,
                 };
                 if fails {
                     outcome = Outcome::Answered {
@@ -88,7 +88,7 @@
             // A repetition of a failed request is answered well.
             rig.end(id, answered(200));
         }
-        for action in rig.pass(Duration::from_millis(25)) {
+        for action in rig.pass(Duration::from_millis(1_000 / rate)) {
             if let Action::Report { progress, .. } = action {
                 let age = rig.now.since(begun);
                 match progress {
@@ -105,19 +105,25 @@
 // Failed before the store's reach was told at the start: no instance led.
 #[test]
 fn a_good_version_takes_over_before_its_deadline() {
-    let played = play(Target::Good);
+    let played = play(Target::Good, 40);
     assert_eq!(played.rolled_back, None);
     assert!(played.completed.is_some_and(|at| at < SPAN));
 }
 
 #[test]
 fn a_bad_version_is_taken_back_with_few_requests() {
-    for target in [
-        Target::FailsFrom(Duration::ZERO),
-        Target::FailsFrom(Duration::from_secs(3)),
-        Target::FailsUnderLoad,
-    ] {
-        let played = play(target);
+    // A hunt found 248 requests where 245 are allowed, with the fault of the last
+    // rows: deploy/days/many-versions.toml --vary --seed 108000093381. One
+    // instance alone sees the fault sooner than ten that share it, so these rows
+    // passed then, too.
+    let table = [
+        (Target::FailsFrom(Duration::ZERO), 40),
+        (Target::FailsFrom(Duration::from_secs(3)), 40),
+        (Target::FailsUnderLoad, 40),
+        (Target::FailsUnderLoad, 140),
+    ];
+    for (target, rate) in table {
+        let played = play(target, rate);
         assert_eq!(played.completed, None, "{target:?}");
         assert!(played.rolled_back.is_some(), "{target:?}");
         // The platform's bound: a tenth of all requests, and 50 more.
