steer: a failure counts against a version only if its server lives

Ruled out: a fault of the version (its other answers were good), late news. Now a broken connection or an answer that never came is held back until the server answers again (it counts), can't be reached or is delisted (it doesn't), or 1.5 s have passed (it counts). Test: the_death_of_a_failure_domain_takes_no_version_back, failed with failures counted at once.

--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -67,6 +67,7 @@
 mod shift;
 mod split;
 mod steer;
+mod verdicts;
 mod waiting;
 
 pub use crate::bounds::Bounds;
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -32,6 +32,7 @@
 use crate::request::State;
 use crate::server::millis;
 use crate::steer::Steer;
+use crate::verdicts::Subject;
 
 /// When a caller should come back to an instance that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
@@ -359,7 +360,11 @@
         let paces = &self.fleet.paces;
         let known = paces.expect(&open.route.name, objective, Warmth::Known);
         let tolerated = ((objective - known) * WAIT_TOLERATED / known.max(1.0)).max(0.0);
-        let mut judged = None;
+        let subject = Subject {
+            service: open.service.clone(),
+            version,
+            route: open.route.name.clone(),
+        };
         match outcome {
             Outcome::Answered { status, load } => {
                 let failed = status >= SERVER_FAULT;
@@ -376,7 +381,10 @@
                     .fleet
                     .paces
                     .expect(&open.route.name, objective, Warmth::Unknown);
-                judged = Some(failed || took > FAR_TOO_SLOW * cold.max(objective));
+                let bad = failed || took > FAR_TOO_SLOW * cold.max(objective);
+                let earlier = self.verdicts.take_alive(&server);
+                self.count_failures(earlier);
+                self.count(&subject, bad);
             }
             Outcome::Full { load } => {
                 self.fleet.tell(now, &server, load, tolerated);
@@ -386,25 +394,22 @@
             Outcome::Unreachable => {
                 self.fleet.fault(now, &server, true);
                 self.crashes.unreachable(now, short);
+                self.verdicts.drop_dead(&server);
             }
             Outcome::NotSent => (),
             Outcome::Broken => {
                 self.fleet.fault(now, &server, false);
                 self.crashes.broke(now, open.query.signature, short);
-                judged = Some(true);
+                self.verdicts.hold(now, server.clone(), subject);
             }
             Outcome::TimedOut => {
                 if now >= open.deadline {
                     let ratio = took / expected.max(1.0);
                     self.fleet.pass(now, &server, ratio, false);
-                    judged = Some(true);
+                    self.verdicts.hold(now, server.clone(), subject);
                 }
             }
         }
-        if let Some(bad) = judged {
-            self.moves
-                .count(&open.service, &version, &open.route.name, bad);
-        }
         let weight = match outcome {
             Outcome::Answered { status, .. } if status < SERVER_FAULT => Weight::Plain,
             _ => Weight::Notable,
@@ -418,6 +423,18 @@
         out.push(Action::Log(note));
     }
 
+    /// Counts failures against the versions of the servers that failed.
+    pub(crate) fn count_failures(&mut self, failures: Vec<Subject>) {
+        for subject in failures {
+            self.count(&subject, true);
+        }
+    }
+
+    fn count(&mut self, subject: &Subject, bad: bool) {
+        let (service, version) = (&subject.service, &subject.version);
+        self.moves.count(service, version, &subject.route, bad);
+    }
+
     fn deliver(&self, now: Time, open: &Open, out: &mut Vec<Action>) {
         let held = now.since(open.received).as_millis();
         let note = self.note(Weight::Plain, "delivered", open);
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -36,9 +36,11 @@
 use crate::request::Open;
 use crate::request::RequestChart;
 use crate::request::REQUEST_CHART;
+use crate::server::State;
 use crate::server::SERVER_CHART;
 use crate::shift::Shifts;
 use crate::split::Splits;
+use crate::verdicts::Verdicts;
 use crate::waiting::Rooms;
 
 /// The time between two looks at everything that time alone changes.
@@ -111,6 +113,7 @@
     pub(crate) splits: Splits,
     pub(crate) shifts: Shifts,
     pub(crate) crashes: Crashes,
+    pub(crate) verdicts: Verdicts,
     pub(crate) budgets: Sorted<Service, RetryBudget>,
     pub(crate) requests: Sorted<RequestId, Open>,
     pub(crate) rooms: Rooms,
@@ -159,6 +162,7 @@
             splits: Splits::default(),
             shifts: Shifts::new(bounds.shift_most),
             crashes: Crashes::default(),
+            verdicts: Verdicts::default(),
             budgets: Sorted::default(),
             requests: Sorted::default(),
             rooms: Rooms::default(),
@@ -349,6 +353,8 @@
         }
         self.sweep_moves(now, out);
         self.crashes.expire(now);
+        let undecided = self.verdicts.take_undecided(now);
+        self.count_failures(undecided);
         self.forget_lost(now, out);
         self.check_watches(now, out);
         self.serve_waiting(now, out);
@@ -432,6 +438,9 @@
 
     fn note_changes(&mut self, out: &mut Vec<Action>) {
         for change in self.fleet.take_changes() {
+            if change.to == State::Leaving {
+                self.verdicts.drop_dead(&change.server);
+            }
             let note = Note::new(Weight::Notable, "server")
                 .with("server", &change.server)
                 .with("from", format!("{:?}", change.from))
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use corianderway_steer::Action;
@@ -133,6 +134,50 @@
     }
 }
 
+// A day of the bench took a good version back: trazo-central scale-2, where a
+// failure domain's servers die while the target gets everything.
+#[test]
+fn the_death_of_a_failure_domain_takes_no_version_back() {
+    let mut rig = Rig::new();
+    let put = targets().into_iter().map(ServerChange::Put).collect();
+    rig.step(Event::Servers(put));
+    rig.step(Event::Orders(vec![rig::order("bids", "v2", SPAN)]));
+    let turned = |done: &[Action], to: &str| {
+        let told = |a: &Action| {
+            let Action::Log(note) = a else { return false };
+            note.event == "move" && note.pairs.iter().any(|p| *p == ("to", to.to_owned()))
+        };
+        done.iter().any(told)
+    };
+    let (mut full, mut breaks) = (false, BTreeMap::new());
+    for turn in 0..SPAN.as_secs() * 40 {
+        let id = rig.ask("/bids/1", Some(turn % 11));
+        if let Some(server) = rig.sent(id) {
+            let mut outcome = answered(200);
+            if full && server.starts_with("new-") && server.contains("north-b") {
+                // What ran there when it died breaks; afterwards nothing listens.
+                let broken = breaks.entry(server).or_insert(0);
+                *broken += 1;
+                outcome = if *broken <= 3 {
+                    Outcome::Broken
+                } else {
+                    Outcome::Unreachable
+                };
+            }
+            rig.end(id, outcome);
+            rig.end(id, answered(200));
+        }
+        let done = rig.pass(Duration::from_millis(25));
+        full |= turned(&done, "full");
+        assert!(!turned(&done, "rolled-back"), "at {turn}");
+        if turned(&done, "completed") {
+            assert!(full && breaks.len() == 2, "{breaks:?}");
+            return;
+        }
+    }
+    panic!("the version did not take over");
+}
+
 #[test]
 fn a_version_without_an_order_gets_nothing_at_first() {
     let mut rig = Rig::new();
