steer: one relay speaks for a failure domain

Ruled out: shorter messages (a half at most), fewer of them (rates would follow later). Now an instance tells the first instance of its domain by rank, which merges the digests into one summary twice a second (chart edge-relay.yaml), and passes on those of the other domains. Shares of rates come from the summaries, by the figure that the domain's summary contains; those who hear a part of the fleet divide that part's equal share. A bad answer of a move's target is told at once. moves.rs is split: phases, evidence. Member entries say how much processor time a machine has. Tests: crates/steer/tests/relays.rs; the quota properties now play two failure domains.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -91,7 +91,7 @@
     let (decisions, inputs) = async_channel::bounded(rings::DECISIONS);
     let (jobs, taken) = async_channel::bounded(rings::JOBS);
     let (orders, ordered) = async_channel::bounded(rings::ORDERS);
-    let (digests, sent) = async_channel::bounded(rings::DIGESTS);
+    let (letters, sent) = async_channel::bounded(rings::MESSAGES);
     let (samples, sampled) = async_channel::bounded(crate::rings::SAMPLES);
     let (instruments, scrape) = Instruments::new().context(MetricsSnafu)?;
     let (stopping, done) = (Arc::new(AtomicBool::new(false)), AtomicBool::new(false));
@@ -103,7 +103,7 @@
     let outputs = Outputs {
         jobs,
         store: orders.clone(),
-        peers: digests,
+        peers: letters,
         samples,
     };
     let desk = Decisions::new(steer, clock, outputs, board.clone(), log.clone());
@@ -156,6 +156,7 @@
         .with("run", settings.me.run)
         .with("region", &entry.region)
         .with("domain", &entry.domain)
+        .with("millicores", settings.me.millicores)
         .with("callers", entry.callers)
         .with("peers", entry.peers)
         .with("replica", settings.me.replica)
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -25,7 +25,7 @@
 use crate::edge::rings::Answer;
 use crate::edge::rings::Input;
 use crate::edge::rings::Job;
-use crate::edge::rings::Message;
+use crate::edge::rings::Letter;
 use crate::edge::rings::Reply;
 use crate::edge::rings::StoreOrder;
 use crate::logs::Log;
@@ -50,7 +50,7 @@
     /// To the store duty.
     pub store: Sender<StoreOrder>,
     /// To the peers duty.
-    pub peers: Sender<Message>,
+    pub peers: Sender<Letter>,
     /// To the metrics duty.
     pub samples: Sender<Note>,
 }
@@ -209,7 +209,10 @@
                     reply(&held.reply, Reply::Direct(entries, ttl));
                 }
             }
-            Action::Send { to, digest } => self.order_peer(to, digest),
+            Action::Send { to, message } => {
+                // A full ring loses a message; the next one says more.
+                drop(self.outputs.peers.try_send((to, message)));
+            }
             Action::Report {
                 order, progress, ..
             } => self.order_store(StoreOrder::Report(order, progress)),
@@ -249,11 +252,6 @@
         }
     }
 
-    fn order_peer(&self, to: std::net::SocketAddr, digest: Arc<corianderway_steer::Digest>) {
-        // A full ring loses a digest; the next one says more.
-        drop(self.outputs.peers.try_send((to, digest)));
-    }
-
     fn order_store(&self, order: StoreOrder) {
         if self.outputs.store.try_send(order).is_err() {
             let line = Line::new("store-order-dropped").with("why", "ring-full");
--- a/crates/daemon/src/edge/peers.rs
+++ b/crates/daemon/src/edge/peers.rs
@@ -1,6 +1,6 @@
-//! The peers duty: digests between instances, as datagrams.
+//! The peers duty: messages between instances, as datagrams.
 //!
-//! A digest that is lost or late is superseded by the next one, so nothing is
+//! A message that is lost or late is superseded by the next one, so nothing is
 //! acknowledged, kept or sent again.
 
 use std::net::UdpSocket;
@@ -10,13 +10,13 @@
 use async_channel::Sender;
 use async_std::net;
 use async_std::task;
-use corianderway_steer::Digest;
 use corianderway_steer::Event;
+use corianderway_steer::Message;
 use corianderway_wire::line::Line;
 use log::Level;
 
 use crate::edge::rings::Input;
-use crate::edge::rings::Message;
+use crate::edge::rings::Letter;
 use crate::logs::Log;
 
 /// The longest datagram that is taken, in bytes.
@@ -26,16 +26,16 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Runs until the decision duty is gone.
-pub fn run(socket: UdpSocket, messages: Receiver<Message>, decisions: Sender<Input>, log: Log) {
+pub fn run(socket: UdpSocket, letters: Receiver<Letter>, decisions: Sender<Input>, log: Log) {
     task::block_on(async move {
         let socket = std::rc::Rc::new(net::UdpSocket::from(socket));
         let receiving = std::rc::Rc::clone(&socket);
         let receive_log = log.clone();
         task::spawn_local(async move { receive(&receiving, decisions, receive_log).await });
-        while let Ok((to, digest)) = messages.recv().await {
+        while let Ok((to, message)) = letters.recv().await {
             let mut bytes = Vec::new();
-            if let Err(error) = ciborium::into_writer(&*digest, &mut bytes) {
-                let line = Line::new("digest-unwritten").with("error", error);
+            if let Err(error) = ciborium::into_writer(&message, &mut bytes) {
+                let line = Line::new("message-unwritten").with("error", error);
                 log.put(Level::Warn, line);
                 continue;
             }
@@ -52,15 +52,15 @@
             task::sleep(PAUSE).await;
             continue;
         };
-        match ciborium::from_reader::<Digest, _>(&bytes[..count]) {
-            Ok(digest) => {
-                let input = Input::Event(Event::Digest(digest));
+        match ciborium::from_reader::<Message, _>(&bytes[..count]) {
+            Ok(message) => {
+                let input = Input::Event(Event::Told(message));
                 if decisions.send(input).await.is_err() {
                     return;
                 }
             }
             Err(error) => {
-                let line = Line::new("digest-unread");
+                let line = Line::new("message-unread");
                 log.put(Level::Warn, line.with("from", from).with("error", error));
             }
         }
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -1,7 +1,6 @@
 //! What passes between the duties of an instance on the platform.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -13,9 +12,9 @@
 use corianderway_model::Time;
 use corianderway_platform::front::Answered;
 use corianderway_platform::front::Outbound;
-use corianderway_steer::Digest;
 use corianderway_steer::Event;
 use corianderway_steer::Member;
+use corianderway_steer::Message;
 use corianderway_steer::Order;
 use corianderway_steer::Outcome;
 use corianderway_steer::Progress;
@@ -35,9 +34,9 @@
 /// each is given again while its cause lasts.
 pub const ORDERS: usize = 64;
 
-/// Digests that wait for the peers duty. When it is full the digest is
+/// Messages that wait for the peers duty. When it is full the message is
 /// dropped; the next one says more.
-pub const DIGESTS: usize = 2_048;
+pub const MESSAGES: usize = 2_048;
 
 /// What the decision duty receives.
 #[derive(Debug)]
@@ -114,4 +113,4 @@
 }
 
 /// What the peers duty receives.
-pub type Message = (SocketAddr, Arc<Digest>);
+pub type Letter = (SocketAddr, Message);
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -1,14 +1,38 @@
 //! What instances tell each other.
+//!
+//! An instance sends its [`Digest`] to the relay of its failure domain, which
+//! merges those of the domain into one [`Summary`] for the other domains and
+//! passes theirs on. Field names are short, since bytes between failure
+//! domains cost.
 
+use std::sync::Arc;
+
+use corianderway_model::FailureDomain;
 use corianderway_model::InstanceId;
 use corianderway_model::Presence;
 use corianderway_model::Service;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// One instance's state, as it tells the others once a second and after
-/// important changes. Field names are short, since bytes between failure
-/// domains cost.
+/// Requests a second that callers want, by the hash of the client account.
+pub type Demands = Vec<(u32, f32)>;
+
+/// Signatures of requests that broke connections, with the hashes of the
+/// backend servers at which they did.
+pub type Breaks = Vec<(u64, Vec<u32>)>;
+
+/// What one instance tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// An instance's own state, for the relay of its failure domain.
+    #[serde(rename = "d")]
+    Digest(Arc<Digest>),
+    /// The state of a failure domain.
+    #[serde(rename = "s")]
+    Summary(Arc<Summary>),
+}
+
+/// One instance's state, as it tells it once a second and after important changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The instance.
@@ -32,19 +56,74 @@
     /// The latest change in the store that it has seen.
     #[serde(rename = "v")]
     pub revision: u64,
-    /// Requests a second that callers want of it, by the hash of the client account.
+    /// Requests a second that it takes, of all client accounts and of none.
+    #[serde(rename = "q")]
+    pub rate: f32,
+    /// What callers want of it.
     #[serde(rename = "d")]
-    pub demands: Vec<(u32, f32)>,
+    pub demands: Demands,
     /// What it has seen of moves to new versions.
     #[serde(rename = "m")]
     pub moves: Vec<Sighting>,
-    /// Signatures of requests that broke connections, with the hashes of the
-    /// backend servers at which they did.
+    /// Requests that broke connections.
+    #[serde(rename = "c")]
+    pub crashes: Breaks,
+}
+
+/// The state of a failure domain, as its relay tells it twice a second and
+/// after important changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The relay.
+    #[serde(rename = "i")]
+    pub from: InstanceId,
+    /// Drawn at the relay's start.
+    #[serde(rename = "r")]
+    pub run: u64,
+    /// The number of the summary within the run.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The failure domain.
+    #[serde(rename = "z")]
+    pub domain: FailureDomain,
+    /// Whether the relay has not heard the whole domain yet.
+    #[serde(rename = "g")]
+    pub partial: bool,
+    /// The instances that were heard lately, sorted by hash.
+    #[serde(rename = "s")]
+    pub standings: Vec<Standing>,
+    /// The latest change in the store that one of them has seen.
+    #[serde(rename = "v")]
+    pub revision: u64,
+    /// Requests a second that they take together.
+    #[serde(rename = "q")]
+    pub rate: f32,
+    /// What callers want of them together.
+    #[serde(rename = "d")]
+    pub demands: Demands,
+    /// What they have seen of moves, together.
+    #[serde(rename = "m")]
+    pub moves: Vec<Sighting>,
+    /// Requests that broke connections.
     #[serde(rename = "c")]
-    pub crashes: Vec<(u64, Vec<u32>)>,
+    pub crashes: Breaks,
 }
 
-/// What an instance has seen of one move to a new version.
+/// How an instance stands: the hash of its name, the number of its last digest
+/// in the summary, and flags.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing(u32, u64, u8);
+
+/// The flag of an instance that serves callers and stays.
+const SERVES: u8 = 1;
+
+/// The flag of an instance that reaches the store itself.
+const STORED: u8 = 2;
+
+/// The flag of an instance that stops.
+const LEAVES: u8 = 4;
+
+/// What has been seen of one move to a new version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sighting {
     /// The service.
@@ -65,7 +144,7 @@
     /// Answers of the old version, by route.
     #[serde(rename = "b")]
     pub base: Vec<Tally>,
-    /// Requests that the old version runs for this instance.
+    /// Requests that the old version runs.
     #[serde(rename = "f")]
     pub old_open: u32,
 }
@@ -83,3 +162,80 @@
     #[serde(rename = "x")]
     pub bad: u32,
 }
+
+impl Standing {
+    /// How the sender of a digest stands; `hash` is that of its name.
+    pub(crate) fn new(hash: u32, digest: &Digest) -> Self {
+        let leaves = digest.presence == Presence::Leaving;
+        let flag = |holds: bool, flag: u8| if holds { flag } else { 0 };
+        let flags = flag(digest.ready && !leaves, SERVES)
+            | flag(digest.stored, STORED)
+            | flag(leaves, LEAVES);
+        Self(hash, digest.number, flags)
+    }
+
+    /// The hash of the instance's name.
+    pub fn hash(self) -> u32 {
+        self.0
+    }
+
+    /// The number of its last digest in the summary.
+    pub fn number(self) -> u64 {
+        self.1
+    }
+
+    /// Whether it serves callers, and stays.
+    pub fn serves(self) -> bool {
+        self.2 & SERVES != 0
+    }
+
+    /// Whether it reaches the store itself.
+    pub fn is_stored(self) -> bool {
+        self.2 & STORED != 0
+    }
+
+    /// Whether it stops.
+    pub fn leaves(self) -> bool {
+        self.2 & LEAVES != 0
+    }
+}
+
+impl Summary {
+    /// How an instance stands, by the hash of its name.
+    pub fn standing(&self, hash: u32) -> Option<Standing> {
+        let at = self.standings.binary_search_by_key(&hash, |s| s.hash());
+        at.ok().map(|at| self.standings[at])
+    }
+}
+
+impl Sighting {
+    /// Adds what another instance has seen of the same move.
+    pub(crate) fn absorb(&mut self, other: &Self) {
+        self.age_ms = self.age_ms.max(other.age_ms);
+        if other.phase == self.phase {
+            self.old_open += other.old_open;
+            for tally in &other.target {
+                tally.add_to(&mut self.target);
+            }
+            for tally in &other.base {
+                tally.add_to(&mut self.base);
+            }
+        } else {
+            // One that is still in an earlier phase may send to the old version.
+            self.old_open += other.old_open.max(1);
+        }
+    }
+}
+
+impl Tally {
+    /// Adds to the tally of the same route.
+    pub(crate) fn add_to(self, tallies: &mut Vec<Self>) {
+        match tallies.iter_mut().find(|t| t.route == self.route) {
+            Some(tally) => {
+                tally.all += self.all;
+                tally.bad += self.bad;
+            }
+            None => tallies.push(self),
+        }
+    }
+}
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -12,7 +12,7 @@
 use corianderway_model::Service;
 use corianderway_model::Time;
 
-use crate::digest::Digest;
+use crate::digest::Message;
 use crate::listing::Member;
 use crate::listing::Order;
 use crate::listing::Progress;
@@ -132,8 +132,8 @@
     Reach(Reach),
     /// The latest change in the store that was seen.
     Revision(u64),
-    /// Another instance's digest.
-    Digest(Digest),
+    /// Another instance told something.
+    Told(Message),
     /// Time passed.
     Tick,
     /// A planned stop begins.
@@ -178,12 +178,12 @@
         /// How long the advice holds.
         ttl: Duration,
     },
-    /// Send a digest to another instance.
+    /// Tell another instance something.
     Send {
         /// Where it listens.
         to: SocketAddr,
-        /// The digest.
-        digest: Arc<Digest>,
+        /// What it is told.
+        message: Message,
     },
     /// Record in the store how far an order has come.
     Report {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! * [`Plan`] is one version of what the operator configured.
 //! * [`Listed`], [`Member`] and [`Order`] are what the platform's store holds.
-//! * [`Digest`] is what instances tell each other.
+//! * [`Message`] is what instances tell each other.
 //!
 //! # Example
 //!
@@ -31,7 +31,7 @@
 //!     presence: Presence::Live,
 //! };
 //! let replica = "127.0.0.1:9002".parse()?;
-//! let me = Member { entry, replica, run: 1 };
+//! let me = Member { entry, replica, run: 1, millicores: 200 };
 //! let mut steer = Steer::new(me, Bounds::default(), 7)?;
 //! let mut actions = Vec::new();
 //! let event = Event::Directory { id: RequestId(1), region: None, domain: None };
@@ -49,6 +49,7 @@
 mod crashes;
 mod digest;
 mod event;
+mod evidence;
 mod fleet;
 mod gossip;
 mod hash;
@@ -58,9 +59,12 @@
 mod moves;
 mod note;
 mod pace;
+mod phase;
 mod plan;
 mod quota;
+mod rate;
 mod refusal;
+mod relay;
 mod request;
 mod serve;
 mod server;
@@ -72,8 +76,13 @@
 
 pub use crate::bounds::Bounds;
 pub use crate::bounds::SHIFT_SPAN;
+pub use crate::digest::Breaks;
+pub use crate::digest::Demands;
 pub use crate::digest::Digest;
+pub use crate::digest::Message;
 pub use crate::digest::Sighting;
+pub use crate::digest::Standing;
+pub use crate::digest::Summary;
 pub use crate::digest::Tally;
 pub use crate::event::Action;
 pub use crate::event::Event;
@@ -87,9 +96,9 @@
 pub use crate::listing::Order;
 pub use crate::listing::Progress;
 pub use crate::listing::ServerChange;
-pub use crate::moves::MOVE_CHART;
 pub use crate::note::Note;
 pub use crate::note::Weight;
+pub use crate::phase::MOVE_CHART;
 pub use crate::plan::AccountTerms;
 pub use crate::plan::CallerLimits;
 pub use crate::plan::Plan;
@@ -98,6 +107,7 @@
 pub use crate::plan::ServiceTerms;
 pub use crate::refusal::Reason;
 pub use crate::refusal::Refusal;
+pub use crate::relay::RELAY_CHART;
 pub use crate::request::REQUEST_CHART;
 pub use crate::server::SERVER_CHART;
 pub use crate::steer::ChartError;
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -34,6 +34,9 @@
     pub replica: SocketAddr,
     /// Drawn at each start; tells two runs under one name apart.
     pub run: u64,
+    /// Thousandths of a processor core that it has.
+    #[serde(default)]
+    pub millicores: u32,
 }
 
 /// An operator's order to move a service to another version.
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -3,27 +3,25 @@
 
 use std::time::Duration;
 
-use corianderway_chart::Chart;
-use corianderway_model::InstanceId;
+use corianderway_model::FailureDomain;
 use corianderway_model::RouteName;
 use corianderway_model::Service;
 use corianderway_model::Sorted;
 use corianderway_model::Time;
 use corianderway_model::Version;
-use serde::Deserialize;
 
 use crate::digest::Sighting;
 use crate::digest::Tally;
+use crate::evidence::Evidence;
 use crate::hash;
 use crate::lane::Lane;
 use crate::listing::Order;
 use crate::listing::Progress;
-
-/// The chart file of a move.
-pub const MOVE_CHART: &str = include_str!("../charts/edge-move.yaml");
-
-/// The checked chart of a move.
-pub(crate) type MoveChart = Chart<Phase, Signal, Guard, Effect>;
+use crate::phase::Effect;
+use crate::phase::Guard;
+use crate::phase::MoveChart;
+use crate::phase::Phase;
+use crate::phase::Signal;
 
 /// The part of the permitted share that a target gets at first; the rest of
 /// it is left for the wider phases, should the fault show only there.
@@ -53,71 +51,16 @@
 /// The longest wait for the last requests of the old version.
 const DRAIN_MOST: Duration = Duration::from_secs(4);
 
-/// Bad answers on one route below which nothing is concluded.
-const BAD_LEAST: u32 = 4;
-
-/// The part of bad answers, beyond twice the old version's, that is a fault.
-const BAD_PART: f64 = 0.15;
-
 /// A version that is listed beside others without an order gets nothing for
 /// this long, since the order may be on its way.
 const UNORDERED: Duration = Duration::from_secs(5);
 
-/// How far a move has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Phase {
-    Canary,
-    Wider,
-    Full,
-    Completed,
-    RolledBack,
-}
-
-/// What happens to a move.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Signal {
-    /// Time passed.
-    Tick,
-    /// Another instance is in the wider phase.
-    PeerWider,
-    /// Another instance gives the target everything.
-    PeerFull,
-    /// The store or another instance says that the target took over.
-    Completed,
-    /// The store or another instance says that the target was found bad.
-    Withdrawn,
-}
-
-/// What decides between two branches.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Guard {
-    /// The answers of the target show a fault.
-    Bad,
-    /// Enough answers are known, and this instance leads.
-    Proven,
-    /// The wider phase lasted long enough, and this instance leads.
-    Settled,
-    /// The old version has nothing left to do, and this instance leads.
-    Drained,
-}
-
-/// What is done on the way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Effect {
-    /// Note when the phase began, and judge it by its own answers: those of
-    /// the phase before would hide a fault that shows only now.
-    Mark,
-}
-
 /// The moves of all services.
 #[derive(Debug)]
 pub(crate) struct Moves {
     chart: MoveChart,
     canary: f64,
+    domain: FailureDomain,
     rows: Sorted<Service, Move>,
     // When each version of a service was first listed.
     versions: Sorted<Service, Vec<(Version, Time)>>,
@@ -130,10 +73,7 @@
     pub(crate) phase: Phase,
     since: Time,
     phase_since: Time,
-    target: Vec<Tally>,
-    base: Vec<Tally>,
-    peers: Sorted<InstanceId, Sighting>,
-    old_open: u32,
+    evidence: Evidence,
     reported: Option<Time>,
 }
 
@@ -146,53 +86,12 @@
     pub(crate) evidence: String,
 }
 
-impl Phase {
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Canary => "canary",
-            Self::Wider => "wider",
-            Self::Full => "full",
-            Self::Completed => "completed",
-            Self::RolledBack => "rolled-back",
-        }
-    }
-
-    /// What the store is to say of a move in this phase.
-    pub(crate) fn progress(self) -> Progress {
-        match self {
-            Self::Canary | Self::Wider | Self::Full => Progress::Running,
-            Self::Completed => Progress::Completed,
-            Self::RolledBack => Progress::RolledBack,
-        }
-    }
-
-    fn signal(self) -> Option<Signal> {
-        match self {
-            Self::Canary => None,
-            Self::Wider => Some(Signal::PeerWider),
-            Self::Full => Some(Signal::PeerFull),
-            Self::Completed => Some(Signal::Completed),
-            Self::RolledBack => Some(Signal::Withdrawn),
-        }
-    }
-
-    fn from_number(number: u8) -> Option<Self> {
-        let all = [
-            Self::Canary,
-            Self::Wider,
-            Self::Full,
-            Self::Completed,
-            Self::RolledBack,
-        ];
-        all.get(usize::from(number)).copied()
-    }
-}
-
 impl Moves {
-    pub(crate) fn new(chart: MoveChart, canary: f64) -> Self {
+    pub(crate) fn new(chart: MoveChart, canary: f64, domain: FailureDomain) -> Self {
         Self {
             chart,
             canary: canary * CANARY_PART,
+            domain,
             rows: Sorted::default(),
             versions: Sorted::default(),
         }
@@ -205,7 +104,8 @@
             let service = order.service.clone();
             let old = self.rows.remove(&service);
             let same = old.filter(|m| m.order.created == order.created);
-            let mut row = same.unwrap_or_else(|| Move::new(now, order.clone()));
+            let mut row =
+                same.unwrap_or_else(|| Move::new(now, order.clone(), self.domain.clone()));
             row.order = order;
             rows.insert(service, row);
         }
@@ -256,31 +156,31 @@
         }
     }
 
-    /// Counts an answer or a failure of a version.
+    /// Counts an answer or a failure of a version; true if the others should
+    /// hear of it soon.
     pub(crate) fn count(
         &mut self,
         service: &Service,
         version: &Version,
         route: &RouteName,
         bad: bool,
-    ) {
+    ) -> bool {
         let Some(row) = self.rows.get_mut(service) else {
-            return;
+            return false;
         };
         let of_target = row.order.target == *version;
         let tallies = if of_target {
-            &mut row.target
+            &mut row.evidence.target
         } else {
-            &mut row.base
+            &mut row.evidence.base
+        };
+        let tally = Tally {
+            route: hash::short(route.as_str()),
+            all: 1,
+            bad: u32::from(bad),
         };
-        add(
-            tallies,
-            Tally {
-                route: hash::short(route.as_str()),
-                all: 1,
-                bad: u32::from(bad),
-            },
-        );
+        tally.add_to(tallies);
+        bad && of_target && row.phase < Phase::Completed
     }
 
     /// Services whose move runs, with their targets.
@@ -292,7 +192,7 @@
     /// Takes how many requests the old version of a service runs here.
     pub(crate) fn note_open(&mut self, service: &Service, open: u32) {
         if let Some(row) = self.rows.get_mut(service) {
-            row.old_open = open;
+            row.evidence.old_open = open;
         }
     }
 
@@ -304,38 +204,56 @@
             order: row.order.created,
             age_ms: now.since(row.since).as_millis() as u64,
             phase: row.phase as u8,
-            target: row.target.clone(),
-            base: row.base.clone(),
-            old_open: row.old_open,
+            target: row.evidence.target.clone(),
+            base: row.evidence.base.clone(),
+            old_open: row.evidence.old_open,
         })
         .collect()
     }
 
-    /// Takes what another instance told.
-    pub(crate) fn hear(&mut self, now: Time, from: &InstanceId, told: &[Sighting]) -> Vec<Turn> {
+    /// Takes what the instances of a failure domain have seen together.
+    pub(crate) fn hear(
+        &mut self,
+        now: Time,
+        domain: &FailureDomain,
+        told: &[Sighting],
+    ) -> Vec<Turn> {
+        for sighting in told {
+            if let Some(row) = self.row_of(sighting) {
+                row.evidence.hear(domain.clone(), sighting.clone());
+            }
+        }
+        self.follow(now, domain.as_str(), told)
+    }
+
+    /// Follows another instance, or the relay of a domain, to the phase that
+    /// it is in.
+    pub(crate) fn follow(&mut self, now: Time, from: &str, told: &[Sighting]) -> Vec<Turn> {
         let mut turns = Vec::new();
+        let chart = self.chart.clone();
         for sighting in told {
-            let Some(row) = self.rows.get_mut(&sighting.service) else {
+            let Some(row) = self.row_of(sighting) else {
                 continue;
             };
-            if row.order.created != sighting.order {
-                continue;
-            }
             // An instance that started later takes over the age of the order.
             let age = Duration::from_millis(sighting.age_ms);
             if now.since(row.since) < age {
                 row.since = Time::from_nanos(now.nanos().saturating_sub(age.as_nanos() as u64));
             }
-            row.peers.insert(from.clone(), sighting.clone());
             let phase = Phase::from_number(sighting.phase);
             if let Some(signal) = phase.and_then(Phase::signal) {
                 let why = || format!("told-by:{from}");
-                turns.extend(row.advance(&self.chart, now, signal, false, &why));
+                turns.extend(row.advance(&chart, now, signal, false, &why));
             }
         }
         turns
     }
 
+    fn row_of(&mut self, sighting: &Sighting) -> Option<&mut Move> {
+        let row = self.rows.get_mut(&sighting.service);
+        row.filter(|row| row.order.created == sighting.order)
+    }
+
     /// Lets time pass: judges, widens and ends moves.
     pub(crate) fn tick(&mut self, now: Time, leads: bool) -> Vec<Turn> {
         let mut turns = Vec::new();
@@ -349,7 +267,7 @@
                 let why = || "stored".to_owned();
                 turns.extend(row.advance(&self.chart, now, signal, leads, &why));
             }
-            let evidence = row.evidence();
+            let evidence = row.evidence.text(row.phase);
             turns.extend(row.advance(&self.chart, now, Signal::Tick, leads, &|| evidence.clone()));
         }
         turns
@@ -384,16 +302,13 @@
 }
 
 impl Move {
-    fn new(now: Time, order: Order) -> Self {
+    fn new(now: Time, order: Order, domain: FailureDomain) -> Self {
         Self {
             order,
             phase: Phase::Canary,
             since: now,
             phase_since: now,
-            target: Vec::new(),
-            base: Vec::new(),
-            peers: Sorted::default(),
-            old_open: 0,
+            evidence: Evidence::new(domain),
             reported: None,
         }
     }
@@ -416,8 +331,7 @@
             match effect {
                 Effect::Mark => {
                     self.phase_since = now;
-                    self.target.clear();
-                    self.base.clear();
+                    self.evidence.clear();
                 }
             }
         }
@@ -432,73 +346,18 @@
     fn holds(&self, guard: Guard, now: Time, leads: bool) -> bool {
         let lasted = now.since(self.phase_since);
         match guard {
-            Guard::Bad => self.is_bad(),
+            Guard::Bad => self.evidence.is_bad(self.phase),
             Guard::Proven => {
                 let age = now.since(self.since).as_secs_f64() / self.order.span.as_secs_f64();
-                let answers: u32 = self.sum(true).iter().map(|t| t.all).sum();
+                let answers = self.evidence.answers(self.phase);
                 let enough = answers >= PROOF && age >= PROOF_PART;
                 leads && (enough || (answers >= PROOF_LEAST && age >= HASTE_PART))
             }
             Guard::Settled => leads && lasted >= WIDER_SPAN,
             Guard::Drained => {
-                let open = self.old_open + self.peers.iter().map(|p| p.1.old_open).sum::<u32>();
+                let open = self.evidence.old_open(self.phase);
                 leads && lasted >= FULL_SPAN && (open == 0 || lasted >= DRAIN_MOST)
             }
         }
     }
-
-    fn is_bad(&self) -> bool {
-        let base = self.sum(false);
-        self.sum(true).iter().any(|target| {
-            let old = base.iter().find(|t| t.route == target.route);
-            let usual = old.map_or(0.0, |t| part(*t));
-            target.bad >= BAD_LEAST && part(*target) > BAD_PART + 2.0 * usual
-        })
-    }
-
-    // The tallies of all instances that are in the same phase, together.
-    fn sum(&self, target: bool) -> Vec<Tally> {
-        let of = |s: &Sighting| {
-            if target {
-                s.target.clone()
-            } else {
-                s.base.clone()
-            }
-        };
-        let mut sum = if target {
-            self.target.clone()
-        } else {
-            self.base.clone()
-        };
-        let same = |s: &&Sighting| s.phase == self.phase as u8;
-        for sighting in self.peers.iter().map(|row| row.1).filter(same) {
-            for tally in of(sighting) {
-                add(&mut sum, tally);
-            }
-        }
-        sum
-    }
-
-    fn evidence(&self) -> String {
-        let text = |tallies: &[Tally]| {
-            let rows = tallies.iter().map(|t| format!("{}/{}", t.bad, t.all));
-            rows.collect::<Vec<_>>().join(",")
-        };
-        let (target, base) = (self.sum(true), self.sum(false));
-        format!("target-bad:{} old-bad:{}", text(&target), text(&base))
-    }
-}
-
-fn add(tallies: &mut Vec<Tally>, more: Tally) {
-    match tallies.iter_mut().find(|t| t.route == more.route) {
-        Some(tally) => {
-            tally.all += more.all;
-            tally.bad += more.bad;
-        }
-        None => tallies.push(more),
-    }
-}
-
-fn part(tally: Tally) -> f64 {
-    f64::from(tally.bad) / f64::from(tally.all.max(1))
 }
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -1,26 +1,32 @@
 //! The rates of client accounts, divided between the instances.
 //!
-//! A part of each rate belongs to every listed instance in equal shares; the
-//! rest follows the demands that the instances tell each other. An instance
-//! weighs its own demand by the figure that the others were told, so that all
-//! of them work out the same shares. One that hears nobody keeps to its equal
-//! share, which the others never use.
+//! Every listed instance has a share by what its callers demand. An instance
+//! weighs its own demand by the figure that stands in the summary of its
+//! failure domain, so that all of them divide the same sums. Those that hear
+//! only a part of the fleet divide that part's equal share of the rate.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use corianderway_model::Account;
 use corianderway_model::Sorted;
 use corianderway_model::Time;
 
+use crate::digest::Demands;
 use crate::hash;
 use crate::plan::Plan;
+use crate::rate::Rate;
 
-/// The part of a rate that belongs to the listed instances in equal shares.
-const EQUAL_PART: f64 = 0.4;
+/// The demand that the listed instances are taken to have beside what they
+/// tell, together, as a part of the rate: the first requests of an account
+/// find a share everywhere.
+const FLOOR: f64 = 0.2;
 
-/// The demand that each instance is taken to have at least, as a part of the
-/// rate, so that the first requests of an account find a share everywhere.
-const DEMAND_FLOOR: f64 = 0.02;
+/// Digests whose demands are remembered until a summary contains them.
+const UNACKNOWLEDGED: usize = 8;
+
+/// The least demand that is told, in requests a second.
+const TOLD_LEAST: f64 = 0.05;
 
 /// How much more than its rate an account gets, against shares that are lost
 /// between instances; the platform's bound is a tenth.
@@ -34,12 +40,6 @@
 /// a tenth of five seconds of rate and more.
 const START_SECONDS: f64 = 0.35;
 
-/// The time after which all instances that can be reached know a told demand.
-const SPREAD: Duration = Duration::from_millis(200);
-
-/// The weight of the latest second in the demand.
-const GAIN: f64 = 0.6;
-
 /// The longest wait that a refused caller is told.
 const RETRY_MOST: Duration = Duration::from_secs(2);
 
@@ -47,7 +47,24 @@
 #[derive(Debug, Default)]
 pub(crate) struct Quotas {
     rows: Sorted<Account, Row>,
-    told: Time,
+    // Requests of all client accounts and of none.
+    rate: Rate,
+    settled: Time,
+    // The demands of the latest digests, by the digests' numbers.
+    sent: VecDeque<(u64, Demands)>,
+}
+
+/// What the instances demand, as a share is worked out.
+#[derive(Debug)]
+pub(crate) struct Told<'a> {
+    /// The instances that are listed.
+    pub(crate) listed: usize,
+    /// Those of them whose demands are known.
+    pub(crate) heard: usize,
+    /// Whether this instance's own demands are among those that the others know.
+    pub(crate) included: bool,
+    /// The demands of the failure domains that are known.
+    pub(crate) demands: Vec<&'a Demands>,
 }
 
 #[derive(Debug)]
@@ -59,10 +76,8 @@
     share: f64,
     tokens: f64,
     filled: Time,
-    // Requests since the demand was last worked out.
-    asked: f64,
-    demand: f64,
-    // The demand that the others were told last.
+    demand: Rate,
+    // The demand that stands in the summary of the domain.
     told: f64,
     // Whether a share was worked out, so that tokens were given for it.
     begun: bool,
@@ -89,7 +104,7 @@
             return Ok(());
         };
         row.fill(now);
-        row.asked += 1.0;
+        row.demand.count();
         if row.tokens >= 1.0 {
             row.tokens -= 1.0;
             return Ok(());
@@ -98,67 +113,48 @@
         Err(Duration::try_from_secs_f64(missing).map_or(RETRY_MOST, |wait| wait.min(RETRY_MOST)))
     }
 
-    /// The demands to tell the other instances.
-    pub(crate) fn tell(&mut self, now: Time) -> Vec<(u32, f32)> {
-        let span = now.since(self.told).as_secs_f64().max(0.1);
-        self.told = now;
-        let mut told = Vec::new();
+    /// Counts a request, of whichever account.
+    pub(crate) fn count(&mut self) {
+        self.rate.count();
+    }
+
+    /// The requests a second, and the demands, to tell in the digest of a number.
+    pub(crate) fn tell(&mut self, now: Time, number: u64) -> (f32, Demands) {
+        let span = now.since(self.settled);
+        self.settled = now;
+        let mut demands = Demands::new();
         for (_, row) in self.rows.iter_mut() {
-            row.demand += (row.asked / span - row.demand) * GAIN;
-            (row.asked, row.told) = (0.0, row.demand);
-            if row.demand > 0.05 {
-                told.push((row.hash, row.demand as f32));
+            let demand = row.demand.settle(span);
+            if demand > TOLD_LEAST {
+                demands.push((row.hash, demand as f32));
             }
         }
-        told
+        if self.sent.len() == UNACKNOWLEDGED {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((number, demands.clone()));
+        (self.rate.settle(span) as f32, demands)
     }
 
-    /// Works the shares out anew from the demands that `others` told, of
-    /// `listed` instances in all.
-    pub(crate) fn share<'a>(
-        &mut self,
-        now: Time,
-        listed: usize,
-        others: impl Iterator<Item = &'a [(u32, f32)]>,
-    ) {
-        // Before the others know the demand they divide by the one before.
-        let begun = self.rows.iter().all(|(_, row)| row.begun);
-        if begun && now.since(self.told) < SPREAD {
+    /// Notes that the summary of the domain contains the digest of a number.
+    pub(crate) fn acknowledge(&mut self, number: u64) {
+        self.sent.retain(|sent| sent.0 >= number);
+        let Some((_, demands)) = self.sent.front().filter(|sent| sent.0 == number) else {
             return;
+        };
+        for (_, row) in self.rows.iter_mut() {
+            let told = demands.iter().find(|d| d.0 == row.hash);
+            row.told = told.map_or(0.0, |d| f64::from(d.1));
         }
-        // What the others demand of each account, by its hash: in one pass, since
-        // a large fleet tells thousands of demands.
-        let mut count = 0.0;
-        let mut told: Sorted<u32, Vec<f32>> = Sorted::default();
-        for (_, row) in self.rows.iter() {
-            told.insert(row.hash, Vec::new());
-        }
-        for demands in others {
-            count += 1.0;
-            for (hash, demand) in demands {
-                if let Some(demands) = told.get_mut(hash) {
-                    demands.push(*demand);
-                }
-            }
-        }
+    }
+
+    /// Works the shares out anew.
+    pub(crate) fn share(&mut self, now: Time, told: &Told<'_>) {
         for (_, row) in self.rows.iter_mut() {
             row.fill(now);
-            let floor = row.rate * DEMAND_FLOOR;
-            let mine = row.told.max(floor);
-            let theirs = told.get(&row.hash).map_or(&[][..], Vec::as_slice);
-            let silent = (count - theirs.len() as f64).max(0.0);
-            let wanted = theirs.iter().map(|d| f64::from(*d).max(floor));
-            let sum = mine + wanted.sum::<f64>() + silent * floor;
-            let equal = EQUAL_PART / listed as f64;
-            let alone = count < 1.0 && listed > 1;
-            let wanted = if alone || sum <= 0.0 {
-                0.0
-            } else {
-                (1.0 - EQUAL_PART) * mine / sum
-            };
-            row.share = if listed > 1 { equal + wanted } else { 1.0 };
+            row.share = row.divide(told);
             if !std::mem::replace(&mut row.begun, true) {
-                row.tokens = ALLOWANCE + START_SECONDS * row.rate / listed as f64;
+                row.tokens = ALLOWANCE + START_SECONDS * row.rate / told.listed as f64;
             }
             row.tokens = row.tokens.min(row.capacity());
         }
@@ -170,7 +166,7 @@
             || "unlimited".to_owned(),
             |row| {
                 let (rate, share) = (row.rate, row.share);
-                let (tokens, demand) = (row.tokens, row.demand);
+                let (tokens, demand) = (row.tokens, row.demand.mean());
                 format!("rate:{rate:.0}/share:{share:.3}/tokens:{tokens:.1}/demand:{demand:.1}")
             },
         )
@@ -186,13 +182,30 @@
             share: 0.0,
             tokens: ALLOWANCE,
             filled: now,
-            asked: 0.0,
-            demand: 0.0,
+            demand: Rate::default(),
             told: 0.0,
             begun: false,
         }
     }
 
+    // This instance's share, 0 to 1. Instances that are listed and not heard
+    // may divide what is theirs in the same way behind a cut.
+    fn divide(&self, told: &Told<'_>) -> f64 {
+        let listed = told.listed as f64;
+        let least = self.rate * FLOOR / listed;
+        if !told.included {
+            return 1.0 / listed;
+        }
+        let heard = told.heard.min(told.listed) as f64;
+        let of = |demands: &&Demands| {
+            let at = demands.binary_search_by_key(&self.hash, |d| d.0);
+            at.map_or(0.0, |at| f64::from(demands[at].1))
+        };
+        let sum: f64 = told.demands.iter().map(of).sum();
+        let part = (self.told + least) / (sum.max(self.told) + least * heard);
+        part * heard / listed
+    }
+
     fn capacity(&self) -> f64 {
         self.burst * self.share + ALLOWANCE
     }
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -70,6 +70,7 @@
 impl Steer {
     /// Takes a request of a caller.
     pub(crate) fn receive(&mut self, now: Time, query: Query, out: &mut Vec<Action>) {
+        self.quotas.count();
         let admitted = match self.admit(now, &query) {
             Ok(admitted) => admitted,
             Err(refusal) => {
@@ -432,7 +433,8 @@
 
     fn count(&mut self, subject: &Subject, bad: bool) {
         let (service, version) = (&subject.service, &subject.version);
-        self.moves.count(service, version, &subject.route, bad);
+        let urgent = self.moves.count(service, version, &subject.route, bad);
+        self.urgent |= urgent;
     }
 
     fn deliver(&self, now: Time, open: &Open, out: &mut Vec<Action>) {
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -17,6 +17,7 @@
 use crate::advice;
 use crate::bounds::Bounds;
 use crate::crashes::Crashes;
+use crate::digest::Digest;
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Reach;
@@ -27,12 +28,14 @@
 use crate::members::Members;
 use crate::moves::Moves;
 use crate::moves::Turn;
-use crate::moves::MOVE_CHART;
 use crate::note::Note;
 use crate::note::Weight;
+use crate::phase::MOVE_CHART;
 use crate::plan::CallerLimits;
 use crate::plan::Plan;
 use crate::quota::Quotas;
+use crate::relay::Relay;
+use crate::relay::RELAY_CHART;
 use crate::request::Open;
 use crate::request::RequestChart;
 use crate::request::REQUEST_CHART;
@@ -108,6 +111,7 @@
     pub(crate) plan: Option<Arc<Plan>>,
     pub(crate) fleet: Fleet,
     pub(crate) members: Members,
+    pub(crate) relay: Relay,
     pub(crate) moves: Moves,
     pub(crate) quotas: Quotas,
     pub(crate) splits: Splits,
@@ -128,6 +132,8 @@
     // What is not known yet.
     unknown: Vec<Topic>,
     pub(crate) digests: u64,
+    // The last one that was sent.
+    pub(crate) digest: Option<Arc<Digest>>,
     swept: Time,
     pub(crate) told: Time,
     shared: Time,
@@ -152,12 +158,17 @@
         let servers = corianderway_chart::Chart::parse(SERVER_CHART);
         let moves = corianderway_chart::Chart::parse(MOVE_CHART);
         let requests = corianderway_chart::Chart::parse(REQUEST_CHART);
+        let relay = corianderway_chart::Chart::parse(RELAY_CHART);
         Ok(Self {
             chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
             fleet: Fleet::new(here, servers.context(chart("edge-server.yaml"))?),
-            members: Members::new(me),
-            moves: Moves::new(moves.context(chart("edge-move.yaml"))?, bounds.canary_share),
+            relay: Relay::new(relay.context(chart("edge-relay.yaml"))?),
+            moves: Moves::new(
+                moves.context(chart("edge-move.yaml"))?,
+                bounds.canary_share,
+                me.entry.domain.clone(),
+            ),
             quotas: Quotas::default(),
             splits: Splits::default(),
             shifts: Shifts::new(bounds.shift_most),
@@ -174,11 +185,13 @@
             deaf: None,
             unknown: TOPICS.to_vec(),
             digests: 0,
+            digest: None,
             swept: Time::ZERO,
             told: Time::ZERO,
             shared: Time::ZERO,
             forgot: Time::ZERO,
             urgent: false,
+            members: Members::new(me),
             bounds,
         })
     }
@@ -216,7 +229,7 @@
             }
             Event::Reach(reach) => self.take_reach(now, reach, out),
             Event::Revision(revision) => self.revision = self.revision.max(revision),
-            Event::Digest(digest) => self.take_digest(now, digest, out),
+            Event::Told(message) => self.hear(now, message, out),
             Event::Tick => self.sweep(now, out),
             Event::Stop => {
                 self.stopping = Some(now);
@@ -360,14 +373,13 @@
         self.serve_waiting(now, out);
     }
 
-    fn share_quotas(&mut self, now: Time) {
+    pub(crate) fn share_quotas(&mut self, now: Time) {
         // Alone on the list, an instance would take whole rates.
         if self.unknown.contains(&Topic::Members) {
             return;
         }
-        let listed = self.members.count();
-        let others = self.members.heard(now).map(|(_, d)| d.demands.as_slice());
-        self.quotas.share(now, listed, others);
+        let told = self.members.told(now);
+        self.quotas.share(now, &told);
     }
 
     fn sweep_moves(&mut self, now: Time, out: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/steer/tests/rig/crowd.rs
@@ -0,0 +1,93 @@
+//! Several instances that tell each other, over a network that a test cuts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use corianderway_model::Time;
+use corianderway_steer::Action;
+use corianderway_steer::Event;
+use corianderway_steer::Member;
+use corianderway_steer::Message;
+use corianderway_steer::Plan;
+use corianderway_steer::Reach;
+use corianderway_steer::ServerChange;
+
+use super::Rig;
+
+/// The instances, in the order of their members.
+pub struct Crowd {
+    pub members: Vec<Member>,
+    pub rigs: Vec<Rig>,
+    /// Instances that neither hear nor are heard.
+    pub cut: Vec<usize>,
+    /// Messages that went to another failure domain.
+    pub crossed: usize,
+    letters: Vec<(usize, SocketAddr, Message)>,
+}
+
+impl Crowd {
+    /// Instances that have just started and know the listing and each other.
+    pub fn start(members: Vec<Member>, now: Time, plan: impl Fn() -> Plan) -> Self {
+        let mut crowd = Self {
+            members,
+            rigs: Vec::new(),
+            cut: Vec::new(),
+            crossed: 0,
+            letters: Vec::new(),
+        };
+        crowd.restart(now, plan);
+        crowd
+    }
+
+    /// Starts all instances anew.
+    pub fn restart(&mut self, now: Time, plan: impl Fn() -> Plan) {
+        let start = |me: &Member| {
+            let mut rig = Rig::bare(me.clone());
+            rig.now = now;
+            rig.step(Event::Reach(Reach::Store));
+            rig.step(Event::Plan(Arc::new(plan())));
+            let put = super::servers().into_iter().map(ServerChange::Put);
+            rig.step(Event::Servers(put.collect()));
+            rig.step(Event::Orders(Vec::new()));
+            rig.step(Event::Evacuated(Vec::new()));
+            rig.step(Event::Members(self.members.clone()));
+            rig
+        };
+        self.rigs = self.members.iter().map(start).collect();
+    }
+
+    /// Delivers what was told in the turn before, and lets every instance look
+    /// at what is due.
+    pub fn turn(&mut self, now: Time) {
+        for (from, to, message) in std::mem::take(&mut self.letters) {
+            let to = self.members.iter().position(|m| m.entry.peers == to);
+            let to = to.expect("an instance that is listed");
+            if !self.cut.contains(&to) && !self.cut.contains(&from) {
+                self.step(to, Event::Told(message));
+            }
+        }
+        for number in 0..self.rigs.len() {
+            self.rigs[number].now = now;
+            self.step(number, Event::Tick);
+        }
+    }
+
+    /// Steps one instance.
+    pub fn step(&mut self, number: usize, event: Event) {
+        self.rigs[number].step(event);
+        self.collect(number);
+    }
+
+    /// Takes up what the last step of an instance tells others.
+    pub fn collect(&mut self, number: usize) {
+        for action in std::mem::take(&mut self.rigs[number].out) {
+            if let Action::Send { to, message } = action {
+                let near = self.members.iter().find(|m| m.entry.peers == to);
+                let near = near.expect("an instance that is listed");
+                let domain = &self.members[number].entry.domain;
+                self.crossed += usize::from(near.entry.domain != *domain);
+                self.letters.push((number, to, message));
+            }
+        }
+    }
+}
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -1,6 +1,8 @@
 //! An instance under a logical clock, with the platform's listing made up.
 #![allow(dead_code, reason = "each test file uses a part of the rig")]
 
+pub mod crowd;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,6 +64,7 @@
         },
         replica: addr(30_000),
         run: 1,
+        millicores: 200,
     }
 }
 
