steer, edge: one instance of a failure domain follows the store

Ruled out: longer pauses between watches (a leaving server must get nothing after 2.5 s), fewer kinds. Now the first by rank follows the store and serves its copy as a stream (WebSocket, CBOR); the others follow the copy, leave it when it is silent, lost or behind what other domains have seen, and take over in the order of their rank (chart edge-source.yaml). The exchange of copies over HTTP is gone.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -8,8 +8,10 @@
 mod doors;
 mod entries;
 mod exchange;
+mod frame;
 mod limits;
 mod metrics;
+mod mirror;
 mod news;
 mod peers;
 mod recent;
@@ -18,6 +20,7 @@
 mod servers;
 mod stop;
 mod store;
+mod watch;
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -102,7 +105,7 @@
     let steer = steer.context(SteerSnafu)?;
     let outputs = Outputs {
         jobs,
-        store: orders.clone(),
+        store: orders,
         peers: letters,
         samples,
     };
@@ -113,7 +116,6 @@
         Arc::clone(&stopping),
         board.clone(),
         decisions.clone(),
-        orders,
         log.clone(),
     );
     let stop = stop.context(ThreadSnafu)?;
--- a/crates/daemon/src/edge/copy.rs
+++ b/crates/daemon/src/edge/copy.rs
@@ -1,5 +1,6 @@
 //! An instance's copy of what the platform's store holds.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use corianderway_model::Sorted;
@@ -9,6 +10,11 @@
 use corianderway_platform::store::Object;
 use corianderway_platform::store::KINDS;
 
+use crate::edge::frame::Frame;
+
+/// Removed objects whose names are remembered, of each kind.
+const REMOVED: usize = 512;
+
 /// The objects of one kind, and how old they are.
 #[derive(Debug, Default)]
 pub struct Copied {
@@ -16,6 +22,19 @@
     /// The revision of the store up to which they are known; none before the
     /// first list.
     pub revision: Option<u64>,
+    // The names of objects that are gone, and the revisions by which they were.
+    removed: VecDeque<(u64, Arc<str>)>,
+    // The revision since which every removal is remembered.
+    since: u64,
+}
+
+/// What a copy has that a reader of it does not know.
+#[derive(Debug)]
+pub struct Since {
+    /// The revision up to which the reader knows it afterwards.
+    pub revision: u64,
+    /// What to tell; none if nothing of the kind changed.
+    pub frame: Option<Frame>,
 }
 
 /// The copies of all kinds.
@@ -56,8 +75,14 @@
             }
             known.insert(Arc::clone(&object.name), object);
         }
-        let gone = self.objects.iter().map(|row| Arc::clone(row.0));
-        changes.extend(gone.map(Change::Removed));
+        let gone: Vec<_> = self.objects.iter().map(|row| Arc::clone(row.0)).collect();
+        for name in gone {
+            self.remember(revision, Arc::clone(&name));
+            changes.push(Change::Removed(name));
+        }
+        if self.revision.is_none() {
+            self.since = revision;
+        }
         self.objects = known;
         self.revision = Some(revision);
         changes
@@ -73,7 +98,10 @@
                     let old = self.objects.insert(name, object.clone());
                     old.is_none_or(|old| old.revision != object.revision)
                 }
-                Change::Removed(name) => self.objects.remove(name).is_some(),
+                Change::Removed(name) => {
+                    self.remember(revision, Arc::clone(name));
+                    self.objects.remove(name).is_some()
+                }
             };
             if news {
                 changes.push(change);
@@ -93,8 +121,38 @@
         self.objects.get(name)
     }
 
-    /// The copy as the store would list it.
-    pub fn text(&self) -> String {
-        store::list(self.objects(), self.revision.unwrap_or(0))
+    /// What a reader does not know that knows the kind up to a revision.
+    pub fn since(&self, known: Option<u64>, place: u8) -> Option<Since> {
+        let revision = self.revision?;
+        let kind = place;
+        let Some(known) = known.filter(|known| *known >= self.since) else {
+            let list = store::list(self.objects(), revision);
+            let frame = Some(Frame::Whole { kind, list });
+            return Some(Since { revision, frame });
+        };
+        if known >= revision {
+            return None;
+        }
+        let changed: Vec<&Object> = self.objects().filter(|o| o.revision > known).collect();
+        let gone = self.removed.iter().filter(|row| row.0 > known);
+        // One that was made anew is among those that changed, or known.
+        let gone = gone.filter(|row| self.object(&row.1).is_none());
+        let removed: Vec<String> = gone.map(|row| row.1.to_string()).collect();
+        let told = !changed.is_empty() || !removed.is_empty();
+        let frame = told.then(|| Frame::Part {
+            kind,
+            list: store::list(changed.into_iter(), revision),
+            removed,
+        });
+        Some(Since { revision, frame })
+    }
+
+    fn remember(&mut self, revision: u64, name: Arc<str>) {
+        if self.removed.len() == REMOVED {
+            if let Some((revision, _)) = self.removed.pop_front() {
+                self.since = revision;
+            }
+        }
+        self.removed.push_back((revision, name));
     }
 }
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -218,6 +218,8 @@
             } => self.order_store(StoreOrder::Report(order, progress)),
             Action::Forget(member) => self.order_store(StoreOrder::Forget(member)),
             Action::Reread => self.order_store(StoreOrder::Reread),
+            Action::Follow(source) => self.order_store(StoreOrder::Follow(source)),
+            Action::Probe => self.order_store(StoreOrder::Probe),
             Action::Log(note) => self.note(note),
         }
     }
--- a/crates/daemon/src/edge/entries.rs
+++ b/crates/daemon/src/edge/entries.rs
@@ -8,13 +8,16 @@
 use corianderway_platform::store;
 use corianderway_platform::store::Call;
 use corianderway_platform::store::Kind;
+use corianderway_platform::store::Object;
+use corianderway_platform::store::Reading;
+use corianderway_steer::Event;
 use corianderway_steer::Member;
 use corianderway_steer::Order;
 use corianderway_steer::Progress;
 use corianderway_wire::line::Line;
 use log::Level;
 
-use crate::client::Reply;
+use crate::edge::store::event;
 use crate::edge::store::note;
 use crate::edge::store::send;
 use crate::edge::store::Desk;
@@ -25,34 +28,52 @@
 use crate::edge::store::OK;
 use crate::edge::store::PAUSE;
 use crate::edge::store::PAUSE_MOST;
+use crate::edge::watch;
 
-/// Writes this instance's entry, until the store has it.
+/// Learns of the other instances and writes this one's entry, until the store
+/// has it.
 pub(super) async fn enlist(desk: Rc<Desk>) {
-    let (name, spec) = (desk.me.entry.id.as_str(), objects::member_spec(&desk.me));
     let mut pause = PAUSE;
-    loop {
-        let create = Call::create(Kind::Members, name, &spec);
-        let reply = send(&desk.client, &create, ANSWER).await;
-        let done = match reply {
-            Some(reply) if matches!(reply.status, OK | CREATED) => true,
-            Some(reply) if reply.status == CONFLICT => overwrite(&desk, &spec, &reply).await,
-            Some(_) | None => false,
-        };
-        if done {
-            note(&desk, "enlisted", Kind::Members, "");
-            return;
-        }
+    while !write_entry(&desk).await {
         task::sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
         pause = (pause * 2).min(PAUSE_MOST);
     }
+    note(&desk, "enlisted", Kind::Members, "");
 }
 
-// Replaces the entry of an earlier run of this instance; also settles a
-// creation whose answer was lost.
-async fn overwrite(desk: &Desk, spec: &str, conflict: &Reply) -> bool {
-    let Ok(object) = store::written(&conflict.body) else {
-        return false;
-    };
+async fn write_entry(desk: &Rc<Desk>) -> bool {
+    let (name, spec) = (desk.me.entry.id.as_str(), objects::member_spec(&desk.me));
+    if desk.copies.borrow().of(Kind::Members).revision.is_none() {
+        // What may be seconds old is soon superseded by what is followed.
+        if let Err(fault) = watch::list(desk, Kind::Members, Reading::Cached).await {
+            note(desk, "store-fault", Kind::Members, &format!("{fault:?}"));
+            return false;
+        }
+        event(desk, Event::Probed).await;
+    }
+    let known = desk.copies.borrow().of(Kind::Members).object(name).cloned();
+    if let Some(object) = known {
+        if overwrite(desk, &spec, object).await {
+            return true;
+        }
+    }
+    let create = Call::create(Kind::Members, name, &spec);
+    match send(&desk.client, &create, ANSWER).await {
+        Some(reply) if matches!(reply.status, OK | CREATED) => true,
+        Some(reply) if reply.status == CONFLICT => match store::written(&reply.body) {
+            Ok(object) => overwrite(desk, &spec, object).await,
+            Err(error) => {
+                note(desk, "object-unread", Kind::Members, &error.to_string());
+                false
+            }
+        },
+        Some(_) | None => false,
+    }
+}
+
+// Replaces the entry of an earlier run of this instance; also settles a write
+// whose answer was lost.
+async fn overwrite(desk: &Desk, spec: &str, object: Object) -> bool {
     if objects::member(&object).is_ok_and(|member| member == desk.me) {
         return true;
     }
--- a/crates/daemon/src/edge/replica.rs
+++ b/crates/daemon/src/edge/replica.rs
@@ -1,28 +1,67 @@
-//! Serves this instance's copy of the store to instances that the store turns away.
+//! Serves this instance's copy of the store to instances that follow it.
 
+use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_h1::server;
-use async_h1::server::ServerOptions;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_std::future;
 use async_std::net;
+use async_std::net::TcpStream;
 use async_std::task;
-use corianderway_platform::store::Kind;
-use http_types::Request;
-use http_types::Response;
-use http_types::StatusCode;
+use async_tungstenite::tungstenite::Message;
+use async_tungstenite::WebSocketStream;
+use corianderway_platform::store::KINDS;
+use futures_util::StreamExt as _;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
 
+use crate::edge::copy::Since;
+use crate::edge::frame::Frame;
+use crate::edge::frame::Known;
 use crate::edge::store::Desk;
 
-/// The status of an answer to one who knows as much already.
-pub const UNCHANGED: u16 = 304;
+/// The longest time to shake hands and to hear the first message.
+pub(super) const GREETING: Duration = Duration::from_secs(1);
+
+/// The time between two signs of life.
+pub(super) const PULSE: Duration = Duration::from_millis(400);
+
+/// How long a reader waits for a copy that does not follow the store yet: the
+/// first instance of a domain may be about to.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// The longest time for which one that reads nothing holds up its own stream.
+const WRITE: Duration = Duration::from_secs(2);
 
 /// The pause after an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Wakes the streams when the copy changes.
+#[derive(Debug, Default)]
+pub struct Bell(RefCell<Vec<Sender<()>>>);
+
+impl Bell {
+    /// Wakes every stream; one that is awake needs no second call.
+    pub fn ring(&self) {
+        let mut streams = self.0.borrow_mut();
+        streams.retain(|stream| !stream.is_closed());
+        for stream in streams.iter() {
+            let _ = stream.try_send(());
+        }
+    }
+
+    fn listen(&self) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.0.borrow_mut().push(sender);
+        receiver
+    }
+}
+
 /// Serves until the process ends.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
+pub(super) async fn serve(listener: TcpListener, desk: Rc<Desk>) {
     let listener = net::TcpListener::from(listener);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -30,36 +69,88 @@
             continue;
         };
         let desk = Rc::clone(&desk);
+        // A stream that breaks concerns its reader only.
         task::spawn_local(async move {
-            let answer = |request: Request| {
-                let response = respond(&request, &desk);
-                async move { Ok(response) }
-            };
-            let options = ServerOptions::default();
-            // A connection that breaks concerns its caller only.
-            drop(server::accept_with_opts(stream, answer, options).await);
+            let _ = stream_to(stream, &desk).await;
         });
     }
 }
 
-fn respond(request: &Request, desk: &Desk) -> Response {
-    let url = request.url();
-    let Some(kind) = Kind::of_path(url.path()) else {
-        return Response::new(StatusCode::NotFound);
+async fn stream_to(stream: TcpStream, desk: &Desk) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let shaken = future::timeout(GREETING, async_tungstenite::accept_async(stream)).await;
+    let mut socket = shaken.ok()?.ok()?;
+    let known: Known = read(&mut socket, GREETING).await.ok()?;
+    let mut sent = known.0;
+    let bell = desk.bell.listen();
+    let current = async {
+        while !desk.is_current() {
+            bell.recv().await.ok()?;
+        }
+        Some(())
     };
-    let copies = desk.copies.borrow();
-    let copy = copies.of(kind);
-    let (true, Some(revision)) = (desk.is_current(), copy.revision) else {
-        return Response::new(StatusCode::ServiceUnavailable);
-    };
-    let mut pairs = url.query_pairs();
-    let since = pairs.find(|(name, _)| name == "since");
-    let since = since.and_then(|(_, value)| value.parse::<u64>().ok());
-    if since.is_some_and(|since| since >= revision && since > 0) {
-        return Response::new(StatusCode::NotModified);
+    // Elapsed or not, the state decides below.
+    let _ = future::timeout(PATIENCE, current).await;
+    let mut greeted = false;
+    loop {
+        if !desk.is_current() {
+            return write(&mut socket, &Frame::Lost).await;
+        }
+        let first = !std::mem::replace(&mut greeted, true);
+        let mut told = false;
+        for (place, kind) in KINDS.into_iter().enumerate() {
+            let news = desk
+                .copies
+                .borrow()
+                .of(kind)
+                .since(sent[place], place as u8);
+            let Some(Since { revision, frame }) = news else {
+                continue;
+            };
+            sent[place] = Some(revision);
+            if let Some(frame) = frame {
+                told = true;
+                write(&mut socket, &frame).await?;
+            }
+        }
+        if first || !told {
+            write(&mut socket, &Frame::Pulse).await?;
+        }
+        // Elapsed or woken, there is something to say.
+        let _ = future::timeout(PULSE, bell.recv()).await;
+    }
+}
+
+/// Why no message was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unread {
+    /// The stream ended, or brought something else.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
+/// Reads one message within a time.
+pub(super) async fn read<T: DeserializeOwned>(
+    socket: &mut WebSocketStream<TcpStream>,
+    limit: Duration,
+) -> Result<T, Unread> {
+    let next = future::timeout(limit, socket.next()).await;
+    match next.map_err(|_elapsed| Unread::Silent)? {
+        Some(Ok(Message::Binary(bytes))) => {
+            ciborium::from_reader(&*bytes).map_err(|_malformed| Unread::Broken)
+        }
+        Some(_) | None => Err(Unread::Broken),
     }
-    let mut response = Response::new(StatusCode::Ok);
-    response.set_body(copy.text());
-    response.insert_header("content-type", "application/json");
-    response
+}
+
+/// Writes one message; none if the stream breaks.
+pub(super) async fn write(
+    socket: &mut WebSocketStream<TcpStream>,
+    message: &impl Serialize,
+) -> Option<()> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).ok()?;
+    let written = future::timeout(WRITE, socket.send(Message::binary(bytes))).await;
+    written.ok()?.ok()
 }
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -21,6 +21,7 @@
 use corianderway_steer::Query;
 use corianderway_steer::Refusal;
 use corianderway_steer::RequestId;
+use corianderway_steer::Source;
 
 /// Requests and events that wait for the decision duty. When it is full a
 /// request is refused as not run; every other sender waits.
@@ -108,8 +109,10 @@
     Forget(Member),
     /// Read everything anew.
     Reread,
-    /// Addresses at which other instances may serve their copies.
-    Seeds(Vec<SocketAddr>),
+    /// Follow the store, or another instance's copy.
+    Follow(Source),
+    /// Try whether the store answers.
+    Probe,
 }
 
 /// What the peers duty receives.
--- a/crates/daemon/src/edge/stop.rs
+++ b/crates/daemon/src/edge/stop.rs
@@ -20,7 +20,6 @@
 
 use crate::edge::decisions::Board;
 use crate::edge::rings::Input;
-use crate::edge::rings::StoreOrder;
 use crate::logs::Log;
 
 /// The part of the grace for which an instance stays in any case: callers and
@@ -42,7 +41,6 @@
     stopping: Arc<AtomicBool>,
     board: Board,
     decisions: Sender<Input>,
-    store: Sender<StoreOrder>,
     log: Log,
 }
 
@@ -58,7 +56,6 @@
         stopping: Arc<AtomicBool>,
         board: Board,
         decisions: Sender<Input>,
-        store: Sender<StoreOrder>,
         log: Log,
     ) -> io::Result<Self> {
         Ok(Self {
@@ -68,7 +65,6 @@
             stopping,
             board,
             decisions,
-            store,
             log,
         })
     }
@@ -119,11 +115,9 @@
             .with("seeds", settings.seeds.len())
             .with("needs_restart", same != settings);
         self.log.put(Level::Info, line);
-        // A full ring leaves the seeds as they were; instances are found by the store first.
-        drop(
-            self.store
-                .try_send(StoreOrder::Seeds(settings.seeds.clone())),
-        );
+        let seeds = Event::Seeds(settings.seeds.clone());
+        // The decision duty ends last.
+        drop(self.decisions.send_blocking(Input::Event(seeds)));
         self.settings.seeds = settings.seeds;
     }
 }
--- a/crates/daemon/tests/estate.rs
+++ b/crates/daemon/tests/estate.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use corianderway_standins::estate::Endpoint;
 use corianderway_standins::estate::Store;
@@ -197,6 +198,42 @@
     }
 }
 
+// The platform's bound on the time from a change to its being in force.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+
+#[test]
+fn a_domain_follows_the_store_through_one_instance_and_survives_its_death() {
+    let mut fleet = Fleet::start(3);
+    let source = |instance: &Instance| {
+        let mut lines = instance.process.lines().into_iter().rev();
+        let last = lines.find(|line| line.contains("event=source "));
+        last.unwrap_or_default()
+    };
+    let follows = |instance: &Instance| source(instance).contains("to=Store");
+    let at = fleet.until("one that follows the store", || {
+        let mut rows = fleet.instances.iter().enumerate();
+        let at = rows.position(|row| follows(row.1))?;
+        let count = fleet.instances.iter().filter(|i| follows(i)).count();
+        let copies = |i: &Instance| source(i).contains("to=Copy");
+        let rest = fleet.instances.iter().filter(|i| copies(i)).count();
+        (count == 1 && rest == 2).then_some(at)
+    });
+    let mut first = fleet.instances.remove(at);
+    first.process.kill().unwrap();
+    fleet
+        .store
+        .put("config", "main", &configuration(2, &["k1"]));
+    let changed = Instant::now();
+    for instance in &fleet.instances {
+        fleet.until("the withdrawal", || {
+            (instance.read("k2")?.status == 401).then_some(())
+        });
+        assert_eq!(instance.read("k1").unwrap().status, 200);
+    }
+    let span = changed.elapsed();
+    assert!(span < IN_FORCE, "{span:?}");
+}
+
 #[test]
 fn a_draining_endpoint_gets_nothing_more() {
     let fleet = Fleet::start(1);
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -20,6 +20,7 @@
 use crate::note::Note;
 use crate::plan::Plan;
 use crate::refusal::Refusal;
+use crate::source::Source;
 
 /// The number of a request within one run of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -128,8 +129,12 @@
     Orders(Vec<Order>),
     /// The instances that are listed.
     Members(Vec<Member>),
-    /// What the store is followed through now.
+    /// What is followed is known as it is now, or failed.
     Reach(Reach),
+    /// The store answers a try.
+    Probed,
+    /// Where other instances may serve their copies of the store.
+    Seeds(Vec<SocketAddr>),
     /// The latest change in the store that was seen.
     Revision(u64),
     /// Another instance told something.
@@ -194,6 +199,10 @@
         /// How far it has come.
         progress: Progress,
     },
+    /// Follow the store, or another instance's copy of it.
+    Follow(Source),
+    /// Try whether the store answers.
+    Probe,
     /// Read the store anew: another instance has seen a later change, so a
     /// watch of this one no longer hears.
     Reread,
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -16,6 +16,10 @@
 use crate::relay::Domain;
 use crate::relay::News;
 use crate::relay::Role;
+use crate::source::Order;
+use crate::source::Signal as SourceSignal;
+use crate::source::Source;
+use crate::source::State as SourceState;
 use crate::steer::Steer;
 
 /// The time between two digests when nothing important happens.
@@ -60,8 +64,8 @@
         if news == News::Stale {
             return;
         }
-        if news == News::Urgent {
-            self.urgent |= self.relay.role == Role::Relaying;
+        self.urgent |= news > News::Usual && self.relay.role == Role::Relaying;
+        if news == News::Standing {
             let note = Note::new(Weight::Notable, "instance-heard")
                 .with("instance", &digest.from)
                 .with("ready", digest.ready)
@@ -91,17 +95,50 @@
         true
     }
 
-    /// Has the store read anew once other instances have seen later changes:
-    /// a watch that no longer hears shows by that.
+    /// Whether this instance follows the store itself, so that others may
+    /// follow its copy.
+    pub(crate) fn is_stored(&self) -> bool {
+        self.sources.state == SourceState::Following && self.reach.0 == Reach::Store
+    }
+
+    /// Lets the choice of what is followed go on.
+    pub(crate) fn choose_source(&mut self, now: Time, signal: SourceSignal, out: &mut Vec<Action>) {
+        let mut copies = self.members.copies(now, &self.seeds);
+        copies.behind = self.deaf;
+        for order in self.sources.advance(now, signal, &copies) {
+            let source = match order {
+                Order::Probe => {
+                    out.push(Action::Probe);
+                    continue;
+                }
+                Order::Follow(source) => source,
+            };
+            let note = Note::new(Weight::Notable, "source")
+                .with("to", format!("{source:?}"))
+                .with("near", copies.near.len())
+                .with("far", copies.far.len())
+                .with("rank", copies.ahead.len());
+            out.push(Action::Log(note));
+            if source == Source::Nothing {
+                self.take_reach(now, Reach::Nothing, out);
+            }
+            self.urgent = true;
+            out.push(Action::Follow(source));
+        }
+    }
+
+    /// Notes since when other instances have seen later changes, and has the
+    /// store read anew then: a watch that no longer hears shows by that.
     pub(crate) fn check_watches(&mut self, now: Time, out: &mut Vec<Action>) {
         let latest = self.members.summaries(now).map(|s| s.revision).max();
-        if latest.unwrap_or(0) <= self.revision || self.reach.0 != Reach::Store {
+        if latest.unwrap_or(0) <= self.revision {
             self.deaf = None;
             return;
         }
         let since = *self.deaf.get_or_insert(now);
-        if now.since(since) >= DEAF {
-            self.deaf = Some(now);
+        let due = now.since(since.max(self.reread)) >= DEAF;
+        if due && self.sources.state == SourceState::Following {
+            self.reread = now;
             let note = Note::new(Weight::Notable, "watch-deaf")
                 .with("seen", self.revision)
                 .with("told", latest.unwrap_or(0));
@@ -174,7 +211,7 @@
             number: self.digests,
             presence,
             ready: self.is_ready(),
-            stored: self.reach.0 == Reach::Store,
+            stored: self.is_stored(),
             revision: self.revision,
             rate,
             demands,
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -15,6 +15,7 @@
 use crate::hash;
 use crate::listing::Member;
 use crate::quota::Told;
+use crate::source::Copies;
 
 /// How long a summary is taken for true: a new relay needs up to three seconds
 /// after the end of one.
@@ -171,6 +172,30 @@
         stored && !others.any(|member| member.entry.id < *me)
     }
 
+    /// Whose copies of the store can be followed; `seeds` may serve them, too.
+    pub(crate) fn copies(&self, now: Time, seeds: &[SocketAddr]) -> Copies {
+        let me = &self.me.entry;
+        let stored: Vec<&Member> = self.standing(now, Standing::is_stored).collect();
+        let is_near = |member: &&Member| member.entry.domain == me.domain;
+        let (mut near, mut far): (Vec<_>, Vec<_>) = stored.into_iter().partition(is_near);
+        near.sort_by_key(|m| self.rank_of(&me.domain, &m.entry.id));
+        far.sort_by_key(|m| m.entry.region != me.region);
+        let ranked = self.ranked(&me.domain);
+        let ahead = ranked.take_while(|id| **id != me.id);
+        let ahead = ahead.filter_map(|id| self.rows.get(id));
+        let mut far: Vec<SocketAddr> = far.iter().map(|m| m.replica).collect();
+        if self.summaries(now).next().is_none() {
+            far.extend(seeds.iter().filter(|addr| **addr != self.me.replica));
+        }
+        Copies {
+            known: self.listed.is_some(),
+            near: near.iter().map(|m| m.replica).collect(),
+            ahead: ahead.map(|row| row.member.replica).collect(),
+            far,
+            behind: None,
+        }
+    }
+
     /// The instances whose entries outlived them.
     pub(crate) fn lost(&self, now: Time) -> impl Iterator<Item = &Member> {
         let rows = self.rows.iter().map(|row| row.1);
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -111,6 +111,8 @@
     Usual,
     /// Something that others should hear at once.
     Urgent,
+    /// How the instance stands, which others should hear at once, too.
+    Standing,
 }
 
 impl Relay {
@@ -148,7 +150,7 @@
     /// Keeps the digest of an instance of the domain.
     pub(crate) fn gather(&mut self, now: Time, digest: Arc<Digest>) -> News {
         let known = self.digests.get(&digest.from).map(|row| &row.1);
-        let news = known.map_or(News::Urgent, |known| compare(known, &digest));
+        let news = known.map_or(News::Standing, |known| compare(known, &digest));
         if news != News::Stale {
             self.digests.insert(digest.from.clone(), (now, digest));
         }
@@ -229,16 +231,16 @@
         tallies.map(|t| t.bad).sum()
     };
     let phases = |d: &Digest| -> Vec<u8> { d.moves.iter().map(|m| m.phase).collect() };
-    let same = known.run == digest.run
+    let stands = known.run == digest.run
         && known.presence == digest.presence
         && known.ready == digest.ready
-        && known.stored == digest.stored
-        && known.crashes == digest.crashes
+        && known.stored == digest.stored;
+    let usual = known.crashes == digest.crashes
         && phases(known) == phases(digest)
         && bad(known) >= bad(digest);
-    if same {
-        News::Usual
-    } else {
-        News::Urgent
+    match (stands, usual) {
+        (false, _) => News::Standing,
+        (true, false) => News::Urgent,
+        (true, true) => News::Usual,
     }
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -1,5 +1,6 @@
 //! The decisions of one instance: one state, one step function.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +43,9 @@
 use crate::server::State;
 use crate::server::SERVER_CHART;
 use crate::shift::Shifts;
+use crate::source::Signal as SourceSignal;
+use crate::source::Sources;
+use crate::source::SOURCE_CHART;
 use crate::split::Splits;
 use crate::verdicts::Verdicts;
 use crate::waiting::Rooms;
@@ -112,6 +116,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) members: Members,
     pub(crate) relay: Relay,
+    pub(crate) sources: Sources,
+    pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) moves: Moves,
     pub(crate) quotas: Quotas,
     pub(crate) splits: Splits,
@@ -129,6 +135,8 @@
     pub(crate) revision: u64,
     // Since when another instance has told a later one.
     pub(crate) deaf: Option<Time>,
+    // When the store was last read anew for that.
+    pub(crate) reread: Time,
     // What is not known yet.
     unknown: Vec<Topic>,
     pub(crate) digests: u64,
@@ -159,11 +167,14 @@
         let moves = corianderway_chart::Chart::parse(MOVE_CHART);
         let requests = corianderway_chart::Chart::parse(REQUEST_CHART);
         let relay = corianderway_chart::Chart::parse(RELAY_CHART);
+        let sources = corianderway_chart::Chart::parse(SOURCE_CHART);
         Ok(Self {
             chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
             fleet: Fleet::new(here, servers.context(chart("edge-server.yaml"))?),
             relay: Relay::new(relay.context(chart("edge-relay.yaml"))?),
+            sources: Sources::new(sources.context(chart("edge-source.yaml"))?),
+            seeds: Vec::new(),
             moves: Moves::new(
                 moves.context(chart("edge-move.yaml"))?,
                 bounds.canary_share,
@@ -183,6 +194,7 @@
             unsettled: Time::ZERO,
             revision: 0,
             deaf: None,
+            reread: Time::ZERO,
             unknown: TOPICS.to_vec(),
             digests: 0,
             digest: None,
@@ -227,7 +239,16 @@
                 self.share_quotas(now);
                 self.urgent = true;
             }
-            Event::Reach(reach) => self.take_reach(now, reach, out),
+            Event::Reach(reach) => {
+                self.take_reach(now, reach, out);
+                let signal = match reach {
+                    Reach::Nothing => SourceSignal::Failed,
+                    Reach::Replica | Reach::Store => SourceSignal::Reached,
+                };
+                self.choose_source(now, signal, out);
+            }
+            Event::Probed => self.choose_source(now, SourceSignal::Probed, out),
+            Event::Seeds(seeds) => self.seeds = seeds,
             Event::Revision(revision) => self.revision = self.revision.max(revision),
             Event::Told(message) => self.hear(now, message, out),
             Event::Tick => self.sweep(now, out),
@@ -329,9 +350,9 @@
         out.push(Action::Log(note));
     }
 
-    fn take_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Action>) {
+    pub(crate) fn take_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Action>) {
         let (from, since) = self.reach;
-        if from != Reach::Store || reach != Reach::Store {
+        if from == Reach::Nothing || reach == Reach::Nothing {
             self.unsettled = now;
         }
         if from != reach {
@@ -348,7 +369,7 @@
     // An outage of the store lets entries lapse that are still true.
     fn is_unsettled(&self, now: Time) -> bool {
         let disturbed = self.unsettled > Time::ZERO && now.since(self.unsettled) < UNSETTLED;
-        self.reach.0 != Reach::Store || disturbed
+        self.reach.0 == Reach::Nothing || disturbed
     }
 
     fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -357,6 +378,7 @@
             return;
         }
         self.swept = now;
+        self.choose_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
         let serving = self.members.serving(now).map(neighbour).collect();
         self.fleet.set_neighbours(serving);
@@ -391,7 +413,7 @@
         for (service, open) in running {
             self.moves.note_open(&service, open);
         }
-        let leads = self.members.leads(now, self.reach.0 == Reach::Store);
+        let leads = self.members.leads(now, self.is_stored());
         let turns = self.moves.tick(now, leads);
         self.note_turns(turns, out);
         if leads {
@@ -407,8 +429,7 @@
     }
 
     fn forget_lost(&mut self, now: Time, out: &mut Vec<Action>) {
-        let stored = self.reach.0 == Reach::Store;
-        if now.since(self.forgot) < FORGET || !self.members.leads(now, stored) {
+        if now.since(self.forgot) < FORGET || !self.members.leads(now, self.is_stored()) {
             return;
         }
         self.forgot = now;
--- a/crates/steer/tests/rig/crowd.rs
+++ b/crates/steer/tests/rig/crowd.rs
@@ -11,6 +11,7 @@
 use corianderway_steer::Plan;
 use corianderway_steer::Reach;
 use corianderway_steer::ServerChange;
+use corianderway_steer::Source;
 
 use super::Rig;
 
@@ -20,8 +21,12 @@
     pub rigs: Vec<Rig>,
     /// Instances that neither hear nor are heard.
     pub cut: Vec<usize>,
+    /// Instances that the store turns away.
+    pub away: Vec<usize>,
     /// Messages that went to another failure domain.
     pub crossed: usize,
+    /// What each instance follows.
+    pub sources: Vec<Source>,
     letters: Vec<(usize, SocketAddr, Message)>,
 }
 
@@ -32,7 +37,9 @@
             members,
             rigs: Vec::new(),
             cut: Vec::new(),
+            away: Vec::new(),
             crossed: 0,
+            sources: Vec::new(),
             letters: Vec::new(),
         };
         crowd.restart(now, plan);
@@ -44,7 +51,6 @@
         let start = |me: &Member| {
             let mut rig = Rig::bare(me.clone());
             rig.now = now;
-            rig.step(Event::Reach(Reach::Store));
             rig.step(Event::Plan(Arc::new(plan())));
             let put = super::servers().into_iter().map(ServerChange::Put);
             rig.step(Event::Servers(put.collect()));
@@ -54,6 +60,7 @@
             rig
         };
         self.rigs = self.members.iter().map(start).collect();
+        self.sources = vec![Source::Nothing; self.members.len()];
     }
 
     /// Delivers what was told in the turn before, and lets every instance look
@@ -69,6 +76,26 @@
         for number in 0..self.rigs.len() {
             self.rigs[number].now = now;
             self.step(number, Event::Tick);
+            self.check_source(number);
+        }
+    }
+
+    // The copy of an instance that is gone, or no longer follows the store, breaks.
+    fn check_source(&mut self, number: usize) {
+        let holds = match self.sources[number] {
+            Source::Nothing => true,
+            Source::Store => !self.away.contains(&number),
+            Source::Copy(from) => {
+                let of = |m: &Member| m.replica == from;
+                let from = self.members.iter().position(of);
+                let from = from.expect("an instance that is listed");
+                let stored = self.sources[from] == Source::Store;
+                stored && !self.cut.contains(&from) && !self.cut.contains(&number)
+            }
+        };
+        if !holds {
+            self.sources[number] = Source::Nothing;
+            self.step(number, Event::Reach(Reach::Nothing));
         }
     }
 
@@ -81,12 +108,24 @@
     /// Takes up what the last step of an instance tells others.
     pub fn collect(&mut self, number: usize) {
         for action in std::mem::take(&mut self.rigs[number].out) {
-            if let Action::Send { to, message } = action {
-                let near = self.members.iter().find(|m| m.entry.peers == to);
-                let near = near.expect("an instance that is listed");
-                let domain = &self.members[number].entry.domain;
-                self.crossed += usize::from(near.entry.domain != *domain);
-                self.letters.push((number, to, message));
+            match action {
+                Action::Send { to, message } => {
+                    let near = self.members.iter().find(|m| m.entry.peers == to);
+                    let near = near.expect("an instance that is listed");
+                    let domain = &self.members[number].entry.domain;
+                    self.crossed += usize::from(near.entry.domain != *domain);
+                    self.letters.push((number, to, message));
+                }
+                Action::Probe if !self.away.contains(&number) => self.step(number, Event::Probed),
+                Action::Follow(source) => {
+                    self.sources[number] = source;
+                    match source {
+                        Source::Nothing => (),
+                        Source::Store => self.step(number, Event::Reach(Reach::Store)),
+                        Source::Copy(_) => self.step(number, Event::Reach(Reach::Replica)),
+                    }
+                }
+                _ => (),
             }
         }
     }
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -168,13 +168,14 @@
 
     /// Tells everything that an instance learns at its start.
     pub fn settle(&mut self, plan: Plan, servers: Vec<Listed>) {
+        self.step(Event::Members(Vec::new()));
+        self.step(Event::Probed);
         self.step(Event::Reach(Reach::Store));
         self.step(Event::Plan(Arc::new(plan)));
         let put = servers.into_iter().map(ServerChange::Put).collect();
         self.step(Event::Servers(put));
         self.step(Event::Orders(Vec::new()));
         self.step(Event::Evacuated(Vec::new()));
-        self.step(Event::Members(Vec::new()));
         // What may be unsettled after the first contact has settled by then.
         self.pass(Duration::from_secs(5));
     }
