steer: what a region can't carry goes elsewhere by object; loads aren't guessed from one's own

(2) In erie, with a tenth of the servers for a third of the callers, requests went away as they found no window; objects are asked for in one region only, so 0.6 of these ran unprepared. Ruled out: windows (open in 1,909 of 2,398 such choices), slow servers (slowness 1.0). Now instances tell the work that callers offer; a part of the objects has one owner elsewhere by hash, as far as the region lacks and others have room; the occupancy of a silent server follows from that work. The log names the object of a request that was sent. Tests: a_server_is_not_taken_for_full_because_the_fleet_is_large (failed with the old guess), objects_that_a_region_cannot_carry_have_one_owner_elsewhere, objects_stay_where_no_other_region_has_room.

--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -5,13 +5,13 @@
 
 use corianderway_model::Region;
 use corianderway_model::ServerId;
-use corianderway_model::Sorted;
 use corianderway_model::Time;
 
 use crate::fleet::Fleet;
 use crate::hash;
 use crate::lane::Lane;
 use crate::pace::Warmth;
+use crate::placement::Scope;
 use crate::plan::Route;
 use crate::server::millis;
 use crate::server::Server;
@@ -29,9 +29,9 @@
 /// milliseconds, so that all instances spread an object in the same order.
 const RANK_MS: f64 = 20.0;
 
-/// The part of the time in which a server of this region builds up the
-/// state of an object that is not counted against it: later requests gain it.
-const INVESTED: f64 = 0.8;
+/// By how much the owner of an object is preferred to servers that have its
+/// state at hand as well, in milliseconds.
+const OWNER_MS: f64 = 40.0;
 
 /// The part of its slots up to which a server is idle enough to build up the
 /// state of an object that another server has.
@@ -56,6 +56,8 @@
     /// The regions that may run it; each list binds unless it is empty.
     pub(crate) homes: [&'a [Region]; 2],
     pub(crate) lane: &'a Lane,
+    /// Where the owners of the service's objects stand.
+    pub(crate) scope: &'a Scope,
     pub(crate) left: Duration,
     pub(crate) drift: Drift,
     /// A random number from 0 to 1.
@@ -77,8 +79,8 @@
     /// How long another request for the object, with which the server builds
     /// up its state, still runs there.
     pub(crate) builds: Option<Duration>,
-    pub(crate) occupancy: u32,
-    pub(crate) slots: u32,
+    pub(crate) occupancy: f64,
+    pub(crate) slots: f64,
     /// The servers it was chosen from.
     pub(crate) candidates: usize,
 }
@@ -104,7 +106,7 @@
 
     // Whether a request that takes long, for want of state, harms no other.
     fn is_idle(&self) -> bool {
-        f64::from(self.occupancy) < f64::from(self.slots) * IDLE_PART
+        self.occupancy < self.slots * IDLE_PART
     }
 
     /// The time that it is expected to take from the sending to the answer.
@@ -117,7 +119,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "of:{}/{:?}/away:{}/path:{:.0}/wait:{:.0}/work:{:.0}/risk:{:.0}/occupied:{}",
+            "of:{}/{:?}/away:{}/path:{:.0}/wait:{:.0}/work:{:.0}/risk:{:.0}/occupied:{:.1}",
             self.candidates,
             self.warmth,
             self.away,
@@ -147,12 +149,12 @@
             .copied()
             .filter(|server| self.has_turn(now, server))
             .collect();
-        let owners = owners(&listed, ask.object);
+        let object = ask.object;
+        let owner = object.and_then(|o| ask.scope.owner(&listed, o, self.region()));
         let objective = millis(ask.route.objective);
-        let choices = open.iter().map(|server| {
-            let warmth = warmth(server, ask.object, &owners);
-            self.weigh(now, server, warmth, ask)
-        });
+        let choices = open
+            .iter()
+            .map(|server| self.weigh(now, server, owner, ask));
         let homely = listed
             .iter()
             .any(|server| server.listed.backend.region == *self.region());
@@ -202,11 +204,14 @@
         }
     }
 
-    fn weigh(&self, now: Time, server: &Server, warmth: Warmth, ask: &Ask<'_>) -> Choice {
+    fn weigh(&self, now: Time, server: &Server, owner: Option<u64>, ask: &Ask<'_>) -> Choice {
         let backend = &server.listed.backend;
+        let owns = owner == Some(server.hash);
+        let warmth = warmth(server, ask.object, owns);
         let objective = millis(ask.route.objective);
         let away = backend.region != *self.region();
         let path = match (away, backend.domain == *self.domain()) {
+            _ if owns => 0.0,
             // Requests that run away come home no faster than the shift allows.
             (true, _) if ask.drift == Drift::AwayFirst => 0.0,
             (true, _) => REGION_MS,
@@ -226,24 +231,21 @@
         if server.state == State::Warming {
             work *= COLD_FACTOR;
         }
-        let occupancy = server.occupancy(now, self.sharers(server));
-        let slots = backend.slots.max(1);
-        let free = occupancy < slots;
-        let wait = if free {
-            0.0
-        } else {
-            f64::from(occupancy - slots + 1) * known / f64::from(slots)
-        };
+        let occupancy = server.occupancy(now, ask.scope.busy(&backend.region));
+        let slots = f64::from(backend.slots.max(1));
+        let wait = (occupancy - slots + 1.0).max(0.0) * known / slots;
         // Between equals, the server wins that ranks higher for the object, or
         // else one that runs few requests.
         let tie = ask.object.map_or(ask.draw, |object| {
             let rank = hash::rank(object, server.hash);
             RANK_MS * (1.0 - rank as f64 / u64::MAX as f64)
         });
-        let crowd = f64::from(occupancy) / f64::from(slots) + tie;
-        let invested = match (warmth, away) {
-            (Warmth::Likely, false) => (work - known).max(0.0) * INVESTED,
-            _ => 0.0,
+        let crowd = occupancy / slots + tie;
+        // What its owner takes longer for an object at first is made up for later.
+        let invested = if owns {
+            (work - known).max(0.0) + OWNER_MS
+        } else {
+            0.0
         };
         let risk = server.faults() * objective + server.overdue(now) + crowd - invested;
         Choice {
@@ -262,31 +264,12 @@
     }
 }
 
-// The server of each region that ranks first for the object, whether or not it
-// has room: one that stands in for it for a moment builds up nothing of use.
-fn owners(listed: &[&Server], object: Option<u64>) -> Vec<u64> {
-    let Some(object) = object else {
-        return Vec::new();
-    };
-    let mut best: Sorted<Region, (u64, u64)> = Sorted::default();
-    let serving = listed.iter().filter(|s| s.state != State::Ejected);
-    for server in serving {
-        let rank = hash::rank(object, server.hash);
-        let region = server.listed.backend.region.clone();
-        let row = best.get_or(region, || (rank, server.hash));
-        if rank > row.0 {
-            *row = (rank, server.hash);
-        }
-    }
-    best.iter().map(|(_, row)| row.1).collect()
-}
-
-fn warmth(server: &Server, object: Option<u64>, owners: &[u64]) -> Warmth {
+fn warmth(server: &Server, object: Option<u64>, owns: bool) -> Warmth {
     match object {
         // Without an object no server is better prepared than another.
         None => Warmth::Known,
         Some(object) if server.knows(object) => Warmth::Known,
-        Some(_) if owners.contains(&server.hash) => Warmth::Likely,
+        Some(_) if owns => Warmth::Likely,
         Some(_) => Warmth::Unknown,
     }
 }
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -17,6 +17,10 @@
 /// Requests a second that callers want, by the hash of the client account.
 pub type Demands = Vec<(u32, f32)>;
 
+/// The work that callers offer, in slots that it keeps busy, by the hash of
+/// the service.
+pub type Works = Vec<(u32, f32)>;
+
 /// Signatures of requests that broke connections, with the hashes of the
 /// backend servers at which they did.
 pub type Breaks = Vec<(u64, Vec<u32>)>;
@@ -62,6 +66,9 @@
     /// What callers want of it.
     #[serde(rename = "d")]
     pub demands: Demands,
+    /// The work that they offer.
+    #[serde(rename = "w")]
+    pub works: Works,
     /// What it has seen of moves to new versions.
     #[serde(rename = "m")]
     pub moves: Vec<Sighting>,
@@ -101,6 +108,9 @@
     /// What callers want of them together.
     #[serde(rename = "d")]
     pub demands: Demands,
+    /// The work that they offer together.
+    #[serde(rename = "w")]
+    pub works: Works,
     /// What they have seen of moves, together.
     #[serde(rename = "m")]
     pub moves: Vec<Sighting>,
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -18,11 +18,13 @@
 use crate::listing::Listed;
 use crate::listing::ServerChange;
 use crate::pace::Paces;
+use crate::placement::Scope;
 use crate::plan::ServiceTerms;
 use crate::server::Server;
 use crate::server::ServerChart;
 use crate::server::Signal;
 use crate::server::State;
+use crate::workload::Offers;
 
 /// How long a server whose entry is missing after an outage of the store is
 /// kept: entries that lapsed in the outage are back within two seconds.
@@ -71,6 +73,9 @@
     // The servers of each service.
     services: Sorted<Service, Vec<ServerId>>,
     terms: Sorted<Service, ServiceTerms>,
+    scopes: Sorted<Service, Scope>,
+    // Of a service whose work is not known yet.
+    no_scope: Scope,
     evacuated: Vec<FailureDomain>,
     // This instance and those that serve with it.
     neighbours: Vec<Neighbour>,
@@ -85,6 +90,8 @@
             servers: Sorted::default(),
             services: Sorted::default(),
             terms: Sorted::default(),
+            scopes: Sorted::default(),
+            no_scope: Scope::default(),
             evacuated: Vec::new(),
             neighbours: vec![me.clone()],
             changes: Vec::new(),
@@ -101,6 +108,29 @@
         &self.me.domain
     }
 
+    /// Where the owners of a service's objects stand.
+    pub(crate) fn scope(&self, service: &Service) -> &Scope {
+        self.scopes.get(service).unwrap_or(&self.no_scope)
+    }
+
+    /// Works out anew where the owners of all services' objects stand; the part
+    /// in other regions may change by `step`.
+    pub(crate) fn place_owners(&mut self, offers: &Offers, step: f64) {
+        let mut scopes = Sorted::default();
+        for (service, ids) in self.services.iter() {
+            let Some(offered) = offers.of(service) else {
+                continue;
+            };
+            let servers = ids.iter().filter_map(|id| self.servers.get(id));
+            let open = servers.filter(|s| !self.is_evacuated(&s.listed.backend.domain));
+            let open: Vec<&Server> = open.collect();
+            let before = self.scopes.get(service);
+            let scope = Scope::new(&open, offered, self.region(), before, step);
+            scopes.insert(service.clone(), scope);
+        }
+        self.scopes = scopes;
+    }
+
     pub(crate) fn server(&self, id: &ServerId) -> Option<&Server> {
         self.servers.get(id)
     }
@@ -309,11 +339,6 @@
         ((ahead as f64) < count).then_some(gap)
     }
 
-    /// The instances that are taken to send a server as much as this one does.
-    pub(crate) fn sharers(&self, server: &Server) -> u32 {
-        self.count_in(&server.listed.backend.region).max(1) as u32
-    }
-
     fn count_in(&self, region: &Region) -> usize {
         let all = self.neighbours.iter();
         all.filter(|n| n.region == *region).count()
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -92,6 +92,7 @@
             }
             self.share_quotas(now);
         }
+        self.offers = self.members.offers(now);
         true
     }
 
@@ -215,6 +216,7 @@
             revision: self.revision,
             rate,
             demands,
+            works: self.workload.tell(now),
             moves: self.moves.tell(now),
             crashes: self.crashes.tell(),
         });
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -16,6 +16,7 @@
 use crate::listing::Member;
 use crate::quota::Told;
 use crate::source::Copies;
+use crate::workload::Offers;
 
 /// How long a summary is taken for true: a new relay needs up to three seconds
 /// after the end of one.
@@ -160,6 +161,22 @@
         }
     }
 
+    /// The work that all callers offer.
+    pub(crate) fn offers(&self, now: Time) -> Offers {
+        let mut offers = Offers::default();
+        let me = &self.me.entry;
+        for summary in self.summaries(now) {
+            let first = self.ranked(&summary.domain).next();
+            let member = first.and_then(|id| self.rows.get(id));
+            let own = summary.domain == me.domain;
+            let region = member.map(|row| &row.member.entry.region);
+            if let Some(region) = region.or(own.then_some(&me.region)) {
+                offers.add(region, &summary.works);
+            }
+        }
+        offers
+    }
+
     /// The instances to name to callers, without this one.
     pub(crate) fn serving(&self, now: Time) -> impl Iterator<Item = &Member> {
         self.standing(now, Standing::serves)
--- a/crates/steer/src/rate.rs
+++ b/crates/steer/src/rate.rs
@@ -22,7 +22,12 @@
 impl Rate {
     /// Counts an event.
     pub(crate) fn count(&mut self) {
-        self.count += 1.0;
+        self.add(1.0);
+    }
+
+    /// Counts an event of some size.
+    pub(crate) fn add(&mut self, size: f64) {
+        self.count += size;
     }
 
     /// Takes in what was counted over a span; gives back the mean.
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::digest::Sighting;
 use crate::digest::Standing;
 use crate::digest::Summary;
+use crate::digest::Works;
 use crate::hash;
 
 /// The chart file of the role.
@@ -180,10 +181,12 @@
             revision: 0,
             rate: 0.0,
             demands: Demands::new(),
+            works: Works::new(),
             moves: me.moves.clone(),
             crashes: Breaks::new(),
         };
         let mut demands: Sorted<u32, f32> = Sorted::default();
+        let mut works: Sorted<u32, f32> = Sorted::default();
         let mut crashes: Sorted<u64, Vec<u32>> = Sorted::default();
         for (id, (_, digest)) in self.digests.iter() {
             let hash = hash::short(id.as_str());
@@ -193,6 +196,9 @@
             for (account, demand) in &digest.demands {
                 *demands.get_or(*account, || 0.0) += demand;
             }
+            for (service, work) in &digest.works {
+                *works.get_or(*service, || 0.0) += work;
+            }
             for (signature, servers) in &digest.crashes {
                 let known = crashes.get_or(*signature, Vec::new);
                 known.extend_from_slice(servers);
@@ -203,6 +209,7 @@
         }
         summary.standings.sort_by_key(|s| s.hash());
         summary.demands = demands.iter().map(|row| (*row.0, *row.1)).collect();
+        summary.works = works.iter().map(|row| (*row.0, *row.1)).collect();
         for (signature, servers) in crashes.iter_mut() {
             servers.sort_unstable();
             servers.dedup();
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -85,6 +85,12 @@
             .map_or(allowed, |timeout| timeout.min(allowed));
         let service = self.splits.next(&route.name, &route.targets);
         self.budget(&service).record(now);
+        let objective = millis(route.objective);
+        let work = self
+            .fleet
+            .paces
+            .expect(&route.name, objective, Warmth::Known);
+        self.workload.count(&service, work / 1_000.0);
         let open = Open {
             service,
             state: State::Received,
@@ -289,6 +295,7 @@
         let note = self
             .note(Weight::Plain, "sent", open)
             .with("attempt", open.tried.len() + 1)
+            .with("object", object.map_or(0, |hash| hash as u32))
             .with("server", &choice.server)
             .with("version", &version)
             .with("choice", &choice)
@@ -334,6 +341,7 @@
                 account.map_or(&[], |terms| terms.homes.as_slice()),
             ],
             lane,
+            scope: self.fleet.scope(&open.service),
             left: open.left(now),
             drift,
             draw: self.rng.random(),
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -270,14 +270,12 @@
     }
 
     /// Requests that run or wait there, of all instances, as far as known;
-    /// `sharers` instances are taken to send it as many as this one.
-    pub(crate) fn occupancy(&self, now: Time, sharers: u32) -> u32 {
-        let own = self.own();
+    /// `usual` of its slots are taken to be busy where it has told nothing of late.
+    pub(crate) fn occupancy(&self, now: Time, usual: f64) -> f64 {
+        let own = f64::from(self.own());
         let told = self.told.filter(|(at, ..)| now.since(*at) < TOLD_LIFE);
-        told.map_or(own * sharers, |(_, total, then)| {
-            let since = own.saturating_sub(then) * sharers;
-            own.max((total + since).saturating_sub(then.saturating_sub(own)))
-        })
+        let others = told.map(|(_, total, then)| f64::from(total.saturating_sub(then)));
+        own + others.unwrap_or(usual * f64::from(self.listed.backend.slots))
     }
 
     /// Notes an answer that came whole, against the time it was expected to take.
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The part of all requests that may move to other regions in a time.
+    pub(crate) fn most_in(&self, time: Duration) -> f64 {
+        self.step * time.as_secs_f64() / SHIFT_SPAN.as_secs_f64()
+    }
+
     /// Counts a request.
     pub(crate) fn count(&mut self, now: Time, away: bool) {
         let at = self.advance(now);
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -49,6 +49,8 @@
 use crate::split::Splits;
 use crate::verdicts::Verdicts;
 use crate::waiting::Rooms;
+use crate::workload::Offers;
+use crate::workload::Workload;
 
 /// The time between two looks at everything that time alone changes.
 const SWEEP: Duration = Duration::from_millis(100);
@@ -120,6 +122,9 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) moves: Moves,
     pub(crate) quotas: Quotas,
+    pub(crate) workload: Workload,
+    // What all callers offer, by the latest summaries.
+    pub(crate) offers: Offers,
     pub(crate) splits: Splits,
     pub(crate) shifts: Shifts,
     pub(crate) crashes: Crashes,
@@ -181,6 +186,8 @@
                 me.entry.domain.clone(),
             ),
             quotas: Quotas::default(),
+            workload: Workload::default(),
+            offers: Offers::default(),
             splits: Splits::default(),
             shifts: Shifts::new(bounds.shift_most),
             crashes: Crashes::default(),
@@ -377,7 +384,9 @@
             self.serve_waiting(now, out);
             return;
         }
+        let step = self.shifts.most_in(now.since(self.swept));
         self.swept = now;
+        self.fleet.place_owners(&self.offers, step);
         self.choose_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
         let serving = self.members.serving(now).map(neighbour).collect();
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -16,6 +16,8 @@
 use corianderway_steer::Outcome;
 use corianderway_steer::Reach;
 use corianderway_steer::ServerChange;
+use corianderway_steer::Summary;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::rig::answered;
 use crate::rig::sent_in;
@@ -253,11 +255,102 @@
         revision,
         rate: 0.0,
         demands: Vec::new(),
+        works: Vec::new(),
         moves: Vec::new(),
         crashes: Vec::new(),
     })))
 }
 
+// What a failure domain tells whose callers offer work for a service, in slots.
+fn offered(domain: &str, from: &Member, work: f32) -> Event {
+    let hash = xxh3_64(b"bids") as u32;
+    Event::Told(Message::Summary(Arc::new(Summary {
+        from: from.entry.id.clone(),
+        run: from.run,
+        number: 1,
+        domain: domain.try_into().unwrap(),
+        partial: false,
+        standings: Vec::new(),
+        revision: 0,
+        rate: 0.0,
+        demands: Vec::new(),
+        works: vec![(hash, work)],
+        moves: Vec::new(),
+        crashes: Vec::new(),
+    })))
+}
+
+// Asks for objects one after the other; gives back the servers of each.
+fn servers_of(rig: &mut Rig, objects: u64, times: usize) -> Vec<BTreeSet<String>> {
+    let mut used = vec![BTreeSet::new(); objects as usize];
+    for _ in 0..times {
+        for object in 0..objects {
+            let id = rig.ask("/bids/1", Some(object));
+            used[object as usize].extend(rig.sent(id));
+            rig.now = rig.now + Duration::from_millis(20);
+            rig.end(id, answered(200));
+        }
+    }
+    used
+}
+
+// Failed when an instance took every other one of its region to send a server
+// as much as it did itself: with 24 others one request seemed to be 25.
+#[test]
+fn a_server_is_not_taken_for_full_because_the_fleet_is_large() {
+    let mut rig = Rig::new();
+    let others = (2..26).map(|n| rig::member(&format!("entry-{n:02}"), "north", "north-a"));
+    let others: Vec<Member> = others.collect();
+    rig.step(Event::Members(others.clone()));
+    for other in &others {
+        rig.step(told(other, 0));
+    }
+    rig.pass(Duration::from_millis(600));
+    let first = rig.ask("/bids/1", Some(5));
+    let owner = rig.sent(first).expect("room");
+    rig.now = rig.now + Duration::from_millis(300);
+    rig.end(first, answered(200));
+    rig.pass(Duration::from_secs(2));
+    for _ in 0..2 {
+        let id = rig.ask("/bids/1", Some(5));
+        assert_eq!(rig.sent(id).as_ref(), Some(&owner));
+    }
+}
+
+// Failed when objects went to other regions only as they found their owner full:
+// each came to be built up at several servers there, and slots at home were
+// full nonetheless.
+#[test]
+fn objects_that_a_region_cannot_carry_have_one_owner_elsewhere() {
+    let mut rig = Rig::new();
+    let near = rig::member("entry-2", "north", "north-b");
+    let far = rig::member("entry-7", "south", "south-a");
+    rig.step(Event::Members(vec![near.clone(), far.clone()]));
+    // The region has 16 slots, of which work may keep 12 busy.
+    rig.step(offered("north-b", &near, 20.0));
+    rig.step(offered("south-a", &far, 2.0));
+    rig.pass(Duration::from_millis(200));
+    let used = servers_of(&mut rig, 60, 3);
+    assert!(used.iter().all(|servers| servers.len() == 1), "{used:?}");
+    let away = used.iter().flatten().filter(|name| name.contains("south"));
+    // Eight slots of twenty, and a margin for the draw.
+    assert!((14..=34).contains(&away.count()), "{used:?}");
+}
+
+#[test]
+fn objects_stay_where_no_other_region_has_room() {
+    let mut rig = Rig::new();
+    let near = rig::member("entry-2", "north", "north-b");
+    let far = rig::member("entry-7", "south", "south-a");
+    rig.step(Event::Members(vec![near.clone(), far.clone()]));
+    rig.step(offered("north-b", &near, 20.0));
+    rig.step(offered("south-a", &far, 20.0));
+    rig.pass(Duration::from_millis(200));
+    let used = servers_of(&mut rig, 40, 2);
+    let all = used.iter().flatten();
+    assert!(all.clone().all(|name| name.contains("north")), "{used:?}");
+}
+
 #[test]
 fn a_deaf_watch_shows_by_what_others_have_seen() {
     let mut rig = Rig::new();
