steer: a region hands objects on before its slots are full

Work by slots alone saw a busy part of 0.55. Ruled out: objects not built up yet (2.2 requests an object before), slow servers, windows. Now a region hands on what keeps it busier than 1.1 times the mean of all regions, and than 0.3 of its slots; in the first span of 2 s without a limit, as that is no shift. A line placement says how much.

--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -114,9 +114,11 @@
     }
 
     /// Works out anew where the owners of all services' objects stand; the part
-    /// in other regions may change by `step`.
-    pub(crate) fn place_owners(&mut self, offers: &Offers, step: f64) {
+    /// in other regions may change by `step`. Gives back the parts that have
+    /// changed much, with how busy the region is.
+    pub(crate) fn place_owners(&mut self, offers: &Offers, step: f64) -> Vec<(Service, f64, f64)> {
         let mut scopes = Sorted::default();
+        let mut news = Vec::new();
         for (service, ids) in self.services.iter() {
             let Some(offered) = offers.of(service) else {
                 continue;
@@ -125,10 +127,13 @@
             let open = servers.filter(|s| !self.is_evacuated(&s.listed.backend.domain));
             let open: Vec<&Server> = open.collect();
             let before = self.scopes.get(service);
-            let scope = Scope::new(&open, offered, self.region(), before, step);
+            let mut scope = Scope::new(&open, offered, self.region(), before, step);
+            let away = scope.news();
+            news.extend(away.map(|away| (service.clone(), away, scope.busy(self.region()))));
             scopes.insert(service.clone(), scope);
         }
         self.scopes = scopes;
+        news
     }
 
     pub(crate) fn server(&self, id: &ServerId) -> Option<&Server> {
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -14,9 +14,13 @@
 use crate::server::State;
 use crate::workload::Offered;
 
-/// The part of its slots that the work of objects may keep busy: requests come
-/// in bursts, and the rest is for objects whose state is built up.
-const BUSY: f64 = 0.75;
+/// The part of its slots that a region's own work may keep busy in any case.
+/// Beyond that its servers have more objects than they keep at hand sooner than
+/// those of other regions.
+const BUSY_LEAST: f64 = 0.3;
+
+/// How much busier than the mean of all regions a region may be.
+const BUSY_SPREAD: f64 = 1.1;
 
 /// The part of its slots that a server is taken to be busy with while the work
 /// that is offered is not known.
@@ -34,8 +38,13 @@
     open: Vec<Region>,
     /// The part of its slots that the work of its callers keeps busy in each region.
     busy: Sorted<Region, f64>,
+    // The part away that the log was last told.
+    noted: f64,
 }
 
+/// The least change of the part away that is worth a log line.
+const NOTED: f64 = 0.05;
+
 impl Scope {
     /// Works out where owners stand, by the work that is offered and the
     /// servers that may carry it.
@@ -62,7 +71,22 @@
             (region.clone(), (work / slots.max(1.0)).min(1.0))
         });
         let busy = busy.collect();
-        Self { away, open, busy }
+        let noted = before.map_or(0.0, |before| before.noted);
+        Self {
+            away,
+            open,
+            busy,
+            noted,
+        }
+    }
+
+    /// The part away, if it has changed enough to be told.
+    pub(crate) fn news(&mut self) -> Option<f64> {
+        let news = (self.away - self.noted).abs() >= NOTED;
+        news.then(|| {
+            self.noted = self.away;
+            self.away
+        })
     }
 
     /// The part of its slots that a server of a region is usually busy with.
@@ -92,9 +116,12 @@
 // those others.
 fn spill(slots: &Sorted<Region, f64>, offered: &Offered, own: &Region) -> (f64, Vec<Region>) {
     let of = |region: &Region| offered.regions.get(region).copied().unwrap_or(0.0);
+    let all_work: f64 = slots.iter().map(|row| of(row.0)).sum();
+    let all_slots: f64 = slots.iter().map(|row| row.1).sum();
+    let busy = (all_work / all_slots.max(1.0) * BUSY_SPREAD).max(BUSY_LEAST);
     let excess = |region: &Region| {
         let slots = slots.get(region).copied().unwrap_or(0.0);
-        of(region) - BUSY * slots
+        of(region) - busy * slots
     };
     let mine = excess(own);
     if mine <= 0.0 {
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -50,7 +50,11 @@
     }
 
     /// The part of all requests that may move to other regions in a time.
-    pub(crate) fn most_in(&self, time: Duration) -> f64 {
+    pub(crate) fn most_in(&mut self, now: Time, time: Duration) -> f64 {
+        let (_, before) = self.spans(now);
+        if before.0 + before.1 < FEW {
+            return 1.0;
+        }
         self.step * time.as_secs_f64() / SHIFT_SPAN.as_secs_f64()
     }
 
@@ -63,18 +67,7 @@
 
     /// Which way the next request may go.
     pub(crate) fn drift(&mut self, now: Time) -> Drift {
-        let at = self.advance(now);
-        let (mut present, mut before) = ((0.0, 0.0), (0.0, 0.0));
-        for back in 0..KEPT {
-            let (home, away) = self.counts[(at + KEPT - back) % KEPT];
-            let span = if back < KEPT / 2 {
-                &mut present
-            } else {
-                &mut before
-            };
-            span.0 += home;
-            span.1 += away;
-        }
+        let (present, before) = self.spans(now);
         // Without a span to compare with nothing is a shift.
         if before.0 + before.1 < FEW {
             return Drift::Free;
@@ -90,6 +83,23 @@
         }
     }
 
+    // Requests at home and away in the present span and in the one before.
+    fn spans(&mut self, now: Time) -> ((f64, f64), (f64, f64)) {
+        let at = self.advance(now);
+        let (mut present, mut before) = ((0.0, 0.0), (0.0, 0.0));
+        for back in 0..KEPT {
+            let (home, away) = self.counts[(at + KEPT - back) % KEPT];
+            let span = if back < KEPT / 2 {
+                &mut present
+            } else {
+                &mut before
+            };
+            span.0 += home;
+            span.1 += away;
+        }
+        (present, before)
+    }
+
     fn advance(&mut self, now: Time) -> usize {
         let slice = SHIFT_SPAN / SLICES as u32;
         let number = (now.since(Time::ZERO).as_nanos() / Duration::as_nanos(&slice)) as u64;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -384,9 +384,15 @@
             self.serve_waiting(now, out);
             return;
         }
-        let step = self.shifts.most_in(now.since(self.swept));
+        let step = self.shifts.most_in(now, now.since(self.swept));
         self.swept = now;
-        self.fleet.place_owners(&self.offers, step);
+        for (service, away, busy) in self.fleet.place_owners(&self.offers, step) {
+            let note = Note::new(Weight::Notable, "placement")
+                .with("service", service)
+                .with("away", format!("{away:.2}"))
+                .with("busy", format!("{busy:.2}"));
+            out.push(Action::Log(note));
+        }
         self.choose_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
         let serving = self.members.serving(now).map(neighbour).collect();
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -326,7 +326,7 @@
     let near = rig::member("entry-2", "north", "north-b");
     let far = rig::member("entry-7", "south", "south-a");
     rig.step(Event::Members(vec![near.clone(), far.clone()]));
-    // The region has 16 slots, of which work may keep 12 busy.
+    // Each region has 16 slots; the whole fleet is busy to two thirds.
     rig.step(offered("north-b", &near, 20.0));
     rig.step(offered("south-a", &far, 2.0));
     rig.pass(Duration::from_millis(200));
