standins: a randomized soak of instances on the platform

Real processes, a link with faults before each instance, endpoint and the store, signals, and an operator who moves a route, turns keys, drains, reuses addresses and evacuates; drawn from a seed, in series and overlapping. Callers keep their connections until the process is gone. Eleven promises are checked each second and at the end on what callers and endpoints saw. An instance on the platform is now estate::Node, for the soak and for tests/estate.rs alike.

--- a/crates/daemon/tests/estate.rs
+++ b/crates/daemon/tests/estate.rs
@@ -1,20 +1,18 @@
 //! Whole instances on the platform, as processes, against a stand-in of its
 //! store and its endpoints.
 
-use std::net::IpAddr;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering;
+use std::path::Path;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use corianderway_standins::estate::node;
 use corianderway_standins::estate::Endpoint;
+use corianderway_standins::estate::Node;
+use corianderway_standins::estate::Site;
 use corianderway_standins::estate::Store;
 use corianderway_standins::harness::call;
 use corianderway_standins::harness::until;
-use corianderway_standins::harness::Process;
 use corianderway_standins::harness::Reply;
 use corianderway_standins::harness::Request;
 use serde_json::json;
@@ -23,18 +21,10 @@
 /// The longest wait for something to happen.
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Instances listen on loopback addresses of their own, since their ports are alike.
-static HOSTS: AtomicU8 = AtomicU8::new(0);
-
-struct Instance {
-    process: Process,
-    ip: IpAddr,
-}
-
 struct Fleet {
     store: Store,
     endpoint: Endpoint,
-    instances: Vec<Instance>,
+    instances: Vec<Node>,
 }
 
 fn configuration(version: u64, keys: &[&str]) -> Value {
@@ -69,30 +59,19 @@
         store.put("config", "main", &configuration(1, &["k1", "k2"]));
         store.put("servers", "i-1", &endpoint.entry("s1", "a", "ready", 1));
         store.put("servers", "other", &json!("left by another writer"));
-        let pid = std::process::id();
-        let instances: Vec<Instance> = (0..count)
-            .map(|_| {
-                let host = HOSTS.fetch_add(1, Ordering::Relaxed);
-                let ip: IpAddr = format!("127.{}.{}.{}", 20 + pid % 200, pid / 200 % 250, host + 1)
-                    .parse()
-                    .unwrap();
-                let file = settings(ip, host, store.addr);
-                let path = file.to_string_lossy();
-                let args = ["--platform", "--settings", &path];
-                let process = Process::spawn("corianderwayd", &args).unwrap();
-                Instance { process, ip }
-            })
-            .collect();
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let start = |_| {
+            let site = Site::new("north", "a", store.addr);
+            Node::start(site, &[("a", "north")], dir).unwrap()
+        };
+        let instances = (0..count).map(start).collect();
         let fleet = Self {
             store,
             endpoint,
             instances,
         };
         for instance in &fleet.instances {
-            fleet.until("readiness", || {
-                let ready = instance.get(8680, "/ready", &[])?;
-                (ready.status == 200).then_some(())
-            });
+            fleet.until("readiness", || instance.is_ready().then_some(()));
         }
         fleet
     }
@@ -106,50 +85,20 @@
     }
 }
 
-impl Instance {
-    // The lines that `grep request=ID` finds in the instance's log.
-    fn lines_of(&self, id: &str) -> Vec<String> {
-        let id = format!("request={id} ");
-        let lines = self.process.lines().into_iter();
-        lines.filter(|line| line.contains(&id)).collect()
-    }
-
-    fn get(&self, port: u16, path: &str, headers: &[(&str, &str)]) -> Option<Reply> {
-        self.call("GET", port, path, headers)
-    }
-
-    fn call(&self, method: &str, port: u16, path: &str, headers: &[(&str, &str)]) -> Option<Reply> {
-        let mut request = Request::new(method, path).header("Host", "desk.example");
-        for (name, value) in headers {
-            request = request.header(name, value);
-        }
-        call(SocketAddr::new(self.ip, port), &request).ok()
-    }
-
-    fn read(&self, key: &str) -> Option<Reply> {
-        let headers = [("Key", key), ("Request-Id", "r-1"), ("Deadline-Ms", "4000")];
-        self.get(8686, "/read/17?x=1", &headers)
-    }
+fn get(node: &Node, port: u16, path: &str, headers: &[(&str, &str)]) -> Option<Reply> {
+    node.call("GET", port, path, headers)
 }
 
-fn settings(ip: IpAddr, host: u8, store: SocketAddr) -> PathBuf {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let file = dir.join(format!("estate-{}-{host}.yaml", std::process::id()));
-    let text = format!(
-        "node_name: node-{host}\nzone: a\nregion: north\nzones: {{ a: north }}\n\
-         listen: {{ front: '{ip}:8686', ready: '{ip}:8680', control: '{ip}:8688', directory: '{ip}:8684' }}\n\
-         port_range: [7740, 7755]\nseeds: []\nbounds: {{ grace_s: 4 }}\n\
-         platform: {{ address: '{store}' }}\n"
-    );
-    std::fs::write(&file, text).unwrap();
-    file
+fn read(node: &Node, key: &str) -> Option<Reply> {
+    let headers = [("Key", key), ("Request-Id", "r-1"), ("Deadline-Ms", "4000")];
+    get(node, node::CALLERS, "/read/17?x=1", &headers)
 }
 
 #[test]
 fn a_request_goes_to_an_endpoint_and_back() {
     let fleet = Fleet::start(1);
     let instance = &fleet.instances[0];
-    let reply = instance.read("k1").unwrap();
+    let reply = read(instance, "k1").unwrap();
     assert_eq!(reply.status, 200);
     assert_eq!(reply.text(), "answer of i-1");
     assert_eq!(reply.header("server-stamp"), Some("3e1b.07.5a2"));
@@ -158,23 +107,25 @@
     assert_eq!(seen[0].line, "GET /read/17?x=1");
     assert_eq!(seen[0].account.as_deref(), Some("t1"));
     assert!(!seen[0].headers.contains(&"key".to_owned()));
-    let unknown = instance.read("k9").unwrap();
+    let unknown = read(instance, "k9").unwrap();
     assert_eq!(unknown.status, 401);
-    let nowhere = instance.get(8686, "/none/", &[("Key", "k1")]).unwrap();
+    let nowhere = get(instance, node::CALLERS, "/none/", &[("Key", "k1")]).unwrap();
     assert_eq!(nowhere.status, 404);
-    let advice = instance.get(8684, "/resolve?name=desk.example&region=north&zone=a", &[]);
-    let advice: Value = serde_json::from_str(&advice.unwrap().text()).unwrap();
-    assert_eq!(
-        advice["addresses"],
-        json!([format!("{}:8686", instance.ip)])
+    let advice = get(
+        instance,
+        node::DIRECTORY,
+        "/resolve?name=desk.example&region=north&zone=a",
+        &[],
     );
-    let explained = instance.get(9464, "/explain?request=r-1", &[]).unwrap();
+    let advice: Value = serde_json::from_str(&advice.unwrap().text()).unwrap();
+    assert_eq!(advice["addresses"], json!([instance.addr(node::CALLERS)]));
+    let explained = get(instance, node::ADMIN, "/explain?request=r-1", &[]).unwrap();
     assert!(
         explained.text().contains("event=sent"),
         "{}",
         explained.text()
     );
-    let metrics = instance.get(9464, "/metrics", &[]).unwrap();
+    let metrics = get(instance, node::ADMIN, "/metrics", &[]).unwrap();
     assert!(metrics.text().contains("corianderway_events"));
 }
 
@@ -184,17 +135,17 @@
     let [cut, whole] = &fleet.instances[..] else {
         panic!("two instances");
     };
-    assert_eq!(cut.read("k2").unwrap().status, 200);
-    fleet.store.turn_away(&[cut.ip]);
+    assert_eq!(read(cut, "k2").unwrap().status, 200);
+    fleet.store.turn_away(&[cut.site.ip]);
     fleet.store.compact();
     fleet
         .store
         .put("config", "main", &configuration(2, &["k1"]));
     for instance in [whole, cut] {
         fleet.until("the withdrawal", || {
-            (instance.read("k2")?.status == 401).then_some(())
+            (read(instance, "k2")?.status == 401).then_some(())
         });
-        assert_eq!(instance.read("k1").unwrap().status, 200);
+        assert_eq!(read(instance, "k1").unwrap().status, 200);
     }
 }
 
@@ -204,17 +155,17 @@
 #[test]
 fn a_domain_follows_the_store_through_one_instance_and_survives_its_death() {
     let mut fleet = Fleet::start(3);
-    let source = |instance: &Instance| {
+    let source = |instance: &Node| {
         let mut lines = instance.process.lines().into_iter().rev();
         let last = lines.find(|line| line.contains("event=source "));
         last.unwrap_or_default()
     };
-    let follows = |instance: &Instance| source(instance).contains("to=Store");
+    let follows = |instance: &Node| source(instance).contains("to=Store");
     let at = fleet.until("one that follows the store", || {
         let mut rows = fleet.instances.iter().enumerate();
         let at = rows.position(|row| follows(row.1))?;
         let count = fleet.instances.iter().filter(|i| follows(i)).count();
-        let copies = |i: &Instance| source(i).contains("to=Copy");
+        let copies = |i: &Node| source(i).contains("to=Copy");
         let rest = fleet.instances.iter().filter(|i| copies(i)).count();
         (count == 1 && rest == 2).then_some(at)
     });
@@ -226,9 +177,9 @@
     let changed = Instant::now();
     for instance in &fleet.instances {
         fleet.until("the withdrawal", || {
-            (instance.read("k2")?.status == 401).then_some(())
+            (read(instance, "k2")?.status == 401).then_some(())
         });
-        assert_eq!(instance.read("k1").unwrap().status, 200);
+        assert_eq!(read(instance, "k1").unwrap().status, 200);
     }
     let span = changed.elapsed();
     assert!(span < IN_FORCE, "{span:?}");
@@ -245,12 +196,12 @@
     let draining = fleet.endpoint.entry("s1", "a", "draining", 2);
     fleet.store.put("servers", "i-1", &draining);
     fleet.until("the other endpoint", || {
-        let reply = instance.read("k1")?;
+        let reply = read(instance, "k1")?;
         (reply.text() == "answer of i-2").then_some(())
     });
     let before = fleet.endpoint.seen().len();
     for _ in 0..20 {
-        assert_eq!(instance.read("k1").unwrap().status, 200);
+        assert_eq!(read(instance, "k1").unwrap().status, 200);
     }
     assert_eq!(fleet.endpoint.seen().len(), before);
 }
@@ -258,13 +209,13 @@
 #[test]
 fn a_planned_stop_delivers_what_it_has_taken() {
     let mut fleet = Fleet::start(1);
-    let ip = fleet.instances[0].ip;
+    let addr = fleet.instances[0].addr(node::CALLERS);
     let caller = thread::spawn(move || {
         let request = Request::new("POST", "/slow/1")
             .header("Host", "desk.example")
             .header("Request-Id", "r-2")
             .header("Deadline-Ms", "4000");
-        call(SocketAddr::new(ip, 8686), &request)
+        call(addr, &request)
     });
     fleet.until("the request at the endpoint", || {
         (fleet.endpoint.seen().len() == 1).then_some(())
@@ -300,14 +251,14 @@
             ("Request-Id", failure.id),
             ("Deadline-Ms", "4000"),
         ];
-        let reply = instance.get(8686, failure.path, &headers).unwrap();
+        let reply = get(instance, node::CALLERS, failure.path, &headers).unwrap();
         assert_eq!(reply.status, failure.status, "{}", failure.id);
         let lines = fleet.until("the lines", || {
             let lines = instance.lines_of(failure.id);
             (lines.len() >= failure.words.len()).then_some(lines)
         });
         let asked = format!("/explain?request={}", failure.id);
-        let explained = instance.get(9464, &asked, &[]).unwrap().text();
+        let explained = get(instance, node::ADMIN, &asked, &[]).unwrap().text();
         for (line, words) in lines.iter().zip(failure.words) {
             for word in *words {
                 assert!(line.contains(word), "{word} in {line}");
--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,55 @@
+//! Instances on the platform under random faults, as real processes.
+//!
+//! `cargo run --release --example soak -- --seeds 50` plays more.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use corianderway_standins::soak;
+use corianderway_standins::soak::Options;
+use serde::Deserialize;
+
+/// The instances and callers of each run.
+const INSTANCES: usize = 6;
+const CALLERS: usize = 12;
+
+/// One run that is played.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Row {
+    seed: u64,
+    span_s: u64,
+    cause: String,
+}
+
+#[test]
+fn every_promise_holds_under_random_faults() {
+    let rows: Vec<Row> = serde_yaml_ng::from_str(include_str!("soak.yaml")).unwrap();
+    for row in rows {
+        let options = Options {
+            seed: row.seed,
+            span: Duration::from_secs(row.span_s),
+            instances: INSTANCES,
+            callers: CALLERS,
+            dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
+        };
+        let report = soak::run(&options).unwrap();
+        println!("{row:?}: {} of {} served", report.served, report.asked);
+        if report.broken.is_empty() {
+            continue;
+        }
+        let steps: Vec<String> = report.steps.iter().map(|s| format!("{s:?}")).collect();
+        let logs = report.logs.iter().map(|(name, lines)| {
+            let notable = lines.iter().filter(|line| !line.contains("request="));
+            let lines: Vec<&str> = notable.map(String::as_str).collect();
+            format!("{name}\n{}", lines.join("\n"))
+        });
+        let logs: Vec<String> = logs.collect();
+        panic!(
+            "{row:?}\n{}\n{}\n{}",
+            report.broken.join("\n"),
+            steps.join("\n"),
+            logs.join("\n")
+        );
+    }
+}
--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -4,8 +4,12 @@
 //! process, each as a duty on a thread of its own.
 
 mod endpoint;
+pub mod node;
 mod store;
 
 pub use crate::estate::endpoint::Endpoint;
+pub use crate::estate::endpoint::Mode;
 pub use crate::estate::endpoint::Seen;
+pub use crate::estate::node::Node;
+pub use crate::estate::node::Site;
 pub use crate::estate::store::Store;
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_h1::server;
 use async_std::net;
@@ -28,9 +29,29 @@
 /// The slots that an entry tells.
 const SLOTS: u32 = 8;
 
+/// How an endpoint behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It runs what comes, in a few milliseconds.
+    #[default]
+    Sound,
+    /// Every request takes this long.
+    Slow(Duration),
+    /// It answers with a failure after it has run a request.
+    Failing,
+    /// It says that it is full and runs nothing.
+    Full,
+    /// It runs what comes and never answers.
+    Mute,
+}
+
 /// One request that ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
+    /// When it came.
+    pub at: Instant,
+    /// The endpoint that ran it, by the identity that it had then.
+    pub by: String,
     /// The method and the target.
     pub line: String,
     /// The caller's id of the request.
@@ -46,11 +67,16 @@
 /// A running endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
-    /// Its identity.
-    pub id: String,
     /// Where it takes requests.
     pub addr: SocketAddr,
-    seen: Arc<Mutex<Vec<Seen>>>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    id: String,
+    mode: Mode,
+    seen: Vec<Seen>,
 }
 
 impl Endpoint {
@@ -62,11 +88,12 @@
     pub fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("the address of a listener");
-        let endpoint = Self {
+        let state = State {
             id: id.to_owned(),
-            addr,
-            seen: Arc::default(),
+            ..State::default()
         };
+        let state = Arc::new(Mutex::new(state));
+        let endpoint = Self { addr, state };
         let served = endpoint.clone();
         duty::spawn("endpoint", move || serve(listener, served));
         endpoint
@@ -74,21 +101,48 @@
 
     /// What it says of itself in the store.
     pub fn entry(&self, service: &str, zone: &str, state: &str, seq: u64) -> Value {
+        self.entry_at(self.addr, service, zone, state, seq)
+    }
+
+    /// The same, with the address of a link to it.
+    pub fn entry_at(
+        &self,
+        addr: SocketAddr,
+        service: &str,
+        zone: &str,
+        state: &str,
+        seq: u64,
+    ) -> Value {
         json!({
-            "address": self.addr.to_string(),
+            "address": addr.to_string(),
             "info": { "service": service, "version": "v1", "zone": zone, "slots": SLOTS },
             "status": { "state": state, "seq": seq, "cold_left_ms": 0 },
             "born": 1_790_000_000_000_u64,
         })
     }
 
+    /// Its identity.
+    pub fn id(&self) -> String {
+        self.lock().id.clone()
+    }
+
+    /// Gives it another identity, as if another endpoint had its address.
+    pub fn rename(&self, id: &str) {
+        id.clone_into(&mut self.lock().id);
+    }
+
+    /// Changes how it behaves.
+    pub fn set_mode(&self, mode: Mode) {
+        self.lock().mode = mode;
+    }
+
     /// The requests that ran, in their order.
     pub fn seen(&self) -> Vec<Seen> {
-        self.lock().clone()
+        self.lock().seen.clone()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Seen>> {
-        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -112,10 +166,21 @@
         let values = request.header(name);
         values.map(|values| values.as_str().to_owned())
     };
+    let (by, mode) = {
+        let state = endpoint.lock();
+        (state.id.clone(), state.mode)
+    };
     let meant = header(&request, "expect-instance");
-    if meant.is_some_and(|meant| meant != endpoint.id) {
+    if meant.is_some_and(|meant| meant != by) {
         let mut response = Response::new(StatusCode::MisdirectedRequest);
-        response.insert_header("instance-id", &endpoint.id);
+        response.insert_header("instance-id", &by);
+        return response;
+    }
+    let id = header(&request, "request-id").unwrap_or_default();
+    if mode == Mode::Full {
+        let mut response = Response::new(StatusCode::ServiceUnavailable);
+        response.insert_header("request-id", id);
+        response.insert_header("not-run", "full");
         return response;
     }
     let url = request.url();
@@ -123,21 +188,31 @@
     let slow = url.path().starts_with("/slow/");
     let line = format!("{} {}{query}", request.method(), url.path());
     let body = request.body_string().await.unwrap_or_default();
-    let id = header(&request, "request-id").unwrap_or_default();
-    endpoint.lock().push(Seen {
+    let seen = Seen {
+        at: Instant::now(),
+        by: by.clone(),
         line,
         id: id.clone(),
         account: header(&request, "tenant"),
         headers: request.header_names().map(ToString::to_string).collect(),
         body,
-    });
-    if slow {
-        task::sleep(SLOW).await;
+    };
+    endpoint.lock().seen.push(seen);
+    match mode {
+        Mode::Slow(span) => task::sleep(span).await,
+        Mode::Mute => std::future::pending().await,
+        Mode::Sound | Mode::Failing | Mode::Full if slow => task::sleep(SLOW).await,
+        Mode::Sound | Mode::Failing | Mode::Full => (),
     }
-    let mut response = Response::new(StatusCode::Ok);
+    let status = if mode == Mode::Failing {
+        StatusCode::InternalServerError
+    } else {
+        StatusCode::Ok
+    };
+    let mut response = Response::new(status);
     response.insert_header("request-id", id);
     response.insert_header("server-stamp", STAMP);
     response.insert_header("server-load", format!("1,0,{SLOTS}"));
-    response.set_body(format!("answer of {}", endpoint.id));
+    response.set_body(format!("answer of {by}"));
     response
 }
