steer: instances that wait for a copy try the store in their turn

Cause, from the log: the store turned away the first instances of the domain; the others waited 0.8 s for the copy of one after the other, and a copy that was found at last was left at once, since others had been ahead for long. Ruled out: a deaf watch, a slow machine, the domain's relay. Now who waits for a copy tries the store in its turn, one that won't follow the store says so after 0.3 s, and being behind counts from when a copy is followed. Test: the_first_that_can_takes_over_when_the_store_turns_several_away, failed with the old chart (one instance of ten had no source after 2.2 s); the stand-in network now makes instances wait for copies.

--- a/crates/daemon/src/edge/replica.rs
+++ b/crates/daemon/src/edge/replica.rs
@@ -29,9 +29,12 @@
 /// The time between two signs of life.
 pub(super) const PULSE: Duration = Duration::from_millis(400);
 
-/// How long a reader waits for a copy that does not follow the store yet: the
-/// first instance of a domain may be about to.
-const PATIENCE: Duration = Duration::from_millis(800);
+/// How long a reader waits for an instance to begin to follow the store: the
+/// first one of a domain may be about to.
+const BEGINNING: Duration = Duration::from_millis(300);
+
+/// How long a reader waits for one that has begun to know what the store holds.
+const LISTING: Duration = Duration::from_secs(1);
 
 /// The longest time for which one that reads nothing holds up its own stream.
 const WRITE: Duration = Duration::from_secs(2);
@@ -83,14 +86,7 @@
     let known: Known = read(&mut socket, GREETING).await.ok()?;
     let mut sent = known.0;
     let bell = desk.bell.listen();
-    let current = async {
-        while !desk.is_current() {
-            bell.recv().await.ok()?;
-        }
-        Some(())
-    };
-    // Elapsed or not, the state decides below.
-    let _ = future::timeout(PATIENCE, current).await;
+    await_current(desk, &bell).await;
     let mut greeted = false;
     loop {
         if !desk.is_current() {
@@ -121,6 +117,17 @@
     }
 }
 
+// Waits until the copy follows the store, as long as there is hope.
+async fn await_current(desk: &Desk, bell: &Receiver<()>) {
+    let begun = async { while !desk.follows_store() && bell.recv().await.is_ok() {} };
+    if future::timeout(BEGINNING, begun).await.is_err() {
+        return;
+    }
+    let current = async { while !desk.is_current() && bell.recv().await.is_ok() {} };
+    // Elapsed or not, the caller looks at what there is.
+    let _ = future::timeout(LISTING, current).await;
+}
+
 /// Why no message was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Unread {
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -85,6 +85,11 @@
         self.reach.get() == Reach::Store
     }
 
+    /// Whether the store itself is to be followed.
+    pub fn follows_store(&self) -> bool {
+        self.source.get() == Source::Store
+    }
+
     /// Takes a whole list of a kind; gives back what changed.
     pub fn replace(&self, kind: Kind, objects: Vec<Object>, revision: u64) -> Vec<Change> {
         let mut copies = self.copies.borrow_mut();
@@ -130,6 +135,7 @@
         self.source.set(source);
         self.listed.borrow_mut().clear();
         *self.following.borrow_mut() = Some(running);
+        self.bell.ring();
         stopped
     }
 }
@@ -168,7 +174,7 @@
 async fn carry_out(desk: &Rc<Desk>, order: StoreOrder) {
     match order {
         StoreOrder::Follow(source) => follow(desk, source).await,
-        StoreOrder::Reread if desk.source.get() == Source::Store => {
+        StoreOrder::Reread if desk.follows_store() => {
             follow(desk, Source::Store).await;
         }
         StoreOrder::Reread => (),
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -34,7 +34,8 @@
             dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
         };
         let report = soak::run(&options).unwrap();
-        println!("{row:?}: {} of {} served", report.served, report.asked);
+        let (asked, served) = (report.asked, report.served);
+        println!("seed {} ({}): {served} of {asked} served", row.seed, row.cause);
         if report.broken.is_empty() {
             continue;
         }
--- a/crates/steer/src/source.rs
+++ b/crates/steer/src/source.rs
@@ -50,6 +50,7 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum State {
     Seeking,
+    Trying,
     Copying,
     Following,
 }
@@ -72,9 +73,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Guard {
-    /// An instance has a copy that follows the store.
-    CopyAtHand,
-    /// An instance of this domain has one, and the one at hand is of another
+    /// An instance of this domain has a copy that follows the store.
+    NearCopy,
+    /// One of this domain is to follow the store before this one.
+    CopyAhead,
+    /// An instance of another domain has a copy, and none of this one has had
+    /// one for a while.
+    FarCopy,
+    /// The copy at hand is of another domain.
+    Far,
+    /// An instance of this domain has a copy, and the one at hand is of another
     /// domain or no longer follows the store.
     NearerCopy,
     /// Others have seen a later change for too long.
@@ -149,6 +157,8 @@
     pub(crate) state: State,
     // The copy that is followed, and whether it is of this domain.
     copy: Option<(SocketAddr, bool)>,
+    // Since when it is followed.
+    copied: Time,
     distrusted: Vec<(SocketAddr, Time)>,
     // When nothing began to be followed.
     since: Time,
@@ -162,6 +172,7 @@
             chart,
             state: State::Seeking,
             copy: None,
+            copied: Time::ZERO,
             distrusted: Vec::new(),
             since: Time::ZERO,
             tried: None,
@@ -176,7 +187,8 @@
         let chart = self.chart.clone();
         let step = chart.step(from, signal, |guard| self.holds(now, guard, copies));
         self.state = step.to;
-        if from != State::Seeking && step.to == State::Seeking {
+        let followed = matches!(from, State::Copying | State::Following);
+        if followed && step.to == State::Seeking {
             (self.since, self.tried, self.tries) = (now, None, 0);
         }
         let mut orders = Vec::new();
@@ -193,6 +205,7 @@
                 }
                 Effect::Copy => {
                     self.copy = self.best(now, copies);
+                    self.copied = now;
                     let copy = self.copy.map_or(Source::Nothing, |c| Source::Copy(c.0));
                     orders.push(Order::Follow(copy));
                 }
@@ -212,16 +225,21 @@
 
     fn holds(&self, now: Time, guard: Guard, copies: &Copies) -> bool {
         let is_far = self.copy.is_some_and(|copy| !copy.1);
+        let has_near = copies.near.iter().any(|addr| self.trusts(addr));
         match guard {
-            Guard::CopyAtHand => self.best(now, copies).is_some(),
+            Guard::NearCopy => has_near,
+            Guard::CopyAhead => self.ahead(copies) > 0,
+            Guard::FarCopy => self.best(now, copies).is_some(),
+            Guard::Far => is_far,
             Guard::NearerCopy => {
                 let at_hand = self.copy.map(|copy| copy.0);
                 let kept = at_hand.is_some_and(|at| copies.near.contains(&at));
-                !kept && copies.near.iter().any(|addr| self.trusts(addr))
+                !kept && has_near
             }
             Guard::Behind => {
                 let patience = BEHIND + BEHIND_RANK * copies.ahead.len() as u32;
-                copies.behind.is_some_and(|at| now.since(at) >= patience)
+                let since = copies.behind.map(|at| at.max(self.copied));
+                since.is_some_and(|at| now.since(at) >= patience)
             }
             Guard::Turn => self.has_turn(now, copies),
             Guard::FarTurn => is_far && self.has_turn(now, copies),
--- a/crates/steer/tests/rig/crowd.rs
+++ b/crates/steer/tests/rig/crowd.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use corianderway_model::Time;
 use corianderway_steer::Action;
@@ -15,6 +16,9 @@
 
 use super::Rig;
 
+/// How long an instance waits for a copy that does not follow the store.
+const WAIT: Duration = Duration::from_millis(800);
+
 /// The instances, in the order of their members.
 pub struct Crowd {
     pub members: Vec<Member>,
@@ -27,6 +31,8 @@
     pub crossed: usize,
     /// What each instance follows.
     pub sources: Vec<Source>,
+    // Since when an instance waits for a copy that does not follow the store.
+    waiting: Vec<Option<Time>>,
     letters: Vec<(usize, SocketAddr, Message)>,
 }
 
@@ -40,6 +46,7 @@
             away: Vec::new(),
             crossed: 0,
             sources: Vec::new(),
+            waiting: Vec::new(),
             letters: Vec::new(),
         };
         crowd.restart(now, plan);
@@ -61,6 +68,7 @@
         };
         self.rigs = self.members.iter().map(start).collect();
         self.sources = vec![Source::Nothing; self.members.len()];
+        self.waiting = vec![None; self.members.len()];
     }
 
     /// Delivers what was told in the turn before, and lets every instance look
@@ -80,7 +88,8 @@
         }
     }
 
-    // The copy of an instance that is gone, or no longer follows the store, breaks.
+    // The copy of an instance that is gone, or no longer follows the store,
+    // breaks; one that is not known yet is waited for.
     fn check_source(&mut self, number: usize) {
         let holds = match self.sources[number] {
             Source::Nothing => true,
@@ -89,16 +98,31 @@
                 let of = |m: &Member| m.replica == from;
                 let from = self.members.iter().position(of);
                 let from = from.expect("an instance that is listed");
-                let stored = self.sources[from] == Source::Store;
-                stored && !self.cut.contains(&from) && !self.cut.contains(&number)
+                let live = !self.cut.contains(&from) && !self.cut.contains(&number);
+                let stored = live && self.sources[from] == Source::Store;
+                match self.waiting[number] {
+                    Some(_) if stored => {
+                        self.waiting[number] = None;
+                        self.step(number, Event::Reach(Reach::Replica));
+                        true
+                    }
+                    Some(since) => self.rigs[number].now.since(since) < WAIT,
+                    None => stored,
+                }
             }
         };
         if !holds {
             self.sources[number] = Source::Nothing;
+            self.waiting[number] = None;
             self.step(number, Event::Reach(Reach::Nothing));
         }
     }
 
+    /// Whether an instance waits for a copy that does not follow the store.
+    pub fn waits(&self, number: usize) -> bool {
+        self.waiting[number].is_some()
+    }
+
     /// Steps one instance.
     pub fn step(&mut self, number: usize, event: Event) {
         self.rigs[number].step(event);
@@ -119,10 +143,12 @@
                 Action::Probe if !self.away.contains(&number) => self.step(number, Event::Probed),
                 Action::Follow(source) => {
                     self.sources[number] = source;
-                    match source {
-                        Source::Nothing => (),
-                        Source::Store => self.step(number, Event::Reach(Reach::Store)),
-                        Source::Copy(_) => self.step(number, Event::Reach(Reach::Replica)),
+                    self.waiting[number] = match source {
+                        Source::Copy(_) => Some(self.rigs[number].now),
+                        Source::Nothing | Source::Store => None,
+                    };
+                    if source == Source::Store {
+                        self.step(number, Event::Reach(Reach::Store));
                     }
                 }
                 _ => (),
--- a/crates/steer/tests/sources.rs
+++ b/crates/steer/tests/sources.rs
@@ -54,6 +54,13 @@
     lost.filter(|at| !crowd.cut.contains(at)).collect()
 }
 
+// Instances that wait for a copy that does not follow the store.
+fn waiting(crowd: &Crowd) -> Vec<usize> {
+    let numbers = 0..crowd.members.len();
+    let waiting = numbers.filter(|at| crowd.waits(*at));
+    waiting.filter(|at| !crowd.cut.contains(at)).collect()
+}
+
 // When each instance followed the store itself, all ten did.
 #[test]
 fn one_instance_of_each_domain_follows_the_store() {
@@ -72,6 +79,22 @@
     assert!(!stored.contains(&0) && stored.iter().any(|at| *at < EACH));
 }
 
+// A hunt found it: hunt-53ee-7 of lvr-glb-grown, CONFIG, where the store turned
+// away the first instances of a domain. The others waited for one after the other.
+#[test]
+fn the_first_that_can_takes_over_when_the_store_turns_several_away() {
+    for away in [vec![0, 1], vec![0, 1, 2], vec![0, 1, 2, 3]] {
+        let mut crowd = crowd();
+        crowd.away.clone_from(&away);
+        pass(&mut crowd, TAKEOVER);
+        assert_eq!(lost(&crowd), [], "{away:?}");
+        let sources: Vec<_> = crowd.sources.iter().take(EACH).collect();
+        let stored = |s: &&&Source| ***s == Source::Store;
+        assert!(sources.iter().any(|s| stored(&s)), "{away:?}: {sources:?}");
+        assert_eq!(waiting(&crowd), [], "{away:?}: {sources:?}");
+    }
+}
+
 #[test]
 fn another_takes_over_from_one_that_dies() {
     let mut crowd = crowd();
