--- a/crates/cli/src/chart.rs
+++ b/crates/cli/src/chart.rs
@@ -13,13 +13,14 @@
 use crate::output::Output;
 
 /// The charts that the fleet runs by, by name.
-const CHARTS: [(&str, &str); 14] = [
+const CHARTS: [(&str, &str); 15] = [
     ("claim", corianderway_control::CLAIM_CHART),
     ("drain", corianderway_rollout::DRAIN_CHART),
     ("edge-move", corianderway_steer::MOVE_CHART),
     ("edge-relay", corianderway_steer::RELAY_CHART),
     ("edge-request", corianderway_steer::REQUEST_CHART),
     ("edge-server", corianderway_steer::SERVER_CHART),
+    ("edge-source", corianderway_steer::SOURCE_CHART),
     ("key", corianderway_control::KEY_CHART),
     ("member", corianderway_control::MEMBER_CHART),
     ("move", corianderway_rollout::MOVE_CHART),
