--- a/crates/steer/src/bucket.rs
+++ b/crates/steer/src/bucket.rs
@@ -4,7 +4,11 @@
 
 use corianderway_model::Time;
 
-/// The longest time that is told until there may be a token.
+/// The shortest time that is told until there may be a token: bounds how often
+/// it is asked for in vain.
+const WAIT_LEAST: Duration = Duration::from_millis(20);
+
+/// The longest such time.
 const WAIT_MOST: Duration = Duration::from_secs(2);
 
 /// Tokens that come at a rate, up to a capacity.
@@ -48,7 +52,8 @@
             return Ok(());
         }
         let missing = (1.0 - self.tokens) / self.rate.max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64(missing).map_or(WAIT_MOST, |wait| wait.min(WAIT_MOST)))
+        let wait = Duration::try_from_secs_f64(missing).unwrap_or(WAIT_MOST);
+        Err(wait.clamp(WAIT_LEAST, WAIT_MOST))
     }
 
     /// Tokens that come a second.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -43,6 +43,7 @@
 //! # }
 //! ```
 
+mod admission;
 mod advice;
 mod bounds;
 mod bucket;
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -50,9 +50,9 @@
 /// where a relay lends. Smaller ones are mostly lent.
 const KEPT_HALF: f64 = 5.0;
 
-/// The least time for which an instance does not ask again after it was told
-/// that there is no token: bounds what a hot account costs.
-const DENIED_LEAST: Duration = Duration::from_millis(20);
+/// When to ask again for a token of an account that the relay does not know
+/// yet: it hears of a configuration within a moment of the others.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(100);
 
 /// The tokens with which an instance or a relay begins, in seconds of its rate: an
 /// earlier run of it may have spent its own within the platform's window, whose slack is
@@ -187,9 +187,8 @@
     pub(crate) fn lend(&mut self, now: Time, account: u32) -> Result<(), Duration> {
         let mut rows = self.rows.iter_mut();
         let row = rows.find(|row| row.1.hash == account);
-        // A relay that doesn't know the account yet can't tell its rate.
         let Some((_, row)) = row.filter(|_| self.lender == Lender::Own) else {
-            return Err(DENIED_LEAST);
+            return Err(UNKNOWN_WAIT);
         };
         row.pool.take(now)
     }
@@ -198,7 +197,7 @@
     pub(crate) fn deny(&mut self, now: Time, account: u32, wait: Duration) {
         for (_, row) in self.rows.iter_mut() {
             if row.hash == account {
-                row.denied = now + wait.max(DENIED_LEAST);
+                row.denied = now + wait;
             }
         }
     }
