--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -67,6 +67,7 @@
             received: now,
             deadline: now + limit,
             wait_until: None,
+            lack: None,
             asks: 0,
             tried: Vec::new(),
             runs: 0,
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -90,14 +90,39 @@
 pub(crate) enum Blocked {
     /// None may run it.
     NoServer,
-    /// Each that may is full, cold or left alone for a while.
-    Full,
+    /// None of those that may has room.
+    Full(Lack),
     /// The best one builds up the state of the object for this long.
     Building(Duration),
     /// None would answer in the time that is left.
     TooLate,
 }
 
+/// What leaves no backend server with room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lack {
+    /// Each is full, cold or left alone for a while.
+    Turn,
+    /// No more requests may run in other regions now.
+    Shift,
+    /// Those with a turn are busy and not prepared for the object.
+    State,
+    /// The one that is expected to answer first has too many before.
+    Queue,
+}
+
+impl Lack {
+    /// A name for the log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Turn => "turn",
+            Self::Shift => "shift",
+            Self::State => "state",
+            Self::Queue => "queue",
+        }
+    }
+}
+
 impl Choice {
     /// The time to its answer, with what it costs besides.
     fn cost(&self) -> f64 {
@@ -158,15 +183,20 @@
         let homely = listed
             .iter()
             .any(|server| server.listed.backend.region == *self.region());
-        let choices: Vec<Choice> = choices
-            .filter(|choice| !(homely && choice.away && ask.drift == Drift::HomeOnly))
-            .filter(|choice| choice.warmth != Warmth::Unknown || choice.is_idle())
-            .collect();
+        let mut choices: Vec<Choice> = choices.collect();
+        let mut lack = Lack::Turn;
+        let homebound = homely && ask.drift == Drift::HomeOnly;
+        keep(&mut choices, &mut lack, Lack::Shift, |choice| {
+            !(homebound && choice.away)
+        });
+        keep(&mut choices, &mut lack, Lack::State, |choice| {
+            choice.warmth != Warmth::Unknown || choice.is_idle()
+        });
         let best = choices.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
-        let best = best.ok_or(Blocked::Full)?;
+        let best = best.ok_or(Blocked::Full(lack))?;
         let wait_most = (objective - best.work).max(objective * WAIT_PART);
         if best.wait > wait_most {
-            return Err(Blocked::Full);
+            return Err(Blocked::Full(Lack::Queue));
         }
         if best.path + best.expected() * LATE_FACTOR > millis(ask.left) {
             return Err(Blocked::TooLate);
@@ -264,6 +294,22 @@
     }
 }
 
+// Keeps the choices that hold; notes what is lacking if none of them does.
+fn keep(
+    choices: &mut Vec<Choice>,
+    lack: &mut Lack,
+    without: Lack,
+    holds: impl Fn(&Choice) -> bool,
+) {
+    if choices.is_empty() {
+        return;
+    }
+    choices.retain(holds);
+    if choices.is_empty() {
+        *lack = without;
+    }
+}
+
 fn warmth(server: &Server, object: Option<u64>, owns: bool) -> Warmth {
     match object {
         // Without an object no server is better prepared than another.
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -266,7 +266,7 @@
                 let lender = match self.lender {
                     Lender::Nobody => "none".to_owned(),
                     Lender::Other => "relay".to_owned(),
-                    Lender::Own => format!("own={:.1}", row.pool.tokens()),
+                    Lender::Own => format!("own/pool:{:.1}", row.pool.tokens()),
                 };
                 format!(
                     "rate:{rate:.0}/share:{share:.3}/tokens:{tokens:.1}/demand:{demand:.1}/lender:{lender}"
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 
 use crate::choice::Choice;
+use crate::choice::Lack;
 use crate::event::Outcome;
 use crate::event::Query;
 use crate::plan::AccountTerms;
@@ -111,6 +112,8 @@
     pub(crate) deadline: Time,
     /// The moment after which it no longer waits for a token, or for room.
     pub(crate) wait_until: Option<Time>,
+    /// Why no backend server had room when one was last looked for.
+    pub(crate) lack: Option<Lack>,
     /// How often a token was asked for.
     pub(crate) asks: u32,
     /// The backend servers it was sent to.
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::choice::Ask;
 use crate::choice::Blocked;
 use crate::choice::Choice;
+use crate::choice::Lack;
 use crate::event::Action;
 use crate::event::Outcome;
 use crate::event::RequestId;
@@ -368,7 +369,9 @@
             Some(terms) => note
                 .with("asks", open.asks)
                 .with("quota", self.quotas.explain(&terms.account)),
-            None => note.with("servers", self.fleet.explain(now, &open.service)),
+            None => note
+                .with("lack", open.lack.map_or("-", Lack::as_str))
+                .with("servers", self.fleet.explain(now, &open.service)),
         };
         out.push(Action::Log(note));
         let id = open.query.id;
@@ -394,10 +397,16 @@
             // It is answered faster after that than by a server of its own.
             let until = (now + span.mul_f64(BUILD_PATIENCE)).min(open.deadline);
             open.wait_until = open.wait_until.max(Some(until));
+            open.lack = Some(Lack::State);
             return Signal::Full;
         }
-        Blocked::Full if open.tried.is_empty() => return Signal::Full,
-        Blocked::Full => Reason::Overloaded,
+        Blocked::Full(lack) => {
+            open.lack = Some(lack);
+            if open.tried.is_empty() {
+                return Signal::Full;
+            }
+            Reason::Overloaded
+        }
         Blocked::NoServer => Reason::NoServer,
         Blocked::TooLate => Reason::TimedOut,
     };
