--- a/crates/steer/tests/quotas.rs
+++ b/crates/steer/tests/quotas.rs
@@ -8,6 +8,7 @@
 use corianderway_steer::Event;
 use corianderway_steer::Member;
 use corianderway_steer::Plan;
+use corianderway_steer::RequestId;
 use quickcheck::QuickCheck;
 use rand::rngs::SmallRng;
 use rand::Rng as _;
@@ -241,6 +242,35 @@
     assert!(counts.part() >= 0.95, "{counts:?}");
 }
 
+// A relay that falls silent, and callers that leave while a token is asked for.
+#[test]
+fn a_request_for_which_no_token_is_lent_ends_soon_and_truly() {
+    let mut crowd = fleet();
+    for turn in 0..400 {
+        turn_of(&mut crowd, turn, std::iter::empty());
+    }
+    crowd.cut = vec![crowd.relay_of("north-a")];
+    let near = |at: &usize| crowd.members[*at].entry.domain.as_str() == "north-a";
+    let at = (0..63).filter(near).find(|at| !crowd.cut.contains(at));
+    let at = at.unwrap();
+    let ids: Vec<RequestId> = (0..6)
+        .map(|_| crowd.rigs[at].ask("/bids/1", None))
+        .collect();
+    crowd.collect(at);
+    crowd.step(at, Event::Left(ids[5]));
+    crowd.refused.clear();
+    let sent = crowd.forwarded.len();
+    for turn in 400..415 {
+        turn_of(&mut crowd, turn, std::iter::empty());
+    }
+    let refused: Vec<RequestId> = crowd.refused.iter().map(|row| row.1).collect();
+    assert_eq!(refused, ids[sent..5], "each but the one whose caller left");
+    for (_, _, refusal) in &crowd.refused {
+        assert_eq!(refusal.status(), 429);
+        assert!(!refusal.may_have_run && refusal.retry_after.is_some());
+    }
+}
+
 // What a hot account costs the relay is bounded, however hot it is.
 #[test]
 fn an_instance_that_was_told_that_there_is_no_token_does_not_ask_again_at_once() {
--- a/crates/steer/tests/rig/crowd.rs
+++ b/crates/steer/tests/rig/crowd.rs
@@ -14,6 +14,7 @@
 use corianderway_steer::Message;
 use corianderway_steer::Plan;
 use corianderway_steer::Reach;
+use corianderway_steer::Refusal;
 use corianderway_steer::RequestId;
 use corianderway_steer::ServerChange;
 use corianderway_steer::Source;
@@ -38,6 +39,8 @@
     /// Requests that were sent to a server, with the instances that sent them,
     /// until a test takes them.
     pub forwarded: Vec<(usize, RequestId)>,
+    /// Requests that were refused, in the same way.
+    pub refused: Vec<(usize, RequestId, Refusal)>,
     /// Tokens that were asked for.
     pub asks: usize,
     // The instance that told the last summary of each domain.
@@ -58,6 +61,7 @@
             crossed: 0,
             sources: Vec::new(),
             forwarded: Vec::new(),
+            refused: Vec::new(),
             asks: 0,
             relays: Sorted::default(),
             waiting: Vec::new(),
@@ -170,6 +174,7 @@
                     self.letters.push((number, to, message));
                 }
                 Action::Forward { id, .. } => self.forwarded.push((number, id)),
+                Action::Refuse { id, refusal } => self.refused.push((number, id, refusal)),
                 Action::Probe if !self.away.contains(&number) => self.step(number, Event::Probed),
                 Action::Follow(source) => {
                     self.sources[number] = source;
