--- a/crates/steer/tests/faults.rs
+++ b/crates/steer/tests/faults.rs
@@ -44,12 +44,20 @@
     // Attempts that reached a backend server.
     attempts: u32,
     may_have_run: bool,
-    left: bool,
-    ended: bool,
+    caller: Caller,
     // The end of the time that its route allows.
     deadline: Time,
 }
 
+/// How the caller of a request stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Caller {
+    #[default]
+    Waits,
+    Left,
+    Told,
+}
+
 /// One instance, and what is seen of its requests.
 struct Play {
     rig: Rig,
@@ -90,7 +98,7 @@
         }
         self.pass(Duration::from_secs(10));
         for (id, seen) in self.seen.iter() {
-            if !seen.ended && !seen.left {
+            if seen.caller == Caller::Waits {
                 self.broken.push(format!("{id:?} has no end: {seen:?}"));
             }
         }
@@ -152,11 +160,11 @@
     }
 
     fn leave(&mut self) {
-        let Some(id) = self.pick(|seen| !seen.ended && !seen.left) else {
+        let Some(id) = self.pick(|seen| seen.caller == Caller::Waits) else {
             return;
         };
         if let Some(seen) = self.seen.get_mut(&id) {
-            seen.left = true;
+            seen.caller = Caller::Left;
         }
         self.step(Event::Left(id));
     }
@@ -209,8 +217,8 @@
 
 fn forwarded(seen: &mut Seen) -> Option<&'static str> {
     let wrong = [
-        (seen.ended, "sent after its end"),
-        (seen.left, "sent after its caller left"),
+        (seen.caller == Caller::Told, "sent after its end"),
+        (seen.caller == Caller::Left, "sent after its caller left"),
         (seen.sent, "sent to two servers at once"),
         (
             seen.once && seen.may_have_run,
@@ -227,7 +235,7 @@
     let wrong = [
         (!seen.sent, "cancelled though nothing runs"),
         (
-            seen.left && seen.once && now < seen.deadline,
+            seen.caller == Caller::Left && seen.once && now < seen.deadline,
             "cancelled though it runs to its end",
         ),
     ];
@@ -238,11 +246,14 @@
 
 fn ended(seen: &mut Seen) -> Option<&'static str> {
     let wrong = [
-        (seen.ended, "ended twice"),
-        (seen.left, "answered though its caller left"),
+        (seen.caller == Caller::Told, "ended twice"),
+        (
+            seen.caller == Caller::Left,
+            "answered though its caller left",
+        ),
         (seen.sent, "ended while it runs"),
     ];
-    seen.ended = true;
+    seen.caller = Caller::Told;
     first(&wrong)
 }
 
