soak: a configuration that goes back is told from two versions that name the same service

Trace: the instance had served with version 2 (s2), stood still while versions 3 to 6 came (s1, s2, s1, s2), woke with a store link that broke off answers, and went on to version 5 (s1). The check took the effect of version 2 for that of version 6. No promise was broken: a run of an instance that has been seen at 2 may show 5. Ruled out: an instance that goes back (configured lines only rise), a lost version. Now each request counts as the effect of the earliest version that explains it, and one that none explains after those seen before is a fault; what is late in a calm instance is a check of its own, with its bound unchanged.

--- a/crates/standins/src/soak/promises.rs
+++ b/crates/standins/src/soak/promises.rs
@@ -37,6 +37,9 @@
 /// The part of the requests of a recovered fleet that has to be served.
 const RECOVERED: f64 = 0.9;
 
+/// The service that the route goes to at first.
+const FIRST_SERVICE: &str = "s1";
+
 /// The longest part of a history that is told of one broken promise.
 const TOLD: usize = 3;
 
@@ -62,6 +65,7 @@
     tell("the account is the key's", accounts(&calls, &runs));
     tell("a withdrawn key stops", withdrawn(history, &runs));
     tell("a leaving endpoint gets nothing", drained(history, &calls));
+    tell("a configuration is soon in force", stale(history, &runs));
     tell("a configuration never reverts", reverts(history, &runs));
     tell("a planned stop cuts off nothing", cut(history, &runs));
     tell("a rate holds", over_rate(history, &calls));
@@ -186,47 +190,39 @@
     wrong
 }
 
-// Within one run of an instance, a request that was sent after an endpoint saw
-// the effect of a version must not be served as only an older one allows.
-fn reverts(history: &History, runs: &Runs<'_>) -> Vec<String> {
-    let routes: Vec<(Instant, &str)> = history
-        .changes
-        .iter()
-        .filter_map(|(at, change)| {
-            let Change::Route(service) = change else {
-                return None;
-            };
-            Some((*at, *service))
-        })
-        .collect();
-    let service = |seen: &Seen| seen.by.rsplit('-').next().unwrap_or_default().to_owned();
+// The services that the route goes to, one after the other, and since when.
+fn routes(history: &History) -> Vec<(Instant, &'static str)> {
+    let changes = history.changes.iter();
+    let routes = changes.filter_map(|(at, change)| match change {
+        Change::Route(service) => Some((*at, *service)),
+        _ => None,
+    });
+    routes.collect()
+}
+
+// The endpoint's service, by its name.
+fn service(seen: &Seen) -> &str {
+    seen.by.rsplit('-').next().unwrap_or_default()
+}
+
+fn stale(history: &History, runs: &Runs<'_>) -> Vec<String> {
+    let routes = routes(history);
     let mut wrong = Vec::new();
     for (number, (at, to)) in routes.iter().enumerate() {
         let until = routes.get(number + 1).map(|row| row.0);
-        let moved = history
-            .calls
-            .iter()
-            .filter(|c| c.kind == Kind::Moved && c.sent > *at);
-        let moved: Vec<&Call> = moved
-            .filter(|c| until.is_none_or(|u| c.ended < u))
-            .collect();
-        for call in &moved {
+        let after = *at + IN_FORCE + SLACK;
+        let moved = history.calls.iter().filter(|c| c.kind == Kind::Moved);
+        let late = moved.filter(|c| c.sent > after && until.is_none_or(|u| c.ended < u));
+        for call in late {
             let Some(run) = runs.get(call.id.as_str()).and_then(|seen| seen.last()) else {
                 continue;
             };
-            let old = service(run) != *to;
-            let stale =
-                call.sent > *at + IN_FORCE + SLACK && history.was_calm(call.node, *at, call.ended);
-            let back = moved.iter().any(|earlier| {
-                let same = earlier.node == call.node && earlier.run == call.run;
-                let seen = runs.get(earlier.id.as_str()).and_then(|seen| seen.last());
-                same && seen.is_some_and(|s| service(s) == *to && s.at + REGRESS < call.sent)
-            });
-            if old && (stale || back) {
+            if service(run) != *to && history.was_calm(call.node, *at, call.ended) {
                 let after = call.sent - *at;
+                let by = &run.by;
                 wrong.push(format!(
-                    "{} at {}, {after:?} after the move to {to}",
-                    call.id, run.by
+                    "{} at {by}, {after:?} after the move to {to}",
+                    call.id
                 ));
             }
         }
@@ -234,6 +230,46 @@
     wrong
 }
 
+// Within one run of an instance, a request that was sent after an endpoint saw
+// the effect of a version must not be served as only an older one allows. Two
+// versions may name the same service: each request counts as the effect of the
+// earliest that explains it.
+fn reverts(history: &History, runs: &Runs<'_>) -> Vec<String> {
+    let changes = routes(history);
+    let Some(first) = changes.first() else {
+        return Vec::new();
+    };
+    let mut versions = vec![(first.0, FIRST_SERVICE)];
+    versions.extend(changes);
+    let mut of_run: BTreeMap<(usize, u32), Vec<(&Call, &Seen)>> = BTreeMap::new();
+    for call in history.calls.iter().filter(|c| c.kind == Kind::Moved) {
+        let seen = runs.get(call.id.as_str()).and_then(|seen| seen.last());
+        let rows = of_run.entry((call.node, call.run)).or_default();
+        rows.extend(seen.map(|seen| (call, *seen)));
+    }
+    let mut wrong = Vec::new();
+    for rows in of_run.values_mut() {
+        rows.sort_by_key(|row| row.1.at);
+        let mut shown: Vec<(Instant, usize)> = Vec::new();
+        for (call, seen) in rows {
+            let earlier = shown.iter().filter(|row| row.0 + REGRESS < call.sent);
+            let least = earlier.map(|row| row.1).max().unwrap_or(0);
+            let explains = |number: &usize| {
+                let (at, to) = versions[*number];
+                to == service(seen) && (*number == 0 || at <= seen.at + SLACK)
+            };
+            match (least..versions.len()).find(explains) {
+                Some(number) => shown.push((seen.at, number)),
+                None => wrong.push(format!(
+                    "{} at {}, after version {least} of the route",
+                    call.id, seen.by
+                )),
+            }
+        }
+    }
+    wrong
+}
+
 fn cut(history: &History, runs: &Runs<'_>) -> Vec<String> {
     let stops = history.disturbed.iter().filter(|d| d.planned);
     let mut wrong = Vec::new();
