--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -76,6 +76,7 @@
 mod source;
 mod split;
 mod steer;
+mod sweep;
 mod verdicts;
 mod waiting;
 mod workload;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -53,20 +53,11 @@
 use crate::workload::Workload;
 
 /// The time between two looks at everything that time alone changes.
-const SWEEP: Duration = Duration::from_millis(100);
-
-/// The time between two divisions of the rates.
-const SHARE: Duration = Duration::from_millis(250);
+pub(crate) const SWEEP: Duration = Duration::from_millis(100);
 
 /// How long the directory's advice holds.
 const ADVICE: Duration = Duration::from_secs(2);
 
-/// The time between two tries to record the progress of a move.
-const REPORT: Duration = Duration::from_secs(1);
-
-/// The time between two tries to remove the entries of lost instances.
-const FORGET: Duration = Duration::from_secs(5);
-
 /// The store counts as unsettled for this long after it was last out of reach:
 /// the endpoints' entries that lapsed meanwhile are back by then.
 const UNSETTLED: Duration = Duration::from_secs(3);
@@ -149,10 +140,10 @@
     pub(crate) digests: u64,
     // The last one that was sent.
     pub(crate) digest: Option<Arc<Digest>>,
-    swept: Time,
+    pub(crate) swept: Time,
     pub(crate) told: Time,
-    shared: Time,
-    forgot: Time,
+    pub(crate) shared: Time,
+    pub(crate) forgot: Time,
     /// Whether something happened that the others should hear at once.
     pub(crate) urgent: bool,
 }
@@ -382,37 +373,6 @@
         self.reach.0 == Reach::Nothing || disturbed
     }
 
-    fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
-        if now.since(self.swept) < SWEEP {
-            self.serve_waiting(now, out);
-            return;
-        }
-        let step = self.shifts.most_in(now, now.since(self.swept));
-        self.swept = now;
-        for (service, away, busy) in self.fleet.place_owners(&self.offers, step) {
-            let note = Note::new(Weight::Notable, "placement")
-                .with("service", service)
-                .with("away", format!("{away:.2}"))
-                .with("busy", format!("{busy:.2}"));
-            out.push(Action::Log(note));
-        }
-        self.choose_source(now, SourceSignal::Tick, out);
-        self.fleet.tick(now);
-        let serving = self.members.serving(now).map(neighbour).collect();
-        self.fleet.set_neighbours(serving);
-        if now.since(self.shared) >= SHARE {
-            self.shared = now;
-            self.share_quotas(now);
-        }
-        self.sweep_moves(now, out);
-        self.crashes.expire(now);
-        let undecided = self.verdicts.take_undecided(now);
-        self.count_failures(undecided);
-        self.forget_lost(now, out);
-        self.check_watches(now, out);
-        self.serve_waiting(now, out);
-    }
-
     pub(crate) fn share_quotas(&mut self, now: Time) {
         // Alone on the list, an instance would take whole rates.
         if self.unknown.contains(&Topic::Members) {
@@ -423,44 +383,6 @@
         self.quotas.share(now, lender, &told);
     }
 
-    fn sweep_moves(&mut self, now: Time, out: &mut Vec<Action>) {
-        let running: Vec<_> = self
-            .moves
-            .running()
-            .map(|(service, target)| (service.clone(), self.fleet.open_outside(service, target)))
-            .collect();
-        for (service, open) in running {
-            self.moves.note_open(&service, open);
-        }
-        let leads = self.members.leads(now, self.is_stored());
-        let turns = self.moves.tick(now, leads);
-        self.note_turns(turns, out);
-        if leads {
-            for (order, progress) in self.moves.unreported(now, REPORT) {
-                let service = order.service.clone();
-                out.push(Action::Report {
-                    service,
-                    order,
-                    progress,
-                });
-            }
-        }
-    }
-
-    fn forget_lost(&mut self, now: Time, out: &mut Vec<Action>) {
-        if now.since(self.forgot) < FORGET || !self.members.leads(now, self.is_stored()) {
-            return;
-        }
-        self.forgot = now;
-        for member in self.members.lost(now) {
-            let note = Note::new(Weight::Notable, "instance-lost")
-                .with("instance", &member.entry.id)
-                .with("callers", member.entry.callers);
-            out.push(Action::Log(note));
-            out.push(Action::Forget(member.clone()));
-        }
-    }
-
     fn direct(
         &mut self,
         now: Time,
@@ -502,11 +424,3 @@
         }
     }
 }
-
-fn neighbour(member: &Member) -> Neighbour {
-    Neighbour {
-        id: member.entry.id.clone(),
-        region: member.entry.region.clone(),
-        domain: member.entry.domain.clone(),
-    }
-}
