steer: lines tell a move's exposure, age and how slow its target is

A bad version that reached too many requests could not be explained from the lines: none says how many requests a move has given its target, how old it is, how the times of the two versions compare, or anything after its chart has ended.

Now each move line carries age, time to the deadline and exposure; evidence counts answers that took more than 1.5 times as long as usual; the leading instance says once a second how each move stands until ten seconds after its deadline. No decision depends on the new counts.

--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -79,6 +79,9 @@
     /// How long another request for the object, with which the server builds
     /// up its state, still runs there.
     pub(crate) builds: Option<Duration>,
+    /// The time that an answer of a sound server of its region takes that has
+    /// nothing waiting; none where the way or a cold start adds to it.
+    pub(crate) usual: Option<f64>,
     pub(crate) occupancy: f64,
     pub(crate) slots: f64,
     /// The servers it was chosen from.
@@ -277,6 +280,14 @@
         } else {
             0.0
         };
+        let typical = !away && wait <= 0.0 && server.state == State::Serving;
+        let usual = match warmth {
+            Warmth::Known => Warmth::Known,
+            // The first request for an object at a server is the slow one, also
+            // at the owner.
+            Warmth::Likely | Warmth::Unknown => Warmth::Unknown,
+        };
+        let usual = typical.then(|| pace(usual));
         let risk = server.faults() * objective + server.overdue(now) + crowd - invested;
         Choice {
             server: backend.id.clone(),
@@ -287,6 +298,7 @@
             work,
             risk,
             builds: builds.map(|rest| Duration::from_secs_f64(rest / 1_000.0)),
+            usual,
             occupancy,
             slots,
             candidates: 0,
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -191,6 +191,12 @@
     /// Requests that the old version runs.
     #[serde(rename = "f")]
     pub old_open: u32,
+    /// Requests sent to the target since the order.
+    #[serde(rename = "x", default)]
+    pub exposed: u32,
+    /// Requests sent to the service since the order.
+    #[serde(rename = "n", default)]
+    pub sent: u32,
 }
 
 /// Answers of one version on one route.
@@ -205,6 +211,12 @@
     /// Those that were failures or far too slow.
     #[serde(rename = "x")]
     pub bad: u32,
+    /// Answers whose time can be compared with the usual one.
+    #[serde(rename = "t", default)]
+    pub timed: u32,
+    /// Those that took much longer than usual.
+    #[serde(rename = "s", default)]
+    pub slow: u32,
 }
 
 impl Standing {
@@ -256,6 +268,8 @@
     /// Adds what another instance has seen of the same move.
     pub(crate) fn absorb(&mut self, other: &Self) {
         self.age_ms = self.age_ms.max(other.age_ms);
+        self.exposed += other.exposed;
+        self.sent += other.sent;
         if other.phase == self.phase {
             self.old_open += other.old_open;
             for tally in &other.target {
@@ -278,6 +292,8 @@
             Some(tally) => {
                 tally.all += self.all;
                 tally.bad += self.bad;
+                tally.timed += self.timed;
+                tally.slow += self.slow;
             }
             None => tallies.push(self),
         }
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -13,6 +13,43 @@
 /// The part of bad answers, beyond twice the old version's, that is a fault.
 const BAD_PART: f64 = 0.15;
 
+/// What one answer says of the version that gave it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answer {
+    /// Whether it was a failure or far too slow.
+    pub(crate) bad: bool,
+    /// Whether it took much longer than usual, where that can be told.
+    pub(crate) slow: Option<bool>,
+}
+
+impl Answer {
+    /// An answer that never came.
+    pub(crate) const FAILURE: Self = Self {
+        bad: true,
+        slow: None,
+    };
+
+    /// The tally of this answer alone.
+    pub(crate) fn tally(self, route: u32) -> Tally {
+        Tally {
+            route,
+            all: 1,
+            bad: u32::from(self.bad),
+            timed: u32::from(self.slow.is_some()),
+            slow: u32::from(self.slow == Some(true)),
+        }
+    }
+}
+
+/// Requests that a service was sent since the order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Exposure {
+    /// Those to the target.
+    pub(crate) target: u32,
+    /// Those to any version.
+    pub(crate) all: u32,
+}
+
 /// The answers of both versions in one phase, as seen here and as told.
 #[derive(Debug)]
 pub(crate) struct Evidence {
@@ -22,6 +59,8 @@
     pub(crate) base: Vec<Tally>,
     /// Requests that the old version runs for this instance.
     pub(crate) old_open: u32,
+    /// Requests that this instance sent.
+    pub(crate) sent: Exposure,
     domains: Sorted<FailureDomain, Sighting>,
 }
 
@@ -32,6 +71,7 @@
             target: Vec::new(),
             base: Vec::new(),
             old_open: 0,
+            sent: Exposure::default(),
             domains: Sorted::default(),
         }
     }
@@ -75,15 +115,42 @@
         self.old_open + told.sum::<u32>()
     }
 
+    /// What all instances are known to have sent.
+    pub(crate) fn exposure(&self) -> Exposure {
+        let own = self.domains.get(&self.domain);
+        let mut sum = self.sent;
+        if let Some(own) = own {
+            sum.target = sum.target.max(own.exposed);
+            sum.all = sum.all.max(own.sent);
+        }
+        for (_, other) in self.domains.iter().filter(|row| *row.0 != self.domain) {
+            sum.target += other.exposed;
+            sum.all += other.sent;
+        }
+        sum
+    }
+
     /// The evidence as text for logs.
     pub(crate) fn text(&self, phase: Phase) -> String {
-        let text = |tallies: &[Tally]| {
+        let bad = |tallies: &[Tally]| {
             let rows = tallies.iter().map(|t| format!("{}/{}", t.bad, t.all));
             rows.collect::<Vec<_>>().join(",")
         };
+        let slow = |tallies: &[Tally]| {
+            let (slow, timed) = tallies.iter().fold((0, 0), |(slow, timed), tally| {
+                (slow + tally.slow, timed + tally.timed)
+            });
+            format!("{slow}/{timed}")
+        };
         let target = self.sum(phase, |s| &s.target, &self.target);
         let base = self.sum(phase, |s| &s.base, &self.base);
-        format!("target-bad:{} old-bad:{}", text(&target), text(&base))
+        format!(
+            "target-bad:{} target-slow:{} old-bad:{} old-slow:{}",
+            bad(&target),
+            slow(&target),
+            bad(&base),
+            slow(&base)
+        )
     }
 
     // The tallies of all domains that are in the phase, together. That of this
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -11,12 +11,14 @@
 use corianderway_model::Version;
 
 use crate::digest::Sighting;
-use crate::digest::Tally;
+use crate::evidence::Answer;
 use crate::evidence::Evidence;
+use crate::evidence::Exposure;
 use crate::hash;
 use crate::lane::Lane;
 use crate::listing::Order;
 use crate::listing::Progress;
+use crate::note::Note;
 use crate::phase::Effect;
 use crate::phase::Guard;
 use crate::phase::MoveChart;
@@ -84,6 +86,29 @@
     pub(crate) from: Phase,
     pub(crate) to: Phase,
     pub(crate) evidence: String,
+    pub(crate) standing: Standing,
+}
+
+/// How far a move has come, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing {
+    pub(crate) phase: Phase,
+    /// The time since the order was first seen.
+    pub(crate) age: Duration,
+    /// The time from the order to its deadline.
+    pub(crate) span: Duration,
+    /// What all instances are known to have sent since the order.
+    pub(crate) sent: Exposure,
+}
+
+impl Standing {
+    /// Adds its values to a note.
+    pub(crate) fn describe(&self, note: Note) -> Note {
+        note.with("age_ms", self.age.as_millis())
+            .with("span_ms", self.span.as_millis())
+            .with("exposed", self.sent.target)
+            .with("sent", self.sent.all)
+    }
 }
 
 impl Moves {
@@ -156,6 +181,14 @@
         }
     }
 
+    /// Notes that a request was sent to a version.
+    pub(crate) fn note_sent(&mut self, service: &Service, version: &Version) {
+        if let Some(row) = self.rows.get_mut(service) {
+            row.evidence.sent.all += 1;
+            row.evidence.sent.target += u32::from(row.order.target == *version);
+        }
+    }
+
     /// Counts an answer or a failure of a version; true if the others should
     /// hear of it soon.
     pub(crate) fn count(
@@ -163,7 +196,7 @@
         service: &Service,
         version: &Version,
         route: &RouteName,
-        bad: bool,
+        answer: Answer,
     ) -> bool {
         let Some(row) = self.rows.get_mut(service) else {
             return false;
@@ -174,13 +207,8 @@
         } else {
             &mut row.evidence.base
         };
-        let tally = Tally {
-            route: hash::short(route.as_str()),
-            all: 1,
-            bad: u32::from(bad),
-        };
-        tally.add_to(tallies);
-        bad && of_target && row.phase < Phase::Completed
+        answer.tally(hash::short(route.as_str())).add_to(tallies);
+        answer.bad && of_target && row.phase < Phase::Completed
     }
 
     /// Services whose move runs, with their targets.
@@ -207,6 +235,8 @@
             target: row.evidence.target.clone(),
             base: row.evidence.base.clone(),
             old_open: row.evidence.old_open,
+            exposed: row.evidence.sent.target,
+            sent: row.evidence.sent.all,
         })
         .collect()
     }
@@ -273,6 +303,20 @@
         turns
     }
 
+    /// How the moves stand whose deadlines have not passed by `after`, with
+    /// the evidence of each as text.
+    pub(crate) fn standings(
+        &self,
+        now: Time,
+        after: Duration,
+    ) -> impl Iterator<Item = (&Service, Standing, String)> {
+        let rows = self
+            .rows
+            .iter()
+            .filter(move |(_, row)| now.since(row.since) < row.order.span + after);
+        rows.map(move |(service, row)| (service, row.standing(now), row.evidence.text(row.phase)))
+    }
+
     /// The orders whose progress in the store is not what it should be, at
     /// most once in `pause` each.
     pub(crate) fn unreported(&mut self, now: Time, pause: Duration) -> Vec<(Order, Progress)> {
@@ -340,9 +384,19 @@
             from,
             to: self.phase,
             evidence: why(),
+            standing: self.standing(now),
         })
     }
 
+    fn standing(&self, now: Time) -> Standing {
+        Standing {
+            phase: self.phase,
+            age: now.since(self.since),
+            span: self.order.span,
+            sent: self.evidence.exposure(),
+        }
+    }
+
     fn holds(&self, guard: Guard, now: Time, leads: bool) -> bool {
         let lasted = now.since(self.phase_since);
         match guard {
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::event::Action;
 use crate::event::Outcome;
 use crate::event::RequestId;
+use crate::evidence::Answer;
 use crate::hash;
 use crate::lane::Lane;
 use crate::note::Note;
@@ -35,6 +36,9 @@
 /// against a version.
 const FAR_TOO_SLOW: f64 = 3.0;
 
+/// How many times longer than usual an answer takes that counts as slow.
+const SLOW: f64 = 1.5;
+
 /// How much longer than expected a request waits for a server to build up the
 /// state of its object.
 const BUILD_PATIENCE: f64 = 1.5;
@@ -182,6 +186,7 @@
         let (id, addr) = (open.query.id, server.listed.backend.addr);
         let version = server.listed.backend.version.clone();
         self.shifts.count(now, choice.away);
+        self.moves.note_sent(&open.service, &version);
         let object = open.query.object.filter(|_| open.route.sticky);
         let builds = object.filter(|_| choice.warmth != Warmth::Known);
         self.fleet
@@ -287,7 +292,9 @@
                 let bad = failed || took > FAR_TOO_SLOW * cold.max(objective);
                 let earlier = self.verdicts.take_alive(&server);
                 self.count_failures(earlier);
-                self.count(&subject, bad);
+                let usual = choice.usual.filter(|_| !failed);
+                let slow = usual.map(|usual| took > SLOW * usual.max(1.0));
+                self.count(&subject, Answer { bad, slow });
             }
             Outcome::Full { load } => {
                 self.fleet.tell(now, &server, load, tolerated);
@@ -329,13 +336,13 @@
     /// Counts failures against the versions of the servers that failed.
     pub(crate) fn count_failures(&mut self, failures: Vec<Subject>) {
         for subject in failures {
-            self.count(&subject, true);
+            self.count(&subject, Answer::FAILURE);
         }
     }
 
-    fn count(&mut self, subject: &Subject, bad: bool) {
+    fn count(&mut self, subject: &Subject, answer: Answer) {
         let (service, version) = (&subject.service, &subject.version);
-        let urgent = self.moves.count(service, version, &subject.route, bad);
+        let urgent = self.moves.count(service, version, &subject.route, answer);
         self.urgent |= urgent;
     }
 
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -144,6 +144,8 @@
     pub(crate) told: Time,
     pub(crate) shared: Time,
     pub(crate) forgot: Time,
+    // When the moves were last described in the log.
+    pub(crate) described: Time,
     /// Whether something happened that the others should hear at once.
     pub(crate) urgent: bool,
 }
@@ -203,6 +205,7 @@
             told: Time::ZERO,
             shared: Time::ZERO,
             forgot: Time::ZERO,
+            described: Time::ZERO,
             urgent: false,
             members: Members::new(me),
             bounds,
@@ -406,7 +409,7 @@
                 .with("from", turn.from.as_str())
                 .with("to", turn.to.as_str())
                 .with("evidence", turn.evidence);
-            out.push(Action::Log(note));
+            out.push(Action::Log(turn.standing.describe(note)));
         }
     }
 
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -19,6 +19,12 @@
 /// The time between two tries to record the progress of a move.
 const REPORT: Duration = Duration::from_secs(1);
 
+/// The time between two lines about how a move stands.
+const DESCRIBE: Duration = Duration::from_secs(1);
+
+/// How long after its deadline a move is described.
+const DESCRIBE_AFTER: Duration = Duration::from_secs(10);
+
 /// The time between two tries to remove the entries of lost instances.
 const FORGET: Duration = Duration::from_secs(5);
 
@@ -68,6 +74,7 @@
         let turns = self.moves.tick(now, leads);
         self.note_turns(turns, out);
         if leads {
+            self.describe_moves(now, out);
             for (order, progress) in self.moves.unreported(now, REPORT) {
                 let service = order.service.clone();
                 out.push(Action::Report {
@@ -79,6 +86,22 @@
         }
     }
 
+    // Says once a second how each move stands, also after its end, since a fault
+    // may begin later than that.
+    fn describe_moves(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.described) < DESCRIBE {
+            return;
+        }
+        self.described = now;
+        for (service, standing, evidence) in self.moves.standings(now, DESCRIBE_AFTER) {
+            let note = Note::new(Weight::Notable, "move-standing")
+                .with("service", service)
+                .with("phase", standing.phase.as_str())
+                .with("evidence", evidence);
+            out.push(Action::Log(standing.describe(note)));
+        }
+    }
+
     fn forget_lost(&mut self, now: Time, out: &mut Vec<Action>) {
         if now.since(self.forgot) < FORGET || !self.members.leads(now, self.is_stored()) {
             return;
