steer: two tests that fail for a bad version's exposure

A fleet of six instances under load moves a service to another version, with servers that take time, objects that they know or not, and the store's record.

--- /dev/null
+++ b/crates/steer/tests/exposure.rs
@@ -0,0 +1,83 @@
+//! How many requests a bad version gets, and when a good one takes over.
+
+mod rig;
+
+use std::time::Duration;
+
+use corianderway_steer::Progress;
+
+use crate::rig::moving::play;
+use crate::rig::moving::Fault;
+use crate::rig::moving::Scene;
+use crate::rig::moving::Story;
+
+const SCENE: Scene = Scene {
+    seed: 1,
+    span: Duration::from_secs(15),
+    rate: 140.0,
+    work: 260.0,
+    fault: Fault::Nothing,
+    outage: None,
+    slow_servers: 0,
+};
+
+// The platform's bounds for a bad version.
+fn assert_contained(scene: Scene, story: &Story) {
+    let exposed = f64::from(story.exposed);
+    assert!(exposed <= story.allowed(), "{scene:?}: {story:?}");
+    assert_eq!(story.late, 0, "{scene:?}: {story:?}");
+    let ended = story.ended.map(|row| row.0);
+    assert_eq!(ended, Some(Progress::RolledBack), "{scene:?}: {story:?}");
+}
+
+// EXPOSURE on days like the standard ones: a move was over at half of its time.
+#[test]
+fn a_fault_that_begins_late_reaches_few_requests() {
+    for part in [0.2, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9] {
+        let onset = SCENE.span.mul_f64(part);
+        let fault = Fault::Fails { part: 0.5, onset };
+        let scene = Scene { fault, ..SCENE };
+        assert_contained(scene, &play(scene));
+    }
+}
+
+// EXPOSURE, too: only answers three times as slow as unprepared ones counted.
+#[test]
+fn a_version_twice_as_slow_reaches_few_requests() {
+    for (seed, seconds, part) in [
+        (1, 9, 1.0),
+        (1, 9, 0.5),
+        (1, 15, 0.5),
+        (2, 15, 1.0),
+        (2, 15, 0.5),
+        (3, 9, 0.5),
+    ] {
+        let fault = Fault::Slow { part, factor: 2.0 };
+        let scene = Scene {
+            seed,
+            span: Duration::from_secs(seconds),
+            rate: 50.0,
+            work: 105.0,
+            fault,
+            ..SCENE
+        };
+        assert_contained(scene, &play(scene));
+    }
+}
+
+#[test]
+fn a_good_version_takes_over_by_its_deadline() {
+    for (seconds, rate, work) in [(15, 140.0, 260.0), (9, 50.0, 105.0), (15, 65.0, 660.0)] {
+        let span = Duration::from_secs(seconds);
+        let scene = Scene {
+            span,
+            rate,
+            work,
+            ..SCENE
+        };
+        let story = play(scene);
+        let (progress, at) = story.ended.expect("an end");
+        assert_eq!(progress, Progress::Completed, "{scene:?}: {story:?}");
+        assert!(at < span, "{scene:?}: {story:?}");
+    }
+}
--- a/crates/steer/tests/quotas.rs
+++ b/crates/steer/tests/quotas.rs
@@ -79,7 +79,7 @@
         }
     }
     let forwarded = std::mem::take(&mut crowd.forwarded);
-    for (number, id) in &forwarded {
+    for (number, id, _) in &forwarded {
         let (id, outcome) = (*id, rig::answered(200));
         crowd.step(*number, Event::Attempted { id, outcome });
     }
--- a/crates/steer/tests/rig/crowd.rs
+++ b/crates/steer/tests/rig/crowd.rs
@@ -6,13 +6,16 @@
 
 use corianderway_model::FailureDomain;
 use corianderway_model::InstanceId;
+use corianderway_model::ServerId;
 use corianderway_model::Sorted;
 use corianderway_model::Time;
 use corianderway_steer::Action;
 use corianderway_steer::Event;
 use corianderway_steer::Member;
 use corianderway_steer::Message;
+use corianderway_steer::Order;
 use corianderway_steer::Plan;
+use corianderway_steer::Progress;
 use corianderway_steer::Reach;
 use corianderway_steer::Refusal;
 use corianderway_steer::RequestId;
@@ -36,9 +39,11 @@
     pub crossed: usize,
     /// What each instance follows.
     pub sources: Vec<Source>,
-    /// Requests that were sent to a server, with the instances that sent them,
+    /// Requests that were sent to servers, with the instances that sent them,
     /// until a test takes them.
-    pub forwarded: Vec<(usize, RequestId)>,
+    pub forwarded: Vec<(usize, RequestId, ServerId)>,
+    /// Progress of moves that was to be recorded, until a test takes it.
+    pub reports: Vec<(Order, Progress)>,
     /// Requests that were refused, in the same way.
     pub refused: Vec<(usize, RequestId, Refusal)>,
     /// Tokens that were asked for.
@@ -61,6 +66,7 @@
             crossed: 0,
             sources: Vec::new(),
             forwarded: Vec::new(),
+            reports: Vec::new(),
             refused: Vec::new(),
             asks: 0,
             relays: Sorted::default(),
@@ -173,7 +179,10 @@
                     }
                     self.letters.push((number, to, message));
                 }
-                Action::Forward { id, .. } => self.forwarded.push((number, id)),
+                Action::Forward { id, server, .. } => self.forwarded.push((number, id, server)),
+                Action::Report {
+                    order, progress, ..
+                } => self.reports.push((order, progress)),
                 Action::Refuse { id, refusal } => self.refused.push((number, id, refusal)),
                 Action::Probe if !self.away.contains(&number) => self.step(number, Event::Probed),
                 Action::Follow(source) => {
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the rig")]
 
 pub mod crowd;
+pub mod moving;
 
 use std::sync::Arc;
 use std::time::Duration;
