rollout: the tests of a service and its routes have a type of their own

The judge ties its tests to reports of instances by name and to latency buckets. Comparison is the part that compares two versions, by any key of a route; the judge uses it, and the decisions on the platform can. No behaviour changes; the tests of the package are the same.

--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -3,19 +3,17 @@
 use std::time::Duration;
 
 use corianderway_model::RouteName;
+use corianderway_model::Sorted;
 use corianderway_model::Time;
 
+use crate::comparison::Comparison;
 use crate::evidence::Evidence;
 use crate::evidence::Fault;
 use crate::evidence::FaultKind;
-use crate::sample::Sample;
-use crate::sample::Stratum;
-use crate::scope::Scope;
 use crate::source::Source;
 use crate::tally::Report;
 use crate::tally::RouteTally;
 use crate::tally::Tally;
-use crate::tally::MAX_ROUTES;
 
 /// The probability of condemning a version that is no worse, over a whole move.
 pub const CONDEMN_ERROR: f64 = 0.001;
@@ -26,10 +24,6 @@
 /// The same for each later step, which needs its own evidence.
 pub const STEP_ERROR: f64 = 0.2;
 
-/// The parts of an error probability for the whole service and for one route,
-/// each for one kind of fault.
-const WHOLE_PART: f64 = 0.25;
-const ROUTE_PART: f64 = 0.25 / MAX_ROUTES as f64;
 /// The part of the error of passing that the test itself may use; the rest is
 /// left for estimating the old version's ratio.
 const TEST_PART: f64 = 0.5;
@@ -55,32 +49,22 @@
 #[derive(Clone, Debug)]
 pub struct Judge {
     terms: Terms,
-    start: Time,
     // Sorted by instance.
     sources: Vec<Source>,
-    // Sorted by route.
-    routes: Vec<RouteScope>,
-    whole: Scope,
+    comparison: Comparison<RouteName>,
+    // What the old version did on each route, for the tail of its latency.
+    old: Sorted<RouteName, Tally>,
     evidence: Evidence,
 }
 
-#[derive(Clone, Debug)]
-struct RouteScope {
-    route: RouteName,
-    scope: Scope,
-    // What the old version did, for the tail of its latency.
-    old: Tally,
-}
-
 impl Judge {
     /// Makes a judge that has seen nothing.
     pub fn new(terms: Terms, now: Time) -> Self {
         Self {
             terms,
-            start: now,
             sources: Vec::new(),
-            routes: Vec::new(),
-            whole: Scope::new(terms.margin, terms.span, now),
+            comparison: Comparison::new(terms.margin, terms.span, now),
+            old: Sorted::default(),
             evidence: Evidence::default(),
         }
     }
@@ -141,28 +125,24 @@
 
     /// Whether the service as a whole is proven to this error probability.
     pub fn is_proven(&self, error: f64) -> bool {
-        self.whole.proof() >= needed(error)
+        self.comparison.proof() >= needed(error)
     }
 
     /// Whether each route is proven to this error probability.
     pub fn is_each_proven(&self, error: f64) -> bool {
-        let mut routes = self.routes.iter();
-        routes.all(|r| r.scope.proof() >= needed(error))
+        self.comparison.least_proof() >= needed(error)
     }
 
     /// Asks for new proof, as after a step of the share.
     pub fn restart_proof(&mut self) {
-        self.whole.restart_proof();
-        for route in &mut self.routes {
-            route.scope.restart_proof();
-        }
+        self.comparison.restart_proof();
     }
 
     /// Sums up what was seen.
     pub fn evidence(&self) -> Evidence {
         Evidence {
-            proof: self.whole.proof(),
-            doubt: self.strongest_doubt(),
+            proof: self.comparison.proof(),
+            doubt: self.comparison.doubt(),
             fault: self.suspected(),
             ..self.evidence.clone()
         }
@@ -171,16 +151,15 @@
     fn judge(&mut self, now: Time, fresh: &RouteTally) {
         self.sum(fresh);
         let warm = now >= self.terms.warm;
-        let at = self.route_at(&fresh.route);
-        let errors = stratum(fresh, |t| (t.total, t.failed));
-        let tail = self.routes[at].tail().filter(|_| warm);
-        let slow = tail.map(|b| stratum(fresh, |t| (t.answered(), t.above(b))));
-        self.routes[at].old.merge(&fresh.old);
-        for scope in [&mut self.routes[at].scope, &mut self.whole] {
-            scope.take(now, FaultKind::Errors, errors);
-            if let Some(slow) = slow {
-                scope.take(now, FaultKind::Slowness, slow);
-            }
+        let route = &fresh.route;
+        let old = self.old.get_or(route.clone(), Tally::default);
+        let tail = tail(old).filter(|_| warm);
+        old.merge(&fresh.old);
+        let errors = fresh.stratum(|t| (t.total, t.failed));
+        self.comparison.take(now, route, FaultKind::Errors, errors);
+        if let Some(bucket) = tail {
+            let slow = fresh.stratum(|t| (t.answered(), t.above(bucket)));
+            self.comparison.take(now, route, FaultKind::Slowness, slow);
         }
     }
 
@@ -191,59 +170,20 @@
         self.evidence.new_failed += fresh.new.failed;
     }
 
-    fn route_at(&mut self, route: &RouteName) -> usize {
-        match self.routes.binary_search_by(|r| r.route.cmp(route)) {
-            Ok(at) => at,
-            Err(at) => {
-                let scope = Scope::new(self.terms.margin, self.terms.span, self.start);
-                let entry = RouteScope {
-                    route: route.clone(),
-                    scope,
-                    old: Tally::default(),
-                };
-                self.routes.insert(at, entry);
-                at
-            }
-        }
-    }
-
     fn fault(&self, error: f64) -> Option<Fault> {
-        let whole = self.whole.fault(error * WHOLE_PART);
-        if let Some(kind) = whole {
-            return Some(Fault { kind, route: None });
-        }
-        self.routes.iter().find_map(|r| {
-            let kind = r.scope.fault(error * ROUTE_PART)?;
-            let route = Some(r.route.clone());
-            Some(Fault { kind, route })
-        })
-    }
-
-    fn strongest_doubt(&self) -> f64 {
-        let routes = self.routes.iter().map(|r| r.scope.doubt());
-        routes.fold(self.whole.doubt(), f64::max)
+        let (kind, route) = self.comparison.fault(error)?;
+        let route = route.cloned();
+        Some(Fault { kind, route })
     }
 }
 
-impl RouteScope {
-    fn tail(&self) -> Option<u8> {
-        let known = self.old.answered() >= TAIL_SAMPLES;
-        known.then(|| self.old.tail_bucket(TAIL)).flatten()
-    }
+// The bucket above which an answer is slow, once the old version's are known.
+fn tail(old: &Tally) -> Option<u8> {
+    let known = old.answered() >= TAIL_SAMPLES;
+    known.then(|| old.tail_bucket(TAIL)).flatten()
 }
 
 // The log likelihood ratio that passes a version.
 fn needed(error: f64) -> f64 {
     -(error * TEST_PART).ln()
 }
-
-fn stratum(tally: &RouteTally, pick: impl Fn(&Tally) -> (u64, u64)) -> Stratum {
-    let sample = |tally| {
-        let (total, bad) = pick(tally);
-        Sample { total, bad }
-    };
-    Stratum {
-        old: sample(&tally.old),
-        new: sample(&tally.new),
-    }
-}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -62,6 +62,7 @@
 //! ```
 
 mod capacity;
+mod comparison;
 mod doubt;
 mod drain;
 mod drain_chart;
@@ -90,6 +91,7 @@
 mod turns;
 
 pub use crate::capacity::ServerLoad;
+pub use crate::comparison::Comparison;
 pub use crate::drain::Drain;
 pub use crate::drain::DrainScope;
 pub use crate::drain::DrainStanding;
@@ -133,6 +135,8 @@
 pub use crate::record::Standing;
 pub use crate::rollout::Rollout;
 pub use crate::rollout::Standpoint;
+pub use crate::sample::Sample;
+pub use crate::sample::Stratum;
 pub use crate::share::Share;
 pub use crate::splitter::Arm;
 pub use crate::splitter::Splitter;
--- a/crates/rollout/src/sample.rs
+++ b/crates/rollout/src/sample.rs
@@ -3,18 +3,25 @@
 /// Requests of which a ratio is remembered.
 const MEMORY: u64 = 1000;
 
+/// Requests after which a stratum is complete, also with one version missing.
+const STRATUM_MOST: u64 = 200;
+
 /// Requests of both versions that ran side by side, and how many were bad.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Stratum {
-    pub(crate) old: Sample,
-    pub(crate) new: Sample,
+pub struct Stratum {
+    /// Those of the old version.
+    pub old: Sample,
+    /// Those of the new version.
+    pub new: Sample,
 }
 
 /// Requests of one version, and how many were bad.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Sample {
-    pub(crate) total: u64,
-    pub(crate) bad: u64,
+pub struct Sample {
+    /// All of them.
+    pub total: u64,
+    /// The bad ones.
+    pub bad: u64,
 }
 
 /// The requests of late: older ones fade out.
@@ -24,6 +31,13 @@
 }
 
 impl Stratum {
+    /// Whether it tells enough to be taken in. The rule looks at how many
+    /// requests there were, never at how they ended.
+    pub fn is_complete(&self) -> bool {
+        let (old, new) = (self.old.total, self.new.total);
+        (old > 0 && new > 0) || old + new >= STRATUM_MOST
+    }
+
     pub(crate) fn add(&mut self, other: Self) {
         self.old.add(other.old);
         self.new.add(other.new);
--- a/crates/rollout/src/source.rs
+++ b/crates/rollout/src/source.rs
@@ -5,9 +5,6 @@
 use crate::tally::Report;
 use crate::tally::RouteTally;
 
-/// Requests after which a stratum is closed, also with one version missing.
-const STRATUM_MOST: u64 = 200;
-
 /// What was taken from one instance.
 #[derive(Clone, Debug)]
 pub(crate) struct Source {
@@ -52,16 +49,17 @@
         new
     }
 
-    /// Closes the stratum of a route if it tells enough. The rule looks at how
-    /// many requests there were, never at how they ended.
+    /// Closes the stratum of a route if it tells enough.
     pub(crate) fn close(&mut self, tally: &RouteTally) -> Option<RouteTally> {
         let found = self.closed.binary_search_by(|r| r.route.cmp(&tally.route));
         let fresh = match found {
             Ok(at) => tally.since(&self.closed[at]),
             Err(_) => tally.clone(),
         };
-        let (old, new) = (fresh.old.total, fresh.new.total);
-        if (old == 0 || new == 0) && old + new < STRATUM_MOST {
+        if !fresh
+            .stratum(|tally| (tally.total, tally.failed))
+            .is_complete()
+        {
             return None;
         }
         match found {
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -9,6 +9,8 @@
 
 use crate::event::Stop;
 use crate::record::MoveKey;
+use crate::sample::Sample;
+use crate::sample::Stratum;
 use crate::splitter::Arm;
 
 /// The most routes of a service that are told apart; the others share a tally.
@@ -162,6 +164,19 @@
             new: self.new.since(&earlier.new),
         }
     }
+
+    /// What it says of one kind of fault; `pick` gives back how many requests
+    /// a tally has of it, and how many of them were bad.
+    pub(crate) fn stratum(&self, pick: impl Fn(&Tally) -> (u64, u64)) -> Stratum {
+        let sample = |tally| {
+            let (total, bad) = pick(tally);
+            Sample { total, bad }
+        };
+        Stratum {
+            old: sample(&self.old),
+            new: sample(&self.new),
+        }
+    }
 }
 
 impl Report {
