steer: a version is judged until its deadline, and takes over as late as that allows

What callers saw: a version whose fault began after half of its time failed half of all requests, from then on for good.

Cause: the judgement ended long before the deadline. A target was proven at 0.35 of its time, got everything at 0.45 and was completed at about 0.55; completed is final, the old servers stop, and nobody counts any more. The class: a decision that can't be taken back is made on evidence that covers a part of the time in which it may prove wrong.

Why this works: the target gets few requests until all that is left to the deadline stays within what a bad version may get, or until the old version's last requests need the time that is left. So whenever the fault begins, the sum stays within the bound. The comparison of the rollout package takes the place of fixed counts: its bets start at all times, so a late fault is not diluted by the good answers before it. The store is told 0.7 s before the deadline, and until it says so the old servers live and the target can be taken back. A target that can't take over by then is taken back.

Ruled out: a slow verdict (all instances follow within 40 ms).

--- a/crates/steer/src/bounds.rs
+++ b/crates/steer/src/bounds.rs
@@ -15,8 +15,11 @@
     pub retry_window: Duration,
     /// Repeated sendings in each span that need no requests, over all instances.
     pub retry_extra: f64,
-    /// The part of a service's requests that an unproven version may get.
+    /// The part of a service's requests, from the order to the deadline, that
+    /// a version may get that turns out bad.
     pub canary_share: f64,
+    /// Requests that it may get beside that.
+    pub canary_extra: f64,
     /// How long the directory's advice may hold.
     pub advice_most: Duration,
     /// The part of a region's requests that may change their region between
@@ -36,6 +39,7 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 50.0,
             canary_share: 0.1,
+            canary_extra: 50.0,
             advice_most: Duration::from_secs(5),
             shift_most: 0.15,
         }
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -1,16 +1,30 @@
 //! What is known of the two versions between which a service moves.
 
+use std::time::Duration;
+
 use corianderway_model::FailureDomain;
 use corianderway_model::Sorted;
+use corianderway_model::Time;
+use corianderway_rollout::Comparison;
+use corianderway_rollout::FaultKind;
+use corianderway_rollout::Sample;
+use corianderway_rollout::Stratum;
+use corianderway_rollout::CONDEMN_ERROR;
+use corianderway_rollout::SUSPECT_ERROR;
 
 use crate::digest::Sighting;
 use crate::digest::Tally;
+use crate::exposure::Exposure;
 use crate::phase::Phase;
 
-/// Bad answers on one route below which nothing is concluded.
+/// The ratio of bad answers above the old version's that is a fault.
+const MARGIN: f64 = 0.05;
+
+/// Bad answers on one route below which nothing is concluded in the takeover.
 const BAD_LEAST: u32 = 4;
 
-/// The part of bad answers, beyond twice the old version's, that is a fault.
+/// The part of bad answers, beyond twice the old version's, that is a fault in
+/// the takeover: servers that are new to their objects may be late.
 const BAD_PART: f64 = 0.15;
 
 /// What one answer says of the version that gave it.
@@ -41,16 +55,8 @@
     }
 }
 
-/// Requests that a service was sent since the order.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Exposure {
-    /// Those to the target.
-    pub(crate) target: u32,
-    /// Those to any version.
-    pub(crate) all: u32,
-}
-
-/// The answers of both versions in one phase, as seen here and as told.
+/// The answers of both versions, as seen here and as told: those of the target
+/// since the takeover began, if it did, those of the old version since the order.
 #[derive(Debug)]
 pub(crate) struct Evidence {
     // This instance's failure domain, whose sighting contains its own tallies.
@@ -62,10 +68,20 @@
     /// Requests that this instance sent.
     pub(crate) sent: Exposure,
     domains: Sorted<FailureDomain, Sighting>,
+    comparison: Comparison<u32>,
+    // What the comparison has taken, by domain and route.
+    taken: Sorted<(FailureDomain, u32), Pair>,
+}
+
+/// The tallies of one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pair {
+    target: Tally,
+    base: Tally,
 }
 
 impl Evidence {
-    pub(crate) fn new(domain: FailureDomain) -> Self {
+    pub(crate) fn new(domain: FailureDomain, span: Duration, now: Time) -> Self {
         Self {
             domain,
             target: Vec::new(),
@@ -73,13 +89,15 @@
             old_open: 0,
             sent: Exposure::default(),
             domains: Sorted::default(),
+            comparison: Comparison::new(MARGIN, span, now),
+            taken: Sorted::default(),
         }
     }
 
-    /// Begins anew with the tallies of this instance.
-    pub(crate) fn clear(&mut self) {
+    /// Judges the takeover by its own answers: those before would hide a fault
+    /// that shows only now.
+    pub(crate) fn begin_takeover(&mut self) {
         self.target.clear();
-        self.base.clear();
     }
 
     /// Takes what a failure domain has seen.
@@ -87,17 +105,44 @@
         self.domains.insert(domain, sighting);
     }
 
+    /// Compares what was told since the last time.
+    pub(crate) fn compare(&mut self, now: Time) {
+        let apart = self.domains.iter();
+        let apart = apart.filter(|row| row.1.phase == Phase::Canary as u8);
+        for (domain, sighting) in apart {
+            for route in routes(sighting) {
+                let pair = Pair {
+                    target: of_route(&sighting.target, route),
+                    base: of_route(&sighting.base, route),
+                };
+                let taken = self.taken.get_or((domain.clone(), route), Pair::default);
+                if let Some(errors) = pair.since(taken, |tally| (tally.all, tally.bad)) {
+                    let kind = FaultKind::Errors;
+                    self.comparison.take(now, &route, kind, errors);
+                    *taken = pair;
+                }
+            }
+        }
+    }
+
     /// Whether the answers of the target show a fault in a phase.
     pub(crate) fn is_bad(&self, phase: Phase) -> bool {
+        if phase == Phase::Canary {
+            return self.comparison.fault(CONDEMN_ERROR).is_some();
+        }
         let base = self.sum(phase, |s| &s.base, &self.base);
         let target = self.sum(phase, |s| &s.target, &self.target);
         target.iter().any(|target| {
-            let old = base.iter().find(|t| t.route == target.route);
-            let usual = old.map_or(0.0, |t| part(*t));
+            let usual = part(of_route(&base, target.route));
             target.bad >= BAD_LEAST && part(*target) > BAD_PART + 2.0 * usual
         })
     }
 
+    /// Whether a fault of the target is likely enough to keep it from taking over.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.comparison.fault(SUSPECT_ERROR).is_some()
+    }
+
     /// Answers of the target in a phase.
     pub(crate) fn answers(&self, phase: Phase) -> u32 {
         let target = self.sum(phase, |s| &s.target, &self.target);
@@ -105,11 +150,11 @@
     }
 
     /// Requests that the old version runs, and one for each failure domain
-    /// that is not known to have reached the phase.
-    pub(crate) fn old_open(&self, phase: Phase) -> u32 {
+    /// that may still send to it.
+    pub(crate) fn old_open(&self) -> u32 {
         let rows = self.domains.iter();
         let told = rows.map(|(_, sighting)| {
-            let behind = sighting.phase != phase as u8;
+            let behind = sighting.phase < Phase::Full as u8;
             sighting.old_open.max(u32::from(behind))
         });
         self.old_open + told.sum::<u32>()
@@ -145,11 +190,12 @@
         let target = self.sum(phase, |s| &s.target, &self.target);
         let base = self.sum(phase, |s| &s.base, &self.base);
         format!(
-            "target-bad:{} target-slow:{} old-bad:{} old-slow:{}",
+            "target-bad:{} target-slow:{} old-bad:{} old-slow:{} doubt:{:.1}",
             bad(&target),
             slow(&target),
             bad(&base),
-            slow(&base)
+            slow(&base),
+            self.comparison.doubt()
         )
     }
 
@@ -157,7 +203,9 @@
     // domain contains what this instance has seen, as of a moment ago.
     fn sum(&self, phase: Phase, of: fn(&Sighting) -> &Vec<Tally>, own: &[Tally]) -> Vec<Tally> {
         let mut sum = own.to_vec();
-        let same = self.domains.iter().filter(|row| row.1.phase == phase as u8);
+        let takes_over = |number| number >= Phase::Full as u8;
+        let same = self.domains.iter();
+        let same = same.filter(|row| takes_over(row.1.phase) == takes_over(phase as u8));
         for (domain, sighting) in same {
             for tally in of(sighting) {
                 let known = sum.iter_mut().find(|t| t.route == tally.route);
@@ -172,6 +220,43 @@
     }
 }
 
+impl Pair {
+    // What came after an earlier pair, if that tells enough. Sums fall when an
+    // instance is lost; what was counted before is then void.
+    fn since(&self, earlier: &mut Self, pick: impl Fn(&Tally) -> (u32, u32)) -> Option<Stratum> {
+        if self.target.all < earlier.target.all || self.base.all < earlier.base.all {
+            *earlier = *self;
+            return None;
+        }
+        let sample = |tally: &Tally, earlier: &Tally| {
+            let ((total, bad), before) = (pick(tally), pick(earlier));
+            Sample {
+                total: u64::from(total.saturating_sub(before.0)),
+                bad: u64::from(bad.saturating_sub(before.1)),
+            }
+        };
+        let stratum = Stratum {
+            old: sample(&self.base, &earlier.base),
+            new: sample(&self.target, &earlier.target),
+        };
+        stratum.is_complete().then_some(stratum)
+    }
+}
+
+// The routes on which a failure domain has seen answers.
+fn routes(sighting: &Sighting) -> Vec<u32> {
+    let tallies = sighting.target.iter().chain(&sighting.base);
+    let mut routes: Vec<u32> = tallies.map(|tally| tally.route).collect();
+    routes.sort_unstable();
+    routes.dedup();
+    routes
+}
+
+fn of_route(tallies: &[Tally], route: u32) -> Tally {
+    let known = tallies.iter().find(|tally| tally.route == route);
+    known.copied().unwrap_or_default()
+}
+
 fn part(tally: Tally) -> f64 {
     f64::from(tally.bad) / f64::from(tally.all.max(1))
 }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -185,6 +185,16 @@
         others.map(Server::own).sum()
     }
 
+    /// Whether a server of a version in this region handled an object lately.
+    pub(crate) fn knows(&self, service: &Service, version: &Version, object: u64) -> bool {
+        let servers = self.of(service).iter().filter_map(|id| self.server(id));
+        let mut servers = servers.filter(|server| {
+            let backend = &server.listed.backend;
+            backend.version == *version && backend.region == self.me.region
+        });
+        servers.any(|server| server.knows(object))
+    }
+
     pub(crate) fn set_terms(&mut self, service: &Service, terms: ServiceTerms) {
         self.terms.insert(service.clone(), terms);
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -52,6 +52,7 @@
 mod digest;
 mod event;
 mod evidence;
+mod exposure;
 mod fleet;
 mod gossip;
 mod hash;
@@ -78,6 +79,7 @@
 mod steer;
 mod sweep;
 mod verdicts;
+mod version_move;
 mod waiting;
 mod workload;
 
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -211,6 +211,14 @@
         stored && !others.any(|member| member.entry.id < *me)
     }
 
+    /// Whether this instance decides for all while none reaches the store.
+    pub(crate) fn leads_unstored(&self, now: Time) -> bool {
+        let me = &self.me.entry.id;
+        let stored = self.standing(now, Standing::is_stored).next().is_some();
+        let mut others = self.standing(now, Standing::serves);
+        !stored && !others.any(|member| member.entry.id < *me)
+    }
+
     /// Whose copies of the store can be followed; `seeds` may serve them, too.
     pub(crate) fn copies(&self, now: Time, seeds: &[SocketAddr]) -> Copies {
         let me = &self.me.entry;
--- a/crates/steer/src/pace.rs
+++ b/crates/steer/src/pace.rs
@@ -13,6 +13,12 @@
 /// The same for a server that has not handled the object.
 const FIRST_UNKNOWN: f64 = 1.2;
 
+/// The part of requests that end within a [`Quantile`].
+const QUANTILE: f64 = 0.9;
+
+/// How far one request moves a [`Quantile`], as a part of it.
+const QUANTILE_GAIN: f64 = 0.1;
+
 /// How likely a backend server has the state of an object at hand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Warmth {
@@ -72,3 +78,25 @@
         unknown: objective * FIRST_UNKNOWN,
     }
 }
+
+/// The time within which most requests end, learnt from each in turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Quantile(f64);
+
+impl Quantile {
+    /// Takes the time of one request, in milliseconds.
+    pub(crate) fn note(&mut self, took: f64) {
+        if self.0 <= 0.0 {
+            self.0 = took;
+        } else if took > self.0 {
+            self.0 *= 1.0 + QUANTILE_GAIN * QUANTILE;
+        } else {
+            self.0 *= 1.0 - QUANTILE_GAIN * (1.0 - QUANTILE);
+        }
+    }
+
+    /// The estimate, in milliseconds.
+    pub(crate) fn value(self) -> f64 {
+        self.0
+    }
+}
--- a/crates/steer/src/phase.rs
+++ b/crates/steer/src/phase.rs
@@ -16,8 +16,8 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Phase {
     Canary,
-    Wider,
     Full,
+    Finished,
     Completed,
     RolledBack,
 }
@@ -28,11 +28,12 @@
 pub(crate) enum Signal {
     /// Time passed.
     Tick,
-    /// Another instance is in the wider phase.
-    PeerWider,
     /// Another instance gives the target everything.
     PeerFull,
-    /// The store or another instance says that the target took over.
+    /// Another instance says that the old version has nothing left to do.
+    PeerFinished,
+    /// The store, or another instance that knows from it, says that the target
+    /// took over.
     Completed,
     /// The store or another instance says that the target was found bad.
     Withdrawn,
@@ -44,11 +45,13 @@
 pub(crate) enum Guard {
     /// The answers of the target show a fault.
     Bad,
-    /// Enough answers are known, and this instance leads.
-    Proven,
-    /// The wider phase lasted long enough, and this instance leads.
-    Settled,
-    /// The old version has nothing left to do, and this instance leads.
+    /// The target is proven and may get everything until the deadline, and
+    /// this instance leads.
+    Due,
+    /// The deadline is too near for a takeover.
+    Overdue,
+    /// The old version has nothing left to do, or the deadline is near, and
+    /// this instance leads.
     Drained,
 }
 
@@ -56,8 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Effect {
-    /// Note when the phase began, and judge it by its own answers: those of
-    /// the phase before would hide a fault that shows only now.
+    /// Note when the takeover began, and judge it by its own answers.
     Mark,
 }
 
@@ -66,8 +68,8 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Canary => "canary",
-            Self::Wider => "wider",
             Self::Full => "full",
+            Self::Finished => "finished",
             Self::Completed => "completed",
             Self::RolledBack => "rolled-back",
         }
@@ -76,8 +78,8 @@
     /// What the store is to say of a move in this phase.
     pub(crate) fn progress(self) -> Progress {
         match self {
-            Self::Canary | Self::Wider | Self::Full => Progress::Running,
-            Self::Completed => Progress::Completed,
+            Self::Canary | Self::Full => Progress::Running,
+            Self::Finished | Self::Completed => Progress::Completed,
             Self::RolledBack => Progress::RolledBack,
         }
     }
@@ -86,8 +88,8 @@
     pub(crate) fn signal(self) -> Option<Signal> {
         match self {
             Self::Canary => None,
-            Self::Wider => Some(Signal::PeerWider),
             Self::Full => Some(Signal::PeerFull),
+            Self::Finished => Some(Signal::PeerFinished),
             Self::Completed => Some(Signal::Completed),
             Self::RolledBack => Some(Signal::Withdrawn),
         }
@@ -97,8 +99,8 @@
     pub(crate) fn from_number(number: u8) -> Option<Self> {
         let all = [
             Self::Canary,
-            Self::Wider,
             Self::Full,
+            Self::Finished,
             Self::Completed,
             Self::RolledBack,
         ];
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -218,7 +218,11 @@
     }
 
     fn choose(&mut self, now: Time, open: &Open) -> Result<Choice, Blocked> {
-        let lane = self.moves.lane(now, &open.service, self.rng.random());
+        let object = open.query.object.filter(|_| open.route.sticky);
+        let fleet = &self.fleet;
+        let knows = |version: &_| object.map(|o| fleet.knows(&open.service, version, o));
+        let draw = self.rng.random();
+        let lane = self.moves.lane(now, &open.service, draw, knows);
         let first = self.choose_in(now, open, &lane);
         let fallback = self.moves.fallback(&open.service, &lane);
         match (first, fallback) {
@@ -272,6 +276,7 @@
             service: open.service.clone(),
             version,
             route: open.route.name.clone(),
+            took,
         };
         match outcome {
             Outcome::Answered { status, load } => {
@@ -341,8 +346,7 @@
     }
 
     fn count(&mut self, subject: &Subject, answer: Answer) {
-        let (service, version) = (&subject.service, &subject.version);
-        let urgent = self.moves.count(service, version, &subject.route, answer);
+        let urgent = self.moves.count(subject, answer);
         self.urgent |= urgent;
     }
 
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -23,12 +23,12 @@
 use crate::event::Event;
 use crate::event::Reach;
 use crate::event::RequestId;
+use crate::exposure::Allowance;
 use crate::fleet::Fleet;
 use crate::fleet::Neighbour;
 use crate::listing::Member;
 use crate::members::Members;
 use crate::moves::Moves;
-use crate::moves::Turn;
 use crate::note::Note;
 use crate::note::Weight;
 use crate::phase::MOVE_CHART;
@@ -48,6 +48,7 @@
 use crate::source::SOURCE_CHART;
 use crate::split::Splits;
 use crate::verdicts::Verdicts;
+use crate::version_move::Turn;
 use crate::waiting::Rooms;
 use crate::workload::Offers;
 use crate::workload::Workload;
@@ -177,7 +178,10 @@
             seeds: Vec::new(),
             moves: Moves::new(
                 moves.context(chart("edge-move.yaml"))?,
-                bounds.canary_share,
+                Allowance {
+                    share: bounds.canary_share,
+                    extra: bounds.canary_extra,
+                },
                 me.entry.domain.clone(),
             ),
             quotas: Quotas::new(),
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -71,7 +71,10 @@
             self.moves.note_open(&service, open);
         }
         let leads = self.members.leads(now, self.is_stored());
-        let turns = self.moves.tick(now, leads);
+        // A target may take over while the store is away, so that the store
+        // can be told as soon as it is back.
+        let decides = leads || self.members.leads_unstored(now);
+        let turns = self.moves.tick(now, decides);
         self.note_turns(turns, out);
         if leads {
             self.describe_moves(now, out);
--- a/crates/steer/src/verdicts.rs
+++ b/crates/steer/src/verdicts.rs
@@ -22,6 +22,8 @@
     pub(crate) service: Service,
     pub(crate) version: Version,
     pub(crate) route: RouteName,
+    /// How long it took, in milliseconds.
+    pub(crate) took: f64,
 }
 
 /// The failures that wait for a sign of their servers, oldest first.
--- /dev/null
+++ b/crates/steer/src/version_move.rs
@@ -0,0 +1,326 @@
+//! One move of a service to another version.
+
+use std::time::Duration;
+
+use corianderway_model::FailureDomain;
+use corianderway_model::Service;
+use corianderway_model::Time;
+use corianderway_model::Version;
+use corianderway_rollout::Arm;
+use corianderway_rollout::Share;
+use corianderway_rollout::Splitter;
+
+use crate::digest::Sighting;
+use crate::evidence::Answer;
+use crate::evidence::Evidence;
+use crate::exposure::Allowance;
+use crate::exposure::Exposure;
+use crate::exposure::Rate;
+use crate::hash;
+use crate::lane::Lane;
+use crate::listing::Order;
+use crate::listing::Progress;
+use crate::note::Note;
+use crate::pace::Quantile;
+use crate::phase::Effect;
+use crate::phase::Guard;
+use crate::phase::MoveChart;
+use crate::phase::Phase;
+use crate::phase::Signal;
+use crate::verdicts::Subject;
+
+/// Answers that prove a target.
+const PROOF: u32 = 3;
+
+/// The least time for which a target takes everything before the old version
+/// may stop, where the deadline allows: a few answers of every instance.
+const FULL_SPAN: Duration = Duration::from_millis(1_500);
+
+/// The time before the deadline at which the store is told how the move ends;
+/// covers the write, and operators that poll the status.
+const FINISH: Duration = Duration::from_millis(700);
+
+/// The least time for the old version's last requests.
+const DRAIN_LEAST: Duration = Duration::from_millis(800);
+
+/// The longest wait for the old version's last requests.
+const DRAIN_MOST: Duration = Duration::from_secs(2);
+
+/// The time between two tries to record that a move is over.
+const REPORT_END: Duration = Duration::from_millis(300);
+
+/// One move.
+#[derive(Debug)]
+pub(crate) struct Move {
+    pub(crate) order: Order,
+    pub(crate) phase: Phase,
+    pub(crate) evidence: Evidence,
+    allowance: Allowance,
+    since: Time,
+    phase_since: Time,
+    rate: Rate,
+    splitter: Splitter,
+    // Whether the next request to the target had better be for an object that
+    // one of its servers knows.
+    wants_known: bool,
+    // How long most requests of the old version take.
+    held: Quantile,
+    reported: Option<(Progress, Time)>,
+}
+
+/// A change of a move, for the log and the store.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    pub(crate) service: Service,
+    pub(crate) from: Phase,
+    pub(crate) to: Phase,
+    pub(crate) evidence: String,
+    pub(crate) standing: Standing,
+}
+
+/// How far a move has come, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing {
+    pub(crate) phase: Phase,
+    /// The time since the order was first seen.
+    pub(crate) age: Duration,
+    /// The time from the order to its deadline.
+    pub(crate) span: Duration,
+    /// What all instances are known to have sent since the order.
+    pub(crate) sent: Exposure,
+}
+
+impl Standing {
+    /// Adds its values to a note.
+    pub(crate) fn describe(&self, note: Note) -> Note {
+        note.with("age_ms", self.age.as_millis())
+            .with("span_ms", self.span.as_millis())
+            .with("exposed", self.sent.target)
+            .with("sent", self.sent.all)
+    }
+}
+
+impl Move {
+    pub(crate) fn new(
+        now: Time,
+        order: Order,
+        domain: FailureDomain,
+        allowance: Allowance,
+    ) -> Self {
+        Self {
+            phase: Phase::Canary,
+            evidence: Evidence::new(domain, order.span, now),
+            order,
+            allowance,
+            since: now,
+            phase_since: now,
+            rate: Rate::default(),
+            splitter: Splitter::default(),
+            wants_known: false,
+            held: Quantile::default(),
+            reported: None,
+        }
+    }
+
+    /// Which versions a request may go to; `draw` is a random number, `known`
+    /// tells whether a server of the target knows the request's object.
+    pub(crate) fn lane(&mut self, now: Time, draw: u64, known: Option<bool>) -> Lane {
+        let to_target = match self.phase {
+            Phase::Canary => self.takes(now, draw, known),
+            Phase::Full | Phase::Finished | Phase::Completed => true,
+            Phase::RolledBack => false,
+        };
+        let target = self.order.target.clone();
+        if to_target {
+            Lane::Only(target)
+        } else {
+            Lane::Not(target)
+        }
+    }
+
+    // Whether a request goes to the target before it takes over. New objects
+    // and known ones take turns: the former prepare its servers for the
+    // takeover, the times of the latter can be compared.
+    fn takes(&mut self, now: Time, draw: u64, known: Option<bool>) -> bool {
+        let share = Share::from_ratio(self.canary_share(now));
+        let wanted = known.is_none_or(|known| known == self.wants_known);
+        let draw = if wanted { 0 } else { draw };
+        let taken = self.splitter.choose(share, draw) == Arm::New;
+        if taken && known.is_some() {
+            self.wants_known = !self.wants_known;
+        }
+        taken
+    }
+
+    // Requests a second since the order.
+    fn mean_rate(&self, now: Time) -> f64 {
+        let sent = f64::from(self.evidence.exposure().all);
+        sent / now.since(self.since).as_secs_f64().max(1.0)
+    }
+
+    fn canary_share(&self, now: Time) -> f64 {
+        let mean = self.mean_rate(now);
+        let total = mean * self.order.span.as_secs_f64();
+        let rest = mean * self.takeover().as_secs_f64();
+        self.allowance.canary_share(total, rest)
+    }
+
+    // The time before the deadline that the old version's last requests and
+    // the report to the store need.
+    fn takeover(&self) -> Duration {
+        let held = Duration::from_secs_f64(self.held.value() / 1_000.0);
+        held.clamp(DRAIN_LEAST, DRAIN_MOST) + FINISH
+    }
+
+    /// Counts an answer or a failure of a version; true if the others should
+    /// hear of it soon.
+    pub(crate) fn count(&mut self, subject: &Subject, answer: Answer) -> bool {
+        let tally = answer.tally(hash::short(subject.route.as_str()));
+        if self.is_target(&subject.version) {
+            tally.add_to(&mut self.evidence.target);
+            return answer.bad && self.phase < Phase::Completed;
+        }
+        tally.add_to(&mut self.evidence.base);
+        self.held.note(subject.took);
+        false
+    }
+
+    /// Takes over the age that another instance knows of the order, if that
+    /// saw it earlier.
+    pub(crate) fn take_age(&mut self, now: Time, age: Duration) {
+        if now.since(self.since) < age {
+            self.since = Time::from_nanos(now.nanos().saturating_sub(age.as_nanos() as u64));
+        }
+    }
+
+    /// What to tell the other instances.
+    pub(crate) fn tell(&self, now: Time) -> Sighting {
+        Sighting {
+            service: self.order.service.clone(),
+            order: self.order.created,
+            age_ms: now.since(self.since).as_millis() as u64,
+            phase: self.phase as u8,
+            target: self.evidence.target.clone(),
+            base: self.evidence.base.clone(),
+            old_open: self.evidence.old_open,
+            exposed: self.evidence.sent.target,
+            sent: self.evidence.sent.all,
+        }
+    }
+
+    /// Whether its deadline lies no longer than `after` in the past.
+    pub(crate) fn is_recent(&self, now: Time, after: Duration) -> bool {
+        now.since(self.since) < self.order.span + after
+    }
+
+    pub(crate) fn standing(&self, now: Time) -> Standing {
+        Standing {
+            phase: self.phase,
+            age: now.since(self.since),
+            span: self.order.span,
+            sent: self.evidence.exposure(),
+        }
+    }
+
+    /// Lets time pass; gives back what changed.
+    pub(crate) fn tick(&mut self, chart: &MoveChart, now: Time, leads: bool) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        self.rate.note(now, self.evidence.exposure().all);
+        if self.phase == Phase::Canary {
+            self.evidence.compare(now);
+        }
+        let stored = match self.order.progress {
+            Some(Progress::Completed) => Some(Signal::Completed),
+            Some(Progress::RolledBack) => Some(Signal::Withdrawn),
+            Some(Progress::Running) | None => None,
+        };
+        if let Some(signal) = stored {
+            let why = || "stored".to_owned();
+            turns.extend(self.advance(chart, now, signal, leads, &why));
+        }
+        let evidence = self.evidence.text(self.phase);
+        turns.extend(self.advance(chart, now, Signal::Tick, leads, &|| evidence.clone()));
+        turns
+    }
+
+    /// Moves it along its chart.
+    pub(crate) fn advance(
+        &mut self,
+        chart: &MoveChart,
+        now: Time,
+        signal: Signal,
+        leads: bool,
+        why: &dyn Fn() -> String,
+    ) -> Option<Turn> {
+        if chart.is_final(self.phase) {
+            return None;
+        }
+        let from = self.phase;
+        let step = chart.step(from, signal, |guard| self.holds(guard, now, leads));
+        self.phase = step.to;
+        for effect in step.actions {
+            match effect {
+                Effect::Mark => {
+                    self.phase_since = now;
+                    self.evidence.begin_takeover();
+                }
+            }
+        }
+        (from != self.phase).then(|| Turn {
+            service: self.order.service.clone(),
+            from,
+            to: self.phase,
+            evidence: why(),
+            standing: self.standing(now),
+        })
+    }
+
+    fn holds(&self, guard: Guard, now: Time, leads: bool) -> bool {
+        let left = self.order.span.saturating_sub(now.since(self.since));
+        match guard {
+            Guard::Bad => self.evidence.is_bad(self.phase),
+            Guard::Due => leads && self.may_take_over(now, left),
+            Guard::Overdue => left <= FINISH,
+            Guard::Drained => {
+                let lasted = now.since(self.phase_since);
+                let idle = lasted >= FULL_SPAN && self.evidence.old_open() == 0;
+                leads && (idle || left <= FINISH)
+            }
+        }
+    }
+
+    // Whether the target is proven, and may get everything from now on, or has
+    // to so that the old version's requests end by the deadline.
+    fn may_take_over(&self, now: Time, left: Duration) -> bool {
+        let proven = self.evidence.answers(self.phase) >= PROOF && !self.evidence.is_suspect();
+        let covered = self.rate.per_second().is_some_and(|recent| {
+            let rest = recent.max(self.mean_rate(now)) * left.as_secs_f64();
+            self.allowance.covers(self.evidence.exposure(), rest)
+        });
+        proven && (covered || left <= self.takeover())
+    }
+
+    /// What the store is to say of it, if it does not say so and was not told
+    /// within `pause`.
+    pub(crate) fn unreported(&mut self, now: Time, pause: Duration) -> Option<Progress> {
+        let progress = self.phase.progress();
+        let said = self.order.progress;
+        let known = said == Some(progress) || said > Some(Progress::Running);
+        let pause = if progress == Progress::Running {
+            pause
+        } else {
+            REPORT_END
+        };
+        let told = |(last, at): (Progress, Time)| last == progress && now.since(at) < pause;
+        let due = !known && !self.reported.is_some_and(told);
+        due.then(|| {
+            self.reported = Some((progress, now));
+            progress
+        })
+    }
+
+    /// Whether a version is the one that takes over.
+    pub(crate) fn is_target(&self, version: &Version) -> bool {
+        self.order.target == *version
+    }
+}
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -47,6 +47,22 @@
     targets
 }
 
+// The store takes what is reported, and says so.
+fn record(rig: &mut Rig, done: &[Action]) {
+    let reports = done.iter().filter_map(|action| match action {
+        Action::Report {
+            order, progress, ..
+        } => Some((order, *progress)),
+        _ => None,
+    });
+    for (order, progress) in reports {
+        let mut order = order.clone();
+        order.progress = Some(progress);
+        order.revision += 1;
+        rig.step(Event::Orders(vec![order]));
+    }
+}
+
 // Plays some requests a second against a move until its deadline.
 fn play(target: Target, rate: u64) -> Played {
     let mut rig = Rig::new();
@@ -168,6 +184,7 @@
             rig.end(id, answered(200));
         }
         let done = rig.pass(Duration::from_millis(25));
+        record(&mut rig, &done);
         full |= turned(&done, "full");
         assert!(!turned(&done, "rolled-back"), "at {turn}");
         if turned(&done, "completed") {
