steer: a version's slowness is compared with the old version's, not with a limit

What callers saw: a version about twice as slow took over and kept everything.

Cause: an answer counted against a version at three times the larger of the route's objective and an unprepared server's time, as a failure. A version twice as slow shows by that only where requests run into the route's timeout, which those of the service with the shortest requests do not. The class: a fault measured by the limit at which it hurts, not by the difference that it makes; with few requests at the target only the difference shows in time.

Evidence: move lines of sealbook at twice the time, before it took over: target-slow:6/9 old-slow:0/243, target-bad:1/12.

Why this works: each answer is compared with what the same route usually takes at a server that knows the object, or at one that may not; the parts of slow answers of both versions, at the same time, go through the same tests as failures. Most requests to the target are for objects that its servers know. Failures and slowness are counted apart; a timeout is slowness. A suspect does not take over, and the takeover counts slow answers, too.

A fifth of the servers slow by themselves takes no good version back (test, eight moves).

--- a/crates/rollout/src/comparison.rs
+++ b/crates/rollout/src/comparison.rs
@@ -60,6 +60,15 @@
         })
     }
 
+    /// Whether the new version is shown to be worse to an error probability, be
+    /// the difference large or not.
+    pub fn is_worse(&self, error: f64) -> bool {
+        let least = |part: f64| -(error * part).ln();
+        let mut routes = self.routes.iter();
+        self.whole.doubt() >= least(WHOLE_PART)
+            || routes.any(|(_, scope)| scope.doubt() >= least(ROUTE_PART))
+    }
+
     /// The log of the strongest e-value against the new version.
     pub fn doubt(&self) -> f64 {
         let routes = self.routes.iter().map(|(_, scope)| scope.doubt());
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -281,13 +281,8 @@
             0.0
         };
         let typical = !away && wait <= 0.0 && server.state == State::Serving;
-        let usual = match warmth {
-            Warmth::Known => Warmth::Known,
-            // The first request for an object at a server is the slow one, also
-            // at the owner.
-            Warmth::Likely | Warmth::Unknown => Warmth::Unknown,
-        };
-        let usual = typical.then(|| pace(usual));
+        let usual = self.paces.usual(&ask.route.name, objective, warmth);
+        let usual = typical.then_some(usual);
         let risk = server.faults() * objective + server.overdue(now) + crowd - invested;
         Choice {
             server: backend.id.clone(),
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -208,10 +208,10 @@
     /// All answers and failures.
     #[serde(rename = "n")]
     pub all: u32,
-    /// Those that were failures or far too slow.
+    /// Those that were failures.
     #[serde(rename = "x")]
     pub bad: u32,
-    /// Answers whose time can be compared with the usual one.
+    /// Requests whose time can be compared with the usual one.
     #[serde(rename = "t", default)]
     pub timed: u32,
     /// Those that took much longer than usual.
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -23,34 +23,35 @@
 /// Bad answers on one route below which nothing is concluded in the takeover.
 const BAD_LEAST: u32 = 4;
 
-/// The part of bad answers, beyond twice the old version's, that is a fault in
-/// the takeover: servers that are new to their objects may be late.
-const BAD_PART: f64 = 0.15;
+/// The same for slow answers.
+const SLOW_LEAST: u32 = 4;
 
-/// What one answer says of the version that gave it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Answer {
-    /// Whether it was a failure or far too slow.
-    pub(crate) bad: bool,
-    /// Whether it took much longer than usual, where that can be told.
-    pub(crate) slow: Option<bool>,
+/// The part of slow answers, beyond twice the old version's, that is a fault in
+/// the takeover, when servers meet many new objects at once.
+const SLOW_PART: f64 = 0.12;
+
+/// What the end of one request says of the version that ran it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// It failed.
+    Failed,
+    /// It took much longer than usual, or no answer came in time.
+    Slow,
+    /// It took about as long as usual.
+    Usual,
+    /// It was answered; there is no usual time to compare with.
+    Whole,
 }
 
 impl Answer {
-    /// An answer that never came.
-    pub(crate) const FAILURE: Self = Self {
-        bad: true,
-        slow: None,
-    };
-
     /// The tally of this answer alone.
     pub(crate) fn tally(self, route: u32) -> Tally {
         Tally {
             route,
             all: 1,
-            bad: u32::from(self.bad),
-            timed: u32::from(self.slow.is_some()),
-            slow: u32::from(self.slow == Some(true)),
+            bad: u32::from(self == Self::Failed),
+            timed: u32::from(matches!(self, Self::Slow | Self::Usual)),
+            slow: u32::from(self == Self::Slow),
         }
     }
 }
@@ -116,10 +117,19 @@
                     base: of_route(&sighting.base, route),
                 };
                 let taken = self.taken.get_or((domain.clone(), route), Pair::default);
-                if let Some(errors) = pair.since(taken, |tally| (tally.all, tally.bad)) {
-                    let kind = FaultKind::Errors;
-                    self.comparison.take(now, &route, kind, errors);
+                if pair.fell(taken) {
                     *taken = pair;
+                    continue;
+                }
+                let errors = pair.since(taken, |tally| (tally.all, tally.bad));
+                if !errors.is_complete() {
+                    continue;
+                }
+                let slowness = pair.since(taken, |tally| (tally.timed, tally.slow));
+                *taken = pair;
+                let kinds = [(FaultKind::Errors, errors), (FaultKind::Slowness, slowness)];
+                for (kind, stratum) in kinds {
+                    self.comparison.take(now, &route, kind, stratum);
                 }
             }
         }
@@ -133,14 +143,17 @@
         let base = self.sum(phase, |s| &s.base, &self.base);
         let target = self.sum(phase, |s| &s.target, &self.target);
         target.iter().any(|target| {
-            let usual = part(of_route(&base, target.route));
-            target.bad >= BAD_LEAST && part(*target) > BAD_PART + 2.0 * usual
+            let old = of_route(&base, target.route);
+            let fails = ratio(target.bad, target.all) > MARGIN + 2.0 * ratio(old.bad, old.all);
+            let lags =
+                ratio(target.slow, target.timed) > SLOW_PART + 2.0 * ratio(old.slow, old.timed);
+            (target.bad >= BAD_LEAST && fails) || (target.slow >= SLOW_LEAST && lags)
         })
     }
 
     /// Whether a fault of the target is likely enough to keep it from taking over.
     pub(crate) fn is_suspect(&self) -> bool {
-        self.comparison.fault(SUSPECT_ERROR).is_some()
+        self.comparison.is_worse(SUSPECT_ERROR)
     }
 
     /// Answers of the target in a phase.
@@ -221,13 +234,13 @@
 }
 
 impl Pair {
-    // What came after an earlier pair, if that tells enough. Sums fall when an
-    // instance is lost; what was counted before is then void.
-    fn since(&self, earlier: &mut Self, pick: impl Fn(&Tally) -> (u32, u32)) -> Option<Stratum> {
-        if self.target.all < earlier.target.all || self.base.all < earlier.base.all {
-            *earlier = *self;
-            return None;
-        }
+    // Whether an instance was lost with what it had counted.
+    fn fell(&self, earlier: &Self) -> bool {
+        self.target.all < earlier.target.all || self.base.all < earlier.base.all
+    }
+
+    // What came after an earlier pair, of one kind of fault.
+    fn since(&self, earlier: &Self, pick: impl Fn(&Tally) -> (u32, u32)) -> Stratum {
         let sample = |tally: &Tally, earlier: &Tally| {
             let ((total, bad), before) = (pick(tally), pick(earlier));
             Sample {
@@ -235,11 +248,10 @@
                 bad: u64::from(bad.saturating_sub(before.1)),
             }
         };
-        let stratum = Stratum {
+        Stratum {
             old: sample(&self.base, &earlier.base),
             new: sample(&self.target, &earlier.target),
-        };
-        stratum.is_complete().then_some(stratum)
+        }
     }
 }
 
@@ -257,6 +269,6 @@
     known.copied().unwrap_or_default()
 }
 
-fn part(tally: Tally) -> f64 {
-    f64::from(tally.bad) / f64::from(tally.all.max(1))
+fn ratio(part: u32, whole: u32) -> f64 {
+    f64::from(part) / f64::from(whole.max(1))
 }
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -10,14 +10,13 @@
 use corianderway_model::Version;
 
 use crate::digest::Sighting;
-use crate::evidence::Answer;
 use crate::exposure::Allowance;
 use crate::lane::Lane;
 use crate::listing::Order;
 use crate::listing::Progress;
 use crate::phase::MoveChart;
 use crate::phase::Phase;
-use crate::verdicts::Subject;
+use crate::verdicts::Observation;
 use crate::version_move::Move;
 use crate::version_move::Standing;
 use crate::version_move::Turn;
@@ -119,9 +118,9 @@
 
     /// Counts an answer or a failure of a version; true if the others should
     /// hear of it soon.
-    pub(crate) fn count(&mut self, subject: &Subject, answer: Answer) -> bool {
-        let row = self.rows.get_mut(&subject.service);
-        row.is_some_and(|row| row.count(subject, answer))
+    pub(crate) fn count(&mut self, observation: &Observation) -> bool {
+        let row = self.rows.get_mut(&observation.service);
+        row.is_some_and(|row| row.count(observation))
     }
 
     /// Services whose move runs, with their targets.
--- a/crates/steer/src/pace.rs
+++ b/crates/steer/src/pace.rs
@@ -36,6 +36,8 @@
     known: f64,
     likely: f64,
     unknown: f64,
+    /// The longer times at servers that may not have handled the object.
+    longer: Quantile,
 }
 
 /// The times that requests take, by route.
@@ -49,6 +51,17 @@
         means.unwrap_or_else(|| first(objective)).of(warmth)
     }
 
+    /// The time that a request usually takes at a server that has handled its
+    /// object, or the longest that is usual at one that may not have.
+    pub(crate) fn usual(&self, route: &RouteName, objective: f64, warmth: Warmth) -> f64 {
+        let means = self.0.get(route).copied();
+        let means = means.unwrap_or_else(|| first(objective));
+        match warmth {
+            Warmth::Known => means.known,
+            Warmth::Likely | Warmth::Unknown => means.unknown.max(means.longer.value()),
+        }
+    }
+
     /// Takes a measurement of a request that did not have to wait.
     pub(crate) fn learn(&mut self, route: &RouteName, objective: f64, warmth: Warmth, took: f64) {
         let means = self.0.get_or(route.clone(), || first(objective));
@@ -58,6 +71,9 @@
             Warmth::Unknown => &mut means.unknown,
         };
         *mean += (took - *mean) * GAIN;
+        if warmth != Warmth::Known {
+            means.longer.note(took);
+        }
     }
 }
 
@@ -76,6 +92,7 @@
         known: objective * FIRST_KNOWN,
         likely: objective * FIRST_UNKNOWN,
         unknown: objective * FIRST_UNKNOWN,
+        longer: Quantile::default(),
     }
 }
 
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -235,7 +235,7 @@
     }
     let bad = |d: &Digest| -> u32 {
         let tallies = d.moves.iter().flat_map(|m| &m.target);
-        tallies.map(|t| t.bad).sum()
+        tallies.map(|t| t.bad + t.slow).sum()
     };
     let phases = |d: &Digest| -> Vec<u8> { d.moves.iter().map(|m| m.phase).collect() };
     let stands = known.run == digest.run
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -27,15 +27,11 @@
 use crate::request::State;
 use crate::server::millis;
 use crate::steer::Steer;
-use crate::verdicts::Subject;
+use crate::verdicts::Observation;
 
 /// How long a server that said it was full gets nothing.
 const FULL_SPAN: Duration = Duration::from_millis(40);
 
-/// How many times longer than expected an answer may take before it counts
-/// against a version.
-const FAR_TOO_SLOW: f64 = 3.0;
-
 /// How many times longer than usual an answer takes that counts as slow.
 const SLOW: f64 = 1.5;
 
@@ -50,6 +46,9 @@
 /// The lowest HTTP status that is a failure of the backend server.
 const SERVER_FAULT: u16 = 500;
 
+/// The HTTP status of a backend server that did not answer in time.
+const TIMEOUT: u16 = 504;
+
 impl Steer {
     /// Takes the departure of a caller.
     pub(crate) fn depart(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
@@ -272,11 +271,12 @@
         let paces = &self.fleet.paces;
         let known = paces.expect(&open.route.name, objective, Warmth::Known);
         let tolerated = ((objective - known) * WAIT_TOLERATED / known.max(1.0)).max(0.0);
-        let subject = Subject {
+        let about = |answer| Observation {
             service: open.service.clone(),
-            version,
+            version: version.clone(),
             route: open.route.name.clone(),
             took,
+            answer,
         };
         match outcome {
             Outcome::Answered { status, load } => {
@@ -290,16 +290,18 @@
                     let name = &open.route.name;
                     self.fleet.paces.learn(name, objective, choice.warmth, took);
                 }
-                let cold = self
-                    .fleet
-                    .paces
-                    .expect(&open.route.name, objective, Warmth::Unknown);
-                let bad = failed || took > FAR_TOO_SLOW * cold.max(objective);
                 let earlier = self.verdicts.take_alive(&server);
-                self.count_failures(earlier);
-                let usual = choice.usual.filter(|_| !failed);
-                let slow = usual.map(|usual| took > SLOW * usual.max(1.0));
-                self.count(&subject, Answer { bad, slow });
+                self.count_all(earlier);
+                let answer = match (status, choice.usual) {
+                    (TIMEOUT, usual) => usual.map(|_| Answer::Slow),
+                    (SERVER_FAULT.., _) => Some(Answer::Failed),
+                    (_, Some(usual)) if took > SLOW * usual.max(1.0) => Some(Answer::Slow),
+                    (_, Some(_)) => Some(Answer::Usual),
+                    (_, None) => Some(Answer::Whole),
+                };
+                if let Some(answer) = answer {
+                    self.count(&about(answer));
+                }
             }
             Outcome::Full { load } => {
                 self.fleet.tell(now, &server, load, tolerated);
@@ -315,13 +317,17 @@
             Outcome::Broken => {
                 self.fleet.fault(now, &server, false);
                 self.crashes.broke(now, open.query.signature, short);
-                self.verdicts.hold(now, server.clone(), subject);
+                let failure = about(Answer::Failed);
+                self.verdicts.hold(now, server.clone(), failure);
             }
             Outcome::TimedOut => {
                 if now >= open.deadline {
                     let ratio = took / expected.max(1.0);
                     self.fleet.pass(now, &server, ratio, false);
-                    self.verdicts.hold(now, server.clone(), subject);
+                    if choice.usual.is_some() {
+                        let slow = about(Answer::Slow);
+                        self.verdicts.hold(now, server.clone(), slow);
+                    }
                 }
             }
         }
@@ -338,15 +344,15 @@
         out.push(Action::Log(note));
     }
 
-    /// Counts failures against the versions of the servers that failed.
-    pub(crate) fn count_failures(&mut self, failures: Vec<Subject>) {
-        for subject in failures {
-            self.count(&subject, Answer::FAILURE);
+    /// Counts observations for the versions that they are about.
+    pub(crate) fn count_all(&mut self, observations: Vec<Observation>) {
+        for observation in observations {
+            self.count(&observation);
         }
     }
 
-    fn count(&mut self, subject: &Subject, answer: Answer) {
-        let urgent = self.moves.count(subject, answer);
+    fn count(&mut self, observation: &Observation) {
+        let urgent = self.moves.count(observation);
         self.urgent |= urgent;
     }
 
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -55,7 +55,7 @@
         self.sweep_moves(now, out);
         self.crashes.expire(now);
         let undecided = self.verdicts.take_undecided(now);
-        self.count_failures(undecided);
+        self.count_all(undecided);
         self.forget_lost(now, out);
         self.check_watches(now, out);
         self.serve_waiting(now, out);
--- a/crates/steer/src/verdicts.rs
+++ b/crates/steer/src/verdicts.rs
@@ -1,4 +1,4 @@
-//! Subjects that may be those of a backend server's death, not of its version.
+//! Failures that may be those of a backend server's death, not of its version.
 //!
 //! A connection that broke or an answer that never came counts against the
 //! version of a server only if the server turns out to live: a failure domain
@@ -12,27 +12,30 @@
 use corianderway_model::Time;
 use corianderway_model::Version;
 
+use crate::evidence::Answer;
+
 /// How long a failure waits for a sign of its server; a dead one is found by
 /// the next connection to it.
 const OPEN: Duration = Duration::from_millis(1_500);
 
-/// What an answer or a failure speaks for.
+/// How one request went at a version of its service.
 #[derive(Clone, Debug)]
-pub(crate) struct Subject {
+pub(crate) struct Observation {
     pub(crate) service: Service,
     pub(crate) version: Version,
     pub(crate) route: RouteName,
     /// How long it took, in milliseconds.
     pub(crate) took: f64,
+    pub(crate) answer: Answer,
 }
 
 /// The failures that wait for a sign of their servers, oldest first.
 #[derive(Debug, Default)]
-pub(crate) struct Verdicts(Vec<(Time, ServerId, Subject)>);
+pub(crate) struct Verdicts(Vec<(Time, ServerId, Observation)>);
 
 impl Verdicts {
     /// Holds a failure back.
-    pub(crate) fn hold(&mut self, now: Time, server: ServerId, failure: Subject) {
+    pub(crate) fn hold(&mut self, now: Time, server: ServerId, failure: Observation) {
         self.0.push((now, server, failure));
     }
 
@@ -42,16 +45,19 @@
     }
 
     /// Gives back the failures of a server that lives.
-    pub(crate) fn take_alive(&mut self, server: &ServerId) -> Vec<Subject> {
+    pub(crate) fn take_alive(&mut self, server: &ServerId) -> Vec<Observation> {
         self.take(|row| row.1 == *server)
     }
 
     /// Gives back the failures of which nothing was learnt in time.
-    pub(crate) fn take_undecided(&mut self, now: Time) -> Vec<Subject> {
+    pub(crate) fn take_undecided(&mut self, now: Time) -> Vec<Observation> {
         self.take(|row| now.since(row.0) >= OPEN)
     }
 
-    fn take(&mut self, wanted: impl Fn(&(Time, ServerId, Subject)) -> bool) -> Vec<Subject> {
+    fn take(
+        &mut self,
+        wanted: impl Fn(&(Time, ServerId, Observation)) -> bool,
+    ) -> Vec<Observation> {
         let (taken, kept) = std::mem::take(&mut self.0).into_iter().partition(wanted);
         self.0 = kept;
         let taken: Vec<_> = taken;
--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -11,7 +11,6 @@
 use corianderway_rollout::Splitter;
 
 use crate::digest::Sighting;
-use crate::evidence::Answer;
 use crate::evidence::Evidence;
 use crate::exposure::Allowance;
 use crate::exposure::Exposure;
@@ -27,7 +26,7 @@
 use crate::phase::MoveChart;
 use crate::phase::Phase;
 use crate::phase::Signal;
-use crate::verdicts::Subject;
+use crate::verdicts::Observation;
 
 /// Answers that prove a target.
 const PROOF: u32 = 3;
@@ -46,6 +45,10 @@
 /// The longest wait for the old version's last requests.
 const DRAIN_MOST: Duration = Duration::from_secs(2);
 
+/// How many times rarer a request for a new object goes to the target once
+/// its servers know others.
+const NEW_OBJECTS: u64 = 4;
+
 /// The time between two tries to record that a move is over.
 const REPORT_END: Duration = Duration::from_millis(300);
 
@@ -60,9 +63,8 @@
     phase_since: Time,
     rate: Rate,
     splitter: Splitter,
-    // Whether the next request to the target had better be for an object that
-    // one of its servers knows.
-    wants_known: bool,
+    // Whether a server of the target knows objects that callers ask for.
+    knows: bool,
     // How long most requests of the old version take.
     held: Quantile,
     reported: Option<(Progress, Time)>,
@@ -116,7 +118,7 @@
             phase_since: now,
             rate: Rate::default(),
             splitter: Splitter::default(),
-            wants_known: false,
+            knows: false,
             held: Quantile::default(),
             reported: None,
         }
@@ -138,18 +140,18 @@
         }
     }
 
-    // Whether a request goes to the target before it takes over. New objects
-    // and known ones take turns: the former prepare its servers for the
-    // takeover, the times of the latter can be compared.
+    // Whether a request goes to the target before it takes over. Mostly those
+    // do whose objects its servers know, since their times can be compared; a
+    // new object is taken now and then.
     fn takes(&mut self, now: Time, draw: u64, known: Option<bool>) -> bool {
         let share = Share::from_ratio(self.canary_share(now));
-        let wanted = known.is_none_or(|known| known == self.wants_known);
-        let draw = if wanted { 0 } else { draw };
-        let taken = self.splitter.choose(share, draw) == Arm::New;
-        if taken && known.is_some() {
-            self.wants_known = !self.wants_known;
-        }
-        taken
+        let draw = match known {
+            None | Some(true) => 0,
+            Some(false) if self.knows => draw.saturating_mul(NEW_OBJECTS),
+            Some(false) => draw,
+        };
+        self.knows |= known == Some(true);
+        self.splitter.choose(share, draw) == Arm::New
     }
 
     // Requests a second since the order.
@@ -174,14 +176,15 @@
 
     /// Counts an answer or a failure of a version; true if the others should
     /// hear of it soon.
-    pub(crate) fn count(&mut self, subject: &Subject, answer: Answer) -> bool {
-        let tally = answer.tally(hash::short(subject.route.as_str()));
-        if self.is_target(&subject.version) {
+    pub(crate) fn count(&mut self, observation: &Observation) -> bool {
+        let route = hash::short(observation.route.as_str());
+        let tally = observation.answer.tally(route);
+        if self.is_target(&observation.version) {
             tally.add_to(&mut self.evidence.target);
-            return answer.bad && self.phase < Phase::Completed;
+            return tally.bad + tally.slow > 0 && self.phase < Phase::Completed;
         }
         tally.add_to(&mut self.evidence.base);
-        self.held.note(subject.took);
+        self.held.note(observation.took);
         false
     }
 
--- a/crates/steer/tests/exposure.rs
+++ b/crates/steer/tests/exposure.rs
@@ -81,3 +81,20 @@
         assert!(at < span, "{scene:?}: {story:?}");
     }
 }
+
+// A fifth of the servers is slow for reasons of their own, of either version.
+#[test]
+fn slow_servers_take_no_good_version_back() {
+    for seed in 1..=4 {
+        for slow_servers in 1..=2 {
+            let scene = Scene {
+                seed,
+                slow_servers,
+                ..SCENE
+            };
+            let story = play(scene);
+            let progress = story.ended.map(|row| row.0);
+            assert_eq!(progress, Some(Progress::Completed), "{scene:?}: {story:?}");
+        }
+    }
+}
