steer: an instance that starts in the middle of a move knows how old the move is

What callers saw: nothing; operators saw good versions taken back or late where the leading instance had been restarted during the move.

Cause: the age that others tell was kept as a moment on the process's own clock, which begins at zero, so no order could be older than the process.

Why this works: the age at which an order was first seen is kept beside the moment. The test failed before with 7 s where 60 s had been told.

--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -60,6 +60,8 @@
     pub(crate) evidence: Evidence,
     allowance: Allowance,
     since: Time,
+    // How old the order was then, which may be older than this process.
+    older: Duration,
     phase_since: Time,
     rate: Rate,
     splitter: Splitter,
@@ -115,6 +117,7 @@
             order,
             allowance,
             since: now,
+            older: Duration::ZERO,
             phase_since: now,
             rate: Rate::default(),
             splitter: Splitter::default(),
@@ -157,7 +160,7 @@
     // Requests a second since the order.
     fn mean_rate(&self, now: Time) -> f64 {
         let sent = f64::from(self.evidence.exposure().all);
-        sent / now.since(self.since).as_secs_f64().max(1.0)
+        sent / self.age(now).as_secs_f64().max(1.0)
     }
 
     fn canary_share(&self, now: Time) -> f64 {
@@ -191,9 +194,12 @@
     /// Takes over the age that another instance knows of the order, if that
     /// saw it earlier.
     pub(crate) fn take_age(&mut self, now: Time, age: Duration) {
-        if now.since(self.since) < age {
-            self.since = Time::from_nanos(now.nanos().saturating_sub(age.as_nanos() as u64));
-        }
+        self.older += age.saturating_sub(self.age(now));
+    }
+
+    // The time since the order was first seen by any instance.
+    fn age(&self, now: Time) -> Duration {
+        now.since(self.since) + self.older
     }
 
     /// What to tell the other instances.
@@ -201,7 +207,7 @@
         Sighting {
             service: self.order.service.clone(),
             order: self.order.created,
-            age_ms: now.since(self.since).as_millis() as u64,
+            age_ms: self.age(now).as_millis() as u64,
             phase: self.phase as u8,
             target: self.evidence.target.clone(),
             base: self.evidence.base.clone(),
@@ -213,13 +219,13 @@
 
     /// Whether its deadline lies no longer than `after` in the past.
     pub(crate) fn is_recent(&self, now: Time, after: Duration) -> bool {
-        now.since(self.since) < self.order.span + after
+        self.age(now) < self.order.span + after
     }
 
     pub(crate) fn standing(&self, now: Time) -> Standing {
         Standing {
             phase: self.phase,
-            age: now.since(self.since),
+            age: self.age(now),
             span: self.order.span,
             sent: self.evidence.exposure(),
         }
@@ -279,7 +285,7 @@
     }
 
     fn holds(&self, guard: Guard, now: Time, leads: bool) -> bool {
-        let left = self.order.span.saturating_sub(now.since(self.since));
+        let left = self.order.span.saturating_sub(self.age(now));
         match guard {
             Guard::Bad => self.evidence.is_bad(self.phase),
             Guard::Due => leads && self.may_take_over(now, left),
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -3,14 +3,19 @@
 mod rig;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use corianderway_model::Time;
 use corianderway_steer::Action;
 use corianderway_steer::Event;
 use corianderway_steer::Listed;
+use corianderway_steer::Message;
 use corianderway_steer::Outcome;
 use corianderway_steer::Progress;
 use corianderway_steer::ServerChange;
+use corianderway_steer::Sighting;
+use corianderway_steer::Summary;
 
 use crate::rig::answered;
 use crate::rig::Rig;
@@ -208,3 +213,51 @@
         }
     }
 }
+
+// Good versions missed their deadlines where the leading instance was restarted
+// in the middle of the move: an age could not exceed the process's own.
+#[test]
+fn an_instance_that_starts_in_the_middle_of_a_move_knows_its_age() {
+    let mut rig = Rig::new();
+    rig.step(Event::Orders(vec![rig::order("bids", "v2", SPAN)]));
+    let age = Duration::from_mins(1);
+    assert!(rig.now.since(Time::ZERO) < age);
+    let sighting = Sighting {
+        service: "bids".try_into().unwrap(),
+        order: 5,
+        age_ms: age.as_millis() as u64,
+        phase: 0,
+        target: Vec::new(),
+        base: Vec::new(),
+        old_open: 0,
+        exposed: 0,
+        sent: 0,
+    };
+    let summary = Summary {
+        from: "entry-9".try_into().unwrap(),
+        run: 1,
+        number: 1,
+        domain: "south-a".try_into().unwrap(),
+        partial: false,
+        standings: Vec::new(),
+        revision: 0,
+        rate: 0.0,
+        demands: Vec::new(),
+        works: Vec::new(),
+        moves: vec![sighting],
+        crashes: Vec::new(),
+    };
+    rig.step(Event::Told(Message::Summary(Arc::new(summary))));
+    let told = rig
+        .pass(Duration::from_secs(2))
+        .into_iter()
+        .find_map(|done| {
+            let Action::Log(note) = done else { return None };
+            let age = note.pairs.iter().find(|pair| pair.0 == "age_ms")?;
+            Some(age.1.parse::<u64>().unwrap())
+        });
+    assert!(
+        told.is_some_and(|told| u128::from(told) >= age.as_millis()),
+        "{told:?}"
+    );
+}
