--- a/crates/daemon/src/edge/entries.rs
+++ b/crates/daemon/src/edge/entries.rs
@@ -92,6 +92,7 @@
     let result = reply.map_or("no answer".to_owned(), |r| format!("status {}", r.status));
     let line = Line::new("move-reported")
         .with("service", name)
+        .with("target", &order.target)
         .with("progress", format!("{progress:?}"))
         .with("revision", order.revision)
         .with("result", result);
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -56,6 +56,13 @@
     pub progress: Option<Progress>,
 }
 
+impl Order {
+    /// Whether another reading of an entry asks the same as this one.
+    pub(crate) fn asks_same(&self, other: &Self) -> bool {
+        self.created == other.created && self.target == other.target && self.span == other.span
+    }
+}
+
 /// How far an order has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -68,6 +75,17 @@
     RolledBack,
 }
 
+impl Progress {
+    /// The progress as text for logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled-back",
+        }
+    }
+}
+
 /// A change of the list of backend servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ServerChange {
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -14,6 +14,8 @@
 use crate::lane::Lane;
 use crate::listing::Order;
 use crate::listing::Progress;
+use crate::note::Note;
+use crate::note::Weight;
 use crate::phase::MoveChart;
 use crate::phase::Phase;
 use crate::verdicts::Observation;
@@ -47,19 +49,31 @@
         }
     }
 
-    /// Takes the orders that the store holds.
-    pub(crate) fn order(&mut self, now: Time, orders: Vec<Order>) {
+    /// Takes the orders that the store holds; gives back notes of those that
+    /// are new, changed or gone.
+    pub(crate) fn order(&mut self, now: Time, orders: Vec<Order>) -> Vec<Note> {
         let mut rows = Sorted::default();
+        let mut notes = Vec::new();
         for order in orders {
             let service = order.service.clone();
             let old = self.rows.remove(&service);
+            if !old.as_ref().is_some_and(|old| old.order.asks_same(&order)) {
+                notes.push(note_order(&order, old.as_ref()));
+            }
             let same = old.filter(|m| m.order.created == order.created);
             let make = || Move::new(now, order.clone(), self.domain.clone(), self.allowance);
             let mut row = same.unwrap_or_else(make);
             row.order = order;
             rows.insert(service, row);
         }
-        self.rows = rows;
+        let gone = std::mem::replace(&mut self.rows, rows);
+        notes.extend(gone.iter().map(|(service, row)| {
+            Note::new(Weight::Notable, "order-gone")
+                .with("service", service)
+                .with("target", &row.order.target)
+                .with("phase", row.phase.as_str())
+        }));
+        notes
     }
 
     /// Takes the versions of a service that are listed.
@@ -194,10 +208,10 @@
         &self,
         now: Time,
         after: Duration,
-    ) -> impl Iterator<Item = (&Service, Standing, String)> {
+    ) -> impl Iterator<Item = (&Order, Standing, String)> {
         let rows = self.rows.iter();
         rows.filter(move |(_, row)| row.is_recent(now, after))
-            .map(move |(service, row)| (service, row.standing(now), row.evidence.text(row.phase)))
+            .map(move |(_, row)| (&row.order, row.standing(now), row.evidence.text(row.phase)))
     }
 
     /// The orders whose progress in the store is not what it should be, at
@@ -221,3 +235,19 @@
         young.map_or(Lane::Any, |(version, _)| Lane::Not(version.clone()))
     }
 }
+
+// Says what an order asks, and what it finds.
+fn note_order(order: &Order, old: Option<&Move>) -> Note {
+    let earlier = old.map_or("-", |old| old.order.target.as_str());
+    let phase = old.map_or("-", |old| old.phase.as_str());
+    let stored = order.progress.map_or("-", Progress::as_str);
+    Note::new(Weight::Notable, "order")
+        .with("service", &order.service)
+        .with("target", &order.target)
+        .with("span_ms", order.span.as_millis())
+        .with("revision", order.revision)
+        .with("created", order.created)
+        .with("stored", stored)
+        .with("earlier", earlier)
+        .with("earlier-phase", phase)
+}
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -239,7 +239,8 @@
             Event::Evacuated(domains) => self.take_evacuations(domains, out),
             Event::Orders(orders) => {
                 self.learn(Topic::Orders);
-                self.moves.order(now, orders);
+                let notes = self.moves.order(now, orders);
+                out.extend(notes.into_iter().map(Action::Log));
             }
             Event::Members(members) => {
                 self.learn(Topic::Members);
@@ -410,6 +411,7 @@
             self.urgent = true;
             let note = Note::new(Weight::Notable, "move")
                 .with("service", &turn.service)
+                .with("target", &turn.target)
                 .with("from", turn.from.as_str())
                 .with("to", turn.to.as_str())
                 .with("evidence", turn.evidence);
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -96,9 +96,10 @@
             return;
         }
         self.described = now;
-        for (service, standing, evidence) in self.moves.standings(now, DESCRIBE_AFTER) {
+        for (order, standing, evidence) in self.moves.standings(now, DESCRIBE_AFTER) {
             let note = Note::new(Weight::Notable, "move-standing")
-                .with("service", service)
+                .with("service", &order.service)
+                .with("target", &order.target)
                 .with("phase", standing.phase.as_str())
                 .with("evidence", evidence);
             out.push(Action::Log(standing.describe(note)));
--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -77,6 +77,7 @@
 #[derive(Debug)]
 pub(crate) struct Turn {
     pub(crate) service: Service,
+    pub(crate) target: Version,
     pub(crate) from: Phase,
     pub(crate) to: Phase,
     pub(crate) evidence: String,
@@ -278,6 +279,7 @@
         }
         (from != self.phase).then(|| Turn {
             service: self.order.service.clone(),
+            target: self.order.target.clone(),
             from,
             to: self.phase,
             evidence: why(),
