steer: an order is told apart by what it asks, not by its entry alone

Cause: a move was kept under the revision at which the entry of its order was made. That revision stays when the entry is replaced, so the completed move got the new target: everything went there, and the store was told completed. Class: state kept under a key that outlives what it was kept for. Now an order's identity covers the entry, the target and the time allowed; the status names the time too, so that it answers no later order of the version. A version that has taken over stays so, since its old servers are gone.

--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -173,7 +173,7 @@
     /// The service.
     #[serde(rename = "s")]
     pub service: Service,
-    /// The revision at which the order was made.
+    /// The identity of the order.
     #[serde(rename = "o")]
     pub order: u64,
     /// The time since the order was first seen, in milliseconds.
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::hash;
+
 /// A backend server as its entry in the platform's store describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -50,16 +52,21 @@
     pub span: Duration,
     /// The store's revision of the entry, the condition of the next write.
     pub revision: u64,
-    /// The store's revision at which the entry was made; tells two orders apart.
+    /// The store's revision at which the entry was made.
     pub created: u64,
     /// What the entry says of its progress.
     pub progress: Option<Progress>,
 }
 
 impl Order {
-    /// Whether another reading of an entry asks the same as this one.
-    pub(crate) fn asks_same(&self, other: &Self) -> bool {
-        self.created == other.created && self.target == other.target && self.span == other.span
+    /// Tells the order apart from others, also from an earlier one in the same
+    /// entry, which keeps the revision at which it was made.
+    pub fn identity(&self) -> u64 {
+        let target = hash::of(self.target.as_str().as_bytes());
+        hash::rank(
+            hash::rank(self.created, target),
+            self.span.as_millis() as u64,
+        )
     }
 }
 
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -56,14 +56,16 @@
         let mut notes = Vec::new();
         for order in orders {
             let service = order.service.clone();
-            let old = self.rows.remove(&service);
-            if !old.as_ref().is_some_and(|old| old.order.asks_same(&order)) {
-                notes.push(note_order(&order, old.as_ref()));
-            }
-            let same = old.filter(|m| m.order.created == order.created);
-            let make = || Move::new(now, order.clone(), self.domain.clone(), self.allowance);
-            let mut row = same.unwrap_or_else(make);
-            row.order = order;
+            let row = match self.rows.remove(&service) {
+                Some(mut row) if row.order.identity() == order.identity() => {
+                    row.order = order;
+                    row
+                }
+                old => {
+                    notes.push(note_order(&order, old.as_ref()));
+                    self.begin(now, order, old.as_ref())
+                }
+            };
             rows.insert(service, row);
         }
         let gone = std::mem::replace(&mut self.rows, rows);
@@ -76,6 +78,16 @@
         notes
     }
 
+    // The move of an order that is new here, in the place of an earlier one.
+    fn begin(&self, now: Time, order: Order, old: Option<&Move>) -> Move {
+        let mut row = Move::new(now, order, self.domain.clone(), self.allowance);
+        // What has taken over has no old version left to move from.
+        if old.is_some_and(|old| old.gave_all_to(&row.order.target)) {
+            row.phase = Phase::Completed;
+        }
+        row
+    }
+
     /// Takes the versions of a service that are listed.
     pub(crate) fn see(&mut self, now: Time, service: &Service, listed: &[&Version]) {
         let known = self.versions.get_or(service.clone(), Vec::new);
@@ -191,7 +203,7 @@
 
     fn row_of(&mut self, sighting: &Sighting) -> Option<&mut Move> {
         let row = self.rows.get_mut(&sighting.service);
-        row.filter(|row| row.order.created == sighting.order)
+        row.filter(|row| row.order.identity() == sighting.order)
     }
 
     /// Lets time pass: judges moves, hands services over, and ends moves.
--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -208,7 +208,7 @@
     pub(crate) fn tell(&self, now: Time) -> Sighting {
         Sighting {
             service: self.order.service.clone(),
-            order: self.order.created,
+            order: self.order.identity(),
             age_ms: self.age(now).as_millis() as u64,
             phase: self.phase as u8,
             target: self.evidence.target.clone(),
@@ -334,6 +334,11 @@
         })
     }
 
+    /// Whether a version has taken over.
+    pub(crate) fn gave_all_to(&self, version: &Version) -> bool {
+        self.phase == Phase::Completed && self.is_target(version)
+    }
+
     /// Whether a version is the one that takes over.
     pub(crate) fn is_target(&self, version: &Version) -> bool {
         self.order.target == *version
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -219,12 +219,14 @@
 #[test]
 fn an_instance_that_starts_in_the_middle_of_a_move_knows_its_age() {
     let mut rig = Rig::new();
-    rig.step(Event::Orders(vec![rig::order("bids", "v2", SPAN)]));
+    let order = rig::order("bids", "v2", SPAN);
+    let identity = order.identity();
+    rig.step(Event::Orders(vec![order]));
     let age = Duration::from_mins(1);
     assert!(rig.now.since(Time::ZERO) < age);
     let sighting = Sighting {
         service: "bids".try_into().unwrap(),
-        order: 5,
+        order: identity,
         age_ms: age.as_millis() as u64,
         phase: 0,
         target: Vec::new(),
