steer: a version that did not take over gets nothing until it is ordered again

Under the next order, or without one, a target that had been taken back counted as the old version and got a part of all requests for as long as its servers stood; so did a target whose order was replaced before its end. Now each service keeps the versions that were targets and did not take over (versions.rs): a withdrawn one gets nothing, an unfinished one only where no other is listed. The status of an order carries the withdrawn ones, so that an instance that starts later, or all of them after a restart, know them as well. The platform takes the status with its two further fields.

--- a/crates/steer/src/lane.rs
+++ b/crates/steer/src/lane.rs
@@ -9,8 +9,8 @@
     Any,
     /// Only this one.
     Only(Version),
-    /// Any but this one.
-    Not(Version),
+    /// Any but these.
+    Not(Vec<Version>),
 }
 
 impl Lane {
@@ -19,7 +19,7 @@
         match self {
             Self::Any => true,
             Self::Only(only) => only == version,
-            Self::Not(not) => not != version,
+            Self::Not(not) => !not.contains(version),
         }
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -80,6 +80,7 @@
 mod sweep;
 mod verdicts;
 mod version_move;
+mod versions;
 mod waiting;
 mod workload;
 
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -56,6 +56,10 @@
     pub created: u64,
     /// What the entry says of its progress.
     pub progress: Option<Progress>,
+    /// What the entry says of an earlier order, until it says something of this one.
+    pub earlier: Option<(Version, Progress)>,
+    /// Targets of earlier orders that the entry knows to be withdrawn.
+    pub withdrawn: Vec<Version>,
 }
 
 impl Order {
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -22,10 +22,7 @@
 use crate::version_move::Move;
 use crate::version_move::Standing;
 use crate::version_move::Turn;
-
-/// A version that is listed beside others without an order gets nothing for
-/// this long, since the order may be on its way.
-const UNORDERED: Duration = Duration::from_secs(5);
+use crate::versions::Versions;
 
 /// The moves of all services.
 #[derive(Debug)]
@@ -34,8 +31,7 @@
     allowance: Allowance,
     domain: FailureDomain,
     rows: Sorted<Service, Move>,
-    // When each version of a service was first listed.
-    versions: Sorted<Service, Vec<(Version, Time)>>,
+    versions: Sorted<Service, Versions>,
 }
 
 impl Moves {
@@ -69,37 +65,41 @@
             rows.insert(service, row);
         }
         let gone = std::mem::replace(&mut self.rows, rows);
-        notes.extend(gone.iter().map(|(service, row)| {
-            Note::new(Weight::Notable, "order-gone")
+        for (service, row) in gone.iter() {
+            let note = Note::new(Weight::Notable, "order-gone")
                 .with("service", service)
                 .with("target", &row.order.target)
-                .with("phase", row.phase.as_str())
-        }));
+                .with("phase", row.phase.as_str());
+            notes.push(note);
+            self.versions_of(service).end(row);
+        }
         notes
     }
 
     // The move of an order that is new here, in the place of an earlier one.
-    fn begin(&self, now: Time, order: Order, old: Option<&Move>) -> Move {
-        let mut row = Move::new(now, order, self.domain.clone(), self.allowance);
+    fn begin(&mut self, now: Time, order: Order, old: Option<&Move>) -> Move {
+        let versions = self.versions_of(&order.service);
+        if let Some(old) = old {
+            versions.end(old);
+        }
+        versions.learn(&order);
         // What has taken over has no old version left to move from.
-        if old.is_some_and(|old| old.gave_all_to(&row.order.target)) {
+        let taken = versions.is_current(&order.target);
+        versions.order(&order.target);
+        let mut row = Move::new(now, order, self.domain.clone(), self.allowance);
+        if taken {
             row.phase = Phase::Completed;
         }
         row
     }
 
+    fn versions_of(&mut self, service: &Service) -> &mut Versions {
+        self.versions.get_or(service.clone(), Versions::default)
+    }
+
     /// Takes the versions of a service that are listed.
     pub(crate) fn see(&mut self, now: Time, service: &Service, listed: &[&Version]) {
-        let known = self.versions.get_or(service.clone(), Vec::new);
-        known.retain(|(version, _)| listed.contains(&version));
-        let first = known.is_empty();
-        for version in listed {
-            if !known.iter().any(|(v, _)| v == *version) {
-                // What is there from the beginning needs no order.
-                let since = if first { Time::ZERO } else { now };
-                known.push(((*version).clone(), since));
-            }
-        }
+        self.versions_of(service).see(now, listed);
     }
 
     /// Which versions a request may go to; `draw` is a random number, `known`
@@ -113,21 +113,36 @@
         known: impl FnOnce(&Version) -> Option<bool>,
     ) -> Lane {
         let Some(row) = self.rows.get_mut(service) else {
-            return self.unordered(now, service);
+            return self.others(now, service, None);
         };
-        let known = if row.phase == Phase::Canary {
-            known(&row.order.target)
+        let target = row.order.target.clone();
+        let known = (row.phase == Phase::Canary).then(|| known(&target));
+        if row.takes(now, draw, known.flatten()) {
+            Lane::Only(target)
         } else {
-            None
-        };
-        row.lane(now, draw, known)
+            self.others(now, service, Some(target))
+        }
+    }
+
+    // All versions that an order allows beside a target.
+    fn others(&self, now: Time, service: &Service, target: Option<Version>) -> Lane {
+        let versions = self.versions.get(service);
+        let excluded = versions.map(|versions| versions.excluded(now, target.as_ref()));
+        let excluded: Vec<Version> = excluded.into_iter().flatten().chain(target).collect();
+        if excluded.is_empty() {
+            Lane::Any
+        } else {
+            Lane::Not(excluded)
+        }
     }
 
     /// The lane for a request that found no room in its first one.
-    pub(crate) fn fallback(&self, service: &Service, lane: &Lane) -> Option<Lane> {
+    pub(crate) fn fallback(&self, now: Time, service: &Service, lane: &Lane) -> Option<Lane> {
         let phase = self.rows.get(service)?.phase;
         match (lane, phase) {
-            (Lane::Only(target), Phase::Canary) => Some(Lane::Not(target.clone())),
+            (Lane::Only(target), Phase::Canary) => {
+                Some(self.others(now, service, Some(target.clone())))
+            }
             // The old servers stop when the move completes, and what is listed
             // of them may be gone.
             (Lane::Only(_) | Lane::Not(_) | Lane::Any, _) => None,
@@ -229,22 +244,16 @@
     /// The orders whose progress in the store is not what it should be, at
     /// most once in `pause` each, and more often at the end.
     pub(crate) fn unreported(&mut self, now: Time, pause: Duration) -> Vec<(Order, Progress)> {
-        let rows = self.rows.iter_mut();
-        rows.filter_map(|(_, row)| {
-            let progress = row.unreported(now, pause)?;
-            Some((row.order.clone(), progress))
-        })
-        .collect()
-    }
-
-    // A version that appeared beside others waits for its order.
-    fn unordered(&self, now: Time, service: &Service) -> Lane {
-        let known = self.versions.get(service);
-        let young = known.and_then(|rows| {
-            let young = |(_, at): &&(Version, Time)| *at > Time::ZERO && now.since(*at) < UNORDERED;
-            rows.iter().find(young)
-        });
-        young.map_or(Lane::Any, |(version, _)| Lane::Not(version.clone()))
+        let mut reports = Vec::new();
+        for (service, row) in self.rows.iter_mut() {
+            if let Some(progress) = row.unreported(now, pause) {
+                let versions = self.versions.get(service);
+                let withdrawn = versions.map(Versions::withdrawn).unwrap_or_default();
+                let order = row.order.clone();
+                reports.push((Order { withdrawn, ..order }, progress));
+            }
+        }
+        reports
     }
 }
 
--- a/crates/steer/src/serve.rs
+++ b/crates/steer/src/serve.rs
@@ -223,7 +223,7 @@
         let draw = self.rng.random();
         let lane = self.moves.lane(now, &open.service, draw, knows);
         let first = self.choose_in(now, open, &lane);
-        let fallback = self.moves.fallback(&open.service, &lane);
+        let fallback = self.moves.fallback(now, &open.service, &lane);
         match (first, fallback) {
             (Err(_), Some(lane)) => self.choose_in(now, open, &lane),
             (first, _) => first,
--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -16,7 +16,6 @@
 use crate::exposure::Exposure;
 use crate::exposure::Rate;
 use crate::hash;
-use crate::lane::Lane;
 use crate::listing::Order;
 use crate::listing::Progress;
 use crate::note::Note;
@@ -129,26 +128,20 @@
         }
     }
 
-    /// Which versions a request may go to; `draw` is a random number, `known`
+    /// Whether a request goes to the target; `draw` is a random number, `known`
     /// tells whether a server of the target knows the request's object.
-    pub(crate) fn lane(&mut self, now: Time, draw: u64, known: Option<bool>) -> Lane {
-        let to_target = match self.phase {
-            Phase::Canary => self.takes(now, draw, known),
+    pub(crate) fn takes(&mut self, now: Time, draw: u64, known: Option<bool>) -> bool {
+        match self.phase {
+            Phase::Canary => self.samples(now, draw, known),
             Phase::Full | Phase::Finished | Phase::Completed => true,
             Phase::RolledBack => false,
-        };
-        let target = self.order.target.clone();
-        if to_target {
-            Lane::Only(target)
-        } else {
-            Lane::Not(target)
         }
     }
 
     // Whether a request goes to the target before it takes over. Mostly those
     // do whose objects its servers know, since their times can be compared; a
     // new object is taken now and then.
-    fn takes(&mut self, now: Time, draw: u64, known: Option<bool>) -> bool {
+    fn samples(&mut self, now: Time, draw: u64, known: Option<bool>) -> bool {
         let share = Share::from_ratio(self.canary_share(now));
         let draw = match known {
             None | Some(true) => 0,
@@ -334,11 +327,6 @@
         })
     }
 
-    /// Whether a version has taken over.
-    pub(crate) fn gave_all_to(&self, version: &Version) -> bool {
-        self.phase == Phase::Completed && self.is_target(version)
-    }
-
     /// Whether a version is the one that takes over.
     pub(crate) fn is_target(&self, version: &Version) -> bool {
         self.order.target == *version
--- a/crates/steer/tests/orders.rs
+++ b/crates/steer/tests/orders.rs
@@ -99,11 +99,13 @@
         self.rig.step(Event::Servers(gone.collect()));
     }
 
-    // Puts an order over the one before it.
+    // Puts an order over the one before it, which the entry still tells of.
     fn order(&mut self, target: &str) {
         let mut order = rig::order("bids", target, SPAN);
         if let Some(earlier) = self.order.take() {
             order.revision = earlier.revision + 1;
+            order.withdrawn.clone_from(&earlier.withdrawn);
+            order.earlier = earlier.progress.map(|said| (earlier.target, said));
         }
         self.announce(order);
         self.sent.clear();
@@ -166,6 +168,8 @@
             let order = Order {
                 revision,
                 progress: Some(*progress),
+                earlier: None,
+                withdrawn: order.withdrawn.clone(),
                 ..known
             };
             self.announce(order);
@@ -253,6 +257,62 @@
     assert_eq!(scene.play_to_end(), Some(Progress::Completed));
 }
 
+// An instance that starts later knows of it from the store alone.
+#[test]
+fn a_withdrawn_version_gets_nothing_from_an_instance_that_starts_later() {
+    let mut scene = Scene::new(v2_fails);
+    scene.order("v2");
+    scene.start("v2");
+    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    scene.order("v3");
+    scene.start("v3");
+    scene.play(Duration::from_secs(2));
+    let order = scene.order.clone().unwrap();
+    assert_eq!(order.progress, Some(Progress::Running));
+    let mut later = Scene::new(v2_fails);
+    later.announce(order);
+    later.start("v2");
+    later.start("v3");
+    later.play(Duration::from_secs(8));
+    assert_eq!(later.to("v2"), 0);
+    assert!(later.to("v1") > 0);
+}
+
+#[test]
+fn a_withdrawn_version_may_be_ordered_again() {
+    let mut scene = Scene::new(v2_fails);
+    scene.order("v2");
+    scene.start("v2");
+    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    scene.remove_order();
+    scene.play(Duration::from_secs(3));
+    scene.behaviour = sound;
+    let mut again = rig::order("bids", "v2", SPAN);
+    (again.revision, again.created) = (90, 90);
+    scene.announce(again);
+    scene.ended = None;
+    assert_eq!(scene.play_to_end(), Some(Progress::Completed));
+}
+
+// The old servers are gone: a move from nothing would leave callers unserved.
+#[test]
+fn a_version_that_took_over_stays_when_it_is_ordered_again() {
+    let mut scene = Scene::new(sound);
+    scene.order("v2");
+    scene.start("v2");
+    assert_eq!(scene.play_to_end(), Some(Progress::Completed));
+    scene.stop("v1");
+    scene.play(Duration::from_secs(2));
+    for created in [5, 90] {
+        let mut again = rig::order("bids", "v2", SPAN * 2);
+        (again.revision, again.created) = (created + 40, created);
+        scene.announce(again);
+        scene.sent.clear();
+        scene.play(Duration::from_secs(3));
+        assert!(scene.to("v2") as u64 >= 3 * RATE * 9 / 10, "{created}");
+    }
+}
+
 // Its late failures would excuse as many of the next version.
 #[test]
 fn a_withdrawn_version_is_no_measure_for_the_next() {
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -274,5 +274,7 @@
         revision: 5,
         created: 5,
         progress: None,
+        earlier: None,
+        withdrawn: Vec::new(),
     }
 }
