steer: late answers of a withdrawn version are no measure for the next one

Cause: what is no answer of the target was counted for the old version, also the last answers of an earlier target that was found bad. The next target is compared with those, and as many of its failures are excused. Evidence: old-bad:5/483 in a service whose old version never failed (a_withdrawn_version_is_no_measure_for_the_next). After: the old version has no bad answer, as the test asserts.

--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -160,7 +160,13 @@
     /// Counts an answer or a failure of a version; true if the others should
     /// hear of it soon.
     pub(crate) fn count(&mut self, observation: &Observation) -> bool {
-        let row = self.rows.get_mut(&observation.service);
+        let service = &observation.service;
+        // Late answers of an earlier target are no measure for this one.
+        let versions = self.versions.get(service);
+        if versions.is_some_and(|versions| versions.is_barred(&observation.version)) {
+            return false;
+        }
+        let row = self.rows.get_mut(service);
         row.is_some_and(|row| row.count(observation))
     }
 
