edge: a planned stop waits for callers that still send or read

Callers that were still reading a large answer when their instance had nothing else to do were cut: 3,919,810 of 12,582,912 bytes came (a_stop_waits_for_a_caller_that_still_reads, failed before). Cause: the process ended once the decisions were done with every request, while answers were on their way from the callers duty. Requests are now counted from their first byte to the last one of their answer, and the stop waits for those, too, up to the end of the grace. The stand-in for endpoints that write what a script says comes with the test.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -136,7 +136,7 @@
     let (ring, shown) = (decisions.clone(), board.clone());
     let make = move || doors::Desk::new(ring, shown, scrape);
     duty::spawn("doors", move || doors::run(doors, make)).context(ThreadSnafu)?;
-    let make = move || callers::Desk::new(decisions, board.limits, stopping);
+    let make = move || callers::Desk::new(decisions, board, stopping);
     duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
 
     let left = stop.wait();
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use corianderway_steer::RequestId;
 
 use crate::edge::connection;
+use crate::edge::decisions::Board;
 use crate::edge::limits::SharedLimits;
 use crate::edge::rings::Input;
 
@@ -35,9 +37,21 @@
     pub stopping: Arc<AtomicBool>,
     /// Numbers for requests.
     pub numbers: Numbers,
+    // Requests that callers are sending, or whose answers they take.
+    carried: Arc<AtomicUsize>,
     connections: Cell<usize>,
 }
 
+/// Counts a request from its first byte to the last one of its answer.
+#[derive(Debug)]
+pub struct Carried<'a>(&'a AtomicUsize);
+
+impl Drop for Carried<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Gives numbers to requests; each duty that does has a range of its own.
 #[derive(Debug)]
 pub struct Numbers(Cell<u64>);
@@ -58,16 +72,23 @@
 
 impl Desk {
     /// Makes the desk of one process.
-    pub fn new(decisions: Sender<Input>, limits: SharedLimits, stopping: Arc<AtomicBool>) -> Self {
+    pub fn new(decisions: Sender<Input>, board: Board, stopping: Arc<AtomicBool>) -> Self {
         Self {
             decisions,
-            limits,
+            limits: board.limits,
+            carried: board.carried,
             stopping,
             numbers: Numbers::after(0),
             connections: Cell::new(0),
         }
     }
 
+    /// Counts a request for as long as the guard lives.
+    pub fn carry(&self) -> Carried<'_> {
+        self.carried.fetch_add(1, Ordering::AcqRel);
+        Carried(&self.carried)
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -75,6 +75,7 @@
     if carry.is_empty() && !has_bytes(stream, limits.idle_time).await {
         return Next::Close;
     }
+    let _carried = desk.carry();
     let read = feed::read_head_within(stream, carry, limits.head_bytes);
     let head = match future::timeout(limits.head_time, read).await {
         Ok(Ok(head)) => head,
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -38,6 +38,8 @@
     pub ready: Arc<AtomicBool>,
     /// Requests whose end is not known yet.
     pub open: Arc<AtomicUsize>,
+    /// Requests that callers are sending, or whose answers they take.
+    pub carried: Arc<AtomicUsize>,
     /// What callers may send.
     pub limits: SharedLimits,
 }
--- a/crates/daemon/src/edge/stop.rs
+++ b/crates/daemon/src/edge/stop.rs
@@ -69,8 +69,9 @@
         })
     }
 
-    /// Waits for the signal of a planned stop, then until no request is open
-    /// or the grace is over; returns the number of requests still open.
+    /// Waits for the signal of a planned stop, then until no request is open and
+    /// every answer is written, or the grace is over; returns the number of
+    /// requests still open.
     pub fn wait(mut self) -> usize {
         // The iterator ends only with the process.
         while let Some(SIGHUP) = self.signals.forever().next() {
@@ -88,6 +89,7 @@
         let most = grace.saturating_sub(MARGIN);
         loop {
             let open = self.board.open.load(Ordering::Acquire);
+            let open = open.max(self.board.carried.load(Ordering::Acquire));
             let age = begun.elapsed();
             if (open == 0 && age >= stay) || age >= most {
                 let line = Line::new("stop-ends").with("open", open);
--- a/crates/daemon/tests/grace.rs
+++ b/crates/daemon/tests/grace.rs
@@ -8,11 +8,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use corianderway_standins::estate::entry;
 use corianderway_standins::estate::node;
 use corianderway_standins::estate::Endpoint;
+use corianderway_standins::estate::Heard;
 use corianderway_standins::estate::Mode;
 use corianderway_standins::estate::Node;
+use corianderway_standins::estate::Scripted;
 use corianderway_standins::estate::Site;
+use corianderway_standins::estate::Step;
 use corianderway_standins::estate::Store;
 use corianderway_standins::harness::until;
 use serde_json::json;
@@ -24,6 +28,9 @@
 /// The time from the signal to the forced end.
 const GRACE: Duration = Duration::from_secs(4);
 
+/// Bytes of a large answer: more than the system keeps for a connection.
+const LARGE: usize = 12 * 1_024 * 1_024;
+
 struct Fleet {
     instance: Node,
     _store: Store,
@@ -194,6 +201,35 @@
     assert_eq!(endpoint.seen().len(), ran);
 }
 
+// The process ended as soon as the decisions were done with the request.
+#[test]
+fn a_stop_waits_for_a_caller_that_still_reads() {
+    let endpoint = Scripted::start(|heard: &Heard| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nContent-Length: {LARGE}\r\n\r\n",
+            heard.id
+        );
+        let body = vec![b'x'; LARGE];
+        vec![Step::Write(head.into_bytes()), Step::Write(body)]
+    });
+    let mut fleet = Fleet::start(&entry(endpoint.addr, "s1", "a", "ready", 1));
+    let mut stream = fleet.connect();
+    stream.write_all(&request("/read/1", "r-1")).unwrap();
+    let mut first = [0; 1];
+    stream.peek(&mut first).unwrap();
+    let begun = fleet.stop();
+    // The caller is busy until long after the instance has nothing else to do.
+    let busy = GRACE.mul_f64(0.8);
+    until("most of the grace", LIMIT, || {
+        (begun.elapsed() >= busy).then_some(())
+    })
+    .unwrap();
+    let answer = read(&mut stream);
+    assert_eq!((answer.status(), answer.body.len()), ("200", LARGE));
+    fleet.instance.process.wait(LIMIT).unwrap();
+    assert!(begun.elapsed() <= GRACE, "{:?}", begun.elapsed());
+}
+
 #[test]
 fn a_request_that_is_read_in_part_when_a_stop_begins_is_served() {
     let endpoint = Endpoint::start("i-1");
--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -5,11 +5,16 @@
 
 mod endpoint;
 pub mod node;
+mod scripted;
 mod store;
 
+pub use crate::estate::endpoint::entry;
 pub use crate::estate::endpoint::Endpoint;
 pub use crate::estate::endpoint::Mode;
 pub use crate::estate::endpoint::Seen;
 pub use crate::estate::node::Node;
 pub use crate::estate::node::Site;
+pub use crate::estate::scripted::Heard;
+pub use crate::estate::scripted::Scripted;
+pub use crate::estate::scripted::Step;
 pub use crate::estate::store::Store;
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -113,12 +113,7 @@
         state: &str,
         seq: u64,
     ) -> Value {
-        json!({
-            "address": addr.to_string(),
-            "info": { "service": service, "version": "v1", "zone": zone, "slots": SLOTS },
-            "status": { "state": state, "seq": seq, "cold_left_ms": 0 },
-            "born": 1_790_000_000_000_u64,
-        })
+        entry(addr, service, zone, state, seq)
     }
 
     /// Its identity.
@@ -146,6 +141,16 @@
     }
 }
 
+/// What an endpoint at an address says of itself in the store.
+pub fn entry(addr: SocketAddr, service: &str, zone: &str, state: &str, seq: u64) -> Value {
+    json!({
+        "address": addr.to_string(),
+        "info": { "service": service, "version": "v1", "zone": zone, "slots": SLOTS },
+        "status": { "state": state, "seq": seq, "cold_left_ms": 0 },
+        "born": 1_790_000_000_000_u64,
+    })
+}
+
 async fn serve(listener: TcpListener, endpoint: Endpoint) {
     let listener = net::TcpListener::from(listener);
     while let Ok((stream, _)) = listener.accept().await {
--- /dev/null
+++ b/crates/standins/src/estate/scripted.rs
@@ -0,0 +1,142 @@
+//! An endpoint that writes what a script says, whatever its protocol wants.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+
+/// One request as it came; without a body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// The number of the connection, from zero.
+    pub connection: usize,
+    /// The number of the request on its connection, from zero.
+    pub number: usize,
+    /// The path and the query.
+    pub target: String,
+    /// The caller's id of the request.
+    pub id: String,
+}
+
+/// What is done about a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Bytes are written.
+    Write(Vec<u8>),
+    /// Bytes are written again and again, until the other end closes.
+    Repeat(Vec<u8>),
+    /// The connection is closed in an orderly way.
+    Close,
+}
+
+/// A running endpoint.
+#[derive(Clone, Debug)]
+pub struct Scripted {
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    heard: Arc<Mutex<Vec<Heard>>>,
+    open: Arc<AtomicUsize>,
+}
+
+type Script = dyn Fn(&Heard) -> Vec<Step> + Send + Sync;
+
+impl Scripted {
+    /// Starts an endpoint that does what `script` says about each request.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the system gives no port.
+    pub fn start(script: impl Fn(&Heard) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("the address of a listener");
+        let endpoint = Self {
+            addr,
+            heard: Arc::default(),
+            open: Arc::default(),
+        };
+        let (served, script): (_, Arc<Script>) = (endpoint.clone(), Arc::new(script));
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
+                let (served, script) = (served.clone(), Arc::clone(&script));
+                thread::spawn(move || {
+                    served.open.fetch_add(1, Ordering::AcqRel);
+                    served.serve(connection, &stream, &*script);
+                    served.open.fetch_sub(1, Ordering::AcqRel);
+                });
+            }
+        });
+        endpoint
+    }
+
+    /// The requests that came, in their order.
+    pub fn heard(&self) -> Vec<Heard> {
+        let heard = self.heard.lock();
+        heard.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    fn serve(&self, connection: usize, mut stream: &TcpStream, script: &Script) {
+        for number in 0.. {
+            let Some(head) = read_head(stream) else {
+                return;
+            };
+            let heard = Heard {
+                connection,
+                number,
+                target: head.split(' ').nth(1).unwrap_or_default().to_owned(),
+                id: value(&head, "request-id"),
+            };
+            let all = self.heard.lock();
+            let mut all = all.unwrap_or_else(PoisonError::into_inner);
+            all.push(heard.clone());
+            drop(all);
+            for step in script(&heard) {
+                let done = match step {
+                    Step::Write(bytes) => stream.write_all(&bytes),
+                    Step::Repeat(bytes) => loop {
+                        if let Err(closed) = stream.write_all(&bytes) {
+                            break Err(closed);
+                        }
+                    },
+                    Step::Close => {
+                        let closed = stream.shutdown(Shutdown::Write);
+                        closed.and_then(|()| stream.read(&mut [0]).map(drop))
+                    }
+                };
+                if done.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn read_head(mut stream: &TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+fn value(head: &str, name: &str) -> String {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    let found = lines.find(|(found, _)| found.eq_ignore_ascii_case(name));
+    found.map_or(String::new(), |(_, value)| value.trim().to_owned())
+}
