steer: a target gives fewer than 50 bad answers before it is judged, and slowness has to be disproven

Now at most 80 requests go to a target before it takes over. Ruled out: taking a slow version back early by the same odds (the model takes a good one back beside slow servers).

--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -34,6 +34,11 @@
 /// the takeover, when servers meet many new objects at once.
 const SLOW_PART: f64 = 0.12;
 
+/// The log odds for a target that a few slow answers in the takeover don't
+/// outweigh, and how many times more it takes then.
+const OUTWEIGHS: f64 = 6.0;
+const SLOW_AGAIN: u32 = 3;
+
 /// What the end of one request says of the version that ran it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Answer {
@@ -192,7 +197,9 @@
 
     /// Whether the target is proven, by its answers before the takeover and in it.
     pub(crate) fn is_proven(&self) -> bool {
-        self.failures().is_proven() && self.slowness() >= 0.0
+        let target = self.times(|s| &s.target_times, &self.target_times);
+        let slowness = self.slowness() >= soundness::slowness_least(&target);
+        slowness && self.failures().is_proven()
     }
 
     // The evidence of failures, with those in the takeover.
@@ -233,12 +240,17 @@
     fn takes_over_badly(&self, least: u32) -> bool {
         let base = self.sum(Phase::Full, |s| &s.base, &self.base);
         let target = self.sum(Phase::Full, |s| &s.target, &self.target);
+        let slow_least = if self.slowness() >= OUTWEIGHS {
+            least * SLOW_AGAIN
+        } else {
+            least
+        };
         target.iter().any(|target| {
             let old = of_route(&base, target.route);
             let fails = ratio(target.bad, target.all) > MARGIN + 2.0 * ratio(old.bad, old.all);
             let lags =
                 ratio(target.slow, target.timed) > SLOW_PART + 2.0 * ratio(old.slow, old.timed);
-            (target.bad >= least && fails) || (target.slow >= least && lags)
+            (target.bad >= least && fails) || (target.slow >= slow_least && lags)
         })
     }
 
--- a/crates/steer/src/exposure.rs
+++ b/crates/steer/src/exposure.rs
@@ -12,6 +12,10 @@
 /// The part of the allowance that a target gets before it takes over, at most.
 const CANARY_PART: f64 = 0.5;
 
+/// The most requests before the takeover: with half of them bad, fewer than the
+/// 50 bad answers after which a version may get nothing more.
+const CANARY_COUNT: f64 = 80.0;
+
 /// The least part of requests that goes to a target before it takes over, so
 /// that a fault that begins late is seen.
 const SHARE_LEAST: f64 = 0.005;
@@ -60,7 +64,8 @@
     pub(crate) fn canary_share(&self, sent: Exposure, total: f64, next: f64, reserve: f64) -> f64 {
         let budget = self.of(total);
         let canary = (budget - reserve).min(budget * CANARY_PART);
-        let rest = canary.max(CANARY_LEAST) - f64::from(sent.target);
+        let canary = canary.clamp(CANARY_LEAST, CANARY_COUNT);
+        let rest = canary - f64::from(sent.target);
         (rest / next.max(1.0)).clamp(SHARE_LEAST, CANARY_MOST)
     }
 
--- a/crates/steer/src/soundness.rs
+++ b/crates/steer/src/soundness.rs
@@ -26,6 +26,10 @@
 /// for good.
 const PROVEN: f64 = 1.5;
 
+/// The part of them that each answer has to give while they are few: about half
+/// of what a sound one gives.
+const PROVEN_EACH: f64 = 0.125;
+
 /// The log odds for a fault that began late that keep a target from it: a
 /// failure takes a few sound answers to be made up for.
 const LATE: f64 = 1.5;
@@ -57,6 +61,8 @@
     old: (f64, f64),
     sound: f64,
     late: f64,
+    // What an interruption left of `late`; no later answer makes up for it.
+    unresolved: f64,
 }
 
 impl Soundness {
@@ -69,13 +75,14 @@
         let usual = (self.old.0 / self.old.1.max(1.0)).max(FAILS_LEAST);
         let (gain, loss) = odds(new, usual);
         self.sound += gain - loss;
-        self.late = (self.late + loss - gain).max(0.0);
+        self.late = (self.late + loss - gain).max(self.unresolved);
     }
 
-    /// Forgets what speaks for the target: what comes back after an interruption
-    /// may not be what it was.
+    /// Forgets what speaks for the target, and keeps what speaks against it: what
+    /// comes back after an interruption may not be what it was.
     pub(crate) fn void(&mut self) {
         self.sound = self.sound.min(0.0);
+        self.unresolved = self.late;
     }
 
     /// Whether the failures speak for the target rather than against it.
@@ -94,10 +101,14 @@
     }
 }
 
+/// The log odds that answers with comparable times have to give. None are fine:
+/// a service whose servers always have requests waiting has no such answers.
+pub(crate) fn slowness_least(target: &[Timed]) -> f64 {
+    let all: u32 = target.iter().map(|row| row.all()).sum();
+    (f64::from(all) * PROVEN_EACH).min(PROVEN)
+}
+
 /// The log odds for a target that is slow no more often than the old version.
-///
-/// None, zero, are fine: a service whose servers always have requests waiting
-/// has no times to compare.
 pub(crate) fn slowness(old: &[Timed], target: &[Timed]) -> f64 {
     let known = old.iter().filter(|row| row.all() >= SLOW_ANSWERS);
     let (slow, sound): (Vec<Timed>, Vec<Timed>) = known.partition(|row| row.ratio() >= SLOW_SERVER);
