steer: a server that starts again with its clock set back is used

With the clock set back its entry was taken for a late copy of the one before, and it got nothing for good. Now the store's revision orders what an entry said. Test: a_server_that_starts_again_with_its_clock_set_back_is_used, red before.

--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -386,9 +386,10 @@
         let presence = listed.backend.presence;
         let known = self.servers.get_mut(&id);
         let (older, same) = known.as_ref().map_or((false, false), |server| {
-            let known = (server.listed.born, server.listed.report);
-            let older = (listed.born, listed.report) < known;
-            (older, server.listed.born == listed.born)
+            let known = &server.listed;
+            let same = known.born == listed.born;
+            let older = listed.revision < known.revision || (same && listed.report < known.report);
+            (older, same)
         });
         // A late copy of an earlier report says nothing new.
         if older {
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -23,6 +23,8 @@
     pub born: u64,
     /// The number of its report within this run.
     pub report: u64,
+    /// The store's revision of the entry; the wall clock of a server may be set back.
+    pub revision: u64,
     /// How much longer it stays cold, counted from the report.
     pub cold_left: Duration,
 }
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -151,6 +151,26 @@
     assert!(back, "objects that nobody has yet go to their owner again");
 }
 
+// Its entry was taken for a late copy of the one before, for good.
+#[test]
+fn a_server_that_starts_again_with_its_clock_set_back_is_used() {
+    let mut rig = Rig::new();
+    let mut listed = rig::servers();
+    listed.retain(|l| l.backend.service.as_str() == "bids");
+    let gone = listed
+        .iter()
+        .map(|l| ServerChange::Removed(l.backend.id.clone()));
+    rig.step(Event::Servers(gone.collect()));
+    listed.truncate(1);
+    let mut again = listed.remove(0);
+    again.born -= 500;
+    again.revision += 1;
+    rig.step(Event::Servers(vec![ServerChange::Put(again)]));
+    rig.pass(Duration::from_secs(4));
+    let id = rig.ask("/bids/1", Some(5));
+    assert!(rig.sent(id).is_some());
+}
+
 #[test]
 fn an_entry_that_lapsed_in_an_outage_is_kept_for_two_seconds() {
     let mut rig = Rig::new();
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -83,6 +83,7 @@
             presence: Presence::Live,
         },
         born: 1_000,
+        revision: 1,
         report: 1,
         cold_left: Duration::ZERO,
     }
