--- a/crates/steer/src/phase.rs
+++ b/crates/steer/src/phase.rs
@@ -45,14 +45,14 @@
 pub(crate) enum Guard {
     /// The answers of the target show a fault.
     Bad,
-    /// The target is proven and may get everything until the deadline, and
-    /// this instance leads.
+    /// Nothing speaks against the target, it may get everything until the
+    /// deadline, and this instance leads.
     Due,
     /// The deadline is too near for a takeover.
     Overdue,
-    /// The deadline has passed, and the target is suspect.
+    /// The deadline has passed, and the target is suspect or not proven.
     Unsettled,
-    /// No fault is suspected, and the old version has nothing left to do or the
+    /// The target is proven, and the old version has nothing left to do or the
     /// deadline is near, and this instance leads.
     Drained,
 }
--- a/crates/steer/src/soundness.rs
+++ b/crates/steer/src/soundness.rs
@@ -59,7 +59,9 @@
 pub(crate) struct Soundness {
     // Bad and all answers of the old version.
     old: (f64, f64),
+    // The log odds for a target that fails no more often.
     sound: f64,
+    // The log odds for a fault that began at the least favourable moment.
     late: f64,
     // What an interruption left of `late`; no later answer makes up for it.
     unresolved: f64,
--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -325,19 +325,20 @@
             Guard::Bad => self.evidence.is_bad(self.phase),
             Guard::Due => leads && self.may_take_over(now, left),
             Guard::Overdue => left <= FINISH,
-            Guard::Unsettled => {
-                let sound = !self.evidence.is_suspect(self.phase) && self.evidence.is_proven();
-                left.is_zero() && !sound
-            }
+            Guard::Unsettled => left.is_zero() && !self.is_proven(),
             Guard::Drained => {
                 let lasted = now.since(self.phase_since);
                 let idle = lasted >= FULL_SPAN && self.evidence.old_open() == 0;
-                let sound = !self.evidence.is_suspect(self.phase) && self.evidence.is_proven();
-                leads && sound && (idle || left <= FINISH)
+                leads && self.is_proven() && (idle || left <= FINISH)
             }
         }
     }
 
+    // Whether the store may be told that the target took over.
+    fn is_proven(&self) -> bool {
+        !self.evidence.is_suspect(self.phase) && self.evidence.is_proven()
+    }
+
     // Whether the target seems sound, and may get everything from now on, or has
     // to so that the old version's requests end by the deadline.
     fn may_take_over(&self, now: Time, left: Duration) -> bool {
