--- a/crates/steer/tests/orders.rs
+++ b/crates/steer/tests/orders.rs
@@ -101,6 +101,23 @@
         self.rig.step(Event::Servers(gone.collect()));
     }
 
+    // A bad v2 was ordered and is withdrawn; its servers still stand.
+    fn after_withdrawal() -> Self {
+        let mut scene = Self::new(v2_fails);
+        scene.order("v2");
+        scene.start("v2");
+        assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+        scene
+    }
+
+    // A good v2 takes over, and the old servers stop.
+    fn move_to_v2(&mut self) {
+        self.order("v2");
+        self.start("v2");
+        assert_eq!(self.play_to_end(), Some(Progress::Completed));
+        self.stop("v1");
+    }
+
     // Puts an order over the one before it, which the entry still tells of.
     fn order(&mut self, target: &str) {
         let mut order = rig::order("bids", target, SPAN);
@@ -199,10 +216,7 @@
 #[test]
 fn an_order_after_a_completed_one_is_judged_anew() {
     let mut scene = Scene::new(v3_fails);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::Completed));
-    scene.stop("v1");
+    scene.move_to_v2();
     scene.play(Duration::from_secs(1));
     scene.order("v3");
     scene.start("v3");
@@ -212,10 +226,7 @@
 
 #[test]
 fn an_order_after_a_withdrawn_one_is_judged_anew() {
-    let mut scene = Scene::new(v2_fails);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    let mut scene = Scene::after_withdrawal();
     scene.order("v3");
     scene.start("v3");
     assert_eq!(scene.play_to_end(), Some(Progress::Completed));
@@ -225,10 +236,7 @@
 // Its servers stay for seconds, and were taken for servers of the old version.
 #[test]
 fn a_withdrawn_version_gets_nothing_under_the_next_order() {
-    let mut scene = Scene::new(v2_fails);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    let mut scene = Scene::after_withdrawal();
     scene.order("v3");
     scene.start("v3");
     scene.play(Duration::from_secs(5));
@@ -237,10 +245,7 @@
 
 #[test]
 fn a_withdrawn_version_gets_nothing_once_its_order_is_gone() {
-    let mut scene = Scene::new(v2_fails);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    let mut scene = Scene::after_withdrawal();
     scene.remove_order();
     scene.play(Duration::from_secs(8));
     assert_eq!(scene.to("v2"), 0);
@@ -262,10 +267,7 @@
 // An instance that starts later knows of it from the store alone.
 #[test]
 fn a_withdrawn_version_gets_nothing_from_an_instance_that_starts_later() {
-    let mut scene = Scene::new(v2_fails);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    let mut scene = Scene::after_withdrawal();
     scene.order("v3");
     scene.start("v3");
     scene.play(Duration::from_secs(2));
@@ -282,10 +284,7 @@
 
 #[test]
 fn a_withdrawn_version_may_be_ordered_again() {
-    let mut scene = Scene::new(v2_fails);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::RolledBack));
+    let mut scene = Scene::after_withdrawal();
     scene.remove_order();
     scene.play(Duration::from_secs(3));
     scene.behaviour = sound;
@@ -300,10 +299,7 @@
 #[test]
 fn a_version_that_took_over_stays_when_it_is_ordered_again() {
     let mut scene = Scene::new(sound);
-    scene.order("v2");
-    scene.start("v2");
-    assert_eq!(scene.play_to_end(), Some(Progress::Completed));
-    scene.stop("v1");
+    scene.move_to_v2();
     scene.play(Duration::from_secs(2));
     for created in [5, 90] {
         let mut again = rig::order("bids", "v2", SPAN * 2);
