--- a/crates/steer/tests/orders.rs
+++ b/crates/steer/tests/orders.rs
@@ -295,6 +295,19 @@
     assert_eq!(scene.play_to_end(), Some(Progress::Completed));
 }
 
+// The operator changes the time in the entry, as OPERATIONS.md says.
+#[test]
+fn a_withdrawn_version_may_be_ordered_again_in_its_entry() {
+    let mut scene = Scene::after_withdrawal();
+    scene.behaviour = sound;
+    let mut again = rig::order("bids", "v2", SPAN + Duration::from_secs(1));
+    again.revision = 90;
+    again.earlier = Some((again.target.clone(), Progress::RolledBack));
+    scene.announce(again);
+    scene.ended = None;
+    assert_eq!(scene.play_to_end(), Some(Progress::Completed));
+}
+
 // The old servers are gone: a move from nothing would leave callers unserved.
 #[test]
 fn a_version_that_took_over_stays_when_it_is_ordered_again() {
