edge: a connection is used again only after the whole request was sent on it

Cause: the attempt ended with the answer, also while the request was still being written; the connection went back to the pool, and the next request became part of the earlier body. The backend server answers early and reads on later. Change: the bytes sent are counted. A connection with an unsent rest gets the rest first, within 2 s and the memory for bodies, and is closed otherwise; the answer isn't held up. The scripted endpoint can wait and read bodies.

--- a/crates/daemon/src/edge/body_memory.rs
+++ b/crates/daemon/src/edge/body_memory.rs
@@ -41,6 +41,11 @@
 }
 
 impl Reservation {
+    /// Creates an empty reservation in the same budget.
+    pub fn sibling(&self) -> Self {
+        self.budget.reservation()
+    }
+
     /// Raises the reservation to this many bytes; returns false if that exceeds the
     /// budget. The bytes stay reserved until the drop either way.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -2,9 +2,12 @@
 //!
 //! The attempt uses a pooled connection or opens a new one. Its outcome and the
 //! answer, if there is one, go to the decision duty. A cancelled attempt drops its
-//! connection and reports nothing.
+//! connection and reports nothing. A connection returns to the pool only after the
+//! whole request has been sent on it, which may be after the answer.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,6 +46,9 @@
 /// it is unknown whether the request ran.
 const MAX_IDLE_ONCE: Duration = Duration::from_secs(2);
 
+/// The timeout for sending the rest of a request after its answer.
+const REST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The maximum size of an answer's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -53,6 +59,16 @@
 /// The maximum size of an answer's body.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// An answered exchange whose connection may be used again.
+struct Reusable {
+    stream: TcpStream,
+    request: Vec<u8>,
+    // The number of bytes of the request that have been sent.
+    sent: usize,
+    // How long the connection may be kept idle.
+    keep: Duration,
+}
+
 /// Runs one job and sends its outcome to the decision duty.
 pub async fn run(
     job: Job,
@@ -61,18 +77,26 @@
     reservation: Reservation,
     decisions: Sender<Input>,
 ) {
+    let mut rest = reservation.sibling();
     let cancelled = async {
         // Ends when the decision duty drops the sender.
         let _ = job.cancelled.recv().await;
         None
     };
     let attempt = async { Some(attempt(&job, clock, &pool, reservation).await) };
-    let Some((outcome, answer)) = attempt.or(cancelled).await else {
+    let Some((outcome, answer, reusable)) = attempt.or(cancelled).await else {
         return;
     };
     // Sending fails only at process end, since the decision duty ends last.
     let input = Input::Attempted(job.id, outcome, answer);
     drop(decisions.send(input).await);
+    if let Some(reusable) = reusable {
+        // The caller's reservation for the request ends with its answer.
+        let is_sent = reusable.sent == reusable.request.len();
+        if is_sent || rest.grow_to(reusable.request.len()) {
+            reusable.finish(job.addr, &pool).await;
+        }
+    }
 }
 
 async fn attempt(
@@ -80,36 +104,61 @@
     clock: Clock,
     pool: &RefCell<Pool>,
     reservation: Reservation,
-) -> (Outcome, Option<Answer>) {
+) -> (Outcome, Option<Answer>, Option<Reusable>) {
     let (stream, is_new) = match open(job, clock, pool).await {
         Ok(opened) => opened,
-        Err(outcome) => return (outcome, None),
+        Err(outcome) => return (outcome, None, None),
     };
     // Checked right before sending, so that a process that was paused until after
     // the deadline sends nothing.
     let left = clock.until(job.deadline);
     if left.is_zero() {
-        return (Outcome::NotSent, None);
+        return (Outcome::NotSent, None, None);
     }
-    let bytes = job.outbound.write(&job.server, job.account.as_ref(), left);
-    let sending = send(&stream, &bytes);
+    let request = job.outbound.write(&job.server, job.account.as_ref(), left);
+    let sent = Cell::new(0);
+    let sending = async {
+        // The write may fail after an early answer, which is read all the same.
+        drop(send(&stream, &request, &sent).await);
+        std::future::pending().await
+    };
     let answer = read_answer(&stream, job, is_new, reservation);
     // A backend server may answer before it has read the whole request.
     let Some((answer, keep)) = answer.or(sending).await else {
-        return (Outcome::Broken, None);
+        return (Outcome::Broken, None, None);
     };
-    if let Some(keep) = keep {
-        pool.borrow_mut().put_for(job.addr, stream, keep);
-    }
+    let sent = sent.get();
+    let reusable = keep.map(|keep| Reusable {
+        stream,
+        request,
+        sent,
+        keep,
+    });
     let load = answer.head.load;
     if answer.head.misdirected {
-        return (Outcome::Misdirected, None);
+        return (Outcome::Misdirected, None, reusable);
     }
     if answer.head.not_run {
-        return (Outcome::Full { load }, None);
+        return (Outcome::Full { load }, None, reusable);
     }
     let status = answer.head.status;
-    (Outcome::Answered { status, load }, Some(answer))
+    (Outcome::Answered { status, load }, Some(answer), reusable)
+}
+
+impl Reusable {
+    // Sends the rest of the request and returns the connection to the pool. Closes
+    // it if that fails: whatever followed an incomplete request would be read as
+    // the rest of its body.
+    async fn finish(self, addr: SocketAddr, pool: &RefCell<Pool>) {
+        let sent = Cell::new(self.sent);
+        if self.sent < self.request.len() {
+            let rest = send(&self.stream, &self.request, &sent);
+            if !matches!(future::timeout(REST_TIMEOUT, rest).await, Ok(Ok(()))) {
+                return;
+            }
+        }
+        pool.borrow_mut().put_for(addr, self.stream, self.keep);
+    }
 }
 
 // Takes a connection from the pool or opens one; the flag is true if it is new.
@@ -148,11 +197,15 @@
     poll_once(stream.peek(&mut byte)).await.is_none()
 }
 
-// Sends the request and then stays pending: the attempt ends with the answer.
-async fn send(mut stream: &TcpStream, bytes: &[u8]) -> Option<(Answer, Option<Duration>)> {
-    // The write may fail after an early answer, which is read all the same.
-    let _ = stream.write_all(bytes).await;
-    std::future::pending().await
+// Sends the bytes of the request that follow the first `sent`, and counts them.
+async fn send(mut stream: &TcpStream, request: &[u8], sent: &Cell<usize>) -> io::Result<()> {
+    while sent.get() < request.len() {
+        match stream.write(&request[sent.get()..]).await? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            count => sent.set(sent.get() + count),
+        }
+    }
+    Ok(())
 }
 
 // Reads the answer to the job's request. Also returns how long the connection may
--- a/crates/standins/src/estate/scripted.rs
+++ b/crates/standins/src/estate/scripted.rs
@@ -1,5 +1,6 @@
 //! An endpoint that writes scripted bytes, which need not be valid HTTP.
 
+use std::io;
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net::Shutdown;
@@ -12,8 +13,9 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::thread;
+use std::time::Duration;
 
-/// A received request; its body is not read.
+/// A received request; only [`Step::Read`] reads its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
     /// The index of the connection, from zero.
@@ -31,6 +33,10 @@
 pub enum Step {
     /// Writes bytes.
     Write(Vec<u8>),
+    /// Reads this many bytes of the request's body and records them.
+    Read(usize),
+    /// Waits before the next step.
+    Wait(Duration),
     /// Writes the bytes repeatedly until the peer closes.
     Repeat(Vec<u8>),
     /// Closes the sending side and waits for the peer to send or close.
@@ -43,6 +49,8 @@
     /// The address on which it accepts requests.
     pub addr: SocketAddr,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    // The id of each request of which a body was read, and the body.
+    bodies: Arc<Mutex<Vec<(String, Vec<u8>)>>>,
     open_connections: Arc<AtomicUsize>,
 }
 
@@ -60,6 +68,7 @@
         let endpoint = Self {
             addr,
             requests: Arc::default(),
+            bodies: Arc::default(),
             open_connections: Arc::default(),
         };
         let (served, script): (_, Arc<Script>) = (endpoint.clone(), Arc::new(script));
@@ -82,6 +91,13 @@
         heard.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the id and the body of each request whose body was read, in the order
+    /// in which the reading ended. A body that ended early is recorded as it came.
+    pub fn bodies(&self) -> Vec<(String, Vec<u8>)> {
+        let bodies = self.bodies.lock();
+        bodies.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
         self.open_connections.load(Ordering::Acquire)
@@ -105,6 +121,11 @@
             for step in script(&heard) {
                 let done = match step {
                     Step::Write(bytes) => stream.write_all(&bytes),
+                    Step::Read(count) => self.read_body(&heard.id, stream, count),
+                    Step::Wait(delay) => {
+                        thread::sleep(delay);
+                        Ok(())
+                    }
                     Step::Repeat(bytes) => loop {
                         if let Err(closed) = stream.write_all(&bytes) {
                             break Err(closed);
@@ -123,6 +144,24 @@
     }
 }
 
+impl Scripted {
+    fn read_body(&self, id: &str, stream: &TcpStream, count: usize) -> io::Result<()> {
+        let mut body = Vec::new();
+        let read = stream.take(count as u64).read_to_end(&mut body);
+        let is_whole = body.len() == count;
+        let bodies = self.bodies.lock();
+        let mut bodies = bodies.unwrap_or_else(PoisonError::into_inner);
+        bodies.push((id.to_owned(), body));
+        drop(bodies);
+        read?;
+        if is_whole {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::UnexpectedEof.into())
+        }
+    }
+}
+
 fn read_head(mut stream: &TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
