steer: the directory names the strongest instances while they suffice

Cause: each instance of a failure domain was named alike, and callers pick among the addresses at random. Change: of instances with unequal processor times those with half of the largest are named, if there are two or more of them and they have the processor time for the rate of the domain's callers (its summary); otherwise all are. Test: steer/tests/directory.rs, three of three red with the choice switched off.

--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -224,6 +224,13 @@
         loads
     }
 
+    /// Returns the requests per second that the instances of a failure domain receive, or
+    /// 0 if that is unknown.
+    pub(crate) fn request_rate(&self, now: Time, domain: &FailureDomain) -> f64 {
+        let latest = self.latest.get(domain).filter(|row| is_valid(now, row));
+        latest.map_or(0.0, |row| f64::from(row.summary.rate))
+    }
+
     /// Returns the other instances that serve callers.
     pub(crate) fn serving(&self, now: Time) -> impl Iterator<Item = &Member> {
         self.with_status(now, InstanceStatus::is_serving)
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -402,7 +402,8 @@
     ) {
         let me = self.is_ready().then(|| self.members.me());
         let serving = me.into_iter().chain(self.members.serving(now));
-        let entries = advice::advise(serving, region, domain);
+        let request_rate = |domain: &FailureDomain| self.members.request_rate(now, domain);
+        let entries = advice::advise(serving, region, domain, request_rate);
         let ttl = ADVICE_TTL.min(self.bounds.advice_most);
         out.push(Action::AnswerDirectory { id, entries, ttl });
     }
--- /dev/null
+++ b/crates/steer/tests/directory.rs
@@ -0,0 +1,112 @@
+//! The instances that the directory names to callers.
+
+mod rig;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corianderway_model::Time;
+use corianderway_steer::Action;
+use corianderway_steer::Event;
+use corianderway_steer::Member;
+use corianderway_steer::RequestId;
+
+use crate::rig::cluster::Cluster;
+
+/// The processor time of a strong and of a weak instance, in thousandths of a core.
+const STRONG: u32 = 500;
+const WEAK: u32 = 100;
+
+// Creates a failure domain with two strong and four weak instances, the strong ones
+// first, and another domain of the region with two instances alike.
+fn cluster() -> Cluster {
+    let member = |number: usize, domain, millicores| Member {
+        millicores,
+        ..rig::member(&format!("entry-{number}"), "north", domain)
+    };
+    let near = (0..6).map(|number| {
+        let millicores = if number < 2 { STRONG } else { WEAK };
+        member(number, "north-a", millicores)
+    });
+    let far = (6..8).map(|number| member(number, "north-b", WEAK));
+    let plan = || rig::plan(1, rig::routes(), None);
+    Cluster::start(near.chain(far).collect(), Time::from_millis(1_000), plan)
+}
+
+// Advances the clock in turns of 10 ms, each with `requests` new requests at the
+// instances of the first domain.
+fn pass(cluster: &mut Cluster, span: Duration, requests: usize) {
+    for turn in 0..span.as_millis() / 10 {
+        let now = cluster.rigs[0].now + Duration::from_millis(10);
+        cluster.turn(now);
+        for number in 0..requests {
+            let at = (turn as usize + number) % 6;
+            if !cluster.cut.contains(&at) {
+                cluster.rigs[at].request("/bids/1", None);
+                cluster.collect(at);
+            }
+        }
+        for (number, id, _) in std::mem::take(&mut cluster.forwarded) {
+            let outcome = rig::answered(200);
+            cluster.step(number, Event::AttemptEnded { id, outcome });
+        }
+    }
+}
+
+// Returns the numbers of the instances that the directory of one names to a caller.
+fn named(cluster: &mut Cluster, by: usize, domain: &str) -> Vec<usize> {
+    let event = Event::Directory {
+        id: RequestId(9_000),
+        region: "north".try_into().ok(),
+        domain: domain.try_into().ok(),
+    };
+    cluster.rigs[by].step(event);
+    let answer = cluster.rigs[by].out.iter().find_map(|action| match action {
+        Action::AnswerDirectory { entries, .. } => Some(entries.clone()),
+        _ => None,
+    });
+    cluster.collect(by);
+    let number = |addr: &SocketAddr| {
+        let of = |m: &Member| m.entry.callers == *addr;
+        cluster.members.iter().position(of).unwrap()
+    };
+    let mut numbers: Vec<usize> = answer.unwrap().iter().map(number).collect();
+    numbers.sort_unstable();
+    numbers
+}
+
+// Guards callers against instances with a tenth of a core and a slow link: each instance
+// of a failure domain was named alike, and callers pick among them at random.
+#[test]
+fn only_the_strongest_instances_are_named_while_they_suffice() {
+    let mut cluster = cluster();
+    pass(&mut cluster, Duration::from_secs(8), 3);
+    for by in [0, 1, 5, 7] {
+        assert_eq!(named(&mut cluster, by, "north-a"), [0, 1], "by {by}");
+        assert_eq!(named(&mut cluster, by, "north-b"), [6, 7], "by {by}");
+    }
+}
+
+// Two strong instances have a second of processor time per second together; the requests
+// of this test need more than they may use.
+#[test]
+fn all_instances_are_named_under_a_load_that_needs_them() {
+    let mut cluster = cluster();
+    pass(&mut cluster, Duration::from_secs(8), 9);
+    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1, 2, 3, 4, 5]);
+    pass(&mut cluster, Duration::from_secs(20), 2);
+    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
+}
+
+// Guards against a single instance being named, whose loss would leave none.
+#[test]
+fn the_weaker_instances_are_named_when_one_strong_is_left() {
+    let mut cluster = cluster();
+    pass(&mut cluster, Duration::from_secs(6), 3);
+    cluster.cut = vec![1];
+    pass(&mut cluster, Duration::from_secs(6), 3);
+    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 2, 3, 4, 5]);
+    cluster.cut = Vec::new();
+    pass(&mut cluster, Duration::from_secs(6), 3);
+    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
+}
