daemon: an answer goes on when its server needs no more of the request

Cause: a streamed request whose server answered early ended the exchange: once the servers duty had dropped the rest of the body, the callers duty took the body for one that the caller had cut, and closed the connection amid the answer. Change: pump says whether the body was truncated or is needed no more; what the caller still sends is read for a while before the connection is closed.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -71,33 +71,43 @@
     Box::pin(chunks).into_async_read()
 }
 
+/// Why a body was not passed on to its end.
+#[derive(Debug)]
+pub enum PumpError {
+    /// The body can't be read, or its length differs from its framing.
+    Truncated,
+    /// The receiver needs no more of it.
+    Unneeded,
+}
+
 /// Sends a body to a ring in chunks, and its end only if the body is complete.
 ///
 /// # Errors
 ///
-/// Returns an error if the body can't be read, if its length differs from its
-/// framing, or if the receiver is closed.
+/// Returns an error if the body is truncated, or if the receiver is closed.
 pub async fn pump(
     mut body: impl AsyncRead + Unpin,
     framing: Framing,
     chunks: &Sender<Chunk>,
-) -> io::Result<()> {
+) -> Result<(), PumpError> {
     let mut total = 0;
     loop {
         let mut bytes = vec![0; MAX_CHUNK_BYTES];
-        let count = body.read(&mut bytes).await?;
+        let read = body.read(&mut bytes).await;
+        let count = read.map_err(|_broken| PumpError::Truncated)?;
         if count == 0 {
             break;
         }
         total += count as u64;
         bytes.truncate(count);
         let sent = chunks.send(Chunk::Data(bytes)).await;
-        sent.map_err(|_closed| truncated())?;
+        sent.map_err(|_closed| PumpError::Unneeded)?;
     }
     match framing {
-        Framing::Length(length) if total != length => Err(truncated()),
+        Framing::Length(length) if total != length => Err(PumpError::Truncated),
         Framing::Length(_) | Framing::Chunked | Framing::Close => {
-            chunks.send(Chunk::End).await.map_err(|_closed| truncated())
+            let sent = chunks.send(Chunk::End).await;
+            sent.map_err(|_closed| PumpError::Unneeded)
         }
     }
 }
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -23,6 +23,7 @@
 
 use crate::body;
 use crate::body::Payload;
+use crate::body::PumpError;
 use crate::callers::CallerContext;
 use crate::message_reader;
 use crate::message_reader::HeadFailure;
@@ -128,11 +129,17 @@
         Framing::Chunked | Framing::Close => None,
     };
     let (chunks, chunk_rx) = body::ring();
-    let pump = async move { body::pump(body, framing, &chunks).await.is_ok() };
+    // A server may answer before the whole body was sent to it.
+    let pump = async move {
+        let pumped = body::pump(body, framing, &chunks).await;
+        !matches!(pumped, Err(PumpError::Truncated))
+    };
     let call = Call::new(request, client, Payload::Stream(chunk_rx, length), ctx);
     // The connection is closed, since the rest of a streamed body would be read as
     // the next head.
-    exchange(stream, ctx, call, method, pump, true).await
+    let next = exchange(stream, ctx, call, method, pump, true).await;
+    drain(stream).await;
+    next
 }
 
 // Runs one call while its body is forwarded and the connection is watched for a
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -4,13 +4,26 @@
 mod heads;
 mod support;
 
+use std::io::Write as _;
+use std::time::Duration;
+
+use corianderway_standins::estate::Scripted;
+use corianderway_standins::estate::Step;
 use corianderway_standins::harness::call;
+use corianderway_standins::harness::until;
 use corianderway_standins::harness::Client;
 use corianderway_standins::harness::Request;
 use serde_json::Value;
 
 use crate::support::Fleet;
 use crate::support::HOST;
+use crate::support::WAIT_TIMEOUT;
+
+/// The size of an early answer, which exceeds the buffers on its way.
+const EARLY_ANSWER_BYTES: usize = 4_000_000;
+
+/// How long a server that has answered keeps the rest of a request unread.
+const READ_DELAY: Duration = Duration::from_secs(3);
 
 #[test]
 fn malformed_heads_are_refused_without_affecting_other_callers() {
@@ -119,3 +132,48 @@
         .text();
     assert!(!history.contains(secret));
 }
+
+// Guards against an answer that is cut off because its server read only a part of the
+// request before it answered: the rest of the request was taken for one that the caller
+// had cut off.
+#[test]
+fn an_early_answer_to_a_large_request_is_delivered_whole() {
+    let mut fleet = Fleet::start(1, 1);
+    let (_, key) = fleet.create_key("finder");
+    let server = Scripted::start(|heard| {
+        let is_early = heard.target.starts_with("/dates/");
+        let body = match heard.target.split('?').next() {
+            _ if is_early => vec![b'e'; EARLY_ANSWER_BYTES],
+            Some("/health") => b"{\"status\":\"ok\"}".to_vec(),
+            Some("/load") => b"{\"running\":0}".to_vec(),
+            _ => Vec::new(),
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let mut steps = vec![Step::Write([head.into_bytes(), body].concat())];
+        if is_early {
+            // The rest of the request is never read.
+            steps.extend([Step::Read(100_000), Step::Wait(READ_DELAY)]);
+        }
+        steps
+    });
+    fleet.add_backend("finder-9", server.addr);
+    fleet.servers.clear();
+    let get = Request::get("/capsules/1").host(HOST);
+    until("answers of the scripted server", WAIT_TIMEOUT, || {
+        let reply = fleet.entries[0].call(&get).ok()?;
+        (reply.status == 200 && reply.body.is_empty()).then_some(())
+    })
+    .unwrap();
+    for _ in 0..10 {
+        let post = Request::post("/dates/1").host(HOST).key(&key);
+        let mut client = Client::connect(fleet.entries[0].callers).unwrap();
+        let mut writer = client.clone_stream().unwrap();
+        let bytes = post.body(vec![b'r'; 6_000_000]).bytes();
+        let writing = std::thread::spawn(move || drop(writer.write_all(&bytes)));
+        let reply = client.read("POST").unwrap();
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.body.len(), EARLY_ANSWER_BYTES);
+        drop(client);
+        writing.join().unwrap();
+    }
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test program uses some of these items")]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,8 @@
 
 use corianderway_control::KeyRecord;
 use corianderway_control::NONCE_BYTES;
+use corianderway_model::Backend;
+use corianderway_model::Presence;
 use corianderway_standins::backend::Record;
 use corianderway_standins::checker::read_runs;
 use corianderway_standins::harness::until;
@@ -79,6 +82,21 @@
         self.histories.push(history);
     }
 
+    /// Registers a backend server that a test runs itself.
+    pub fn add_backend(&mut self, id: &str, addr: SocketAddr) {
+        let backend = Backend {
+            id: id.try_into().unwrap(),
+            addr,
+            service: "finder".try_into().unwrap(),
+            version: "v1".try_into().unwrap(),
+            region: "north".try_into().unwrap(),
+            domain: "north-a".try_into().unwrap(),
+            slots: 8,
+            presence: Presence::Live,
+        };
+        self.platform.register_backend(&backend).unwrap();
+    }
+
     /// Returns the requests that the backend servers ran, including servers that ended.
     pub fn runs(&self) -> Vec<Record> {
         let files = self.histories.iter();
