steer: an instance that does not keep up with its work is not named

Cause: with the strongest instances named, a machine that turns slow would keep half of its failure domain's callers; its processor time is told once, in its entry, and says nothing of today's speed. Directories leave late ones out while others of the strongest keep up; if none does, all are named, since it is then the load that delays them. Test: steer/tests/directory.rs, an_instance_that_does_not_keep_up_is_left_out (it needs the flag and fails without).

--- a/crates/daemon/tests/early_answer.rs
+++ b/crates/daemon/tests/early_answer.rs
@@ -78,7 +78,7 @@
     fn post(&self, number: usize, length: usize) -> Reply {
         let request = Request::new("POST", "/once/17")
             .header("Host", node::HOST)
-            .header("Request-Id", &format!("r-{number}"))
+            .header("Request-Id", format!("r-{number}"))
             .header("Deadline-Ms", "4000")
             .body(vec![letter(number); length]);
         call(self.instance.addr(node::CALLERS_PORT), &request).unwrap()
--- a/crates/standins/src/estate/scripted.rs
+++ b/crates/standins/src/estate/scripted.rs
@@ -49,11 +49,13 @@
     /// The address on which it accepts requests.
     pub addr: SocketAddr,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
-    // The id of each request of which a body was read, and the body.
-    bodies: Arc<Mutex<Vec<(String, Vec<u8>)>>>,
+    bodies: Arc<Mutex<Vec<Body>>>,
     open_connections: Arc<AtomicUsize>,
 }
 
+/// The id of a request, and what was read of its body.
+type Body = (String, Vec<u8>);
+
 type Script = dyn Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync;
 
 impl Scripted {
@@ -93,7 +95,7 @@
 
     /// Returns the id and the body of each request whose body was read, in the order
     /// in which the reading ended. A body that ended early is recorded as it came.
-    pub fn bodies(&self) -> Vec<(String, Vec<u8>)> {
+    pub fn bodies(&self) -> Vec<Body> {
         let bodies = self.bodies.lock();
         bodies.unwrap_or_else(PoisonError::into_inner).clone()
     }
--- a/crates/steer/src/advice.rs
+++ b/crates/steer/src/advice.rs
@@ -31,11 +31,13 @@
 ///
 /// Callers pick among the addresses at random. Of instances with unequal processor
 /// times, only the strongest are returned while they can serve all requests:
-/// `request_rate` returns those of a failure domain, per second.
+/// `request_rate` returns those of a failure domain, per second. Instances that don't
+/// keep up with their work are left out while others do.
 pub(crate) fn advise<'a>(
     serving: impl Iterator<Item = &'a Member>,
     region: Option<&Region>,
     domain: Option<&FailureDomain>,
+    is_late: impl Fn(&Member) -> bool,
     request_rate: impl Fn(&FailureDomain) -> f64,
 ) -> Vec<SocketAddr> {
     let serving: Vec<&Member> = serving.collect();
@@ -50,18 +52,25 @@
     if nearest.is_empty() {
         nearest = matching(&|_| true);
     }
-    let nearest = strongest(nearest, request_rate);
+    let nearest = strongest(nearest, is_late, request_rate);
     let addresses = nearest.iter().map(|member| member.entry.callers);
     addresses.take(MAX_ADDRESSES).collect()
 }
 
-// Returns the strongest of the instances if they can serve the requests of all, and
-// otherwise all of them.
-fn strongest(members: Vec<&Member>, request_rate: impl Fn(&FailureDomain) -> f64) -> Vec<&Member> {
+// Returns the strongest of the instances if they can serve the requests of all. Otherwise
+// returns all that keep up with their work, or all if none of the strongest does: then
+// it is their load that delays them.
+fn strongest(
+    members: Vec<&Member>,
+    is_late: impl Fn(&Member) -> bool,
+    request_rate: impl Fn(&FailureDomain) -> f64,
+) -> Vec<&Member> {
     let most = members.iter().map(|member| member.millicores).max();
     let threshold = f64::from(most.unwrap_or(0)) * STRONGEST_SHARE;
-    let is_strong = |member: &&&Member| f64::from(member.millicores) >= threshold;
-    let strong: Vec<&Member> = members.iter().filter(is_strong).copied().collect();
+    let prompt = members.iter().copied().filter(|member| !is_late(member));
+    let prompt: Vec<&Member> = prompt.collect();
+    let is_strong = |member: &&Member| f64::from(member.millicores) >= threshold;
+    let strong: Vec<&Member> = prompt.iter().copied().filter(is_strong).collect();
     let millicores: f64 = strong.iter().map(|m| f64::from(m.millicores)).sum();
     let mut domains: Vec<&FailureDomain> = members.iter().map(|m| &m.entry.domain).collect();
     domains.sort_unstable();
@@ -71,7 +80,9 @@
     let suffices = rate * REQUEST_PROCESSOR_MS <= millicores * MAX_UTILIZATION;
     if suffices && strong.len() >= MIN_DOMAIN_INSTANCES {
         strong
-    } else {
+    } else if strong.is_empty() || prompt.len() < MIN_DOMAIN_INSTANCES {
         members
+    } else {
+        prompt
     }
 }
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -94,6 +94,9 @@
     /// Whether the instance reaches the store directly.
     #[serde(rename = "k")]
     pub reaches_store: bool,
+    /// Whether the instance does not keep up with its work.
+    #[serde(rename = "l", default)]
+    pub late: bool,
     /// The latest revision of the store that the instance has seen.
     #[serde(rename = "v")]
     pub revision: u64,
@@ -171,6 +174,9 @@
 /// The flag of an instance that is stopping.
 const FLAG_LEAVING: u8 = 4;
 
+/// The flag of an instance that does not keep up with its work.
+const FLAG_LATE: u8 = 8;
+
 /// The report on one version move, by one instance or merged over a failure
 /// domain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -246,7 +252,8 @@
         let flag = |holds: bool, flag: u8| if holds { flag } else { 0 };
         let flags = flag(digest.ready && !leaves, FLAG_SERVING)
             | flag(digest.reaches_store, FLAG_STORE)
-            | flag(leaves, FLAG_LEAVING);
+            | flag(leaves, FLAG_LEAVING)
+            | flag(digest.late, FLAG_LATE);
         Self(hash, digest.sequence, flags)
     }
 
@@ -270,6 +277,11 @@
         self.2 & FLAG_STORE != 0
     }
 
+    /// Returns whether the instance does not keep up with its work.
+    pub fn is_late(self) -> bool {
+        self.2 & FLAG_LATE != 0
+    }
+
     /// Returns whether the instance is stopping.
     pub fn is_leaving(self) -> bool {
         self.2 & FLAG_LEAVING != 0
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -226,6 +226,7 @@
             presence,
             ready: self.is_ready(),
             reaches_store: self.follows_store(),
+            late: self.pace.is_late(),
             revision: self.revision,
             rate,
             demands,
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -236,6 +236,17 @@
         self.with_status(now, InstanceStatus::is_serving)
     }
 
+    /// Returns whether another instance does not keep up with its work.
+    pub(crate) fn is_late(&self, now: Time, id: &InstanceId) -> bool {
+        let Some(row) = self.others.get(id) else {
+            return false;
+        };
+        let latest = self.latest.get(&row.member.entry.domain);
+        let latest = latest.filter(|r| is_valid(now, r));
+        let status = latest.and_then(|r| r.summary.instance_status(row.hash));
+        status.is_some_and(InstanceStatus::is_late)
+    }
+
     /// Returns whether this instance is the first by name of those that reach the store;
     /// `reaches_store` says whether it reaches the store itself.
     pub(crate) fn is_leader(&self, now: Time, reaches_store: bool) -> bool {
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -251,6 +251,7 @@
     let is_unchanged = known.run == digest.run
         && known.presence == digest.presence
         && known.ready == digest.ready
+        && known.late == digest.late
         && known.reaches_store == digest.reaches_store;
     let regular = known.crashes == digest.crashes
         && phases(known) == phases(digest)
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -32,6 +32,8 @@
 use crate::moves::Moves;
 use crate::note::Note;
 use crate::note::Severity;
+use crate::pace::Pace;
+use crate::pace::PACE_CHART;
 use crate::pending_failures::PendingFailures;
 use crate::phase::MOVE_CHART;
 use crate::plan::CallerLimits;
@@ -149,6 +151,7 @@
     // The latest digest that was sent.
     pub(crate) last_digest: Option<Arc<Digest>>,
     pub(crate) last_sweep: Time,
+    pub(crate) pace: Pace,
     pub(crate) digest_sent: Time,
     pub(crate) quotas_updated: Time,
     pub(crate) entries_removed: Time,
@@ -177,6 +180,7 @@
         let requests = corianderway_chart::Chart::parse(REQUEST_CHART);
         let relay = corianderway_chart::Chart::parse(RELAY_CHART);
         let selector = corianderway_chart::Chart::parse(SOURCE_CHART);
+        let pace = corianderway_chart::Chart::parse(PACE_CHART);
         Ok(Self {
             request_chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
@@ -215,6 +219,7 @@
             digest_count: 0,
             last_digest: None,
             last_sweep: Time::ZERO,
+            pace: Pace::new(pace.context(chart("edge-pace.yaml"))?),
             digest_sent: Time::ZERO,
             quotas_updated: Time::ZERO,
             entries_removed: Time::ZERO,
@@ -406,8 +411,15 @@
     ) {
         let me = self.is_ready().then(|| self.members.me());
         let serving = me.into_iter().chain(self.members.serving(now));
+        let is_late = |member: &Member| {
+            if member.entry.id == self.members.me().entry.id {
+                self.pace.is_late()
+            } else {
+                self.members.is_late(now, &member.entry.id)
+            }
+        };
         let request_rate = |domain: &FailureDomain| self.members.request_rate(now, domain);
-        let entries = advice::advise(serving, region, domain, request_rate);
+        let entries = advice::advise(serving, region, domain, is_late, request_rate);
         let ttl = ADVICE_TTL.min(self.bounds.advice_most);
         out.push(Action::AnswerDirectory { id, entries, ttl });
     }
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -36,6 +36,7 @@
             return;
         }
         let step = self.shifts.max_share_in(now, now.since(self.last_sweep));
+        self.record_pace(now, out);
         self.last_sweep = now;
         for (service, away, busy) in self.fleet.place_owners(&self.offered_loads, step) {
             let note = Note::new(Severity::Notable, "placement")
@@ -61,6 +62,22 @@
         self.retry_all_waiting(now, out);
     }
 
+    // Records how late this sweep is.
+    fn record_pace(&mut self, now: Time, out: &mut Vec<Action>) {
+        // There is no earlier sweep to compare the first one with.
+        if self.last_sweep == Time::ZERO {
+            return;
+        }
+        let due = self.last_sweep + SWEEP_INTERVAL;
+        if let Some(mean_ms) = self.pace.record(now.since(due)) {
+            let note = Note::new(Severity::Notable, "pace")
+                .with("late", self.pace.is_late())
+                .with("delay_ms", mean_ms.round());
+            out.push(Action::Log(note));
+            self.urgent = true;
+        }
+    }
+
     fn sweep_moves(&mut self, now: Time, out: &mut Vec<Action>) {
         let running: Vec<_> = self
             .moves
--- a/crates/steer/tests/directory.rs
+++ b/crates/steer/tests/directory.rs
@@ -110,3 +110,23 @@
     pass(&mut cluster, Duration::from_secs(6), 3);
     assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
 }
+
+// Guards callers of a machine that has become slow: an instance that begins its periodic
+// work 60 ms late is not named while others keep up.
+#[test]
+fn an_instance_that_does_not_keep_up_is_left_out() {
+    let mut cluster = cluster();
+    pass(&mut cluster, Duration::from_secs(6), 3);
+    cluster.late = (vec![1], 16);
+    pass(&mut cluster, Duration::from_secs(5), 3);
+    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 2, 3, 4, 5]);
+    assert_eq!(named(&mut cluster, 7, "north-a"), [0, 2, 3, 4, 5]);
+    assert_eq!(named(&mut cluster, 1, "north-a"), [0, 2, 3, 4, 5]);
+    cluster.late.0.clear();
+    pass(&mut cluster, Duration::from_secs(5), 3);
+    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
+    // Both strong instances are late: their load is too high for them.
+    cluster.late.0 = vec![0, 1];
+    pass(&mut cluster, Duration::from_secs(5), 3);
+    assert_eq!(named(&mut cluster, 7, "north-a"), [0, 1, 2, 3, 4, 5]);
+}
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -275,6 +275,7 @@
         presence: Presence::Live,
         ready: true,
         reaches_store: true,
+        late: false,
         revision,
         rate: 0.0,
         demands: Vec::new(),
--- a/crates/steer/tests/rig/cluster.rs
+++ b/crates/steer/tests/rig/cluster.rs
@@ -39,6 +39,8 @@
     /// The instances whose links are slow, and by how many turns more a message takes
     /// over each.
     pub slow: (Vec<usize>, u32),
+    /// The instances that get a tick only every so many turns.
+    pub late: (Vec<usize>, u64),
     /// The instances that can't reach the store.
     pub without_store: Vec<usize>,
     /// The number of messages sent to other failure domains.
@@ -72,6 +74,7 @@
             rigs: Vec::new(),
             cut: Vec::new(),
             slow: (Vec::new(), 0),
+            late: (Vec::new(), 1),
             without_store: Vec::new(),
             cross_domain: 0,
             sources: Vec::new(),
@@ -124,7 +127,10 @@
         }
         for number in 0..self.rigs.len() {
             self.rigs[number].now = now;
-            self.step(number, Event::Tick);
+            let turn = now.since(Time::ZERO).as_millis() as u64 / 10;
+            if !self.late.0.contains(&number) || turn.is_multiple_of(self.late.1) {
+                self.step(number, Event::Tick);
+            }
             self.check_source(number);
         }
     }
