steer: the instances that callers are sent to share windows and cold servers

Cause: first windows and the rate of a cold server were divided among all serving instances; with the strongest named, most of these receive no callers, so a new server got one request at a time of each of a few, and the sharers of a cold one could all be idle. Change: the sharers are the instances that directories name. Test: only_named_instances_share_the_window_of_a_server: 1 request before, 2 after.

--- a/crates/steer/src/advice.rs
+++ b/crates/steer/src/advice.rs
@@ -4,6 +4,7 @@
 
 use corianderway_model::FailureDomain;
 use corianderway_model::Region;
+use corianderway_model::SortedMap;
 
 use crate::listing::Member;
 
@@ -57,6 +58,23 @@
     addresses.take(MAX_ADDRESSES).collect()
 }
 
+/// Returns the serving instances that directories name to the callers of their failure
+/// domains. Only these receive requests in numbers.
+pub(crate) fn named<'a>(
+    serving: impl Iterator<Item = &'a Member>,
+    is_late: impl Fn(&Member) -> bool,
+    request_rate: impl Fn(&FailureDomain) -> f64,
+) -> Vec<&'a Member> {
+    let mut domains: SortedMap<FailureDomain, Vec<&Member>> = SortedMap::default();
+    for member in serving {
+        let near = domains.get_or_insert_with(member.entry.domain.clone(), Vec::new);
+        near.push(member);
+    }
+    let near = domains.iter().map(|row| row.1.clone());
+    near.flat_map(|near| strongest(near, &is_late, &request_rate))
+        .collect()
+}
+
 // Returns the strongest of the instances if they can serve the requests of all. Otherwise
 // returns all that keep up with their work, or all if none of the strongest does: then
 // it is their load that delays them.
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -82,7 +82,7 @@
     // The placement of a service whose offered load is unknown.
     unknown_placement: Placement,
     evacuated: Vec<FailureDomain>,
-    // This instance and the others that serve callers.
+    // The instances that receive callers' requests.
     neighbours: Vec<Neighbour>,
     changes: Vec<StateChange>,
     pub(crate) service_times: ServiceTimes,
@@ -227,9 +227,10 @@
         self.terms.insert(service.clone(), terms);
     }
 
-    pub(crate) fn set_neighbours(&mut self, others: Vec<Neighbour>) {
-        self.neighbours = others;
-        self.neighbours.push(self.this_instance.clone());
+    /// Sets the instances that receive callers' requests. They share the windows and the
+    /// rates of cold servers.
+    pub(crate) fn set_neighbours(&mut self, neighbours: Vec<Neighbour>) {
+        self.neighbours = neighbours;
     }
 
     /// Sets the failure domains that receive no requests. Returns false if they
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -401,6 +401,31 @@
         self.quotas.update_shares(now, lender, &demand);
     }
 
+    /// Returns the instances that directories name to the callers of their failure
+    /// domains.
+    pub(crate) fn named(&self, now: Time) -> Vec<&Member> {
+        advice::named(
+            self.serving(now),
+            |member| self.is_late(now, member),
+            |domain| self.members.request_rate(now, domain),
+        )
+    }
+
+    // Returns the instances that serve callers, this one included.
+    fn serving(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let me = self.is_ready().then(|| self.members.me());
+        me.into_iter().chain(self.members.serving(now))
+    }
+
+    fn is_late(&self, now: Time, member: &Member) -> bool {
+        let id = &member.entry.id;
+        if *id == self.members.me().entry.id {
+            self.pace.is_late()
+        } else {
+            self.members.is_late(now, id)
+        }
+    }
+
     fn answer_directory(
         &mut self,
         now: Time,
@@ -409,17 +434,13 @@
         domain: Option<&FailureDomain>,
         out: &mut Vec<Action>,
     ) {
-        let me = self.is_ready().then(|| self.members.me());
-        let serving = me.into_iter().chain(self.members.serving(now));
-        let is_late = |member: &Member| {
-            if member.entry.id == self.members.me().entry.id {
-                self.pace.is_late()
-            } else {
-                self.members.is_late(now, &member.entry.id)
-            }
-        };
-        let request_rate = |domain: &FailureDomain| self.members.request_rate(now, domain);
-        let entries = advice::advise(serving, region, domain, is_late, request_rate);
+        let entries = advice::advise(
+            self.serving(now),
+            region,
+            domain,
+            |member| self.is_late(now, member),
+            |domain| self.members.request_rate(now, domain),
+        );
         let ttl = ADVICE_TTL.min(self.bounds.advice_most);
         out.push(Action::AnswerDirectory { id, entries, ttl });
     }
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -47,8 +47,8 @@
         }
         self.advance_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
-        let serving = self.members.serving(now).map(neighbour).collect();
-        self.fleet.set_neighbours(serving);
+        let named = self.named(now).into_iter().map(neighbour).collect();
+        self.fleet.set_neighbours(named);
         if now.since(self.quotas_updated) >= QUOTA_INTERVAL {
             self.quotas_updated = now;
             self.update_quotas(now);
--- a/crates/steer/tests/directory.rs
+++ b/crates/steer/tests/directory.rs
@@ -10,6 +10,7 @@
 use corianderway_steer::Event;
 use corianderway_steer::Member;
 use corianderway_steer::RequestId;
+use corianderway_steer::ServerChange;
 
 use crate::rig::cluster::Cluster;
 
@@ -130,3 +131,28 @@
     pass(&mut cluster, Duration::from_secs(5), 3);
     assert_eq!(named(&mut cluster, 7, "north-a"), [0, 1, 2, 3, 4, 5]);
 }
+
+// Guards against windows that are divided among instances without callers: where 18 of
+// 195 instances were named, each could send a server one request at a time.
+#[test]
+fn only_named_instances_share_the_window_of_a_server() {
+    let mut cluster = cluster();
+    pass(&mut cluster, Duration::from_secs(6), 3);
+    let added = rig::server("bids-north-a-9", "bids", "north", "north-a");
+    for number in 0..8 {
+        let put = vec![ServerChange::Put(added.clone())];
+        cluster.step(number, Event::Servers(put));
+    }
+    pass(&mut cluster, Duration::from_millis(200), 0);
+    for _ in 0..60 {
+        cluster.rigs[0].request("/bids/1", None);
+        cluster.collect(0);
+    }
+    let sent = cluster
+        .forwarded
+        .iter()
+        .filter(|sent| sent.2 == added.backend.id);
+    // Two strong instances here and two in the other domain share four slots; each may
+    // have one more request on its way.
+    assert_eq!(sent.count(), 2);
+}
