steer: a request joins the first for its object where that is as fast

Cause: a request waited until the first one for its object had ended, on the assumption that both would be slow. Change: the time beside a first request is learnt like the others (building); a request waits only where that is longer than the wait and a prepared run.

--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -198,7 +198,7 @@
         self.shifts.count(now, choice.remote);
         self.moves.record_sent(&open.service, &version);
         let object = open.query.object.filter(|_| open.route.sticky);
-        let builds = object.filter(|_| choice.warmth != Warmth::Known);
+        let builds = object.filter(|_| matches!(choice.warmth, Warmth::Likely | Warmth::Unknown));
         self.fleet
             .begin(now, &choice.server, id, choice.expected(), builds);
         let note = self
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -84,7 +84,7 @@
     /// of building the object's state at its owner for later requests.
     pub(crate) penalty: f64,
     /// Time until another request has built the object's state at this server,
-    /// if one is building it.
+    /// if one is building it and a further one would take longer beside it.
     pub(crate) build_left: Option<Duration>,
     /// Time that a healthy server of the same region with a free slot takes to
     /// answer; `None` if distance, a wait or a cold start adds to it.
@@ -276,15 +276,23 @@
             self.service_times
                 .expected(&criteria.route.name, target_latency, warmth)
         };
-        let mut work = service_time(warmth) * server.slowness(now);
-        let known = service_time(Warmth::Known) * server.slowness(now);
+        let slowness = server.slowness(now);
+        let known = service_time(Warmth::Known) * slowness;
         let build_left = criteria
             .object
             .filter(|_| warmth != Warmth::Known)
             .and_then(|object| server.build_left(object, now));
-        if let Some(remaining) = build_left {
-            work = remaining + known;
-        }
+        let (warmth, build_left) = match build_left {
+            // A request that runs beside the first one may be as fast as later ones.
+            Some(remaining) if service_time(Warmth::Building) * slowness <= remaining + known => {
+                (Warmth::Building, None)
+            }
+            _ => (warmth, build_left),
+        };
+        let mut work = build_left.map_or_else(
+            || service_time(warmth) * slowness,
+            |remaining| remaining + known,
+        );
         if server.state == State::Warming {
             work *= COLD_FACTOR;
         }
--- a/crates/steer/src/service_time.rs
+++ b/crates/steer/src/service_time.rs
@@ -10,8 +10,8 @@
 /// Weight of a new time in the moving average.
 const MEAN_GAIN: f64 = 0.08;
 
-/// Initial estimate for a server that has cached the object, as a share of the
-/// route's target latency. A target latency leaves a margin above the time at such a
+/// Initial estimate for a server that has cached the object or is building its state,
+/// as a share of the route's target latency. A target latency leaves a margin above the time at such a
 /// server.
 const INITIAL_KNOWN_SHARE: f64 = 0.4;
 
@@ -34,6 +34,8 @@
 pub(crate) enum Warmth {
     /// This instance recently sent the server requests for the object.
     Known,
+    /// A request of this instance for the object runs there, the first one.
+    Building,
     /// The server is the object's owner.
     Likely,
     /// Neither.
@@ -44,6 +46,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Estimates {
     known: f64,
+    building: f64,
     likely: f64,
     unknown: f64,
     /// Upper quantile of the times at servers that may not have cached the
@@ -74,7 +77,9 @@
         let estimates = estimates.unwrap_or_else(|| initial(target_latency));
         match warmth {
             Warmth::Known => estimates.known,
-            Warmth::Likely | Warmth::Unknown => estimates.unknown.max(estimates.upper.value()),
+            Warmth::Building | Warmth::Likely | Warmth::Unknown => {
+                estimates.unknown.max(estimates.upper.value())
+            }
         }
     }
 
@@ -98,6 +103,7 @@
             .get_or_insert_with(route.clone(), || initial(target_latency));
         let mean = match warmth {
             Warmth::Known => &mut estimates.known,
+            Warmth::Building => &mut estimates.building,
             Warmth::Likely => &mut estimates.likely,
             Warmth::Unknown => &mut estimates.unknown,
         };
@@ -113,6 +119,7 @@
     fn of(self, warmth: Warmth) -> f64 {
         match warmth {
             Warmth::Known => self.known,
+            Warmth::Building => self.building,
             Warmth::Likely => self.likely,
             Warmth::Unknown => self.unknown,
         }
@@ -122,6 +129,7 @@
 fn initial(target_latency: f64) -> Estimates {
     Estimates {
         known: target_latency * INITIAL_KNOWN_SHARE,
+        building: target_latency * INITIAL_KNOWN_SHARE,
         likely: target_latency * INITIAL_UNKNOWN_SHARE,
         unknown: target_latency * INITIAL_UNKNOWN_SHARE,
         upper: Quantile::default(),
