edge: the time for a request's body ends with the caller's limit and the route's

Change: the body's time is the least of ten seconds, the caller's limit and the route's timeout; then 408, which is true, since nothing was passed on. Test: half_a_body_is_refused_when_its_time_is_over in late_bodies.rs (early_answer.rs before): answered after ten seconds before, in time after.

--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -32,7 +32,8 @@
 use crate::message_reader;
 use crate::message_reader::HeadFailure;
 
-/// The timeout for receiving a request's body.
+/// The maximum time for receiving a request's body. The caller's own limit and the
+/// route's timeout hold for it as well.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The timeout for writing an answer.
@@ -105,7 +106,10 @@
     let max_bytes = limits.body_bytes.min(MAX_BODY_BYTES);
     let mut reservation = ctx.body_memory.reservation();
     let read = body::read(stream, ahead, asked.framing, max_bytes, &mut reservation);
-    match future::timeout(BODY_TIMEOUT, read).await {
+    let (host, path) = (&asked.query.host, &asked.query.path);
+    let allowed = [asked.query.time_limit, ctx.limits.route_timeout(host, path)];
+    let timeout = allowed.into_iter().flatten().fold(BODY_TIMEOUT, Ord::min);
+    match future::timeout(timeout, read).await {
         Ok(Ok(body)) => asked.set_body(body),
         Ok(Err(BodyError::Cut)) => return Next::Close,
         Ok(Err(BodyError::TooLarge)) => return refuse(stream, TOO_LARGE, "body-large").await,
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -167,7 +167,9 @@
         self.shared
             .open
             .store(self.steer.open_requests(), Ordering::Release);
-        self.shared.limits.set(self.steer.caller_limits());
+        if let Some(plan) = self.steer.plan() {
+            self.shared.limits.set(plan);
+        }
     }
 
     fn execute(&mut self, action: Action) {
--- a/crates/daemon/tests/early_answer.rs
+++ b/crates/daemon/tests/late_bodies.rs
@@ -1,7 +1,9 @@
-//! Backend servers on the platform that answer before they have read the request.
+//! Requests on the platform whose bodies come late: at backend servers that answer
+//! before they have read them, and from callers that stop sending.
 
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use corianderway_standins::estate::entry;
 use corianderway_standins::estate::node;
@@ -13,6 +15,7 @@
 use corianderway_standins::estate::Store;
 use corianderway_standins::harness::call;
 use corianderway_standins::harness::until;
+use corianderway_standins::harness::Client;
 use corianderway_standins::harness::Reply;
 use corianderway_standins::harness::Request;
 use serde_json::json;
@@ -164,3 +167,31 @@
     })
     .unwrap();
 }
+
+// Guards against callers that send half a body and fall silent: each kept its connection
+// and its memory for ten seconds, whatever the route allowed.
+#[test]
+fn half_a_body_is_refused_when_its_time_is_over() {
+    let fleet = Fleet::start(|heard| vec![Step::Write(answer(heard))]);
+    let addr = fleet.instance.addr(node::CALLERS_PORT);
+    // The route allows four seconds.
+    for (deadline, limit) in [("1500", 1_500), ("9000", 4_000)] {
+        let mut client = Client::connect(addr).unwrap();
+        let request = Request::new("POST", "/once/17")
+            .header("Host", node::HOST)
+            .header("Request-Id", "r-1")
+            .header("Deadline-Ms", deadline)
+            .body(vec![b'x'; 40_000]);
+        let bytes = request.bytes();
+        let begun = Instant::now();
+        client.write(&bytes[..bytes.len() / 2]).unwrap();
+        let reply = client.read("POST").unwrap();
+        let took = begun.elapsed();
+        assert_eq!(reply.status, 408, "{}", reply.text());
+        assert!(reply.text().contains("not-run"), "{}", reply.text());
+        let limit = Duration::from_millis(limit);
+        assert!(took >= limit, "{took:?}");
+        assert!(took < limit + Duration::from_millis(500), "{took:?}");
+    }
+    assert!(fleet.endpoint.heard().is_empty());
+}
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -36,7 +36,6 @@
 use crate::pace::PACE_CHART;
 use crate::pending_failures::PendingFailures;
 use crate::phase::MOVE_CHART;
-use crate::plan::CallerLimits;
 use crate::plan::Plan;
 use crate::quota::Quotas;
 use crate::relay::Relay;
@@ -300,11 +299,9 @@
         self.requests.len()
     }
 
-    /// Returns the limits on callers from the latest configuration.
-    pub fn caller_limits(&self) -> CallerLimits {
-        self.plan
-            .as_ref()
-            .map_or_else(CallerLimits::default, |plan| plan.callers())
+    /// Returns the latest configuration, if any has arrived.
+    pub fn plan(&self) -> Option<&Arc<Plan>> {
+        self.plan.as_ref()
     }
 
     /// Returns whether all inputs that decisions need have arrived.
