tests: a second copy of an answer reaches no other caller

Passes on the code as it is; red with the ids of answers and the bytes read ahead ignored (the next caller got "answer to /read/0").

--- a/crates/daemon/tests/garbled.rs
+++ b/crates/daemon/tests/garbled.rs
@@ -282,3 +282,53 @@
     let reply = fleet.ask(&format!("/once/{length:03}"), "r-999").unwrap();
     assert_eq!(reply.status, 200);
 }
+
+// Guards against a fault seen in similar systems: a backend server sends a second copy of
+// an answer, late, on a connection that is in use again, and the next caller gets it.
+#[test]
+fn a_second_copy_of_an_answer_reaches_no_other_caller() {
+    let kinds = [
+        "same segment",
+        "at rest",
+        "next request",
+        "cut in the next request",
+    ];
+    for kind in kinds {
+        let fleet = Fleet::start(move |heard| {
+            let own = complete_answer(heard);
+            let copy = || {
+                let (target, id) = ("/read/0".to_owned(), "r-0".to_owned());
+                let first = ReceivedRequest {
+                    target,
+                    id,
+                    ..heard.clone()
+                };
+                complete_answer(&first)
+            };
+            match (kind, heard.id.as_str()) {
+                ("same segment", "r-0") => vec![Step::Write([own.clone(), own].concat())],
+                ("at rest", "r-0") => {
+                    let late = Step::Wait(Duration::from_millis(60));
+                    vec![Step::Write(own.clone()), late, Step::Write(own)]
+                }
+                ("next request", _) if heard.number > 0 => {
+                    vec![Step::Write(copy()), Step::Write(own)]
+                }
+                ("cut in the next request", _) if heard.number > 0 => {
+                    let half = copy()[..copy().len() - 3].to_vec();
+                    vec![Step::Write(half), Step::Close]
+                }
+                _ => vec![Step::Write(own)],
+            }
+        });
+        for number in 0..12 {
+            let reply = fleet.ask(&format!("/read/{number}"), &format!("r-{number}"));
+            let reply = reply.expect("an answer");
+            match reply.status {
+                200 => assert_eq!(reply.text(), format!("answer to /read/{number}"), "{kind}"),
+                // A read is sent once only on this route.
+                status => assert!(matches!(status, 502..=504), "{kind}: {status}"),
+            }
+        }
+    }
+}
