--- a/crates/steer/tests/directory.rs
+++ b/crates/steer/tests/directory.rs
@@ -2,14 +2,11 @@
 
 mod rig;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use corianderway_model::Time;
-use corianderway_steer::Action;
 use corianderway_steer::Event;
 use corianderway_steer::Member;
-use corianderway_steer::RequestId;
 use corianderway_steer::ServerChange;
 
 use crate::rig::cluster::Cluster;
@@ -54,28 +51,6 @@
     }
 }
 
-// Returns the numbers of the instances that the directory of one names to a caller.
-fn named(cluster: &mut Cluster, by: usize, domain: &str) -> Vec<usize> {
-    let event = Event::Directory {
-        id: RequestId(9_000),
-        region: "north".try_into().ok(),
-        domain: domain.try_into().ok(),
-    };
-    cluster.rigs[by].step(event);
-    let answer = cluster.rigs[by].out.iter().find_map(|action| match action {
-        Action::AnswerDirectory { entries, .. } => Some(entries.clone()),
-        _ => None,
-    });
-    cluster.collect(by);
-    let number = |addr: &SocketAddr| {
-        let of = |m: &Member| m.entry.callers == *addr;
-        cluster.members.iter().position(of).unwrap()
-    };
-    let mut numbers: Vec<usize> = answer.unwrap().iter().map(number).collect();
-    numbers.sort_unstable();
-    numbers
-}
-
 // Guards callers against instances with a tenth of a core and a slow link: each instance
 // of a failure domain was named alike, and callers pick among them at random.
 #[test]
@@ -83,8 +58,8 @@
     let mut cluster = cluster();
     pass(&mut cluster, Duration::from_secs(8), 3);
     for by in [0, 1, 5, 7] {
-        assert_eq!(named(&mut cluster, by, "north-a"), [0, 1], "by {by}");
-        assert_eq!(named(&mut cluster, by, "north-b"), [6, 7], "by {by}");
+        assert_eq!(cluster.named(by, "north", "north-a"), [0, 1], "by {by}");
+        assert_eq!(cluster.named(by, "north", "north-b"), [6, 7], "by {by}");
     }
 }
 
@@ -94,9 +69,9 @@
 fn all_instances_are_named_under_a_load_that_needs_them() {
     let mut cluster = cluster();
     pass(&mut cluster, Duration::from_secs(8), 9);
-    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1, 2, 3, 4, 5]);
+    assert_eq!(cluster.named(0, "north", "north-a"), [0, 1, 2, 3, 4, 5]);
     pass(&mut cluster, Duration::from_secs(20), 2);
-    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
+    assert_eq!(cluster.named(0, "north", "north-a"), [0, 1]);
 }
 
 // Guards against a single instance being named, whose loss would leave none.
@@ -106,10 +81,10 @@
     pass(&mut cluster, Duration::from_secs(6), 3);
     cluster.cut = vec![1];
     pass(&mut cluster, Duration::from_secs(6), 3);
-    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 2, 3, 4, 5]);
+    assert_eq!(cluster.named(0, "north", "north-a"), [0, 2, 3, 4, 5]);
     cluster.cut = Vec::new();
     pass(&mut cluster, Duration::from_secs(6), 3);
-    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
+    assert_eq!(cluster.named(0, "north", "north-a"), [0, 1]);
 }
 
 // Guards callers of a machine that has become slow: an instance that begins its periodic
@@ -120,16 +95,16 @@
     pass(&mut cluster, Duration::from_secs(6), 3);
     cluster.late = (vec![1], 16);
     pass(&mut cluster, Duration::from_secs(5), 3);
-    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 2, 3, 4, 5]);
-    assert_eq!(named(&mut cluster, 7, "north-a"), [0, 2, 3, 4, 5]);
-    assert_eq!(named(&mut cluster, 1, "north-a"), [0, 2, 3, 4, 5]);
+    assert_eq!(cluster.named(0, "north", "north-a"), [0, 2, 3, 4, 5]);
+    assert_eq!(cluster.named(7, "north", "north-a"), [0, 2, 3, 4, 5]);
+    assert_eq!(cluster.named(1, "north", "north-a"), [0, 2, 3, 4, 5]);
     cluster.late.0.clear();
     pass(&mut cluster, Duration::from_secs(5), 3);
-    assert_eq!(named(&mut cluster, 0, "north-a"), [0, 1]);
+    assert_eq!(cluster.named(0, "north", "north-a"), [0, 1]);
     // Both strong instances are late: their load is too high for them.
     cluster.late.0 = vec![0, 1];
     pass(&mut cluster, Duration::from_secs(5), 3);
-    assert_eq!(named(&mut cluster, 7, "north-a"), [0, 1, 2, 3, 4, 5]);
+    assert_eq!(cluster.named(7, "north", "north-a"), [0, 1, 2, 3, 4, 5]);
 }
 
 // Guards against windows that are divided among instances without callers: where 18 of
--- a/crates/steer/tests/relays.rs
+++ b/crates/steer/tests/relays.rs
@@ -3,14 +3,9 @@
 
 mod rig;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use corianderway_model::Time;
-use corianderway_steer::Action;
-use corianderway_steer::Event;
-use corianderway_steer::Member;
-use corianderway_steer::RequestId;
 
 use crate::rig::cluster::Cluster;
 
@@ -45,27 +40,6 @@
     }
 }
 
-// Returns the numbers of the instances that the directory of one of them returns to a
-// caller.
-fn directory_answer(cluster: &mut Cluster, by: usize, region: &str, domain: &str) -> Vec<usize> {
-    let event = Event::Directory {
-        id: RequestId(9_000),
-        region: region.try_into().ok(),
-        domain: domain.try_into().ok(),
-    };
-    cluster.rigs[by].step(event);
-    let answer = cluster.rigs[by].out.iter().find_map(|action| match action {
-        Action::AnswerDirectory { entries, .. } => Some(entries.clone()),
-        _ => None,
-    });
-    cluster.collect(by);
-    let number = |addr: &SocketAddr| {
-        let of = |m: &Member| m.entry.callers == *addr;
-        cluster.members.iter().position(of).unwrap()
-    };
-    answer.unwrap().iter().map(number).collect()
-}
-
 // Guards the cost of traffic between failure domains: when each instance sent its state
 // to every other one, twelve sent 96 messages per second to other domains.
 #[test]
@@ -87,8 +61,7 @@
     let mut cluster = cluster();
     pass(&mut cluster, Duration::from_secs(2));
     for by in [0, 3, 5, 11] {
-        let mut south = directory_answer(&mut cluster, by, "south", "south-a");
-        south.sort_unstable();
+        let south = cluster.named(by, "south", "south-a");
         assert_eq!(south, [8, 9, 10, 11], "by {by}");
     }
 }
@@ -101,10 +74,10 @@
     cluster.cut = vec![8];
     for _ in 0..60 {
         pass(&mut cluster, Duration::from_millis(100));
-        let south = directory_answer(&mut cluster, 0, "south", "south-a");
+        let south = cluster.named(0, "south", "south-a");
         assert!([9, 10, 11].iter().all(|at| south.contains(at)), "{south:?}");
     }
-    let south = directory_answer(&mut cluster, 0, "south", "south-a");
+    let south = cluster.named(0, "south", "south-a");
     assert!(!south.contains(&8), "{south:?}");
 }
 
@@ -116,12 +89,12 @@
         cluster.cut.clone_from(&lost);
         pass(&mut cluster, Duration::from_secs(7));
         for by in [0, 2, 6] {
-            let south = directory_answer(&mut cluster, by, "south", "south-a");
+            let south = cluster.named(by, "south", "south-a");
             assert!(lost.iter().all(|at| !south.contains(at)), "{south:?}");
         }
         cluster.cut.clear();
         pass(&mut cluster, Duration::from_secs(7));
-        let south = directory_answer(&mut cluster, 0, "south", "south-a");
+        let south = cluster.named(0, "south", "south-a");
         assert_eq!(south.len(), DOMAIN_SIZE, "all return: {south:?}");
     }
 }
--- a/crates/steer/tests/rig/cluster.rs
+++ b/crates/steer/tests/rig/cluster.rs
@@ -180,6 +180,29 @@
         relay.expect("an instance that is listed")
     }
 
+    /// Returns the instances that the directory of one of them names to a caller, sorted.
+    pub fn named(&mut self, by: usize, region: &str, domain: &str) -> Vec<usize> {
+        let event = Event::Directory {
+            id: RequestId(9_000),
+            region: region.try_into().ok(),
+            domain: domain.try_into().ok(),
+        };
+        self.rigs[by].step(event);
+        let answer = self.rigs[by].out.iter().find_map(|action| match action {
+            Action::AnswerDirectory { entries, .. } => Some(entries.clone()),
+            _ => None,
+        });
+        self.collect(by);
+        let number = |addr: &SocketAddr| {
+            let of = |m: &Member| m.entry.callers == *addr;
+            self.members.iter().position(of).expect("a listed instance")
+        };
+        let answer = answer.expect("an answer");
+        let mut numbers: Vec<usize> = answer.iter().map(number).collect();
+        numbers.sort_unstable();
+        numbers
+    }
+
     /// Sends an event to one instance and handles its actions.
     pub fn step(&mut self, number: usize, event: Event) {
         self.rigs[number].step(event);
