--- a/crates/steer/src/pace.rs
+++ b/crates/steer/src/pace.rs
@@ -2,8 +2,8 @@
 //! begins.
 //!
 //! An instance whose machine has become slow, or that gets more work than its processor
-//! time suffices for, begins everything late. It tells the others, and directories name
-//! others in its place.
+//! time suffices for, begins everything late. Its digest says so, and directories name
+//! other instances in its place.
 
 use std::time::Duration;
 
--- a/crates/steer/src/service_time.rs
+++ b/crates/steer/src/service_time.rs
@@ -11,8 +11,8 @@
 const MEAN_GAIN: f64 = 0.08;
 
 /// Initial estimate for a server that has cached the object or is building its state,
-/// as a share of the route's target latency. A target latency leaves a margin above the time at such a
-/// server.
+/// as a share of the route's target latency. A target latency leaves a margin above the
+/// time at a server that has cached the object.
 const INITIAL_KNOWN_SHARE: f64 = 0.4;
 
 /// Initial estimate for a server that may not have cached the object, as a
