edge: the rest of an answered request holds no memory of callers that wait

Change: only the unsent bytes are kept and reserved, and only up to 1 MiB; beyond that the connection is closed. Test: the same one, with a size more; that the rest is sent whole is asked up to 1 MB now, 3 MB before, which this bound follows.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -49,6 +49,10 @@
 /// The timeout for sending the rest of a request after its answer.
 const REST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum size of that rest, in bytes. The memory for bodies is for callers that
+/// still wait for their answers.
+const MAX_REST_BYTES: usize = 1024 * 1024;
+
 /// The maximum size of an answer's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -92,8 +96,8 @@
     drop(decisions.send(input).await);
     if let Some(reusable) = reusable {
         // The caller's reservation for the request ends with its answer.
-        let is_sent = reusable.sent == reusable.request.len();
-        if is_sent || rest.grow_to(reusable.request.len()) {
+        let unsent = reusable.request.len() - reusable.sent;
+        if unsent == 0 || (unsent <= MAX_REST_BYTES && rest.grow_to(unsent)) {
             reusable.finish(job.addr, &pool).await;
         }
     }
@@ -149,10 +153,13 @@
     // Sends the rest of the request and returns the connection to the pool. Closes
     // it if that fails: whatever followed an incomplete request would be read as
     // the rest of its body.
-    async fn finish(self, addr: SocketAddr, pool: &RefCell<Pool>) {
-        let sent = Cell::new(self.sent);
-        if self.sent < self.request.len() {
-            let rest = send(&self.stream, &self.request, &sent);
+    async fn finish(mut self, addr: SocketAddr, pool: &RefCell<Pool>) {
+        let unsent = self.request.split_off(self.sent);
+        // Frees the memory of what was sent.
+        self.request = Vec::new();
+        if !unsent.is_empty() {
+            let sent = Cell::new(0);
+            let rest = send(&self.stream, &unsent, &sent);
             if !matches!(future::timeout(REST_TIMEOUT, rest).await, Ok(Ok(()))) {
                 return;
             }
