--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -35,6 +35,7 @@
         "odd-ids" => odd_ids(trouble, record),
         "answers-lost" => answers_lost(trouble, record),
         "lost-replica" => lost_replica(trouble, record),
+        "old-copy" => old_copy(trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -304,3 +305,73 @@
     record.line(&format!("{late} requests reached an endpoint later than drain_ms after its removal"));
     Ok(if late > 0 { Verdict::Broken } else { Verdict::Held })
 }
+
+/// `config_apply_ms` of the sites.
+const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
+
+// The store is silent for a while, just after changes of the configuration. Later a key is taken
+// away, and then an instance that follows the copy of another one is killed and starts again.
+// CONFIG: a request with that key, sent later than `config_apply_ms` after the acknowledgement,
+// runs, by an instance that has been in touch since it started.
+fn old_copy(trouble: bool, record: &Record) -> Result<Verdict, String> {
+    const SILENCE: Duration = Duration::from_millis(4_500);
+    let store = Store::start();
+    let both = ["k-families-1", "k-families-2"];
+    store.put("config", "main", &fleet::keyed_configuration(1, &both));
+    let endpoint = Endpoint::start("i-0", record, |_| Act::Run(Duration::from_millis(20)));
+    store.put("servers", &endpoint.id, &endpoint.entry("finder", fleet::ZONES[0].0, "ready", 1));
+    let mut instances = Vec::new();
+    for (number, zone) in [(0, 0), (1, 0), (2, 1)] {
+        instances.push(Instance::start(number, zone, store.addr, record)?);
+    }
+    thread::sleep(STABLE_WINDOW + STABLE_WINDOW);
+    // Which of the two follows the copy of the other is chosen by the instances.
+    let follows_copy = |instance: &Instance| {
+        let reach = instance.lines_with("event=store-reach");
+        reach.last().is_some_and(|line| line.contains("to=Replica"))
+    };
+    let follower = (0..2).find(|number| follows_copy(&instances[*number]));
+    let follower = follower.ok_or("neither instance of the zone follows a copy")?;
+    let mut version = 1;
+    for _ in 0..16 {
+        version += 1;
+        store.put("config", "main", &fleet::keyed_configuration(version, &both));
+        thread::sleep(Duration::from_millis(60));
+    }
+    if trouble {
+        record.line("store: silent");
+        store.set_silent(true);
+        thread::sleep(SILENCE);
+        store.set_silent(false);
+        record.line("store: answers again");
+    }
+    thread::sleep(STABLE_WINDOW + Duration::from_secs(1));
+    version += 1;
+    store.put("config", "main", &fleet::keyed_configuration(version, &both[1..]));
+    let acknowledged = Instant::now();
+    record.line(&format!("store: version {version} without {} is acknowledged", both[0]));
+    thread::sleep(Duration::from_secs(1));
+    record.line(&format!("platform: {} is killed and starts again", instances[follower].name));
+    instances[follower].restart(record)?;
+    thread::sleep(STABLE_WINDOW + Duration::from_millis(500));
+    let mut ran = 0;
+    for (number, instance) in instances.iter().enumerate() {
+        for count in 0..5 {
+            let id = format!("seal-{number}-{count}");
+            let request = format!(
+                "GET /seals/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\nKey: {}\r\n\r\n",
+                both[0]
+            );
+            let after = acknowledged.elapsed();
+            let result = Client::connect(instance.front())
+                .and_then(|mut client| client.ask(request.as_bytes(), Duration::from_secs(2)))
+                .map(|answer| answer.status);
+            let runs = endpoint.runs().iter().any(|run| run.header("request-id") == id);
+            let after_ms = after.as_millis();
+            record.line(&format!("client: {id} with {} to {}, {after_ms} ms after: {result:?}, runs {runs}", both[0], instance.name));
+            ran += usize::from(number == follower && runs && after > CONFIG_APPLY);
+        }
+    }
+    record.line(&format!("{ran} of 5 requests with the key that was taken away ran at the instance that started after it"));
+    Ok(if ran > 0 { Verdict::Broken } else { Verdict::Held })
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::fs::OpenOptions;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -55,15 +56,37 @@
             .spawn()
             .map_err(|error| format!("{PROGRAM}: {error}"))?;
         let instance = Self { name, ip, child, dir };
+        instance.wait_until_ready(record)?;
+        Ok(instance)
+    }
+
+    /// Kills the process and starts it again with the same settings.
+    pub fn restart(&mut self, record: &Record) -> Result<(), String> {
+        self.kill();
+        let log = OpenOptions::new().append(true).open(self.dir.join("log.txt"));
+        let log = log.map_err(|error| error.to_string())?;
+        let errors = log.try_clone().map_err(|error| error.to_string())?;
+        self.child = Command::new(Path::new(PROGRAM))
+            .arg("--platform")
+            .env_clear()
+            .env("CORIANDERWAY_SETTINGS", self.dir.join("settings.yaml"))
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .map_err(|error| format!("{PROGRAM}: {error}"))?;
+        self.wait_until_ready(record)
+    }
+
+    fn wait_until_ready(&self, record: &Record) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(15);
-        while !instance.is_ready() {
+        while !self.is_ready() {
             if Instant::now() > end {
-                return Err(format!("{} is not ready", instance.name));
+                return Err(format!("{} is not ready", self.name));
             }
             thread::sleep(Duration::from_millis(50));
         }
-        record.line(&format!("instance {}: process {} is ready", instance.name, instance.child.id()));
-        Ok(instance)
+        record.line(&format!("instance {}: process {} is ready", self.name, self.child.id()));
+        Ok(())
     }
 
     pub fn front(&self) -> SocketAddr {
@@ -155,9 +178,16 @@
     )
 }
 
-/// Returns a configuration with a safe and an unsafe route, both without keys.
+/// Returns a configuration with one key.
 pub fn configuration(version: u64) -> String {
+    keyed_configuration(version, &["k-families-1"])
+}
+
+/// Returns a configuration with these keys of the tenant `families`, and a route that needs one.
+pub fn keyed_configuration(version: u64, keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let keys = keys.join(",");
     format!(
-        r#"{{"version":{version},"routes":{{"columns":["name","host","path_prefix","kind","timeout_ms","target_latency_ms","priority","traffic_split","max_attempts","public","sticky","allowed_regions","service"],"rows":[["locate","{HOST}","/locate/","safe",4000,1200,1,null,2,true,false,[],"finder"],["transfer","{HOST}","/transfer/","unsafe",6000,1600,1,null,2,true,false,[],"finder"]]}},"services":{{"columns":["name","health_path","max_conns","protocol","tls","cold_start_s","cold_per_s"],"rows":[["finder","/health",360,"h1",false,0.0,1000.0]]}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":{{"columns":["name","api_keys","priority","rate_per_s","burst","allowed_regions"],"rows":[["families",["k-families-1"],1,0,0,[]]]}}}}"#
+        r#"{{"version":{version},"routes":{{"columns":["name","host","path_prefix","kind","timeout_ms","target_latency_ms","priority","traffic_split","max_attempts","public","sticky","allowed_regions","service"],"rows":[["locate","{HOST}","/locate/","safe",4000,1200,1,null,2,true,false,[],"finder"],["transfer","{HOST}","/transfer/","unsafe",6000,1600,1,null,2,true,false,[],"finder"],["seals","{HOST}","/seals/","safe",4000,1200,1,null,2,false,false,[],"finder"]]}},"services":{{"columns":["name","health_path","max_conns","protocol","tls","cold_start_s","cold_per_s"],"rows":[["finder","/health",360,"h1",false,0.0,1000.0]]}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":{{"columns":["name","api_keys","priority","rate_per_s","burst","allowed_regions"],"rows":[["families",[{keys}],1,0,0,[]]]}}}}"#
     )
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -21,6 +23,7 @@
 pub struct Store {
     pub addr: SocketAddr,
     shared: Arc<(Mutex<Contents>, Condvar)>,
+    silent: Arc<AtomicBool>,
 }
 
 #[derive(Default)]
@@ -83,7 +86,7 @@
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
-        let store = Self { addr, shared: Arc::default() };
+        let store = Self { addr, shared: Arc::default(), silent: Arc::default() };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -94,6 +97,13 @@
         store
     }
 
+    /// Makes the store silent, or ends that. A call that arrives meanwhile is never answered; a
+    /// watch that waited before goes on afterwards.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Release);
+        self.shared.1.notify_all();
+    }
+
     /// Writes the spec of an object, as the operator or an endpoint does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut contents = self.shared.0.lock().expect("the store");
@@ -142,6 +152,12 @@
             let mut body = vec![0; length];
             reader.read_exact(&mut body)?;
             let body = String::from_utf8_lossy(&body).into_owned();
+            if self.silent.load(Ordering::Acquire) {
+                // Holds the connection open.
+                loop {
+                    thread::park();
+                }
+            }
             let (status, answer) = self.answer(&method, &target, &body);
             let reason = if status < 300 { "OK" } else { "Refused" };
             write!(
@@ -178,10 +194,12 @@
                         let of_kind = contents.history.iter().filter(|row| row.1 == *kind && row.0 > from);
                         let events: Vec<&str> = of_kind.map(|row| row.2.as_str()).collect();
                         let left = end.saturating_duration_since(Instant::now());
-                        if !events.is_empty() || left.is_zero() {
+                        let silent = self.silent.load(Ordering::Acquire);
+                        if !silent && (!events.is_empty() || left.is_zero()) {
                             let (events, revision) = (events.join(","), contents.revision);
                             break (200, format!(r#"{{"events":[{events}],"current_rev":{revision}}}"#));
                         }
+                        let left = left.max(Duration::from_millis(20));
                         contents = self.shared.1.wait_timeout(contents, left).expect("the store").0;
                     }
                 }
