--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-target/review/trial old-copy review/4
+target/review/trial poison review/4
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -36,6 +36,7 @@
         "answers-lost" => answers_lost(trouble, record),
         "lost-replica" => lost_replica(trouble, record),
         "old-copy" => old_copy(trouble, record),
+        "poison" => poison(trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -375,3 +376,89 @@
     record.line(&format!("{ran} of 5 requests with the key that was taken away ran at the instance that started after it"));
     Ok(if ran > 0 { Verdict::Broken } else { Verdict::Held })
 }
+
+// A request that crashes each endpoint that begins to run it comes again every 5 s, beside sound
+// requests of four clients. BUDGET: it reaches endpoints in more than three retries, sent later
+// than `stable_window_ms` after it has crashed the third.
+fn poison(trouble: bool, record: &Record) -> Result<Verdict, String> {
+    const CLIENTS: usize = 4;
+    const RETRY_INTERVAL: Duration = Duration::from_secs(5);
+    const LENGTH: Duration = Duration::from_secs(70);
+    const POISON: &str = "/locate/poison";
+    let store = Store::start();
+    store.put("config", "main", &fleet::configuration(1));
+    let mut endpoints = Vec::new();
+    for number in 0..8 {
+        let endpoint = Endpoint::start(&format!("i-{number}"), record, move |request: &Request| {
+            if trouble && request.target == POISON {
+                return Act::Crash;
+            }
+            Act::Run(Duration::from_millis(100))
+        });
+        store.put("servers", &endpoint.id, &endpoint.entry("finder", fleet::ZONES[number % 3].0, "ready", 1));
+        endpoints.push(endpoint);
+    }
+    let mut instance = Instance::start(0, 0, store.addr, record)?;
+    thread::sleep(STABLE_WINDOW);
+    let front = instance.front();
+    let done = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    // An endpoint that is back says so in its entry.
+    let (registered, ended) = (endpoints.clone(), Arc::clone(&done));
+    threads.push(thread::spawn(move || {
+        let mut known = vec![0; registered.len()];
+        while !ended.load(Ordering::Acquire) {
+            for (number, endpoint) in registered.iter().enumerate() {
+                if endpoint.starts() != known[number] {
+                    known[number] = endpoint.starts();
+                    let zone = fleet::ZONES[number % 3].0;
+                    store.put("servers", &endpoint.id, &endpoint.entry("finder", zone, "ready", 1));
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }));
+    for number in 0..CLIENTS {
+        let (done, record) = (Arc::clone(&done), record.clone());
+        threads.push(thread::spawn(move || {
+            let mut count = 0;
+            while !done.load(Ordering::Acquire) {
+                count += 1;
+                let id = format!("sound-{number}-{count}");
+                let request = client::get(HOST, "/locate/1", &id, 4_000);
+                let result = Client::connect(front)
+                    .and_then(|mut client| client.ask(&request, Duration::from_secs(4)))
+                    .map(|answer| answer.status);
+                record.line(&format!("client: {id}: {result:?}"));
+                thread::sleep(Duration::from_millis(300));
+            }
+        }));
+    }
+    let crashes = || endpoints.iter().flat_map(Endpoint::runs).filter(|run| trouble && run.target == POISON).count();
+    let start = Instant::now();
+    let mut third: Option<Instant> = None;
+    let (mut late, mut number) = (0, 0);
+    while start.elapsed() < LENGTH {
+        number += 1;
+        let (before, sent) = (crashes(), Instant::now());
+        let request = client::get(HOST, POISON, &format!("poison-{number}"), 4_000);
+        let result = Client::connect(front)
+            .and_then(|mut client| client.ask(&request, Duration::from_secs(4)))
+            .map(|answer| answer.status);
+        let after = crashes();
+        record.line(&format!("client: poison-{number}: {result:?}; {after} crashes of endpoints so far"));
+        let is_late = third.is_some_and(|at| sent.duration_since(at) > STABLE_WINDOW);
+        late += usize::from(is_late && after > before);
+        if after >= 3 {
+            third.get_or_insert_with(Instant::now);
+        }
+        thread::sleep(RETRY_INTERVAL);
+    }
+    done.store(true, Ordering::Release);
+    for thread in threads {
+        thread.join().map_err(|_panic| "a client failed")?;
+    }
+    let running = instance.is_running();
+    record.line(&format!("{late} retries reached endpoints, sent later than stable_window_ms after the third crash; running {running}"));
+    Ok(if late > 3 { Verdict::Broken } else { Verdict::Held })
+}
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -3,9 +3,13 @@
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -15,6 +19,9 @@
 
 pub const SLOTS: u32 = 32;
 
+/// How long an endpoint is down after a crash.
+const CRASH_SPAN: Duration = Duration::from_secs(3);
+
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -26,9 +33,8 @@
 pub enum Act {
     /// Runs it for this time and answers 200.
     Run(Duration),
-    /// Runs it, sends these bytes instead of an answer, and keeps the connection.
-    #[allow(dead_code, reason = "not every scenario uses all acts")]
-    Bytes(Vec<u8>),
+    /// Crashes as it begins to run it, and is back after `CRASH_SPAN`.
+    Crash,
     /// Runs it and never answers.
     LoseAnswer,
     /// Rejects it as not run, as a full endpoint does.
@@ -45,6 +51,9 @@
     runs: Arc<Mutex<Vec<Request>>>,
     script: Script,
     record: Record,
+    starts: Arc<AtomicU64>,
+    crashed: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Request {
@@ -62,10 +71,23 @@
             runs: Arc::default(),
             script: Arc::new(script),
             record: record.clone(),
+            starts: Arc::default(),
+            crashed: Arc::default(),
+            open: Arc::default(),
         };
         let served = endpoint.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            let mut listener = listener;
+            loop {
+                let Ok((stream, _)) = listener.accept() else {
+                    continue;
+                };
+                if served.crashed.load(Ordering::Acquire) {
+                    listener = served.stay_down(listener);
+                    continue;
+                }
+                let copy = stream.try_clone().expect("a socket can be cloned");
+                served.open.lock().expect("the connections").push(copy);
                 let endpoint = served.clone();
                 thread::spawn(move || drop(endpoint.serve(stream)));
             }
@@ -77,10 +99,30 @@
     pub fn entry(&self, service: &str, zone: &str, state: &str, seq: u64) -> String {
         let addr = self.addr;
         format!(
-            r#"{{"address":"{addr}","info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":{SLOTS}}},"status":{{"state":"{state}","seq":{seq},"cold_left_ms":0}},"born":1790000000000}}"#
+            r#"{{"address":"{addr}","info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":{SLOTS}}},"status":{{"state":"{state}","seq":{seq},"cold_left_ms":0}},"born":{}}}"#,
+            1_790_000_000_000 + self.starts()
         )
     }
 
+    /// Returns how often it has started again.
+    pub fn starts(&self) -> u64 {
+        self.starts.load(Ordering::Acquire)
+    }
+
+    // Closes the port and all connections, and listens again after a while.
+    fn stay_down(&self, listener: TcpListener) -> TcpListener {
+        drop(listener);
+        for stream in self.open.lock().expect("the connections").drain(..) {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+        thread::sleep(CRASH_SPAN);
+        self.crashed.store(false, Ordering::Release);
+        let listener = TcpListener::bind(self.addr).expect("the port is free again");
+        self.starts.fetch_add(1, Ordering::AcqRel);
+        self.record.line(&format!("endpoint {}: is back", self.id));
+        listener
+    }
+
     /// Returns the requests that it ran.
     pub fn runs(&self) -> Vec<Request> {
         self.runs.lock().expect("the runs").clone()
@@ -113,10 +155,6 @@
             self.record.line(&format!("endpoint {name}: runs {id} {target}"));
             self.runs.lock().expect("the runs").push(request);
             match act {
-                Act::Bytes(bytes) => {
-                    self.record.line(&format!("endpoint {name}: sends {} bytes that are no answer to {id}", bytes.len()));
-                    stream.write_all(&bytes)?;
-                }
                 Act::Run(span) => {
                     thread::sleep(span);
                     let body = format!("{name} ran {id}");
@@ -126,6 +164,13 @@
                         body.len()
                     )?;
                 }
+                Act::Crash => {
+                    self.record.line(&format!("endpoint {name}: {id} crashes it"));
+                    self.crashed.store(true, Ordering::Release);
+                    // Wakes the thread that accepts connections.
+                    drop(TcpStream::connect(self.addr));
+                    return Ok(());
+                }
                 Act::LoseAnswer => self.record.line(&format!("endpoint {name}: the answer to {id} is lost")),
                 Act::Full => (),
             }
