--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 does the same without the disruption.
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/../.." || exit 2
 target/review/trial lost-replica review/5
 code=$?
