standins: the store tells callers apart by the address that they use

Cause: the store rejected callers by their source address, which is 127.0.0.1 for every instance, so a_instance_that_the_store_rejects_refuses_a_withdrawn_key rejected nobody. Change: each instance gets an address of the store of its own, and faults name addresses.

--- a/crates/daemon/tests/estate.rs
+++ b/crates/daemon/tests/estate.rs
@@ -68,7 +68,7 @@
         panic!("two instances");
     };
     assert_eq!(read(rejected, "k2").unwrap().status, 200);
-    fleet.store.reject_callers(&[rejected.site.ip]);
+    fleet.store.reject_callers(&[rejected.site.store]);
     fleet.store.compact();
     fleet
         .store
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -54,17 +54,23 @@
 impl Fleet {
     /// Starts instances of failure domain `a` and waits until they are ready.
     pub fn start(count: usize) -> Self {
+        Self::start_in(&vec!["a"; count])
+    }
+
+    /// Starts an instance in each of these failure domains, `a` or `b`, and waits until they
+    /// are ready.
+    pub fn start_in(domains: &[&str]) -> Self {
         let store = Store::start();
         let endpoint = Endpoint::start("i-1");
         store.put("config", "main", &configuration(1, &["k1", "k2"]));
         store.put("servers", "i-1", &endpoint.entry("s1", "a", "ready", 1));
         store.put("servers", "other", &json!("left by another writer"));
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let start = |_| {
-            let site = Site::new("north", "a", store.addr);
-            Node::start(site, &[("a", "north")], dir).unwrap()
+        let start = |domain: &&str| {
+            let site = Site::new("north", domain, store.add_address());
+            Node::start(site, &[("a", "north"), ("b", "north")], dir).unwrap()
         };
-        let instances = (0..count).map(start).collect();
+        let instances = domains.iter().map(start).collect();
         let fleet = Self {
             store,
             endpoint,
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -3,12 +3,9 @@
 //! Every write gets a new revision, which is larger than all before. Watches replay the
 //! events after a revision from the history; a compacted history answers 410.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -51,12 +48,13 @@
     history: Vec<(u64, String, Value)>,
     // Watches that need events from before this revision are answered with 410.
     oldest: u64,
-    // Callers that are answered with 503.
-    rejected: Vec<IpAddr>,
+    // The addresses whose callers are answered with 503.
+    rejected: Vec<SocketAddr>,
     // Whether requests that arrive are never answered.
     silent: bool,
-    // The kinds whose arriving watches are never answered.
-    deaf: Vec<String>,
+    // The kinds whose arriving watches are never answered, and the address that this
+    // concerns if it isn't all.
+    deaf: (Vec<String>, Option<SocketAddr>),
     calls: u64,
 }
 
@@ -71,11 +69,28 @@
         let addr = listener.local_addr().expect("the address of a listener");
         let shared = Arc::new(Mutex::new(Shared::default()));
         let store = Self { addr, shared };
-        let served = store.clone();
-        duty::spawn("store", move || serve(listener, served));
+        store.serve(listener);
         store
     }
 
+    /// Accepts requests on a further address, so that a fault can be limited to the callers
+    /// that use it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no loopback port can be bound.
+    pub fn add_address(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("the address of a listener");
+        self.serve(listener);
+        addr
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let served = self.clone();
+        duty::spawn("store", move || serve(listener, served));
+    }
+
     /// Writes an object's spec as an operator or an endpoint does, and keeps its status.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         let mut shared = self.lock();
@@ -102,9 +117,10 @@
         shared.history.clear();
     }
 
-    /// Answers 503 to exactly these callers, and replaces the earlier ones.
-    pub fn reject_callers(&self, callers: &[IpAddr]) {
-        self.lock().rejected = callers.to_vec();
+    /// Answers 503 to the callers that use exactly these addresses, and replaces the earlier
+    /// ones.
+    pub fn reject_callers(&self, addrs: &[SocketAddr]) {
+        self.lock().rejected = addrs.to_vec();
     }
 
     /// Sets whether requests that arrive from now on are never answered. Watches that wait
@@ -113,10 +129,11 @@
         self.lock().silent = silent;
     }
 
-    /// Never answers the watches of exactly these kinds that arrive from now on, and
-    /// replaces the earlier kinds. Watches that wait already go on.
-    pub fn set_deaf(&self, kinds: &[&str]) {
-        self.lock().deaf = kinds.iter().map(|kind| (*kind).to_owned()).collect();
+    /// Never answers the watches of exactly these kinds that arrive from now on, at one
+    /// address or at all, and replaces the earlier kinds. Watches that wait already go on.
+    pub fn set_deaf(&self, kinds: &[&str], only: Option<SocketAddr>) {
+        let kinds = kinds.iter().map(|kind| (*kind).to_owned()).collect();
+        self.lock().deaf = (kinds, only);
     }
 
     /// Returns the number of requests received so far.
@@ -161,13 +178,13 @@
 
 async fn serve(listener: TcpListener, store: Store) {
     let listener = net::TcpListener::from(listener);
-    let store = Rc::new(RefCell::new(store));
-    while let Ok((stream, caller)) = listener.accept().await {
-        let store = store.borrow().clone();
+    let addr = listener.local_addr().expect("the address of a listener");
+    while let Ok((stream, _)) = listener.accept().await {
+        let store = store.clone();
         task::spawn_local(async move {
             let answer = |request: Request| {
                 let store = store.clone();
-                async move { Ok(respond(request, caller.ip(), &store).await) }
+                async move { Ok(respond(request, addr, &store).await) }
             };
             // A broken connection affects only its own caller.
             drop(server::accept(stream, answer).await);
@@ -175,7 +192,7 @@
     }
 }
 
-async fn respond(mut request: Request, caller: IpAddr, store: &Store) -> Response {
+async fn respond(mut request: Request, addr: SocketAddr, store: &Store) -> Response {
     let body: Value = request.body_json().await.unwrap_or(Value::Null);
     let url = request.url().clone();
     let query = |name: &str| {
@@ -187,10 +204,12 @@
     let is_lost = {
         let mut shared = store.lock();
         shared.calls += 1;
-        if shared.rejected.contains(&caller) {
+        if shared.rejected.contains(&addr) {
             return Response::new(StatusCode::ServiceUnavailable);
         }
-        shared.silent || watched.is_some_and(|kind| shared.deaf.iter().any(|deaf| deaf == kind))
+        let (kinds, only) = &shared.deaf;
+        let is_deaf = watched.is_some_and(|kind| kinds.iter().any(|deaf| deaf == kind));
+        shared.silent || (is_deaf && only.is_none_or(|only| only == addr))
     };
     if is_lost {
         return std::future::pending().await;
