steer: instances compare what they know of the store by kind

Callers saw: late withdrawals at an instance whose watch of the configuration was lost, although other instances knew of them. Cause: digests told one revision for all kinds. While entries of servers change, the watch of the servers keeps that number up, and a deaf watch of another kind isn't noticed. Change: digests and summaries tell the latest observed change of each kind; an instance compares that with the revision up to which it knows the kind. A removal counts as the earliest revision that it can have. The followers of a replica compare in the same way. The old field is still sent, as 0, which instances of earlier builds take for nothing new.

--- a/crates/daemon/src/edge/copy.rs
+++ b/crates/daemon/src/edge/copy.rs
@@ -13,6 +13,8 @@
 use corianderway_platform::store::Kind;
 use corianderway_platform::store::Object;
 use corianderway_platform::store::KINDS;
+use corianderway_steer::InputKind;
+use corianderway_steer::Revisions;
 
 use crate::edge::frame::Frame;
 
@@ -28,6 +30,9 @@
     /// The revision of the store up to which the objects are known; `None` before
     /// the first list.
     pub revision: Option<u64>,
+    /// The latest change that was observed, or an earlier revision for a removal: the
+    /// store doesn't tell by which revision an object was removed.
+    pub changed: u64,
     // The names of removed objects, each with a revision by which it was removed.
     removed: VecDeque<(u64, Arc<str>)>,
     // The revision after which every removal is remembered.
@@ -58,10 +63,17 @@
         &mut self.0[kind as usize]
     }
 
-    /// Returns the highest revision of any object in the copy.
-    pub fn latest(&self) -> u64 {
-        let objects = self.0.iter().flat_map(|kind| kind.objects.iter());
-        objects.map(|row| row.1.revision).max().unwrap_or(0)
+    /// Returns the latest observed change of each kind, and the revision up to which
+    /// each kind is known.
+    pub fn revisions(&self) -> (Revisions, Revisions) {
+        let (mut changed, mut known) = (Revisions::default(), Revisions::default());
+        for kind in KINDS {
+            let copy = self.of(kind);
+            let input = input_kind(kind);
+            changed.raise(input, copy.changed);
+            known.raise(input, copy.revision.unwrap_or(0));
+        }
+        (changed, known)
     }
 }
 
@@ -75,6 +87,7 @@
         let mut changes = Vec::new();
         let mut known = SortedMap::default();
         for object in objects {
+            self.changed = self.changed.max(object.revision);
             let old = self.objects.remove(&object.name);
             if old.is_none_or(|old| old.revision != object.revision) {
                 changes.push(Change::Put(object.clone()));
@@ -82,6 +95,9 @@
             known.insert(Arc::clone(&object.name), object);
         }
         let gone: Vec<_> = self.objects.iter().map(|row| Arc::clone(row.0)).collect();
+        if !gone.is_empty() {
+            self.note_removal();
+        }
         for name in gone {
             self.record_removal(revision, Arc::clone(&name));
             changes.push(Change::Removed(name));
@@ -100,13 +116,18 @@
         for change in received {
             let is_new = match &change {
                 Change::Put(object) => {
+                    self.changed = self.changed.max(object.revision);
                     let name = Arc::clone(&object.name);
                     let old = self.objects.insert(name, object.clone());
                     old.is_none_or(|old| old.revision != object.revision)
                 }
                 Change::Removed(name) => {
                     self.record_removal(revision, Arc::clone(name));
-                    self.objects.remove(name).is_some()
+                    let is_new = self.objects.remove(name).is_some();
+                    if is_new {
+                        self.note_removal();
+                    }
+                    is_new
                 }
             };
             if is_new {
@@ -156,6 +177,12 @@
         Some(Update { revision, frame })
     }
 
+    // Notes that an object was removed by a revision that was not known.
+    fn note_removal(&mut self) {
+        let earliest = self.revision.map_or(0, |known| known + 1);
+        self.changed = self.changed.max(earliest);
+    }
+
     fn record_removal(&mut self, revision: u64, name: Arc<str>) {
         if self.removed.len() == MAX_REMOVED {
             if let Some((revision, _)) = self.removed.pop_front() {
@@ -165,3 +192,13 @@
         self.removed.push_back((revision, name));
     }
 }
+
+fn input_kind(kind: Kind) -> InputKind {
+    match kind {
+        Kind::Configuration => InputKind::Plan,
+        Kind::Servers => InputKind::Servers,
+        Kind::Orders => InputKind::Orders,
+        Kind::Evacuations => InputKind::Evacuations,
+        Kind::Members => InputKind::Members,
+    }
+}
--- a/crates/daemon/src/edge/publish.rs
+++ b/crates/daemon/src/edge/publish.rs
@@ -49,8 +49,8 @@
             }
         }
     }
-    let latest = ctx.copy.borrow().latest();
-    send_event(ctx, Event::Revision(latest)).await;
+    let (changed, known) = ctx.copy.borrow().revisions();
+    send_event(ctx, Event::Revisions { changed, known }).await;
 }
 
 fn plans(ctx: &Context, changes: &[Change]) -> Vec<Plan> {
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -2,9 +2,12 @@
 
 mod platform_fleet;
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,6 +42,52 @@
     assert!(span < MAX_CHANGE_DELAY, "{span:?}");
 }
 
+// Changes the configuration once, and loses the watches of it that are sent afterwards, by
+// one instance or by all.
+fn lose_configuration_watch(fleet: &Fleet, only: Option<SocketAddr>) {
+    fleet.store.set_deaf(&["config"], only);
+    let configuration = configuration(2, &KEYS);
+    fleet.store.put("config", "main", &configuration);
+    thread::sleep(Duration::from_secs(1));
+    fleet.store.set_deaf(&[], None);
+}
+
+/// Changes the entry of the backend server at short intervals until dropped.
+struct ServerChanges {
+    ended: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ServerChanges {
+    fn start(fleet: &Fleet) -> Self {
+        let ended = Arc::new(AtomicBool::new(false));
+        let (stop, store, endpoint) = (
+            Arc::clone(&ended),
+            fleet.store.clone(),
+            fleet.endpoint.clone(),
+        );
+        let thread = thread::spawn(move || {
+            let mut seq = 1;
+            while !stop.load(Ordering::Acquire) {
+                seq += 1;
+                store.put("servers", "i-1", &endpoint.entry("s1", "a", "ready", seq));
+                thread::sleep(CHANGE_INTERVAL);
+            }
+        });
+        Self {
+            ended,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for ServerChanges {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Release);
+        self.thread.take().map(JoinHandle::join);
+    }
+}
+
 // Guards against withdrawn keys and dropped routes that stay in use: a watch that is sent
 // while the store is silent is never answered, also after the store is back.
 #[test]
@@ -61,28 +110,21 @@
 #[test]
 fn a_lost_watch_is_noticed_while_other_kinds_change() {
     let fleet = Fleet::start(3);
-    let ended = AtomicBool::new(false);
-    thread::scope(|scope| {
-        scope.spawn(|| {
-            let mut seq = 1;
-            while !ended.load(Ordering::Acquire) {
-                seq += 1;
-                let entry = fleet.endpoint.entry("s1", "a", "ready", seq);
-                fleet.store.put("servers", "i-1", &entry);
-                thread::sleep(CHANGE_INTERVAL);
-            }
-        });
-        fleet.store.set_deaf(&["config"]);
-        let configuration = configuration(2, &KEYS);
-        fleet.store.put("config", "main", &configuration);
-        thread::sleep(Duration::from_secs(1));
-        fleet.store.set_deaf(&[]);
-        thread::sleep(STABLE_WINDOW);
-        let withdrawn = std::panic::AssertUnwindSafe(|| assert_withdrawn_in_time(&fleet, 3));
-        let result = std::panic::catch_unwind(withdrawn);
-        ended.store(true, Ordering::Release);
-        if let Err(panic) = result {
-            std::panic::resume_unwind(panic);
-        }
-    });
+    let changes = ServerChanges::start(&fleet);
+    lose_configuration_watch(&fleet, None);
+    thread::sleep(STABLE_WINDOW);
+    assert_withdrawn_in_time(&fleet, 3);
+    drop(changes);
+}
+
+// Guards against a lost watch that goes unnoticed by a comparison with other instances, since
+// one revision stood for all kinds and other kinds changed: the withdrawal was late although
+// nothing else was disturbed.
+#[test]
+fn a_lost_watch_is_noticed_by_what_other_instances_know() {
+    let fleet = Fleet::start_in(&["a", "b", "b"]);
+    let changes = ServerChanges::start(&fleet);
+    lose_configuration_watch(&fleet, Some(fleet.instances[0].site.store));
+    assert_withdrawn_in_time(&fleet, 3);
+    drop(changes);
 }
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -15,6 +15,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::revisions::Revisions;
+
 /// Requests per second that callers send for each client account, by the hash
 /// of the account.
 pub type Demands = Vec<(u32, f32)>;
@@ -97,9 +99,13 @@
     /// Whether the instance does not keep up with its work.
     #[serde(rename = "l", default)]
     pub late: bool,
-    /// The latest revision of the store that the instance has seen.
+    /// Always 0: instances of earlier builds require the field, which held one
+    /// revision for all kinds.
     #[serde(rename = "v")]
-    pub revision: u64,
+    pub legacy_revision: u64,
+    /// The latest change of each kind of input that the instance has observed.
+    #[serde(rename = "u", default)]
+    pub changed: Revisions,
     /// Requests per second that the instance receives, with and without a
     /// client account.
     #[serde(rename = "q")]
@@ -140,9 +146,12 @@
     /// The instances whose digests arrived recently, sorted by hash.
     #[serde(rename = "s")]
     pub instances: Vec<InstanceStatus>,
-    /// The latest revision of the store that one of the instances has seen.
+    /// Always 0, as in [`Digest`].
     #[serde(rename = "v")]
-    pub revision: u64,
+    pub legacy_revision: u64,
+    /// The latest change of each kind of input that one of the instances has observed.
+    #[serde(rename = "u", default)]
+    pub changed: Revisions,
     /// Requests per second that the instances receive together.
     #[serde(rename = "q")]
     pub rate: f32,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -20,6 +20,7 @@
 use crate::note::Note;
 use crate::plan::Plan;
 use crate::refusal::Refusal;
+use crate::revisions::Revisions;
 use crate::source::Source;
 
 /// The number of a request within one run of an instance.
@@ -136,8 +137,13 @@
     ProbeAnswered,
     /// Addresses at which other instances may serve their replicas.
     Seeds(Vec<SocketAddr>),
-    /// The latest revision of the store that was observed.
-    Revision(u64),
+    /// What is known of the store, by kind of input.
+    Revisions {
+        /// The latest change of each kind that was observed.
+        changed: Revisions,
+        /// The revisions up to which all changes of each kind are known.
+        known: Revisions,
+    },
     /// A message from another instance arrived.
     Message(Message),
     /// Time passed.
@@ -204,8 +210,8 @@
     Follow(Source),
     /// Probe whether the store answers.
     Probe,
-    /// Read the whole store again: another instance has observed a later revision,
-    /// so a watch of this one has silently stopped.
+    /// Read the whole store again: another instance has observed a change that this one
+    /// has not, so one of its watches has silently stopped.
     Reread,
     /// Remove the entry of a lost instance from the store.
     RemoveEntry(Member),
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::relay::DigestChange;
 use crate::relay::DomainState;
 use crate::relay::Role;
+use crate::revisions::Revisions;
 use crate::source::Command;
 use crate::source::Signal as SourceSignal;
 use crate::source::Source;
@@ -140,21 +141,26 @@
         }
     }
 
-    /// Checks whether other instances have observed a later revision for some time, which
-    /// shows that a watch of this one has silently stopped; if so, reads the store again.
+    /// Checks whether other instances have observed a change for some time that is not known
+    /// here, which shows that a watch of this one has silently stopped; if so, reads the store
+    /// again.
     pub(crate) fn check_watch_lag(&mut self, now: Time, out: &mut Vec<Action>) {
-        let latest = self.members.summaries(now).map(|s| s.revision).max();
-        if latest.unwrap_or(0) <= self.revision {
+        let mut observed = Revisions::default();
+        for summary in self.members.summaries(now) {
+            observed.merge(&summary.changed);
+        }
+        let Some(kind) = self.known.first_behind(&observed) else {
             self.lagging_since = None;
             return;
-        }
+        };
         let since = *self.lagging_since.get_or_insert(now);
         let due = now.since(since.max(self.store_reread)) >= MAX_WATCH_LAG;
         if due && self.selector.state == SourceState::FollowingStore {
             self.store_reread = now;
             let note = Note::new(Severity::Notable, "watch-deaf")
-                .with("seen", self.revision)
-                .with("told", latest.unwrap_or(0));
+                .with("kind", format!("{kind:?}"))
+                .with("seen", self.known.of(kind))
+                .with("told", observed.of(kind));
             out.push(Action::Log(note));
             out.push(Action::Reread);
         }
@@ -227,7 +233,8 @@
             ready: self.is_ready(),
             reaches_store: self.follows_store(),
             late: self.pace.is_late(),
-            revision: self.revision,
+            legacy_revision: 0,
+            changed: self.changed,
             rate,
             demands,
             workloads: self.workload.report(now),
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::digest::Summary;
 use crate::digest::Workloads;
 use crate::hash;
+use crate::revisions::Revisions;
 
 /// The state chart of the role, as the text of its file.
 pub const RELAY_CHART: &str = include_str!("../charts/edge-relay.yaml");
@@ -188,7 +189,8 @@
             domain,
             partial: self.role != Role::Relaying,
             instances: Vec::new(),
-            revision: 0,
+            legacy_revision: 0,
+            changed: Revisions::default(),
             rate: 0.0,
             demands: Demands::new(),
             workloads: Workloads::new(),
@@ -201,7 +203,7 @@
         for (id, (_, digest)) in self.digests.iter() {
             let hash = hash::short(id.as_str());
             summary.instances.push(InstanceStatus::new(hash, digest));
-            summary.revision = summary.revision.max(digest.revision);
+            summary.changed.merge(&digest.changed);
             summary.rate += digest.rate;
             for (account, demand) in &digest.demands {
                 *demands.get_or_insert_with(*account, || 0.0) += demand;
--- /dev/null
+++ b/crates/steer/src/revisions.rs
@@ -0,0 +1,63 @@
+//! Revisions of the store, by kind of input.
+//!
+//! Each kind is followed by calls of its own, so each has a revision of its own: one kind may
+//! stand still while the others change.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A kind of input from the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InputKind {
+    /// The configuration.
+    Plan,
+    /// The entries of backend servers.
+    Servers,
+    /// The orders for version moves.
+    Orders,
+    /// The failure domains that must get no requests.
+    Evacuations,
+    /// The entries of instances.
+    Members,
+}
+
+/// All kinds of input.
+pub(crate) const INPUTS: [InputKind; 5] = [
+    InputKind::Plan,
+    InputKind::Servers,
+    InputKind::Orders,
+    InputKind::Evacuations,
+    InputKind::Members,
+];
+
+/// One revision for each kind of input; 0 if there is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Revisions([u64; INPUTS.len()]);
+
+impl Revisions {
+    /// Returns the revision of a kind.
+    pub fn of(&self, kind: InputKind) -> u64 {
+        self.0[kind as usize]
+    }
+
+    /// Raises the revision of a kind; an earlier one changes nothing.
+    pub fn raise(&mut self, kind: InputKind, revision: u64) {
+        let known = &mut self.0[kind as usize];
+        *known = revision.max(*known);
+    }
+
+    /// Raises the revision of each kind to that in `other`.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        for kind in INPUTS {
+            self.raise(kind, other.of(kind));
+        }
+    }
+
+    /// Returns the first kind whose revision is later in `other`.
+    pub(crate) fn first_behind(&self, other: &Self) -> Option<InputKind> {
+        INPUTS
+            .into_iter()
+            .find(|kind| self.of(*kind) < other.of(*kind))
+    }
+}
--- a/crates/steer/src/source.rs
+++ b/crates/steer/src/source.rs
@@ -45,8 +45,9 @@
 /// How long a replica that failed or lagged is not followed again.
 const EXCLUSION_TTL: Duration = Duration::from_secs(3);
 
-/// How long other instances have observed a later revision before a replica counts as
-/// lagging: an instance whose watch has silently stopped reads the store again sooner.
+/// How long other instances have observed a change that is not known here before a replica
+/// counts as lagging: an instance whose watch has silently stopped reads the store again
+/// sooner.
 const LAG_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The upper limit of the delay by rank that is added to [`LAG_TIMEOUT`], so that the
@@ -97,7 +98,7 @@
     /// This domain has a usable replica, and the one that is followed is of another
     /// domain or no longer follows the store.
     NearerReplica,
-    /// Other instances have observed a later revision for too long.
+    /// Other instances have observed a change for too long that is not known here.
     Lagging,
     /// The next probe of the store is due.
     ProbeDue,
@@ -159,7 +160,7 @@
     /// Those of instances in other domains that follow the store, the nearest first. The
     /// configured addresses are included while no summary is valid.
     pub(crate) far: Vec<SocketAddr>,
-    /// Since when other instances have reported a later revision, if they do.
+    /// Since when other instances have reported a change that is not known here, if they do.
     pub(crate) lagging_since: Option<Time>,
 }
 
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -43,6 +43,9 @@
 use crate::request::OpenRequest;
 use crate::request::RequestChart;
 use crate::request::REQUEST_CHART;
+use crate::revisions::InputKind;
+use crate::revisions::Revisions;
+use crate::revisions::INPUTS;
 use crate::server::State;
 use crate::server::SERVER_CHART;
 use crate::shift::Shifts;
@@ -82,24 +85,6 @@
     },
 }
 
-/// An input from the platform that must have arrived before callers are served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Input {
-    Plan,
-    Servers,
-    Orders,
-    Evacuations,
-    Members,
-}
-
-const INPUTS: [Input; 5] = [
-    Input::Plan,
-    Input::Servers,
-    Input::Orders,
-    Input::Evacuations,
-    Input::Members,
-];
-
 /// The decision state of one instance.
 ///
 /// [`Steer::step`] applies one event at a time and appends the actions that follow
@@ -137,14 +122,16 @@
     pub(crate) reach: (Reach, Time),
     // When the store was last found unreachable or reachable again.
     store_disturbed: Time,
-    // The latest revision of the store that was observed.
-    pub(crate) revision: u64,
-    // Since when other instances have reported a later revision.
+    /// The latest change of each kind that was observed.
+    pub(crate) changed: Revisions,
+    /// The revisions up to which all changes of each kind are known.
+    pub(crate) known: Revisions,
+    // Since when other instances have reported a change that is not known here.
     pub(crate) lagging_since: Option<Time>,
     // When the store was last read again for that reason.
     pub(crate) store_reread: Time,
-    // The inputs that have not arrived yet.
-    missing: Vec<Input>,
+    // The inputs that must still arrive before callers are served.
+    missing: Vec<InputKind>,
     // The number of digests sent in this run.
     pub(crate) digest_count: u64,
     // The latest digest that was sent.
@@ -211,7 +198,8 @@
             stopping: None,
             reach: (Reach::Nothing, Time::ZERO),
             store_disturbed: Time::ZERO,
-            revision: 0,
+            changed: Revisions::default(),
+            known: Revisions::default(),
             lagging_since: None,
             store_reread: Time::ZERO,
             missing: INPUTS.to_vec(),
@@ -240,7 +228,7 @@
             }
             Event::Plan(plan) => self.apply_plan(now, plan, out),
             Event::Servers(changes) => {
-                self.mark_arrived(Input::Servers);
+                self.mark_arrived(InputKind::Servers);
                 let unsettled = self.is_unsettled(now);
                 self.fleet.apply_changes(now, changes, unsettled);
                 for service in self.fleet.services() {
@@ -251,12 +239,12 @@
             }
             Event::Evacuated(domains) => self.apply_evacuations(domains, out),
             Event::Orders(orders) => {
-                self.mark_arrived(Input::Orders);
+                self.mark_arrived(InputKind::Orders);
                 let notes = self.moves.update_orders(now, orders);
                 out.extend(notes.into_iter().map(Action::Log));
             }
             Event::Members(members) => {
-                self.mark_arrived(Input::Members);
+                self.mark_arrived(InputKind::Members);
                 self.members.set_listed(now, members);
                 self.update_quotas(now);
                 self.urgent = true;
@@ -271,7 +259,10 @@
             }
             Event::ProbeAnswered => self.advance_source(now, SourceSignal::Probed, out),
             Event::Seeds(seeds) => self.seeds = seeds,
-            Event::Revision(revision) => self.revision = self.revision.max(revision),
+            Event::Revisions { changed, known } => {
+                self.changed.merge(&changed);
+                self.known.merge(&known);
+            }
             Event::Message(message) => self.receive_message(now, message, out),
             Event::Tick => self.sweep(now, out),
             Event::Stop => self.begin_stop(now),
@@ -326,7 +317,7 @@
         })
     }
 
-    fn mark_arrived(&mut self, input: Input) {
+    fn mark_arrived(&mut self, input: InputKind) {
         self.missing.retain(|missing| *missing != input);
     }
 
@@ -335,7 +326,7 @@
         if self.plan.is_some() && plan.version() <= current {
             return;
         }
-        self.mark_arrived(Input::Plan);
+        self.mark_arrived(InputKind::Plan);
         let note = Note::new(Severity::Notable, "configured")
             .with("from", current)
             .with("to", plan.version())
@@ -354,7 +345,7 @@
     }
 
     fn apply_evacuations(&mut self, domains: Vec<FailureDomain>, out: &mut Vec<Action>) {
-        self.mark_arrived(Input::Evacuations);
+        self.mark_arrived(InputKind::Evacuations);
         if !self.fleet.set_evacuated(&domains) {
             return;
         }
@@ -390,7 +381,7 @@
     /// Recomputes this instance's quotas from the demands that are known.
     pub(crate) fn update_quotas(&mut self, now: Time) {
         // Without the list of instances, this one would claim the full rates.
-        if self.missing.contains(&Input::Members) {
+        if self.missing.contains(&InputKind::Members) {
             return;
         }
         let lender = self.lender(now);
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -13,6 +13,7 @@
 use corianderway_steer::MoveReport;
 use corianderway_steer::Outcome;
 use corianderway_steer::Progress;
+use corianderway_steer::Revisions;
 use corianderway_steer::ServerChange;
 use corianderway_steer::ServerEntry;
 use corianderway_steer::Summary;
@@ -250,7 +251,8 @@
         domain: "south-a".try_into().unwrap(),
         partial: false,
         instances: Vec::new(),
-        revision: 0,
+        legacy_revision: 0,
+        changed: Revisions::default(),
         rate: 0.0,
         demands: Vec::new(),
         workloads: Vec::new(),
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -11,11 +11,13 @@
 use corianderway_steer::Action;
 use corianderway_steer::Digest;
 use corianderway_steer::Event;
+use corianderway_steer::InputKind;
 use corianderway_steer::Load;
 use corianderway_steer::Member;
 use corianderway_steer::Message;
 use corianderway_steer::Outcome;
 use corianderway_steer::Reach;
+use corianderway_steer::Revisions;
 use corianderway_steer::ServerChange;
 use corianderway_steer::Summary;
 use xxhash_rust::xxh3::xxh3_64;
@@ -286,8 +288,11 @@
     assert!((3..=9).contains(&sent), "{sent}");
 }
 
-// The digest of an instance that serves callers and has seen the revision.
+// The digest of an instance that serves callers and has observed a change of the servers'
+// entries.
 fn digest_event(member: &Member, revision: u64) -> Event {
+    let mut changed = Revisions::default();
+    changed.raise(InputKind::Servers, revision);
     Event::Message(Message::Digest(Arc::new(Digest {
         from: member.entry.id.clone(),
         run: member.run,
@@ -296,7 +301,8 @@
         ready: true,
         reaches_store: true,
         late: false,
-        revision,
+        legacy_revision: 0,
+        changed,
         rate: 0.0,
         demands: Vec::new(),
         workloads: Vec::new(),
@@ -321,7 +327,8 @@
         domain: domain.try_into().unwrap(),
         partial: false,
         instances: Vec::new(),
-        revision: 0,
+        legacy_revision: 0,
+        changed: Revisions::default(),
         rate: 0.0,
         demands: Vec::new(),
         workloads: vec![(hash, work)],
@@ -461,9 +468,38 @@
     let mut rig = Rig::new();
     let other = rig::member("entry-2", "north", "north-a");
     rig.step(Event::Members(vec![other.clone()]));
-    rig.step(Event::Revision(10));
+    rig.step(rig::revisions(InputKind::Servers, 10));
     rig.step(digest_event(&other, 11));
     let actions = rig.pass(Duration::from_millis(1_400));
-    let reread = |a: &Action| matches!(a, Action::Reread);
-    assert!(actions.iter().any(reread));
+    assert!(actions.iter().any(is_reread));
+}
+
+// Guards against a stalled watch that is not detected because another kind is up to date:
+// one revision stood for all kinds.
+#[test]
+fn a_stalled_watch_of_one_kind_is_detected_while_others_change() {
+    let mut rig = Rig::new();
+    let other = rig::member("entry-2", "north", "north-a");
+    rig.step(Event::Members(vec![other.clone()]));
+    rig.step(rig::revisions(InputKind::Servers, 10));
+    rig.step(rig::revisions(InputKind::Plan, 100));
+    rig.step(digest_event(&other, 11));
+    let actions = rig.pass(Duration::from_millis(1_400));
+    assert!(actions.iter().any(is_reread));
+}
+
+// A kind whose latest change is known is not read again, whatever its own later revisions.
+#[test]
+fn an_instance_that_knows_all_changes_reads_nothing_again() {
+    let mut rig = Rig::new();
+    let other = rig::member("entry-2", "north", "north-a");
+    rig.step(Event::Members(vec![other.clone()]));
+    rig.step(rig::revisions(InputKind::Servers, 11));
+    rig.step(digest_event(&other, 11));
+    let actions = rig.pass(Duration::from_millis(1_400));
+    assert!(!actions.iter().any(is_reread));
+}
+
+fn is_reread(action: &Action) -> bool {
+    matches!(action, Action::Reread)
 }
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -22,6 +22,7 @@
 use corianderway_steer::CallerLimits;
 use corianderway_steer::CallerRequest;
 use corianderway_steer::Event;
+use corianderway_steer::InputKind;
 use corianderway_steer::Member;
 use corianderway_steer::Order;
 use corianderway_steer::Outcome;
@@ -29,6 +30,7 @@
 use corianderway_steer::Reach;
 use corianderway_steer::Refusal;
 use corianderway_steer::RequestId;
+use corianderway_steer::Revisions;
 use corianderway_steer::Route;
 use corianderway_steer::ServerChange;
 use corianderway_steer::ServerEntry;
@@ -91,6 +93,15 @@
     }
 }
 
+/// Returns the event of an instance that has observed a change of one kind, and knows that
+/// kind up to the change.
+pub fn revisions(kind: InputKind, revision: u64) -> Event {
+    let mut changed = Revisions::default();
+    changed.raise(kind, revision);
+    let known = changed;
+    Event::Revisions { changed, known }
+}
+
 pub fn route(name: &str, prefix: &str, service: &str, replay: Replay) -> Route {
     Route {
         name: name.try_into().unwrap(),
--- a/crates/steer/tests/sources.rs
+++ b/crates/steer/tests/sources.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use corianderway_model::Time;
-use corianderway_steer::Event;
+use corianderway_steer::InputKind;
 use corianderway_steer::Source;
 
 use crate::rig::cluster::Cluster;
@@ -170,7 +170,7 @@
 fn a_lagging_replica_is_abandoned() {
     let mut cluster = cluster();
     for number in DOMAIN_SIZE..2 * DOMAIN_SIZE {
-        cluster.step(number, Event::Revision(50));
+        cluster.step(number, rig::revisions(InputKind::Plan, 50));
     }
     pass(&mut cluster, MAX_CHANGE_TIME);
     let stored = following(&cluster);
