steer: the loss of a replica is no outage of the store

Cause: the instance followed the replica of a neighbor that stood still. Each loss of a source counted as an outage of the store, in which entries lapse and return, so removed servers were kept for 1.8 s more. 1.3 s of silence, the change of source and 1.8 s exceed the bound of 2.5 s. Ruled out: the time to notice alone; without the 1.8 s the server is dropped in time. Change: whether the store is away is a chart of its own (edge-store.yaml). Only the store's silence, a failed probe, or a neighbor that reports that it lost the store shows an outage. A neighbor that turns to another replica says so (Frame::Ended), and one that never followed the store has not lost it. The instance that follows the store counts it as lost after two unanswered heartbeats, so that an outage is noticed by its own sign.

--- a/crates/cli/src/chart.rs
+++ b/crates/cli/src/chart.rs
@@ -13,7 +13,7 @@
 use crate::output::Output;
 
 /// The charts that instances interpret, sorted by name.
-const CHARTS: [(&str, &str); 16] = [
+const CHARTS: [(&str, &str); 17] = [
     ("claim", corianderway_control::CLAIM_CHART),
     ("drain", corianderway_rollout::DRAIN_CHART),
     ("edge-move", corianderway_steer::MOVE_CHART),
@@ -22,6 +22,7 @@
     ("edge-request", corianderway_steer::REQUEST_CHART),
     ("edge-server", corianderway_steer::SERVER_CHART),
     ("edge-source", corianderway_steer::SOURCE_CHART),
+    ("edge-store", corianderway_steer::OUTAGE_CHART),
     ("key", corianderway_control::KEY_CHART),
     ("member", corianderway_control::MEMBER_CHART),
     ("move", corianderway_rollout::MOVE_CHART),
--- a/crates/daemon/src/edge/frame.rs
+++ b/crates/daemon/src/edge/frame.rs
@@ -33,8 +33,10 @@
     /// The replica is current and has no further changes. The first one follows
     /// the initial frames.
     Pulse,
-    /// The replica no longer follows the store; this is the last message.
+    /// The instance lost the store; this is the last message.
     Lost,
+    /// The instance follows another replica in place of the store; this is the last message.
+    Ended,
 }
 
 impl Frame {
--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -2,8 +2,8 @@
 //!
 //! A call that arrives while the store is silent is never answered, also after the store is
 //! back. A watch that waits for changes can't be told from such a call, so cheap calls at
-//! short intervals check whether the store answers. Once it answers again, all calls that
-//! are waiting are sent again.
+//! short intervals check whether the store answers. If it answers again soon, all calls that
+//! wait are sent again; otherwise the store is lost.
 
 use std::time::Duration;
 
@@ -16,11 +16,18 @@
 /// The interval between two checks.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Checks whether the store answers, until cancelled.
-pub(super) async fn run<T>(ctx: &Context) -> T {
+/// The number of checks in a row without an answer after which the store is lost. One answer
+/// may be lost to the network.
+const MAX_MISSED: u32 = 2;
+
+/// Checks whether the store answers; returns the number of missed answers once it is lost.
+pub(super) async fn run(ctx: &Context) -> u32 {
     let mut missed = 0;
-    loop {
-        task::sleep(HEARTBEAT_INTERVAL).await;
+    while missed < MAX_MISSED {
+        // A call without an answer is repeated at once.
+        if missed == 0 {
+            task::sleep(HEARTBEAT_INTERVAL).await;
+        }
         // An answer that turns this instance away is one as well: waiting calls are not
         // affected.
         let answered = send_probe(ctx).await.is_some();
@@ -29,8 +36,6 @@
             ctx.resend.notify();
         }
         missed = if answered { 0 } else { missed + 1 };
-        if missed == 1 {
-            log_silence(ctx, "store-silent", missed);
-        }
     }
+    missed
 }
--- a/crates/daemon/src/edge/replica_client.rs
+++ b/crates/daemon/src/edge/replica_client.rs
@@ -3,6 +3,7 @@
 //! Sends the revisions that this instance knows, then applies the received
 //! frames to its copy and publishes the changes to the decision duty.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use corianderway_platform::store;
 use corianderway_platform::store::Change;
 use corianderway_platform::store::KINDS;
+use corianderway_steer::Event;
 use corianderway_steer::Reach;
 
 use crate::edge::frame::Frame;
@@ -29,39 +31,71 @@
 /// are missing.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
-/// Why a stream ended if its instance may not have closed it on purpose.
-const BROKEN: &str = "broken";
+/// Why a replica can no longer be followed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ReplicaLoss {
+    /// The stream broke, and its instance may not have closed it on purpose.
+    Broken,
+    /// The instance that serves the replica no longer follows the store.
+    StoreLost,
+    /// The instance is silent, can't be reached, or sent a frame that can't be read.
+    Unusable(String),
+}
+
+impl ReplicaLoss {
+    /// Returns the event for the decision duty.
+    pub(super) fn event(&self) -> Event {
+        match self {
+            Self::StoreLost => Event::Reach(Reach::Nothing),
+            Self::Broken | Self::Unusable(_) => Event::ReplicaLost,
+        }
+    }
+}
+
+impl fmt::Display for ReplicaLoss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken => f.write_str("broken"),
+            Self::StoreLost => f.write_str("lost the store"),
+            Self::Unusable(why) => f.write_str(why),
+        }
+    }
+}
 
 /// Follows the replica of an instance; returns the reason when it no longer can.
 ///
 /// A broken stream is opened again, since its instance may still be running.
 /// The function returns if a stream ends for another reason, or before the copy
 /// was up to date.
-pub(super) async fn follow(ctx: &Rc<Context>, from: SocketAddr) -> String {
+pub(super) async fn follow(ctx: &Rc<Context>, from: SocketAddr) -> ReplicaLoss {
     loop {
         let mut followed = false;
-        let why = read_stream(ctx, from, &mut followed).await;
-        if !followed || why != BROKEN {
-            return format!("{from}: {why}");
+        let loss = read_stream(ctx, from, &mut followed).await;
+        if !followed || loss != ReplicaLoss::Broken {
+            return loss;
         }
     }
 }
 
 // Reads a stream to its end. Sets `followed` once the copy is up to date.
-async fn read_stream(ctx: &Rc<Context>, from: SocketAddr, followed: &mut bool) -> String {
+async fn read_stream(ctx: &Rc<Context>, from: SocketAddr, followed: &mut bool) -> ReplicaLoss {
     let Some(mut socket) = connect(from).await else {
-        return "no connection".to_owned();
+        return ReplicaLoss::Unusable(format!("{from}: no connection"));
     };
     let known = KnownRevisions(KINDS.map(|kind| ctx.copy.borrow().of(kind).revision));
     if replica_server::write_message(&mut socket, &known)
         .await
         .is_none()
     {
-        return BROKEN.to_owned();
+        return ReplicaLoss::Broken;
     }
     loop {
         let applied = match replica_server::read_message(&mut socket, SILENCE_TIMEOUT).await {
-            Ok(Frame::Lost) => return "lost the store".to_owned(),
+            // An instance that never followed the store has not lost it.
+            Ok(Frame::Lost) if *followed => return ReplicaLoss::StoreLost,
+            Ok(Frame::Lost | Frame::Ended) => {
+                return ReplicaLoss::Unusable(format!("{from}: follows no store"));
+            }
             Ok(Frame::Pulse) => {
                 *followed = true;
                 ctx.set_reach(Reach::Replica).await;
@@ -73,11 +107,13 @@
                 list,
                 removed,
             }) => apply(ctx, kind, &list, Some(removed)).await,
-            Err(ReadError::Broken) => return BROKEN.to_owned(),
-            Err(ReadError::TimedOut) => return "silent".to_owned(),
+            Err(ReadError::Broken) => return ReplicaLoss::Broken,
+            Err(ReadError::TimedOut) => {
+                return ReplicaLoss::Unusable(format!("{from}: silent"));
+            }
         };
         if let Err(why) = applied {
-            return why;
+            return ReplicaLoss::Unusable(format!("{from}: {why}"));
         }
     }
 }
--- a/crates/daemon/src/edge/replica_server.rs
+++ b/crates/daemon/src/edge/replica_server.rs
@@ -74,7 +74,12 @@
     let mut started = false;
     loop {
         if !ctx.is_current() {
-            return write_message(&mut socket, &Frame::Lost).await;
+            let last = if ctx.follows_replica() {
+                Frame::Ended
+            } else {
+                Frame::Lost
+            };
+            return write_message(&mut socket, &last).await;
         }
         let first = !std::mem::replace(&mut started, true);
         let mut changed = false;
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -99,6 +99,11 @@
         self.source.get() == Source::Store
     }
 
+    /// Returns true if the source is the replica of another instance.
+    pub fn follows_replica(&self) -> bool {
+        matches!(self.source.get(), Source::Copy(_))
+    }
+
     /// Applies a whole list of a kind; returns what changed.
     pub fn replace(&self, kind: Kind, objects: Vec<Object>, revision: u64) -> Vec<Change> {
         let mut copy = self.copy.borrow_mut();
@@ -216,24 +221,27 @@
                     let watching = async { Some(watch::follow(&ctx, kind).await) };
                     if let Some(why) = watching.or(until_cancelled(&cancelled)).await {
                         log_event(&ctx, "store-lost", kind, &why);
-                        lose_source(&ctx).await;
+                        lose_source(&ctx, Event::Reach(Reach::Nothing)).await;
                     }
                 });
             }
             let ctx = Rc::clone(ctx);
             task::spawn_local(async move {
-                let checking = heartbeat::run::<Option<()>>(&ctx);
-                checking.or(until_cancelled(&cancelled)).await
+                let checking = async { Some(heartbeat::run(&ctx).await) };
+                if let Some(missed) = checking.or(until_cancelled(&cancelled)).await {
+                    log_silence(&ctx, "store-lost", missed);
+                    lose_source(&ctx, Event::Reach(Reach::Nothing)).await;
+                }
             });
         }
         Source::Copy(from) => {
             let ctx = Rc::clone(ctx);
             task::spawn_local(async move {
                 let following = async { Some(replica_client::follow(&ctx, from).await) };
-                if let Some(why) = following.or(until_cancelled(&cancelled)).await {
-                    let line = LogLine::new("copy-lost").with("why", why);
+                if let Some(loss) = following.or(until_cancelled(&cancelled)).await {
+                    let line = LogLine::new("copy-lost").with("why", &loss);
                     ctx.log.put(Level::Info, line);
-                    lose_source(&ctx).await;
+                    lose_source(&ctx, loss.event()).await;
                 }
             });
         }
@@ -248,11 +256,11 @@
 
 // Handles the loss of the source. The event is sent even if the copy never was
 // up to date with this source.
-async fn lose_source(ctx: &Context) {
+async fn lose_source(ctx: &Context, event: Event) {
     drop(ctx.set_source(Source::Nothing));
     ctx.reach.set(Reach::Nothing);
     ctx.notifier.notify();
-    send_event(ctx, Event::Reach(Reach::Nothing)).await;
+    send_event(ctx, event).await;
 }
 
 /// Sends the store a cheap call; returns its answer.
@@ -263,14 +271,16 @@
 
 // Checks whether the store answers.
 async fn probe(ctx: &Context) {
-    match send_probe(ctx).await {
-        Some(reply) if reply.status == OK => send_event(ctx, Event::ProbeAnswered).await,
-        Some(reply) => {
-            let why = format!("status {}", reply.status);
-            log_event(ctx, "store-away", Kind::Evacuations, &why);
+    let why = match send_probe(ctx).await {
+        Some(reply) if reply.status == OK => {
+            send_event(ctx, Event::ProbeAnswered).await;
+            return;
         }
-        None => log_event(ctx, "store-away", Kind::Evacuations, "no answer"),
-    }
+        Some(reply) => format!("status {}", reply.status),
+        None => "no answer".to_owned(),
+    };
+    log_event(ctx, "store-away", Kind::Evacuations, &why);
+    send_event(ctx, Event::ProbeFailed).await;
 }
 
 pub(super) async fn send_call(client: &Client, call: &Call, timeout: Duration) -> Option<Reply> {
@@ -284,7 +294,7 @@
     drop(ctx.decisions.send(Input::Event(event)).await);
 }
 
-/// Logs that the store stopped answering, or that it answers again after some calls.
+/// Logs that the store is lost, or that it answers again, after calls without an answer.
 pub(super) fn log_silence(ctx: &Context, event: &str, missed: u32) {
     let line = LogLine::new(event).with("missed", missed);
     ctx.log.put(Level::Info, line);
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use corianderway_standins::estate::Endpoint;
+
 use crate::platform_fleet::configuration;
 use crate::platform_fleet::read;
 use crate::platform_fleet::Fleet;
@@ -128,3 +130,33 @@
     assert_withdrawn_in_time(&fleet, 3);
     drop(changes);
 }
+
+// Guards against requests to a server that has left, from an instance that nothing has
+// disturbed: the loss of the instance whose replica it follows counted as an outage of the
+// store, in which entries lapse and return.
+#[test]
+fn a_server_that_leaves_while_a_neighbor_stands_still_gets_no_requests() {
+    for round in 0..2 {
+        let mut fleet = Fleet::start(2);
+        let leaving = Endpoint::start("i-2");
+        fleet
+            .store
+            .put("servers", "i-2", &leaving.entry("s1", "a", "ready", 1));
+        thread::sleep(STABLE_WINDOW);
+        fleet.instances[round].process.suspend().unwrap();
+        thread::sleep(Duration::from_millis(100));
+        fleet.store.remove("servers", "i-2");
+        let removed = Instant::now();
+        let other = &fleet.instances[1 - round];
+        let mut late = Vec::new();
+        while removed.elapsed() < MAX_CHANGE_DELAY + STABLE_WINDOW {
+            let sent = removed.elapsed();
+            let reply = read(other, "k1").expect("an answer");
+            if sent > MAX_CHANGE_DELAY && reply.text() == "answer of i-2" {
+                late.push(sent);
+            }
+        }
+        fleet.instances[round].process.resume().unwrap();
+        assert!(late.is_empty(), "round {round}: {} {late:?}", late.len());
+    }
+}
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -131,10 +131,15 @@
     Orders(Vec<Order>),
     /// The complete list of instances in the store.
     Members(Vec<Member>),
-    /// The source that is followed is up to date, or has failed.
+    /// The source that is followed is up to date, or the store no longer answers it.
     Reach(Reach),
+    /// The instance whose replica is followed is silent or gone. Nothing is known of the
+    /// store.
+    ReplicaLost,
     /// The store answered a probe.
     ProbeAnswered,
+    /// The store did not answer a probe, or turned it away.
+    ProbeFailed,
     /// Addresses at which other instances may serve their replicas.
     Seeds(Vec<SocketAddr>),
     /// What is known of the store, by kind of input.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -32,6 +32,9 @@
 use crate::moves::Moves;
 use crate::note::Note;
 use crate::note::Severity;
+use crate::outage::Outage;
+use crate::outage::Signal as OutageSignal;
+use crate::outage::OUTAGE_CHART;
 use crate::pace::Pace;
 use crate::pace::PACE_CHART;
 use crate::pending_failures::PendingFailures;
@@ -65,10 +68,6 @@
 /// How long a caller may use the directory's answer, unless the bounds allow less.
 const ADVICE_TTL: Duration = Duration::from_secs(2);
 
-/// How long the store counts as unsettled after it was last unreachable: entries of
-/// backend servers that expired during the outage are back by then.
-const UNSETTLED_WINDOW: Duration = Duration::from_secs(3);
-
 /// The fraction of the fleet's retry budget that its instances use.
 const RETRY_BUDGET_FRACTION: f64 = 0.8;
 
@@ -120,8 +119,7 @@
     pub(crate) stopping: Option<Time>,
     // How the store is followed, and since when.
     pub(crate) reach: (Reach, Time),
-    // When the store was last found unreachable or reachable again.
-    store_disturbed: Time,
+    pub(crate) outage: Outage,
     /// The latest change of each kind that was observed.
     pub(crate) changed: Revisions,
     /// The revisions up to which all changes of each kind are known.
@@ -167,6 +165,7 @@
         let relay = corianderway_chart::Chart::parse(RELAY_CHART);
         let selector = corianderway_chart::Chart::parse(SOURCE_CHART);
         let pace = corianderway_chart::Chart::parse(PACE_CHART);
+        let outage = corianderway_chart::Chart::parse(OUTAGE_CHART);
         Ok(Self {
             request_chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
@@ -197,7 +196,7 @@
             rng: SmallRng::seed_from_u64(seed),
             stopping: None,
             reach: (Reach::Nothing, Time::ZERO),
-            store_disturbed: Time::ZERO,
+            outage: Outage::new(outage.context(chart("edge-store.yaml"))?),
             changed: Revisions::default(),
             known: Revisions::default(),
             lagging_since: None,
@@ -229,7 +228,7 @@
             Event::Plan(plan) => self.apply_plan(now, plan, out),
             Event::Servers(changes) => {
                 self.mark_arrived(InputKind::Servers);
-                let unsettled = self.is_unsettled(now);
+                let unsettled = self.outage.is_unsettled();
                 self.fleet.apply_changes(now, changes, unsettled);
                 for service in self.fleet.services() {
                     let versions = self.fleet.versions(&service);
@@ -251,13 +250,23 @@
             }
             Event::Reach(reach) => {
                 self.set_reach(now, reach, out);
-                let signal = match reach {
-                    Reach::Nothing => SourceSignal::Failed,
-                    Reach::Replica | Reach::Store => SourceSignal::Reached,
+                let (signal, outage) = match reach {
+                    Reach::Nothing => (SourceSignal::Failed, OutageSignal::Lost),
+                    Reach::Replica | Reach::Store => (SourceSignal::Reached, OutageSignal::Reached),
                 };
+                self.outage.advance(now, outage);
                 self.advance_source(now, signal, out);
             }
+            Event::ReplicaLost => {
+                self.set_reach(now, Reach::Nothing, out);
+                self.advance_source(now, SourceSignal::Failed, out);
+            }
             Event::ProbeAnswered => self.advance_source(now, SourceSignal::Probed, out),
+            // The replica that is followed, if any, still reaches the store.
+            Event::ProbeFailed if self.is_behind() => {
+                self.outage.advance(now, OutageSignal::Lost);
+            }
+            Event::ProbeFailed => (),
             Event::Seeds(seeds) => self.seeds = seeds,
             Event::Revisions { changed, known } => {
                 self.changed.merge(&changed);
@@ -356,9 +365,6 @@
 
     pub(crate) fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Action>) {
         let (from, since) = self.reach;
-        if from == Reach::Nothing || reach == Reach::Nothing {
-            self.store_disturbed = now;
-        }
         if from != reach {
             let note = Note::new(Severity::Notable, "store-reach")
                 .with("from", format!("{from:?}"))
@@ -370,14 +376,6 @@
         }
     }
 
-    // Returns whether entries of live backend servers may be missing: they expire during
-    // an outage of the store.
-    fn is_unsettled(&self, now: Time) -> bool {
-        let disturbed =
-            self.store_disturbed > Time::ZERO && now.since(self.store_disturbed) < UNSETTLED_WINDOW;
-        self.reach.0 == Reach::Nothing || disturbed
-    }
-
     /// Recomputes this instance's quotas from the demands that are known.
     pub(crate) fn update_quotas(&mut self, now: Time) {
         // Without the list of instances, this one would claim the full rates.
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -9,6 +9,7 @@
 use crate::listing::Member;
 use crate::note::Note;
 use crate::note::Severity;
+use crate::outage::Signal as OutageSignal;
 use crate::source::Signal as SourceSignal;
 use crate::steer::Steer;
 use crate::steer::SWEEP_INTERVAL;
@@ -45,6 +46,7 @@
                 .with("busy", format!("{busy:.2}"));
             out.push(Action::Log(note));
         }
+        self.outage.advance(now, OutageSignal::Tick);
         self.advance_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
         let named = self.named(now).into_iter().map(neighbour).collect();
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -216,6 +216,45 @@
     assert_eq!(rig.sent(id), None, "a server missing for longer is dropped");
 }
 
+// Guards against requests to a server that has left: the loss of a replica counted as an
+// outage of the store.
+#[test]
+fn a_server_removed_after_the_loss_of_a_replica_is_dropped_at_once() {
+    let mut rig = Rig::new();
+    let all = rig::servers().into_iter();
+    let all = all.map(|listed| ServerChange::Removed(listed.backend.id));
+    let all: Vec<_> = all.collect();
+    rig.step(Event::Reach(Reach::Replica));
+    rig.step(Event::ReplicaLost);
+    rig.pass(Duration::from_millis(300));
+    rig.step(Event::Reach(Reach::Store));
+    rig.step(Event::Servers(all));
+    let id = rig.request("/bids/1", Some(5));
+    assert_eq!(rig.sent(id), None);
+}
+
+// The same loss beside an outage, which only this instance's own probe shows.
+#[test]
+fn a_server_missing_after_a_failed_probe_is_kept_for_two_seconds() {
+    let mut rig = Rig::new();
+    let all = rig::servers().into_iter();
+    let all = all.map(|listed| ServerChange::Removed(listed.backend.id));
+    let all: Vec<_> = all.collect();
+    rig.step(Event::Reach(Reach::Replica));
+    rig.step(Event::ReplicaLost);
+    rig.step(Event::ProbeFailed);
+    rig.pass(Duration::from_secs(3));
+    rig.step(Event::Reach(Reach::Store));
+    rig.step(Event::Servers(all));
+    rig.pass(Duration::from_millis(1_500));
+    let id = rig.request("/bids/1", Some(5));
+    assert!(rig.sent(id).is_some(), "a missing entry may return");
+    rig.end(id, answered(200));
+    rig.pass(Duration::from_millis(500));
+    let id = rig.request("/bids/1", Some(5));
+    assert_eq!(rig.sent(id), None);
+}
+
 #[test]
 fn an_evacuated_domain_gets_no_requests_until_it_is_restored() {
     let mut rig = Rig::new();
