steer: a crash of a server is verified where nothing else shows it

Cause: a broken connection counted as a crash only if another request failed to connect to the same server within 2 s. A server that has just failed is avoided while others are free, so no request tried. With fewer servers than the three crashes that lead to quarantine, it never came at all, since each server counted once. Change: after a broken connection the server is checked with a connection of its own (Action::CheckServer), 100 ms later. An entry with a later start also shows the crash of the earlier one, within 10 s. Each start of a server counts. A crash is reported to the other instances at once.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -106,7 +106,7 @@
 
     let clock = Clock::start();
     let (decisions, inputs) = async_channel::bounded(rings::DECISIONS);
-    let (jobs, job_rx) = async_channel::bounded(rings::JOBS);
+    let (to_servers, server_rx) = async_channel::bounded(rings::SERVER_COMMANDS);
     let (commands, command_rx) = async_channel::bounded(rings::STORE_COMMANDS);
     let (messages, queued) = async_channel::bounded(rings::PEER_MESSAGES);
     let (samples, sample_rx) = async_channel::bounded(crate::rings::SAMPLES_CAPACITY);
@@ -123,7 +123,7 @@
     );
     let steer = steer.context(SteerSnafu)?;
     let outputs = Outputs {
-        jobs,
+        servers: to_servers,
         store: commands,
         peers: messages,
         samples,
@@ -144,8 +144,10 @@
     let decider = decider.context(ThreadSnafu)?;
     duty::spawn("metrics", move || metrics::run(&sample_rx, &instruments)).context(ThreadSnafu)?;
     let (ring, bodies) = (decisions.clone(), body_memory.clone());
-    duty::spawn("servers", move || servers::run(job_rx, clock, bodies, ring))
-        .context(ThreadSnafu)?;
+    duty::spawn("servers", move || {
+        servers::run(server_rx, clock, bodies, ring);
+    })
+    .context(ThreadSnafu)?;
     let (ring, store_log) = (decisions.clone(), log.clone());
     duty::spawn("store", move || {
         store::run(settings, replica_listener, command_rx, ring, store_log);
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -32,6 +32,7 @@
 use crate::edge::rings::Job;
 use crate::edge::rings::PeerMessage;
 use crate::edge::rings::Reply;
+use crate::edge::rings::ServerCommand;
 use crate::edge::rings::StoreCommand;
 use crate::logs::Log;
 use crate::park;
@@ -54,7 +55,7 @@
 #[derive(Debug)]
 pub struct Outputs {
     /// To the servers duty.
-    pub jobs: Sender<Job>,
+    pub servers: Sender<ServerCommand>,
     /// To the store duty.
     pub store: Sender<StoreCommand>,
     /// To the peers duty.
@@ -200,11 +201,20 @@
                     once,
                     cancelled,
                 };
-                if self.outputs.jobs.try_send(job).is_err() {
+                let command = ServerCommand::Attempt(job);
+                if self.outputs.servers.try_send(command).is_err() {
                     let outcome = Outcome::NotSent;
                     self.step_nested(Event::AttemptEnded { id, outcome });
                 }
             }
+            Action::CheckServer { server, addr } => {
+                // Dropped if the ring is full; a failed attempt shows the same.
+                drop(
+                    self.outputs
+                        .servers
+                        .try_send(ServerCommand::Check(server, addr)),
+                );
+            }
             Action::Cancel(id) => {
                 if let Some(entry) = self.requests.get_mut(&id) {
                     entry.attempt = None;
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -32,7 +32,7 @@
 use crate::pool::Pool;
 
 /// The timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// How long an idle connection is kept if its backend server doesn't say.
 const DEFAULT_KEEP_TIME: Duration = Duration::from_secs(4);
@@ -181,10 +181,8 @@
         }
     }
     let limit = CONNECT_TIMEOUT.min(clock.until(job.deadline));
-    let connected = future::timeout(limit, TcpStream::connect(job.addr)).await;
-    let Ok(Ok(stream)) = connected else {
-        return Err(Outcome::Unreachable);
-    };
+    let stream = connect(job.addr, limit).await;
+    let stream = stream.ok_or(Outcome::Unreachable)?;
     // Otherwise Nagle's algorithm delays small requests until earlier data is
     // acknowledged.
     stream
@@ -193,6 +191,12 @@
     Ok((stream, true))
 }
 
+/// Opens a connection; returns `None` if that fails or times out.
+pub(super) async fn connect(addr: SocketAddr, timeout: Duration) -> Option<TcpStream> {
+    let connected = future::timeout(timeout, TcpStream::connect(addr)).await;
+    connected.ok()?.ok()
+}
+
 // A function of its own, so that the borrow ends before the caller awaits.
 fn take(pool: &RefCell<Pool>, addr: SocketAddr, max_idle: Duration) -> Option<TcpStream> {
     pool.borrow_mut().take_within(addr, max_idle)
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -31,8 +31,8 @@
 pub const DECISIONS: usize = 4_096;
 
 /// The capacity of the ring to the servers duty. If it is full, the attempt ends
-/// as not sent.
-pub const JOBS: usize = 1_024;
+/// as not sent, and a check is dropped.
+pub const SERVER_COMMANDS: usize = 1_024;
 
 /// The capacity of the ring to the store duty. If it is full, the command is
 /// dropped; the decision core repeats it while its cause lasts.
@@ -85,6 +85,15 @@
     pub reservation: Reservation,
 }
 
+/// A command to the servers duty.
+#[derive(Debug)]
+pub enum ServerCommand {
+    /// Makes an attempt.
+    Attempt(Job),
+    /// Checks whether a backend server accepts connections.
+    Check(ServerId, SocketAddr),
+}
+
 /// An attempt to be made by the servers duty.
 #[derive(Debug)]
 pub struct Job {
--- a/crates/daemon/src/edge/servers.rs
+++ b/crates/daemon/src/edge/servers.rs
@@ -1,39 +1,68 @@
 //! The servers duty: sends requests to backend servers.
 //!
-//! Each job is one attempt, which runs as a task of its own. Idle connections are
-//! kept in a pool that all attempts share.
+//! Each attempt runs as a task of its own. Idle connections are kept in a pool that
+//! all attempts share.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_std::task;
+use corianderway_model::ServerId;
+use corianderway_steer::Event;
 
 use crate::clock::Clock;
 use crate::edge::body_memory::BodyMemory;
 use crate::edge::exchange;
 use crate::edge::rings::Input;
-use crate::edge::rings::Job;
+use crate::edge::rings::ServerCommand;
 use crate::pool::Pool;
 
 /// The interval at which expired idle connections are closed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Runs until every sender of jobs has been dropped.
-pub fn run(jobs: Receiver<Job>, clock: Clock, body_memory: BodyMemory, decisions: Sender<Input>) {
+/// The delay before a check, in which a process that ended has closed its listener.
+const CHECK_DELAY: Duration = Duration::from_millis(100);
+
+/// Runs until every sender of commands has been dropped.
+pub fn run(
+    commands: Receiver<ServerCommand>,
+    clock: Clock,
+    body_memory: BodyMemory,
+    decisions: Sender<Input>,
+) {
     task::block_on(async move {
         let pool = Rc::new(RefCell::new(Pool::default()));
         task::spawn_local(expire(Rc::clone(&pool)));
-        while let Ok(job) = jobs.recv().await {
-            let (pool, decisions) = (Rc::clone(&pool), decisions.clone());
-            let reservation = body_memory.reservation();
-            task::spawn_local(exchange::run(job, clock, pool, reservation, decisions));
+        while let Ok(command) = commands.recv().await {
+            let decisions = decisions.clone();
+            match command {
+                ServerCommand::Attempt(job) => {
+                    let pool = Rc::clone(&pool);
+                    let reservation = body_memory.reservation();
+                    task::spawn_local(exchange::run(job, clock, pool, reservation, decisions));
+                }
+                ServerCommand::Check(server, addr) => {
+                    task::spawn_local(check(server, addr, decisions));
+                }
+            }
         }
     });
 }
 
+async fn check(server: ServerId, addr: SocketAddr, decisions: Sender<Input>) {
+    task::sleep(CHECK_DELAY).await;
+    let reachable = exchange::connect(addr, exchange::CONNECT_TIMEOUT)
+        .await
+        .is_some();
+    let input = Input::Event(Event::ServerChecked { server, reachable });
+    // Sending fails only at process end, since the decision duty ends last.
+    drop(decisions.send(input).await);
+}
+
 async fn expire(pool: Rc<RefCell<Pool>>) {
     loop {
         task::sleep(EXPIRY_INTERVAL).await;
--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -3,11 +3,13 @@
 //! They implement the platform's published protocol and run in the test's process,
 //! each on its own thread.
 
+mod crashing;
 mod endpoint;
 pub mod node;
 mod scripted;
 mod store;
 
+pub use crate::estate::crashing::Crashing;
 pub use crate::estate::endpoint::entry;
 pub use crate::estate::endpoint::Endpoint;
 pub use crate::estate::endpoint::Mode;
--- a/crates/standins/src/estate/scripted.rs
+++ b/crates/standins/src/estate/scripted.rs
@@ -164,7 +164,8 @@
     }
 }
 
-fn read_head(mut stream: &TcpStream) -> Option<String> {
+/// Reads the head of a request; returns `None` if the connection ends before.
+pub(super) fn read_head(mut stream: &TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         let mut byte = [0];
@@ -176,7 +177,8 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
-fn header_value(head: &str, name: &str) -> String {
+/// Returns the value of a header, or an empty string.
+pub(super) fn header_value(head: &str, name: &str) -> String {
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
     let found = lines.find(|(found, _)| found.eq_ignore_ascii_case(name));
     found.map_or(String::new(), |(_, value)| value.trim().to_owned())
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use corianderway_model::ServerId;
 use corianderway_model::Time;
 use rand::Rng as _;
 
@@ -333,15 +334,21 @@
             Outcome::Misdirected => self.fleet.mark_misdirected(now, &server),
             Outcome::Unreachable => {
                 self.fleet.record_failure(now, &server, true);
-                self.crashes.unreachable(now, name_hash);
+                self.urgent |= self.crashes.unreachable(now, name_hash);
                 self.moves.record_unsent(&open.service, &version);
                 self.pending_failures.discard(&server);
             }
             Outcome::NotSent => self.moves.record_unsent(&open.service, &version),
             Outcome::Broken => {
                 self.fleet.record_failure(now, &server, false);
-                self.crashes
-                    .connection_broke(now, open.query.signature, name_hash);
+                // A server that crashed gets no request soon that would show it.
+                if let Some(known) = self.fleet.server(&server) {
+                    let start = known.listed.incarnation();
+                    self.crashes
+                        .connection_broke(now, open.query.signature, start);
+                    let (server, addr) = (server.clone(), known.listed.backend.addr);
+                    out.push(Action::CheckServer { server, addr });
+                }
                 let failure = observation(RequestResult::Failed);
                 self.pending_failures.hold(now, server.clone(), failure);
             }
@@ -369,6 +376,13 @@
         out.push(Action::Log(note));
     }
 
+    /// Handles the end of a backend server's check.
+    pub(crate) fn server_checked(&mut self, now: Time, server: &ServerId, reachable: bool) {
+        if !reachable {
+            self.urgent |= self.crashes.unreachable(now, hash::short(server.as_str()));
+        }
+    }
+
     /// Counts observations as evidence for the versions concerned.
     pub(crate) fn count_observations(&mut self, observations: Vec<Observation>) {
         for observation in observations {
--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -1,17 +1,17 @@
 //! Quarantine of requests that crash the backend servers which run them.
 //!
-//! A connection that breaks during a request, together with a failed attempt to
-//! connect to the same server soon after it, counts as a crash of that server
-//! by the request's signature. Crashes are shared with other instances. A
-//! signature with crashes of several servers is quarantined; an answer to it
-//! clears them.
+//! A connection that breaks during a request counts as a crash of the server by
+//! the request's signature if the server accepts no connections soon after it,
+//! or is listed again with a later start. Each start of a server counts as a
+//! server of its own. Crashes are shared with other instances. A signature with
+//! several crashes is quarantined; an answer to it clears them.
 
 use std::time::Duration;
 
 use corianderway_model::SortedMap;
 use corianderway_model::Time;
 
-/// Number of crashed servers from which on a signature is quarantined.
+/// Number of crashes from which on a signature is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
 /// Time after which a crash is forgotten.
@@ -25,6 +25,13 @@
 /// which the server counts as crashed.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// The same between a broken connection and the entry of a later start.
+const RESTART_WINDOW: Duration = Duration::from_secs(10);
+
+/// Maximum number of broken connections that are remembered; beyond it the
+/// oldest is dropped.
+const MAX_BROKEN: usize = 512;
+
 /// Maximum number of signatures; beyond it the oldest is dropped.
 const MAX_SIGNATURES: usize = 512;
 
@@ -35,17 +42,33 @@
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     rows: SortedMap<u64, SignatureCrashes>,
-    // Broken connections of servers that may have crashed: signature, server,
-    // time.
-    broken: Vec<(u64, u32, Time)>,
+    // Broken connections of servers that may have crashed, the oldest first.
+    broken: Vec<BrokenConnection>,
+}
+
+/// A start of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Incarnation {
+    /// The hash of the server's id.
+    pub(crate) server: u32,
+    /// The hash of the id and the time of the start.
+    pub(crate) start: u32,
 }
 
-/// The servers that requests with one signature crashed.
+/// A connection that broke while it carried a request.
+#[derive(Clone, Copy, Debug)]
+struct BrokenConnection {
+    signature: u64,
+    to: Incarnation,
+    at: Time,
+}
+
+/// The starts of servers that requests with one signature crashed.
 #[derive(Debug)]
 struct SignatureCrashes {
     updated: Time,
-    // Hashes of crashed servers, as observed by this instance and as reported
-    // by others.
+    // Hashes of crashed starts, as observed by this instance and as reported by
+    // others.
     observed: Vec<u32>,
     reported: Vec<u32>,
     // When a request with the signature was last answered.
@@ -54,22 +77,40 @@
 
 impl Crashes {
     /// Records that a connection broke while it carried a request.
-    pub(crate) fn connection_broke(&mut self, now: Time, signature: u64, server: u32) {
-        self.broken.push((signature, server, now));
+    pub(crate) fn connection_broke(&mut self, now: Time, signature: u64, to: Incarnation) {
+        if self.broken.len() == MAX_BROKEN {
+            self.broken.remove(0);
+        }
+        let at = now;
+        self.broken.push(BrokenConnection { signature, to, at });
     }
 
     /// Records a failed attempt to connect: recent broken connections to the
-    /// server count as crashes.
-    pub(crate) fn unreachable(&mut self, now: Time, server: u32) {
-        let (of_server, rest) = std::mem::take(&mut self.broken)
+    /// server count as crashes. Returns whether there were any.
+    pub(crate) fn unreachable(&mut self, now: Time, server: u32) -> bool {
+        self.confirm(now, |row| {
+            row.to.server == server && now.since(row.at) < CRASH_WINDOW
+        })
+    }
+
+    /// Records that a start of a server was listed: recent broken connections to
+    /// an earlier one count as crashes. Returns whether there were any.
+    pub(crate) fn started(&mut self, now: Time, start: Incarnation) -> bool {
+        self.confirm(now, |row| {
+            row.to.server == start.server && row.to.start != start.start
+        })
+    }
+
+    // Counts the broken connections for which `crashed` is true as crashes.
+    fn confirm(&mut self, now: Time, crashed: impl Fn(&BrokenConnection) -> bool) -> bool {
+        let (crashed, rest) = std::mem::take(&mut self.broken)
             .into_iter()
-            .partition::<Vec<_>, _>(|row| row.1 == server);
+            .partition::<Vec<_>, _>(crashed);
         self.broken = rest;
-        for (signature, server, at) in of_server {
-            if now.since(at) < CRASH_WINDOW {
-                self.record(now, signature, server, |row| &mut row.observed);
-            }
+        for row in &crashed {
+            self.record(now, row.signature, row.to.start, |row| &mut row.observed);
         }
+        !crashed.is_empty()
     }
 
     /// Records an answer to a request, which clears its signature.
@@ -78,9 +119,8 @@
             row.answered = Some(now);
             row.observed.clear();
             row.reported.clear();
-        } else {
-            self.broken.retain(|row| row.0 != signature);
         }
+        self.broken.retain(|row| row.signature != signature);
     }
 
     /// Returns whether requests with the signature are quarantined.
@@ -104,8 +144,8 @@
     /// Adds crashes that other instances report.
     pub(crate) fn merge(&mut self, now: Time, reported: &[(u64, Vec<u32>)]) {
         for (signature, servers) in reported {
-            for server in servers {
-                self.record(now, *signature, *server, |row| &mut row.reported);
+            for start in servers {
+                self.record(now, *signature, *start, |row| &mut row.reported);
             }
         }
     }
@@ -114,14 +154,14 @@
     pub(crate) fn expire(&mut self, now: Time) {
         self.rows
             .retain(|_, row| now.since(row.updated) < CRASH_TTL);
-        self.broken.retain(|row| now.since(row.2) < CRASH_WINDOW);
+        self.broken.retain(|row| now.since(row.at) < RESTART_WINDOW);
     }
 
     fn record(
         &mut self,
         now: Time,
         signature: u64,
-        server: u32,
+        start: u32,
         list: impl Fn(&mut SignatureCrashes) -> &mut Vec<u32>,
     ) {
         let row = self
@@ -136,8 +176,8 @@
             return;
         }
         let list = list(row);
-        if !list.contains(&server) {
-            list.push(server);
+        if !list.contains(&start) {
+            list.push(start);
             row.updated = now;
         }
         if self.rows.len() > MAX_SIGNATURES {
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -112,6 +112,14 @@
         /// The outcome of the attempt.
         outcome: Outcome,
     },
+    /// The check of a backend server has ended; the counterpart of
+    /// [`Action::CheckServer`].
+    ServerChecked {
+        /// The backend server.
+        server: ServerId,
+        /// Whether it accepted a connection.
+        reachable: bool,
+    },
     /// A caller asks the directory which instances to use.
     Directory {
         /// The number given to the request.
@@ -175,6 +183,13 @@
         /// Whether the request must run at most once.
         once: bool,
     },
+    /// Check soon whether a backend server still accepts connections.
+    CheckServer {
+        /// The backend server.
+        server: ServerId,
+        /// The address at which it accepts requests.
+        addr: SocketAddr,
+    },
     /// Abort the current attempt of a request.
     Cancel(RequestId),
     /// Send the caller the answer of the latest attempt.
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -17,6 +17,7 @@
 use corianderway_model::Time;
 use corianderway_model::Version;
 
+use crate::crashes::Incarnation;
 use crate::event::Load;
 use crate::event::RequestId;
 use crate::hash;
@@ -247,15 +248,22 @@
 
     /// Applies changes of the list. While the store is `unsettled`, a removed
     /// entry may only have expired, so its server is kept for
-    /// [`MISSING_ENTRY_TTL`].
-    pub(crate) fn apply_changes(&mut self, now: Time, changes: Vec<ServerChange>, unsettled: bool) {
+    /// [`MISSING_ENTRY_TTL`]. Returns the starts of servers that were not known.
+    pub(crate) fn apply_changes(
+        &mut self,
+        now: Time,
+        changes: Vec<ServerChange>,
+        unsettled: bool,
+    ) -> Vec<Incarnation> {
+        let mut started = Vec::new();
         for change in changes {
             match change {
-                ServerChange::Put(listed) => self.put(now, listed),
+                ServerChange::Put(listed) => started.extend(self.put(now, listed)),
                 ServerChange::Removed(id) => self.remove(now, &id, unsettled),
             }
         }
         self.index();
+        started
     }
 
     /// Ends cold periods and ejections that are over, and drops servers that
@@ -430,7 +438,8 @@
         }
     }
 
-    fn put(&mut self, now: Time, listed: ServerEntry) {
+    // Updates or adds a server; returns its start if that was not known.
+    fn put(&mut self, now: Time, listed: ServerEntry) -> Option<Incarnation> {
         let id = listed.backend.id.clone();
         let presence = listed.backend.presence;
         let known = self.servers.get_mut(&id);
@@ -443,8 +452,9 @@
         });
         // A delayed copy of an older report is ignored.
         if outdated {
-            return;
+            return None;
         }
+        let start = (!same).then(|| listed.incarnation());
         match known {
             Some(server) if same => {
                 let back = server.missing.take().is_some();
@@ -471,6 +481,7 @@
             self.signal(now, &id, Signal::Withdrawn, "draining");
         }
         self.signal(now, &id, Signal::Tick, "entry");
+        start
     }
 
     // Initial window of a server before it has reported its load: its slots,
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crashes::Incarnation;
 use crate::hash;
 
 /// The store's entry of a backend server.
@@ -31,6 +32,17 @@
     pub cold_left: Duration,
 }
 
+impl ServerEntry {
+    /// Returns this run of the server.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        let id = self.backend.id.as_str();
+        Incarnation {
+            server: hash::short(id),
+            start: hash::short(&format!("{id}/{}", self.started_ms)),
+        }
+    }
+}
+
 /// The store's entry of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -222,6 +222,9 @@
             Event::Request(query) => self.receive(now, query, out),
             Event::CallerGone(id) => self.caller_left(now, id, out),
             Event::AttemptEnded { id, outcome } => self.attempt_ended(now, id, outcome, out),
+            Event::ServerChecked { server, reachable } => {
+                self.server_checked(now, &server, reachable);
+            }
             Event::Directory { id, region, domain } => {
                 self.answer_directory(now, id, region.as_ref(), domain.as_ref(), out);
             }
@@ -229,7 +232,9 @@
             Event::Servers(changes) => {
                 self.mark_arrived(InputKind::Servers);
                 let unsettled = self.outage.is_unsettled();
-                self.fleet.apply_changes(now, changes, unsettled);
+                for start in self.fleet.apply_changes(now, changes, unsettled) {
+                    self.urgent |= self.crashes.started(now, start);
+                }
                 for service in self.fleet.services() {
                     let versions = self.fleet.versions(&service);
                     self.moves.update_listed(now, &service, &versions);
--- a/crates/steer/tests/requests.rs
+++ b/crates/steer/tests/requests.rs
@@ -6,6 +6,7 @@
 
 use corianderway_model::Secret;
 use corianderway_model::ServerId;
+use corianderway_steer::Action;
 use corianderway_steer::Event;
 use corianderway_steer::Outcome;
 use corianderway_steer::Reach;
@@ -196,6 +197,74 @@
     assert!((3..=4).contains(&crashed), "{crashed} servers crashed");
 }
 
+// Guards against a request that is never quarantined under light load, where no other request
+// shows that a server is down.
+#[test]
+fn a_request_is_quarantined_by_the_checks_of_the_servers_that_it_crashed() {
+    let mut rig = Rig::new();
+    let mut crashed = 0;
+    for _ in 0..6 {
+        let mut query = rig.query("/bids/1", None);
+        query.signature = 99;
+        let id = query.id;
+        rig.step(Event::Request(query));
+        while rig.sent(id).is_some() {
+            crashed += 1;
+            rig.end(id, Outcome::Broken);
+            let sent = rig.sent(id);
+            let checked = rig.out.iter().find_map(|action| match action {
+                Action::CheckServer { server, .. } => Some(server.clone()),
+                _ => None,
+            });
+            let server = checked.expect("a check");
+            let reachable = false;
+            rig.step(Event::ServerChecked { server, reachable });
+            if sent.is_some() {
+                crashed += 1;
+                rig.end(id, Outcome::Broken);
+                let checks = rig.out.clone();
+                for action in checks {
+                    if let Action::CheckServer { server, .. } = action {
+                        rig.step(Event::ServerChecked { server, reachable });
+                    }
+                }
+            }
+            rig.out.clear();
+        }
+        rig.pass(Duration::from_secs(5));
+    }
+    assert!((3..=4).contains(&crashed), "{crashed} servers crashed");
+}
+
+// A server that accepts connections after one broke has not crashed.
+#[test]
+fn connections_that_break_alone_quarantine_nothing() {
+    let mut rig = Rig::new();
+    for _ in 0..6 {
+        let mut query = rig.query("/bids/1", None);
+        query.signature = 99;
+        let id = query.id;
+        rig.step(Event::Request(query));
+        while let Some(server) = rig.sent(id) {
+            rig.end(id, Outcome::Broken);
+            let sent = rig.sent(id);
+            let server = ServerId::try_from(server.as_str()).unwrap();
+            let reachable = true;
+            rig.step(Event::ServerChecked { server, reachable });
+            if sent.is_some() {
+                rig.end(id, Outcome::Broken);
+            }
+            rig.out.clear();
+        }
+        rig.pass(Duration::from_secs(5));
+    }
+    let mut query = rig.query("/bids/1", None);
+    query.signature = 99;
+    let id = query.id;
+    rig.step(Event::Request(query));
+    assert!(rig.sent(id).is_some());
+}
+
 // Sends requests of other signatures until one goes to the named server.
 fn request_sent_to(rig: &mut Rig, server: &str) -> corianderway_steer::RequestId {
     let wanted = ServerId::try_from(server).unwrap();
