steer: no 401 or 404 while others know a later configuration

Callers saw: proper requests ended with 401 and 404 (DENIED). Related path: an instance that is told of a later configuration, and has not read it yet, can't rule out that it contains the key or the route. It answered as if it could. Change: it answers 503 with a time to come back, as it does while it follows nothing.

--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::relay::DigestChange;
 use crate::relay::DomainState;
 use crate::relay::Role;
+use crate::revisions::InputKind;
 use crate::revisions::Revisions;
 use crate::source::Command;
 use crate::source::Signal as SourceSignal;
@@ -149,6 +150,7 @@
         for summary in self.members.summaries(now) {
             observed.merge(&summary.changed);
         }
+        self.later_plan = observed.of(InputKind::Plan) > self.known.of(InputKind::Plan);
         let Some(kind) = self.known.first_behind(&observed) else {
             self.lagging_since = None;
             return;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -124,6 +124,8 @@
     pub(crate) changed: Revisions,
     /// The revisions up to which all changes of each kind are known.
     pub(crate) known: Revisions,
+    // Whether other instances have observed a later configuration.
+    pub(crate) later_plan: bool,
     // Since when other instances have reported a change that is not known here.
     pub(crate) lagging_since: Option<Time>,
     // When the store was last read again for that reason.
@@ -199,6 +201,7 @@
             outage: Outage::new(outage.context(chart("edge-store.yaml"))?),
             changed: Revisions::default(),
             known: Revisions::default(),
+            later_plan: false,
             lagging_since: None,
             store_reread: Time::ZERO,
             missing: INPUTS.to_vec(),
@@ -268,7 +271,7 @@
             }
             Event::ProbeAnswered => self.advance_source(now, SourceSignal::Probed, out),
             // The replica that is followed, if any, still reaches the store.
-            Event::ProbeFailed if self.is_behind() => {
+            Event::ProbeFailed if self.is_detached() => {
                 self.outage.advance(now, OutageSignal::Lost);
             }
             Event::ProbeFailed => (),
@@ -315,8 +318,12 @@
     }
 
     /// Returns whether the configuration may be too old to contain a caller's key or
-    /// route, since the store can't be followed.
+    /// route, since the store can't be followed, or others follow it further.
     pub(crate) fn is_behind(&self) -> bool {
+        self.is_detached() || self.later_plan
+    }
+
+    fn is_detached(&self) -> bool {
         self.reach.0 == Reach::Nothing
     }
 
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -9,7 +9,6 @@
 
 use corianderway_model::Presence;
 use corianderway_steer::Action;
-use corianderway_steer::Digest;
 use corianderway_steer::Event;
 use corianderway_steer::InputKind;
 use corianderway_steer::Load;
@@ -307,7 +306,7 @@
         let others = others.map(|other| rig::member(other, "north", "north-a"));
         rig.step(Event::Members(others.to_vec()));
         for other in others {
-            rig.step(digest_event(&other, 0));
+            rig.step(rig::digest(&other, InputKind::Servers, 0));
         }
         rig.pass(Duration::from_millis(600));
         rig.step(Event::Servers(vec![ServerChange::Put(cold.clone())]));
@@ -327,29 +326,6 @@
     assert!((3..=9).contains(&sent), "{sent}");
 }
 
-// The digest of an instance that serves callers and has observed a change of the servers'
-// entries.
-fn digest_event(member: &Member, revision: u64) -> Event {
-    let mut changed = Revisions::default();
-    changed.raise(InputKind::Servers, revision);
-    Event::Message(Message::Digest(Arc::new(Digest {
-        from: member.entry.id.clone(),
-        run: member.run,
-        sequence: 1,
-        presence: Presence::Live,
-        ready: true,
-        reaches_store: true,
-        late: false,
-        legacy_revision: 0,
-        changed,
-        rate: 0.0,
-        demands: Vec::new(),
-        workloads: Vec::new(),
-        moves: Vec::new(),
-        crashes: Vec::new(),
-    })))
-}
-
 // The first summary of a failure domain whose callers offer `work` slots of
 // load.
 fn summary_event(domain: &str, from: &Member, work: f32) -> Event {
@@ -400,7 +376,7 @@
     let others: Vec<Member> = others.collect();
     rig.step(Event::Members(others.clone()));
     for other in &others {
-        rig.step(digest_event(other, 0));
+        rig.step(rig::digest(other, InputKind::Servers, 0));
     }
     rig.pass(Duration::from_millis(600));
     let first = rig.request("/bids/1", Some(5));
@@ -508,7 +484,7 @@
     let other = rig::member("entry-2", "north", "north-a");
     rig.step(Event::Members(vec![other.clone()]));
     rig.step(rig::revisions(InputKind::Servers, 10));
-    rig.step(digest_event(&other, 11));
+    rig.step(rig::digest(&other, InputKind::Servers, 11));
     let actions = rig.pass(Duration::from_millis(1_400));
     assert!(actions.iter().any(is_reread));
 }
@@ -522,7 +498,7 @@
     rig.step(Event::Members(vec![other.clone()]));
     rig.step(rig::revisions(InputKind::Servers, 10));
     rig.step(rig::revisions(InputKind::Plan, 100));
-    rig.step(digest_event(&other, 11));
+    rig.step(rig::digest(&other, InputKind::Servers, 11));
     let actions = rig.pass(Duration::from_millis(1_400));
     assert!(actions.iter().any(is_reread));
 }
@@ -534,7 +510,7 @@
     let other = rig::member("entry-2", "north", "north-a");
     rig.step(Event::Members(vec![other.clone()]));
     rig.step(rig::revisions(InputKind::Servers, 11));
-    rig.step(digest_event(&other, 11));
+    rig.step(rig::digest(&other, InputKind::Servers, 11));
     let actions = rig.pass(Duration::from_millis(1_400));
     assert!(!actions.iter().any(is_reread));
 }
--- a/crates/steer/tests/requests.rs
+++ b/crates/steer/tests/requests.rs
@@ -8,6 +8,7 @@
 use corianderway_model::ServerId;
 use corianderway_steer::Action;
 use corianderway_steer::Event;
+use corianderway_steer::InputKind;
 use corianderway_steer::Outcome;
 use corianderway_steer::Reach;
 use corianderway_steer::Reason;
@@ -141,6 +142,31 @@
     }
 }
 
+// Guards against proper requests that are ended with 401 or 404 by an instance whose
+// configuration is older than one that another instance follows already.
+#[test]
+fn unknown_keys_and_routes_get_503_while_a_later_configuration_is_known_to_exist() {
+    for (known, path, key, status) in [
+        (10, "/bids/1", "other", 503),
+        (10, "/none/1", rig::KEY, 503),
+        (11, "/bids/1", "other", 401),
+        (11, "/none/1", rig::KEY, 404),
+    ] {
+        let mut rig = Rig::new();
+        let other = rig::member("entry-2", "north", "north-a");
+        rig.step(Event::Members(vec![other.clone()]));
+        rig.step(rig::revisions(InputKind::Plan, known));
+        rig.step(rig::digest(&other, InputKind::Plan, 11));
+        rig.pass(Duration::from_millis(900));
+        let mut query = rig.query(path, None);
+        query.key = Some(Secret::new(key));
+        let id = query.id;
+        rig.step(Event::Request(query));
+        let refusal = rig.refused(id).expect("a refusal");
+        assert_eq!(refusal.status(), status, "knows {known}: {path}");
+    }
+}
+
 #[test]
 fn an_instance_that_knows_nothing_is_not_ready() {
     let mut rig = Rig::bare(rig::member("entry-1", "north", "north-a"));
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -21,9 +21,11 @@
 use corianderway_steer::Bounds;
 use corianderway_steer::CallerLimits;
 use corianderway_steer::CallerRequest;
+use corianderway_steer::Digest;
 use corianderway_steer::Event;
 use corianderway_steer::InputKind;
 use corianderway_steer::Member;
+use corianderway_steer::Message;
 use corianderway_steer::Order;
 use corianderway_steer::Outcome;
 use corianderway_steer::Plan;
@@ -102,6 +104,29 @@
     Event::Revisions { changed, known }
 }
 
+/// Returns the digest of an instance that serves callers and has observed a change of one
+/// kind.
+pub fn digest(member: &Member, kind: InputKind, revision: u64) -> Event {
+    let mut changed = Revisions::default();
+    changed.raise(kind, revision);
+    Event::Message(Message::Digest(Arc::new(Digest {
+        from: member.entry.id.clone(),
+        run: member.run,
+        sequence: 1,
+        presence: Presence::Live,
+        ready: true,
+        reaches_store: true,
+        late: false,
+        legacy_revision: 0,
+        changed,
+        rate: 0.0,
+        demands: Vec::new(),
+        workloads: Vec::new(),
+        moves: Vec::new(),
+        crashes: Vec::new(),
+    })))
+}
+
 pub fn route(name: &str, prefix: &str, service: &str, replay: Replay) -> Route {
     Route {
         name: name.try_into().unwrap(),
