edge: what nobody awaits is forgotten when its time is over; a panic costs one request

Cause: (a) a request whose caller had left, and whose answer never came, ended in the decision core with no action that removed its head and body; its body was in no reservation any more. Change: (a) the decision duty owns the head, the body and the body's reservation until the action that ends the request. (b) the id is converted with a check, and left out of the refusal's head if it is no valid value; the count of connections is a guard; sizes of chunks saturate. An instance that takes no connection is not ready. Gauges: held and waiting requests, connections and bytes of bodies.

A new action releases a request whose answer nobody awaits. The chart's check refuses a chart that can end a request without exactly one of deliver, refuse and release (enter-by).

--- a/crates/chart/src/definition.rs
+++ b/crates/chart/src/definition.rs
@@ -14,6 +14,7 @@
 use snafu::ensure;
 use snafu::ResultExt;
 
+use crate::error::EntryActionSnafu;
 use crate::error::Error;
 use crate::error::FinalHandlesEventsSnafu;
 use crate::error::HandledTwiceSnafu;
@@ -55,6 +56,10 @@
     /// Whether the state is final; a final state ignores every event.
     #[serde(rename = "final")]
     pub terminal: bool,
+    /// The actions of which each transition into the state performs exactly one, if
+    /// there are any.
+    #[serde(rename = "enter-by")]
+    pub enter_by: Vec<String>,
 }
 
 /// A transition for an event, taken if its guard holds.
@@ -150,7 +155,27 @@
                 event
             }
         );
-        branches.iter().try_for_each(|b| self.check_listed(&b.to))
+        branches.iter().try_for_each(|branch| {
+            self.check_listed(&branch.to)?;
+            self.check_entry(state, event, branch)
+        })
+    }
+
+    // Checks that a transition performs one of the actions that its target requires.
+    fn check_entry(&self, state: &str, event: &str, branch: &Branch) -> Result<()> {
+        let (chart, to) = (&self.chart, &branch.to);
+        let required = &self.states[to].enter_by;
+        let performed = branch.actions.iter().filter(|a| required.contains(a));
+        ensure!(
+            required.is_empty() || performed.count() == 1,
+            EntryActionSnafu {
+                chart,
+                state,
+                event,
+                to
+            }
+        );
+        Ok(())
     }
 
     fn check_listed(&self, state: &str) -> Result<()> {
--- a/crates/chart/src/error.rs
+++ b/crates/chart/src/error.rs
@@ -59,6 +59,16 @@
         state: String,
         event: String,
     },
+    #[snafu(display(
+        "chart {chart}: {event:?} in state {state:?} enters {to:?} without one of the actions that \
+         {to:?} requires; add exactly one of those under enter-by"
+    ))]
+    EntryAction {
+        chart: String,
+        state: String,
+        event: String,
+        to: String,
+    },
     #[snafu(display(
         "chart {chart}: final state {state:?} handles events; remove final, or its on and ignore"
     ))]
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -110,11 +110,11 @@
     let (commands, command_rx) = async_channel::bounded(rings::STORE_COMMANDS);
     let (messages, queued) = async_channel::bounded(rings::PEER_MESSAGES);
     let (samples, sample_rx) = async_channel::bounded(crate::rings::SAMPLES_CAPACITY);
-    let (instruments, scrape) = Instruments::new().context(MetricsSnafu)?;
     let (stopping, done) = (Arc::new(AtomicBool::new(false)), AtomicBool::new(false));
     let done = Arc::new(done);
     let shared = SharedState::default();
     let body_memory = BodyMemory::for_process(settings.memory_bytes);
+    let (instruments, scrape) = Instruments::new(&shared, &body_memory).context(MetricsSnafu)?;
 
     let steer = Steer::new(
         settings.member.clone(),
--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -88,7 +88,7 @@
             skip_trailers(stream, ahead).await?;
             return Ok(body);
         }
-        if body.len() as u64 + size > max_bytes {
+        if (body.len() as u64).saturating_add(size) > max_bytes {
             return Err(BodyError::TooLarge);
         }
         let size = size as usize;
--- a/crates/daemon/src/edge/body_memory.rs
+++ b/crates/daemon/src/edge/body_memory.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Returns the count of the reserved bytes.
+    pub fn reserved(&self) -> &Arc<AtomicUsize> {
+        &self.reserved
+    }
+
     /// Creates an empty reservation for one body.
     pub fn reservation(&self) -> Reservation {
         Reservation {
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -25,7 +25,7 @@
 
 /// The maximum number of open connections from callers; the bound leaves file
 /// descriptors for connections to backend servers.
-const MAX_CONNECTIONS: usize = 2_500;
+pub const MAX_CONNECTIONS: usize = 2_500;
 
 /// The delay after a failed accept, which usually means that no file
 /// descriptors are left.
@@ -46,7 +46,7 @@
     pub body_memory: BodyMemory,
     // The number of requests that are being read, decided or answered.
     active: Arc<AtomicUsize>,
-    connections: Cell<usize>,
+    connections: Arc<AtomicUsize>,
 }
 
 /// Counts a request as active, from its first byte until its answer is written.
@@ -59,6 +59,16 @@
     }
 }
 
+/// Counts a connection as open until it is dropped, also by a panic.
+#[derive(Debug)]
+struct ConnectionGuard(Arc<AtomicUsize>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Allocates request ids; each duty that does so has its own range.
 #[derive(Debug)]
 pub struct RequestIds(Cell<u64>);
@@ -92,7 +102,7 @@
             body_memory,
             stopping,
             ids: RequestIds::after(0),
-            connections: Cell::new(0),
+            connections: shared.connections,
         }
     }
 
@@ -124,14 +134,14 @@
 
 // Serves a connection in a task, or closes it at once if too many are open.
 fn admit(ctx: &Rc<Context>, stream: net::TcpStream) {
-    let open = ctx.connections.get();
-    if open >= MAX_CONNECTIONS {
+    if ctx.connections.load(Ordering::Acquire) >= MAX_CONNECTIONS {
         return;
     }
-    ctx.connections.set(open + 1);
+    ctx.connections.fetch_add(1, Ordering::AcqRel);
+    let guard = ConnectionGuard(Arc::clone(&ctx.connections));
     let ctx = Rc::clone(ctx);
     task::spawn_local(async move {
         connection::serve(&stream, &ctx).await;
-        ctx.connections.set(ctx.connections.get() - 1);
+        drop(guard);
     });
 }
--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -19,6 +19,7 @@
 use futures_lite::future::FutureExt as _;
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
+use http_types::headers::HeaderValue;
 use http_types::Method;
 use http_types::Response;
 use http_types::StatusCode;
@@ -26,6 +27,7 @@
 
 use crate::edge::body;
 use crate::edge::body::BodyError;
+use crate::edge::body_memory::Reservation;
 use crate::edge::callers::Context;
 use crate::edge::rings::Input;
 use crate::edge::rings::Reply;
@@ -120,16 +122,21 @@
         }
         Err(_elapsed) => return refuse(stream, TOO_SLOW, "body-late").await,
     }
-    handle(stream, ctx, asked).await
+    handle(stream, ctx, asked, reservation).await
 }
 
 // Sends a request to the decision duty and writes the reply.
-async fn handle(stream: &TcpStream, ctx: &Context, asked: RequestHead) -> Next {
+async fn handle(
+    stream: &TcpStream,
+    ctx: &Context,
+    asked: RequestHead,
+    reservation: Reservation,
+) -> Next {
     let (sender, replies) = async_channel::bounded(1);
     let id = asked.query.id;
     let (bodiless, closes) = (asked.bodiless, asked.closes);
     let trace = asked.outbound.trace().clone();
-    let input = Input::Request(asked.query, asked.outbound, sender);
+    let input = Input::Request(asked.query, (asked.outbound, reservation), sender);
     let reply = if ctx.decisions.try_send(input).is_err() {
         Some(Reply::Refuse(
             Refusal::not_run(Reason::Overloaded).with_retry_after(BUSY_RETRY_DELAY),
@@ -143,9 +150,6 @@
         reply.or(disconnected).await
     };
     let Some(reply) = reply else {
-        // Closed before the event is sent: the decision duty uses the closed
-        // ring to tell that the caller has disconnected.
-        drop(replies);
         report_disconnect(ctx, id).await;
         return Next::Close;
     };
@@ -188,7 +192,10 @@
 fn refusal_response(refusal: &Refusal, trace: &str) -> Response {
     let status = StatusCode::try_from(refusal.status());
     let mut response = Response::new(status.unwrap_or(StatusCode::ServiceUnavailable));
-    response.insert_header("request-id", trace);
+    // An id that is no valid value for the library, such as one beyond ASCII, is left out.
+    if let Ok(id) = HeaderValue::from_bytes(trace.as_bytes().to_vec()) {
+        response.insert_header("request-id", id);
+    }
     if let Some(after) = refusal.retry_after {
         response.insert_header("retry-after", format!("{:.3}", after.as_secs_f64()));
     }
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -3,7 +3,8 @@
 //! The duty receives requests and events on one ring, passes them to [`Steer`],
 //! and sends the resulting actions to the other duties. It never blocks on a
 //! ring: if an output ring is full, the attempt ends as not sent or the message
-//! is dropped. Each request gets at most one reply.
+//! is dropped. Each request gets at most one reply. The duty owns the head and the
+//! body of each request, from its arrival until the action that ends it.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -25,6 +26,7 @@
 use log::Level;
 
 use crate::clock::Clock;
+use crate::edge::body_memory::Reservation;
 use crate::edge::limits::SharedLimits;
 use crate::edge::recent::Recent;
 use crate::edge::rings::Answer;
@@ -47,6 +49,12 @@
     /// The number of requests that are being read from callers, decided, or
     /// answered.
     pub active: Arc<AtomicUsize>,
+    /// The number of requests whose head and body the decision duty holds.
+    pub held: Arc<AtomicUsize>,
+    /// The number of requests that wait for room at a backend server.
+    pub waiting: Arc<AtomicUsize>,
+    /// The number of open connections from callers.
+    pub connections: Arc<AtomicUsize>,
     /// The limits on callers' requests.
     pub limits: SharedLimits,
 }
@@ -85,6 +93,9 @@
     // Present while an attempt runs; dropping it cancels the attempt.
     attempt: Option<Sender<()>>,
     answer: Option<Answer>,
+    // The memory of the body, also while its caller has gone.
+    #[expect(dead_code, reason = "held for its drop")]
+    reservation: Option<Reservation>,
 }
 
 impl DecisionDuty {
@@ -127,12 +138,27 @@
 
     fn receive(&mut self, input: Input) {
         match input {
-            Input::Request(query, outbound, reply) => {
-                self.open_request(query.id, Some(outbound), reply);
+            Input::Request(query, body, reply) => {
+                let (outbound, reservation) = body;
+                let entry = OpenRequest {
+                    outbound: Some(outbound),
+                    reply,
+                    attempt: None,
+                    answer: None,
+                    reservation: Some(reservation),
+                };
+                self.requests.insert(query.id, entry);
                 self.step(Event::Request(query));
             }
             Input::Directory(id, region, domain, reply) => {
-                self.open_request(id, None, reply);
+                let entry = OpenRequest {
+                    outbound: None,
+                    reply,
+                    attempt: None,
+                    answer: None,
+                    reservation: None,
+                };
+                self.requests.insert(id, entry);
                 self.step(Event::Directory { id, region, domain });
             }
             Input::Attempted(id, outcome, answer) => {
@@ -141,11 +167,6 @@
                     entry.answer = answer.or(entry.answer.take());
                 }
                 self.step(Event::AttemptEnded { id, outcome });
-                self.remove_abandoned(id);
-            }
-            Input::Event(Event::CallerGone(id)) => {
-                self.step(Event::CallerGone(id));
-                self.remove_abandoned(id);
             }
             Input::Event(event) => self.step(event),
             Input::Explain(trace, answer) => {
@@ -168,6 +189,12 @@
         self.shared
             .open
             .store(self.steer.open_requests(), Ordering::Release);
+        self.shared
+            .held
+            .store(self.requests.len(), Ordering::Release);
+        self.shared
+            .waiting
+            .store(self.steer.waiting_requests(), Ordering::Release);
         if let Some(plan) = self.steer.plan() {
             self.shared.limits.set(plan);
         }
@@ -227,6 +254,9 @@
                     }
                 }
             }
+            Action::Release(id) => {
+                self.requests.remove(&id);
+            }
             Action::Refuse { id, refusal } => {
                 if let Some(entry) = self.requests.remove(&id) {
                     send_reply(&entry.reply, Reply::Refuse(refusal));
@@ -261,28 +291,6 @@
         }
     }
 
-    fn open_request(&mut self, id: RequestId, outbound: Option<Outbound>, reply: Sender<Reply>) {
-        let entry = OpenRequest {
-            outbound,
-            reply,
-            attempt: None,
-            answer: None,
-        };
-        self.requests.insert(id, entry);
-    }
-
-    // Removes a request whose caller has disconnected and which has no running
-    // attempt.
-    fn remove_abandoned(&mut self, id: RequestId) {
-        let abandoned = self
-            .requests
-            .get(&id)
-            .is_some_and(|entry| entry.attempt.is_none() && entry.reply.is_closed());
-        if abandoned {
-            self.requests.remove(&id);
-        }
-    }
-
     fn send_to_store(&self, command: StoreCommand) {
         if self.outputs.store.try_send(command).is_err() {
             let line = LogLine::new("store-order-dropped").with("why", "ring-full");
--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -20,6 +20,7 @@
 use http_types::StatusCode;
 
 use crate::edge::callers::RequestIds;
+use crate::edge::callers::MAX_CONNECTIONS;
 use crate::edge::decisions::SharedState;
 use crate::edge::rings::Input;
 use crate::edge::rings::Reply;
@@ -106,7 +107,9 @@
     let url = request.url();
     match (port, url.path()) {
         (HttpPort::Ready, directory::READY_PATH) => {
-            if ctx.shared.ready.load(Ordering::Acquire) {
+            // An instance that takes no connection is not ready, whatever it knows.
+            let has_room = ctx.shared.connections.load(Ordering::Acquire) < MAX_CONNECTIONS;
+            if has_room && ctx.shared.ready.load(Ordering::Acquire) {
                 text(StatusCode::Ok, "text/plain", "ready".to_owned())
             } else {
                 text(
--- a/crates/daemon/src/edge/metrics.rs
+++ b/crates/daemon/src/edge/metrics.rs
@@ -1,7 +1,12 @@
 //! The metrics duty: turns the notes of the decision core into metrics.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
 use async_channel::Receiver;
 use corianderway_steer::Note;
+use opentelemetry::metrics::AsyncInstrument;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider as _;
@@ -9,6 +14,8 @@
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
+use crate::edge::body_memory::BodyMemory;
+use crate::edge::decisions::SharedState;
 use crate::metrics;
 use crate::metrics::Scrape;
 
@@ -32,14 +39,29 @@
 }
 
 impl Instruments {
-    /// Creates the instruments, and the handle that exports them as text.
+    /// Creates the instruments, and the handle that exports them as text. The gauges show
+    /// what the process holds.
     ///
     /// # Errors
     ///
     /// Fails if the exporter can't be created.
-    pub fn new() -> Result<(Self, Scrape), OTelSdkError> {
+    pub fn new(shared: &SharedState, bodies: &BodyMemory) -> Result<(Self, Scrape), OTelSdkError> {
         let (provider, scrape) = metrics::provider()?;
         let meter = provider.meter("corianderway");
+        let gauge = |name: &'static str, held: &Arc<AtomicUsize>| {
+            let held = Arc::clone(held);
+            let observe = move |observer: &dyn AsyncInstrument<u64>| {
+                observer.observe(held.load(Ordering::Acquire) as u64, &[]);
+            };
+            meter
+                .u64_observable_gauge(name)
+                .with_callback(observe)
+                .build();
+        };
+        gauge("corianderway_held_requests", &shared.held);
+        gauge("corianderway_waiting_requests", &shared.waiting);
+        gauge("corianderway_caller_connections", &shared.connections);
+        gauge("corianderway_body_bytes", bodies.reserved());
         let latency = |name: &'static str, description: &'static str| {
             let histogram = meter.f64_histogram(name).with_description(description);
             histogram
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -45,8 +45,9 @@
 /// A message to the decision duty.
 #[derive(Debug)]
 pub enum Input {
-    /// A caller's request, and the ring for its reply.
-    Request(CallerRequest, Outbound, Sender<Reply>),
+    /// A caller's request, what is sent on with the memory reserved for it, and the
+    /// ring for its reply.
+    Request(CallerRequest, (Outbound, Reservation), Sender<Reply>),
     /// A caller's question which instances to use.
     Directory(
         RequestId,
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -179,6 +179,7 @@
             Effect::EndAttempt => self.end_attempt(now, open, out),
             Effect::Deliver => self.deliver(now, open, out),
             Effect::Refuse => self.refuse(now, open, out),
+            Effect::Release => out.push(Action::Release(open.query.id)),
             Effect::LogDeparture => {
                 let held = now.since(open.received).as_millis();
                 let note = self.note(Severity::Routine, "left", open);
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -194,6 +194,12 @@
     Cancel(RequestId),
     /// Send the caller the answer of the latest attempt.
     Deliver(RequestId),
+    /// Forget a request whose answer nobody awaits any more.
+    ///
+    /// Each request ends with exactly one of `Deliver`, `Refuse` and `Release`, which the
+    /// request chart checks when it is loaded. After it the process holds nothing of the
+    /// request.
+    Release(RequestId),
     /// Refuse a request.
     Refuse {
         /// The request.
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -98,6 +98,8 @@
     Refuse,
     /// Logs that the caller disconnected.
     LogDeparture,
+    /// Gives the request back without an answer, since nobody awaits one.
+    Release,
 }
 
 /// An open request.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -307,6 +307,11 @@
         self.requests.len()
     }
 
+    /// Returns the number of requests that wait for room at a backend server.
+    pub fn waiting_requests(&self) -> usize {
+        self.queues.len()
+    }
+
     /// Returns the latest configuration, if any has arrived.
     pub fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -36,6 +36,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct WaitingQueues(SortedMap<Service, FairQueue<RequestId>>);
 
+impl WaitingQueues {
+    /// Returns the number of queued requests.
+    pub(crate) fn len(&self) -> usize {
+        self.0.iter().map(|row| row.1.len()).sum()
+    }
+}
+
 impl Steer {
     /// Queues a request until a backend server has room.
     pub(crate) fn enqueue(&mut self, now: Time, open: &mut OpenRequest) {
