steer: a request for which its queue has no place is refused at once

Callers saw: requests that waited in vain until their wait was over, while the queue of their service was full of requests whose own wait was over already. Cause: the queue's entries were never expired, and a request that a full queue dropped was not refused, though nothing would try it again. Change: entries whose wait is over leave the queue before others are added or tried; what the queue drops is refused at once, with a time to come back. Evidence: two tests in steer/tests/requests.rs failed with the former code (256 waited and none was refused; 172 entries were left after their time).

--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -174,7 +174,7 @@
             Effect::AskForToken => return self.ask_token(now, open, out),
             Effect::Count => self.count_admitted(now, open),
             Effect::Send => return self.send(now, open, out),
-            Effect::Enqueue => self.enqueue(now, open),
+            Effect::Enqueue => return self.enqueue(now, open, out),
             Effect::Cancel => out.push(Action::Cancel(open.query.id)),
             Effect::EndAttempt => self.end_attempt(now, open, out),
             Effect::Deliver => self.deliver(now, open, out),
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -44,14 +44,18 @@
 }
 
 impl Steer {
-    /// Queues a request until a backend server has room.
-    pub(crate) fn enqueue(&mut self, now: Time, open: &mut OpenRequest) {
+    /// Queues a request until a backend server has room. Returns the event that follows at
+    /// once if the queue has no place for it.
+    pub(crate) fn enqueue(
+        &mut self,
+        now: Time,
+        open: &mut OpenRequest,
+        out: &mut Vec<Action>,
+    ) -> Option<Signal> {
         let span = open.route.target_latency.mul_f64(MAX_WAIT_SHARE);
         let until = *open.wait_until.get_or_insert(now + span);
         let account = open.account.as_ref().map(|terms| terms.account.clone());
-        let Some(account) = account.or_else(|| NO_ACCOUNT.try_into().ok()) else {
-            return;
-        };
+        let account = account.or_else(|| NO_ACCOUNT.try_into().ok())?;
         let rate = open.account.as_ref().and_then(|terms| terms.rate);
         let waiting = QueuedRequest {
             account,
@@ -64,8 +68,18 @@
             .queues
             .0
             .get_or_insert_with(open.service.clone(), || FairQueue::new(MAX_WAITING));
-        // A request that a full queue drops stays open until its wait ends.
-        queue.push(waiting);
+        // Requests whose wait is over must not take the places of others.
+        queue.expire(now, &mut Vec::new());
+        let dropped = queue.push(waiting)?;
+        if dropped == open.query.id {
+            open.refusal = Some(open.refusal_for(Reason::Overloaded));
+            return Some(Signal::Refused);
+        }
+        if let Some(mut other) = self.requests.remove(&dropped) {
+            other.refusal = Some(other.refusal_for(Reason::Overloaded));
+            self.advance(now, other, Signal::Refused, out);
+        }
+        None
     }
 
     /// Retries the waiting requests of all services.
@@ -84,6 +98,8 @@
         let Some(queue) = self.queues.0.get_mut(service) else {
             return;
         };
+        // The requests themselves end by their own time.
+        queue.expire(now, &mut Vec::new());
         let mut next = Vec::new();
         while next.len() < MAX_RETRIED_AT_ONCE {
             match queue.pop(now) {
--- a/crates/steer/tests/requests.rs
+++ b/crates/steer/tests/requests.rs
@@ -291,6 +291,42 @@
     assert!(rig.sent(id).is_some());
 }
 
+// Guards against requests that wait in vain: a request for which the queue has no place was
+// never tried again, and was refused only when its wait was over.
+#[test]
+fn a_request_for_which_the_queue_has_no_place_is_refused_at_once() {
+    let mut rig = Rig::new();
+    let (mut sent, mut refused) = (0, 0);
+    for _ in 0..400 {
+        let id = rig.request("/bids/1", None);
+        sent += usize::from(rig.sent(id).is_some());
+        let refusals = rig.out.iter().filter(|action| match action {
+            Action::Refuse { refusal, .. } => refusal.reason == Reason::Overloaded,
+            _ => false,
+        });
+        refused += refusals.count();
+    }
+    let waiting = rig.steer.waiting_requests();
+    assert!(
+        waiting > 0 && refused > 0,
+        "{waiting} wait, {refused} refused"
+    );
+    assert_eq!(sent + waiting + refused, 400);
+    assert_eq!(rig.steer.open_requests(), sent + waiting);
+}
+
+// Guards against requests whose wait is over but which keep their places in the queue.
+#[test]
+fn requests_whose_wait_is_over_leave_the_queue() {
+    let mut rig = Rig::new();
+    for _ in 0..200 {
+        rig.request("/bids/1", None);
+    }
+    assert!(rig.steer.waiting_requests() > 0);
+    rig.pass(Duration::from_secs(1));
+    assert_eq!(rig.steer.waiting_requests(), 0);
+}
+
 // Sends requests of other signatures until one goes to the named server.
 fn request_sent_to(rig: &mut Rig, server: &str) -> corianderway_steer::RequestId {
     let wanted = ServerId::try_from(server).unwrap();
