edge: the configuration's limit on bodies holds, up to the memory for bodies

Cause: an instance had fixed limits of its own, below the configuration's and the memory's. Change: a body is refused with 413 only by the configuration. One that the memory for bodies can't hold gets 503, before it is read if its length says so, with a time to come back that is spread. An answer whose length is known is limited by the memory alone; one of unknown length keeps its limit, since it may have no end.

--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -49,6 +49,8 @@
 ) -> Result<Vec<u8>, BodyError> {
     match framing {
         Framing::Length(length) if length > max_bytes => Err(BodyError::TooLarge),
+        // Refused before it is read: the budget will never suffice.
+        Framing::Length(length) if !reservation.can_hold(length) => Err(BodyError::NoMemory),
         Framing::Length(length) => {
             let length = length as usize;
             while ahead.len() < length {
--- a/crates/daemon/src/edge/body_memory.rs
+++ b/crates/daemon/src/edge/body_memory.rs
@@ -51,6 +51,11 @@
         self.budget.reservation()
     }
 
+    /// Returns whether the budget suffices for this many bytes while no other body uses it.
+    pub fn can_hold(&self, bytes: u64) -> bool {
+        bytes <= self.budget.max_bytes as u64
+    }
+
     /// Raises the reservation to this many bytes; returns false if that exceeds the
     /// budget. The bytes stay reserved until the drop either way.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -41,10 +41,6 @@
 /// The timeout for writing an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The maximum size of a request's body even if the configuration allows more:
-/// bodies are buffered whole, and memory is scarce.
-const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
-
 /// The timeout for reading what a refused caller still sends.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -61,6 +57,10 @@
 /// decision duty full.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// The mean retry delay given to a caller whose request's body did not fit into memory. It is
+/// spread, so that callers don't come back at once.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(600);
+
 /// The interim response to a request with `Expect: 100-continue`.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -105,8 +105,8 @@
     {
         return Next::Close;
     }
-    let max_bytes = limits.body_bytes.min(MAX_BODY_BYTES);
     let mut reservation = ctx.body_memory.reservation();
+    let max_bytes = limits.body_bytes;
     let read = body::read(stream, ahead, asked.framing, max_bytes, &mut reservation);
     let (host, path) = (&asked.query.host, &asked.query.path);
     let allowed = [asked.query.time_limit, ctx.limits.route_timeout(host, path)];
@@ -115,7 +115,12 @@
         Ok(Ok(body)) => asked.set_body(body),
         Ok(Err(BodyError::Cut)) => return Next::Close,
         Ok(Err(BodyError::TooLarge)) => return refuse(stream, TOO_LARGE, "body-large").await,
-        Ok(Err(BodyError::NoMemory)) => return refuse(stream, UNAVAILABLE, "no-room").await,
+        Ok(Err(BodyError::NoMemory)) => {
+            let detail = "the request was not read whole";
+            let delay = MEMORY_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>());
+            let refusal = (UNAVAILABLE, "no-room", detail);
+            return refuse_and_close(stream, refusal, Some(delay)).await;
+        }
         Ok(Err(BodyError::Malformed)) => {
             let detail = "chunks";
             return refuse_head(stream, &HeadError::Malformed { detail }).await;
@@ -197,7 +202,7 @@
         response.insert_header("request-id", id);
     }
     if let Some(after) = refusal.retry_after {
-        response.insert_header("retry-after", format!("{:.3}", after.as_secs_f64()));
+        response.insert_header("retry-after", seconds(after));
     }
     response.insert_header("content-type", "application/json");
     let ran = if refusal.may_have_run {
@@ -210,6 +215,11 @@
     response
 }
 
+// Writes a delay in seconds, with a fraction.
+fn seconds(delay: Duration) -> String {
+    format!("{:.3}", delay.as_secs_f64())
+}
+
 async fn respond(stream: &TcpStream, mut response: Response, close: bool) -> io::Result<()> {
     if close {
         response.insert_header("connection", "close");
@@ -235,18 +245,27 @@
 
 async fn refuse_head(stream: &TcpStream, error: &HeadError) -> Next {
     let detail = error.to_string();
-    refuse_and_close(stream, error.status(), "bad-head", &detail).await
+    refuse_and_close(stream, (error.status(), "bad-head", &detail), None).await
 }
 
 async fn refuse(stream: &TcpStream, status: u16, code: &str) -> Next {
-    refuse_and_close(stream, status, code, "the request was not read whole").await
+    let refusal = (status, code, "the request was not read whole");
+    refuse_and_close(stream, refusal, None).await
 }
 
-// Refuses a request that was not read whole, and closes the connection.
-async fn refuse_and_close(stream: &TcpStream, status: u16, code: &str, detail: &str) -> Next {
+// Refuses a request that was not read whole, with a status, a code and a detail, and closes
+// the connection.
+async fn refuse_and_close(
+    stream: &TcpStream,
+    (status, code, detail): (u16, &str, &str),
+    retry_after: Option<Duration>,
+) -> Next {
     let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadRequest);
     let mut response = Response::new(status);
     response.insert_header("content-type", "application/json");
+    if let Some(after) = retry_after {
+        response.insert_header("retry-after", seconds(after));
+    }
     let body = json!({ "code": code, "ran": "not-run", "detail": detail });
     response.set_body(body.to_string());
     // The connection is closed even if the caller has already disconnected.
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -60,8 +60,9 @@
 /// responses and late answers to earlier requests.
 const MAX_HEADS: usize = 16;
 
-/// The maximum size of an answer's body.
-const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// The maximum size of an answer's body of unknown length, which may have no end. The memory
+/// for bodies limits the others.
+const MAX_UNSIZED_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
 /// An answered exchange whose connection may be used again.
 struct Reusable {
@@ -237,14 +238,12 @@
         if head.status < 200 {
             continue;
         }
-        let body = body::read(
-            stream,
-            &mut ahead,
-            head.framing,
-            MAX_BODY_BYTES,
-            &mut reservation,
-        )
-        .await;
+        let max_bytes = match head.framing {
+            Framing::Length(_) => u64::MAX,
+            Framing::Chunked | Framing::Close => MAX_UNSIZED_BODY_BYTES,
+        };
+        let framing = head.framing;
+        let body = body::read(stream, &mut ahead, framing, max_bytes, &mut reservation).await;
         let body = body.ok()?;
         let named = head.trace.as_ref();
         let other = named.is_some_and(|trace| trace != job.outbound.trace());
