--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -65,10 +65,9 @@
         store.put("config", "main", &configuration(1, &["k1", "k2"]));
         store.put("servers", "i-1", &endpoint.entry("s1", "a", "ready", 1));
         store.put("servers", "other", &json!("left by another writer"));
-        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
         let start = |domain: &&str| {
             let site = Site::new("north", domain, store.add_address());
-            Node::start(site, &[("a", "north"), ("b", "north")], dir).unwrap()
+            Self::start_node(site)
         };
         let instances = domains.iter().map(start).collect();
         let fleet = Self {
@@ -82,6 +81,18 @@
         fleet
     }
 
+    /// Kills an instance and starts it again, without waiting for readiness.
+    pub fn restart(&mut self, number: usize) {
+        let node = &mut self.instances[number];
+        node.process.kill().unwrap();
+        *node = Self::start_node(node.site.clone());
+    }
+
+    fn start_node(site: Site) -> Node {
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        Node::start(site, &[("a", "north"), ("b", "north")], dir).unwrap()
+    }
+
     /// Waits until a condition holds; panics with all logs if it doesn't in time.
     pub fn until<T>(&self, what: &str, condition: impl FnMut() -> Option<T>) -> T {
         until(what, WAIT_TIMEOUT, condition).unwrap_or_else(|error| {
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -52,6 +52,8 @@
     rejected: Vec<SocketAddr>,
     // Whether requests that arrive are never answered.
     silent: bool,
+    // The addresses at which requests that arrive are never answered.
+    silent_at: Vec<SocketAddr>,
     // The kinds whose arriving watches are never answered, and the address that this
     // concerns if it isn't all.
     deaf: (Vec<String>, Option<SocketAddr>),
@@ -129,6 +131,12 @@
         self.lock().silent = silent;
     }
 
+    /// Never answers the requests that arrive at exactly these addresses from now on, and
+    /// replaces the earlier ones. Watches that wait already go on.
+    pub fn silence_callers(&self, addrs: &[SocketAddr]) {
+        self.lock().silent_at = addrs.to_vec();
+    }
+
     /// Never answers the watches of exactly these kinds that arrive from now on, at one
     /// address or at all, and replaces the earlier kinds. Watches that wait already go on.
     pub fn set_deaf(&self, kinds: &[&str], only: Option<SocketAddr>) {
@@ -209,7 +217,8 @@
         }
         let (kinds, only) = &shared.deaf;
         let is_deaf = watched.is_some_and(|kind| kinds.iter().any(|deaf| deaf == kind));
-        shared.silent || (is_deaf && only.is_none_or(|only| only == addr))
+        let is_silent = shared.silent || shared.silent_at.contains(&addr);
+        is_silent || (is_deaf && only.is_none_or(|only| only == addr))
     };
     if is_lost {
         return std::future::pending().await;
