steer: servers that say that they leave, or want nothing for a while, get no requests

Change: the adapter reads both headers; the decisions get a notice before the answer is passed on. A server that leaves has a state of its own in its chart (resigned), which only a new start of the server ends; the start is remembered, so that an older entry of a late copy doesn't bring it back. If all servers of a service leave at once they are used for 1.5 s more. A server that asks for a pause gets nothing in it, isn't counted as failed, and returns with a quarter of its window. If all eligible ones pause, a request is refused at once with a time to come back that follows from the first return and is spread. That good versions are taken back now and then beside slow servers was known; it is not mended.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -16,7 +16,9 @@
 use async_std::future;
 use async_std::net::TcpStream;
 use corianderway_platform::front::ResponseHead;
+use corianderway_steer::Event;
 use corianderway_steer::Outcome;
+use corianderway_steer::ServerNotice;
 use corianderway_wire::head::Framing;
 use futures_lite::future::poll_once;
 use futures_lite::future::FutureExt as _;
@@ -74,6 +76,27 @@
     keep: Duration,
 }
 
+/// What an attempt comes to.
+struct Ended {
+    outcome: Outcome,
+    answer: Option<Answer>,
+    // What the backend server says of itself with its answer.
+    notices: Vec<ServerNotice>,
+    reusable: Option<Reusable>,
+}
+
+impl From<Outcome> for Ended {
+    /// Creates the end of an attempt without an answer.
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            answer: None,
+            notices: Vec::new(),
+            reusable: None,
+        }
+    }
+}
+
 /// Runs one job and sends its outcome to the decision duty.
 pub async fn run(
     job: Job,
@@ -89,9 +112,20 @@
         None
     };
     let attempt = async { Some(attempt(&job, clock, &pool, reservation).await) };
-    let Some((outcome, answer, reusable)) = attempt.or(cancelled).await else {
+    let Some(ended) = attempt.or(cancelled).await else {
         return;
     };
+    let Ended {
+        outcome,
+        answer,
+        notices,
+        reusable,
+    } = ended;
+    // Sent before the answer, so that they are in force when it is passed on.
+    for notice in notices {
+        let event = Event::ServerNotice { id: job.id, notice };
+        drop(decisions.send(Input::Event(event)).await);
+    }
     // Sending fails only at process end, since the decision duty ends last.
     let input = Input::Attempted(job.id, outcome, answer);
     drop(decisions.send(input).await);
@@ -104,21 +138,16 @@
     }
 }
 
-async fn attempt(
-    job: &Job,
-    clock: Clock,
-    pool: &RefCell<Pool>,
-    reservation: Reservation,
-) -> (Outcome, Option<Answer>, Option<Reusable>) {
+async fn attempt(job: &Job, clock: Clock, pool: &RefCell<Pool>, reservation: Reservation) -> Ended {
     let (stream, is_new) = match open(job, clock, pool).await {
         Ok(opened) => opened,
-        Err(outcome) => return (outcome, None, None),
+        Err(outcome) => return outcome.into(),
     };
     // Checked right before sending, so that a process that was paused until after
     // the deadline sends nothing.
     let left = clock.until(job.deadline);
     if left.is_zero() {
-        return (Outcome::NotSent, None, None);
+        return Outcome::NotSent.into();
     }
     let request = job.outbound.write(&job.server, job.account.as_ref(), left);
     let sent = Cell::new(0);
@@ -130,7 +159,7 @@
     let answer = read_answer(&stream, job, is_new, reservation);
     // A backend server may answer before it has read the whole request.
     let Some((answer, keep)) = answer.or(sending).await else {
-        return (Outcome::Broken, None, None);
+        return Outcome::Broken.into();
     };
     let sent = sent.get();
     let reusable = keep.map(|keep| Reusable {
@@ -140,14 +169,21 @@
         keep,
     });
     let load = answer.head.load;
-    if answer.head.misdirected {
-        return (Outcome::Misdirected, None, reusable);
-    }
-    if answer.head.not_run {
-        return (Outcome::Full { load }, None, reusable);
+    let (outcome, answer, notices) = if answer.head.misdirected {
+        // Another server says nothing of the one that was meant.
+        (Outcome::Misdirected, None, Vec::new())
+    } else if answer.head.not_run {
+        (Outcome::Full { load }, None, answer.head.notices)
+    } else {
+        let (status, notices) = (answer.head.status, answer.head.notices.clone());
+        (Outcome::Answered { status, load }, Some(answer), notices)
+    };
+    Ended {
+        outcome,
+        answer,
+        notices,
+        reusable,
     }
-    let status = answer.head.status;
-    (Outcome::Answered { status, load }, Some(answer), reusable)
 }
 
 impl Reusable {
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -43,6 +43,10 @@
     Full,
     /// Runs each request and never answers.
     Unanswered,
+    /// Runs each request and says in its answer that it leaves.
+    Leaving,
+    /// Rejects each request without running it, and wants none for this long.
+    Pausing(Duration),
 }
 
 /// A request that an endpoint ran.
@@ -77,6 +81,7 @@
     id: String,
     mode: Mode,
     seen: Vec<RequestRecord>,
+    rejected: Vec<Instant>,
 }
 
 impl Endpoint {
@@ -136,6 +141,11 @@
         self.lock().seen.clone()
     }
 
+    /// Returns the times at which it rejected requests, in order.
+    pub fn rejections(&self) -> Vec<Instant> {
+        self.lock().rejected.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -182,8 +192,12 @@
         return response;
     }
     let id = header(&request, "request-id").unwrap_or_default();
-    if mode == Mode::Full {
+    if let Mode::Full | Mode::Pausing(_) = mode {
+        endpoint.lock().rejected.push(Instant::now());
         let mut response = Response::new(StatusCode::ServiceUnavailable);
+        if let Mode::Pausing(span) = mode {
+            response.insert_header("retry-after", span.as_secs_f64().to_string());
+        }
         response.insert_header("request-id", id);
         response.insert_header("not-run", "full");
         return response;
@@ -206,8 +220,8 @@
     match mode {
         Mode::Slow(span) => task::sleep(span).await,
         Mode::Unanswered => std::future::pending().await,
-        Mode::Healthy | Mode::Failing | Mode::Full if slow => task::sleep(SLOW_PATH_DELAY).await,
-        Mode::Healthy | Mode::Failing | Mode::Full => (),
+        _ if slow => task::sleep(SLOW_PATH_DELAY).await,
+        Mode::Healthy | Mode::Failing | Mode::Full | Mode::Leaving | Mode::Pausing(_) => (),
     }
     let status = if mode == Mode::Failing {
         StatusCode::InternalServerError
@@ -218,6 +232,9 @@
     response.insert_header("request-id", id);
     response.insert_header("server-stamp", SERVER_STAMP);
     response.insert_header("server-load", format!("1,0,{SLOTS}"));
+    if mode == Mode::Leaving {
+        response.insert_header("server-leaving", "1");
+    }
     response.set_body(format!("answer of {by}"));
     response
 }
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -19,6 +19,7 @@
 use crate::event::Action;
 use crate::event::Outcome;
 use crate::event::RequestId;
+use crate::event::ServerNotice;
 use crate::evidence::RequestResult;
 use crate::hash;
 use crate::note::Note;
@@ -50,6 +51,10 @@
 /// requests may wait at a backend server.
 const TOLERATED_WAIT_SHARE: f64 = 0.4;
 
+/// By how much the time to come back exceeds the servers' pause at the most, as a share of it,
+/// so that callers don't come back at once.
+const PAUSE_SPREAD: f64 = 0.5;
+
 /// Lowest HTTP status that counts as a failure of the backend server.
 const ERROR_STATUS: u16 = 500;
 
@@ -192,10 +197,17 @@
     fn send(&mut self, now: Time, open: &mut OpenRequest, out: &mut Vec<Action>) -> Option<Signal> {
         let choice = match self.choose(now, open) {
             Ok(choice) => choice,
+            Err(Blocked::Paused(span)) => {
+                let delay = span.mul_f64(1.0 + self.rng.random::<f64>() * PAUSE_SPREAD);
+                let refusal = open.refusal_for(Reason::Overloaded);
+                open.refusal = Some(refusal.with_retry_after(delay));
+                return Some(Signal::Refused);
+            }
             Err(blocked) => return Some(on_blocked(now, open, blocked)),
         };
         let server = self.fleet.server(&choice.server)?;
         let (id, addr) = (open.query.id, server.listed.backend.addr);
+        let start = server.listed.incarnation();
         let version = server.listed.backend.version.clone();
         self.shifts.count(now, choice.remote);
         self.moves.record_sent(&open.service, &version);
@@ -223,6 +235,7 @@
         });
         open.attempt = Some(Attempt {
             server: choice.server.clone(),
+            start,
             version,
             choice,
         });
@@ -277,6 +290,7 @@
         };
         let Attempt {
             server,
+            start,
             version,
             choice,
         } = attempt;
@@ -342,11 +356,10 @@
             Outcome::NotSent => self.moves.record_unsent(&open.service, &version),
             Outcome::Broken => {
                 self.fleet.record_failure(now, &server, false);
+                self.crashes
+                    .connection_broke(now, open.query.signature, start);
                 // A server that crashed gets no request soon that would show it.
                 if let Some(known) = self.fleet.server(&server) {
-                    let start = known.listed.incarnation();
-                    self.crashes
-                        .connection_broke(now, open.query.signature, start);
                     let (server, addr) = (server.clone(), known.listed.backend.addr);
                     out.push(Action::CheckServer { server, addr });
                 }
@@ -377,6 +390,30 @@
         out.push(Action::Log(note));
     }
 
+    /// Applies what a backend server says of itself with the answer to a request.
+    pub(crate) fn apply_notice(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        notice: ServerNotice,
+        out: &mut Vec<Action>,
+    ) {
+        let attempt = self
+            .requests
+            .get(&id)
+            .and_then(|open| open.attempt.as_ref());
+        let Some((server, start)) = attempt.map(|a| (a.server.clone(), a.start)) else {
+            return;
+        };
+        if let ServerNotice::Pause(span) = notice {
+            let note = Note::new(Severity::Notable, "server-paused")
+                .with("server", &server)
+                .with("for_ms", span.as_millis());
+            out.push(Action::Log(note));
+        }
+        self.fleet.apply_notice(now, &server, start, notice);
+    }
+
     /// Handles the end of a backend server's check.
     pub(crate) fn server_checked(&mut self, now: Time, server: &ServerId, reachable: bool) {
         if !reachable {
@@ -467,6 +504,7 @@
             }
             Reason::Overloaded
         }
+        Blocked::Paused(_) => Reason::Overloaded,
         Blocked::NoServer => Reason::NoServer,
         Blocked::TooLate => Reason::TimedOut,
     };
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -104,6 +104,8 @@
     Full(FullCause),
     /// The best server is still building the state of the object for this long.
     Building(Duration),
+    /// Each eligible server wants no requests for at least this long.
+    Paused(Duration),
     /// No server is expected to answer in the time left.
     TooLate,
 }
@@ -176,22 +178,34 @@
     ///
     /// Returns why the request can't be sent now.
     pub(crate) fn choose(&self, now: Time, criteria: &Criteria<'_>) -> Result<Choice, Blocked> {
-        let eligible: Vec<&Server> = criteria
-            .servers
-            .iter()
-            .filter_map(|id| self.server(id))
-            .filter(|server| self.is_eligible(server, criteria))
-            .collect();
+        let permitted = criteria.servers.iter().filter_map(|id| self.server(id));
+        let permitted = permitted.filter(|server| self.is_permitted(server, criteria));
+        let permitted: Vec<&Server> = permitted.collect();
+        let is_out = |server: &Server| matches!(server.state, State::Leaving | State::Resigned);
+        let mut eligible = permitted.clone();
+        eligible.retain(|server| !is_out(server));
+        if eligible.is_empty() {
+            // All of them leave at once: those that still serve are better than none.
+            eligible = permitted;
+            eligible.retain(|server| server.has_just_resigned(now));
+        }
         if eligible.is_empty() {
             return Err(Blocked::NoServer);
         }
-        let available: Vec<&Server> = eligible
+        let pauses = eligible.iter().map(|server| server.pause_left(now));
+        let shortest = pauses.min().unwrap_or_default();
+        if !shortest.is_zero() {
+            return Err(Blocked::Paused(shortest));
+        }
+        let mut willing = eligible.clone();
+        willing.retain(|server| server.pause_left(now).is_zero());
+        let available: Vec<&Server> = willing
             .iter()
             .copied()
             .filter(|server| self.is_available(now, server))
             .collect();
         let object = criteria.object;
-        let owner = object.and_then(|o| criteria.placement.owner(&eligible, o, self.region()));
+        let owner = object.and_then(|o| criteria.placement.owner(&willing, o, self.region()));
         let target_latency = millis(criteria.route.target_latency);
         let choices = available
             .iter()
@@ -227,13 +241,12 @@
         })
     }
 
-    // Returns whether the server may run the request, regardless of its current
-    // load.
-    fn is_eligible(&self, server: &Server, criteria: &Criteria<'_>) -> bool {
+    // Returns whether the server may run the request, regardless of its state and its
+    // current load.
+    fn is_permitted(&self, server: &Server, criteria: &Criteria<'_>) -> bool {
         let backend = &server.listed.backend;
         let permits = |regions: &[Region]| regions.is_empty() || regions.contains(&backend.region);
-        server.state != State::Leaving
-            && criteria.version_filter.admits(&backend.version)
+        criteria.version_filter.admits(&backend.version)
             && criteria.regions.into_iter().all(permits)
             && !self.is_evacuated(&backend.domain)
             && !criteria.tried.contains(&backend.id)
@@ -245,7 +258,8 @@
             return false;
         }
         match server.state {
-            State::Serving => !server.is_full(now),
+            // A resigned one is eligible only if the service has no other.
+            State::Serving | State::Resigned => !server.is_full(now),
             State::Warming => server.cold_next <= now && self.cold_wait(server).is_some(),
             State::Ejected | State::Leaving => false,
         }
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -87,6 +87,15 @@
     pub slots: u32,
 }
 
+/// What a backend server says of itself with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerNotice {
+    /// It leaves, and wants no new requests.
+    Leaving,
+    /// It wants no new requests for this long.
+    Pause(Duration),
+}
+
 /// How an instance currently follows the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -120,6 +129,14 @@
         /// Whether it accepted a connection.
         reachable: bool,
     },
+    /// A backend server's answer to a request says something of the server. It precedes the
+    /// end of the attempt.
+    ServerNotice {
+        /// The request.
+        id: RequestId,
+        /// What the answer says.
+        notice: ServerNotice,
+    },
     /// A caller asks the directory which instances to use.
     Directory {
         /// The number given to the request.
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::crashes::Incarnation;
 use crate::event::Load;
 use crate::event::RequestId;
+use crate::event::ServerNotice;
 use crate::hash;
 use crate::listing::ServerChange;
 use crate::listing::ServerEntry;
@@ -36,6 +37,10 @@
 /// the store. Entries that expired in the outage return within two seconds.
 const MISSING_ENTRY_TTL: Duration = Duration::from_millis(1_800);
 
+/// Time for which it is remembered that a start of a server said that it leaves. No entry of
+/// it is listed for so long.
+const RESIGNATION_TTL: Duration = Duration::from_mins(5);
+
 /// Share of a cold server's permitted rate that the instances use together.
 const COLD_RATE_SHARE: f64 = 0.9;
 
@@ -83,6 +88,8 @@
     // The placement of a service whose offered load is unknown.
     unknown_placement: Placement,
     evacuated: Vec<FailureDomain>,
+    // The starts of servers that said that they leave, with the time of that.
+    resigned: Vec<(u32, Time)>,
     // The instances that receive callers' requests.
     neighbours: Vec<Neighbour>,
     changes: Vec<StateChange>,
@@ -99,6 +106,7 @@
             placements: SortedMap::default(),
             unknown_placement: Placement::default(),
             evacuated: Vec::new(),
+            resigned: Vec::new(),
             neighbours: vec![this_instance.clone()],
             changes: Vec::new(),
             service_times: ServiceTimes::default(),
@@ -179,18 +187,21 @@
             .servers_of(service)
             .iter()
             .filter_map(|id| self.server(id));
-        let (mut states, mut no_window, mut full, mut evacuated) = ([0; 4], 0, 0, 0);
+        let (mut states, mut no_window, mut full, mut evacuated) = ([0; 5], 0, 0, 0);
+        let mut paused = 0;
         for server in servers {
             states[server.state as usize] += 1;
             let serves = server.state == State::Serving;
             no_window += u32::from(serves && !server.has_window());
             full += u32::from(serves && server.is_full(now));
+            paused += u32::from(serves && !server.pause_left(now).is_zero());
             evacuated += u32::from(self.is_evacuated(&server.listed.backend.domain));
         }
-        let [warming, serving, ejected, leaving] = states;
+        let [warming, serving, ejected, leaving, resigned] = states;
         format!(
             "serving:{serving}/warming:{warming}/ejected:{ejected}/leaving:{leaving}\
-             /no-window:{no_window}/full:{full}/evacuated:{evacuated}"
+             /resigned:{resigned}/no-window:{no_window}/full:{full}/paused:{paused}\
+             /evacuated:{evacuated}"
         )
     }
 
@@ -280,8 +291,11 @@
         // A removed server stays while requests of this instance are in flight
         // there.
         let count = self.servers.len();
+        let is_out = |s: &Server| matches!(s.state, State::Leaving | State::Resigned);
         self.servers
-            .retain(|_, s| s.state != State::Leaving || s.missing.is_none() || s.active() > 0);
+            .retain(|_, s| !is_out(s) || s.missing.is_none() || s.active() > 0);
+        self.resigned
+            .retain(|row| now.since(row.1) < RESIGNATION_TTL);
         if self.servers.len() != count {
             self.index();
         }
@@ -383,6 +397,31 @@
         }
     }
 
+    /// Applies what a start of a server says with an answer.
+    pub(crate) fn apply_notice(
+        &mut self,
+        now: Time,
+        id: &ServerId,
+        start: Incarnation,
+        notice: ServerNotice,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        // A notice of an earlier start says nothing of this one.
+        if server.listed.incarnation() != start {
+            return;
+        }
+        match notice {
+            ServerNotice::Leaving => {
+                server.resign(now);
+                self.resigned.push((start.start, now));
+                self.signal(now, id, Signal::SaidLeaving, "answer");
+            }
+            ServerNotice::Pause(span) => server.pause(now, span),
+        }
+    }
+
     /// Records that another server now has this server's address.
     pub(crate) fn mark_misdirected(&mut self, now: Time, id: &ServerId) {
         self.signal(now, id, Signal::Withdrawn, "another-at-address");
@@ -455,6 +494,7 @@
             return None;
         }
         let start = (!same).then(|| listed.incarnation());
+        let start_hash = start.map(|start| start.start);
         match known {
             Some(server) if same => {
                 let back = server.missing.take().is_some();
@@ -473,8 +513,13 @@
             Some(_) | None => {
                 let hash = hash::of(id.as_str().as_bytes());
                 let window = self.first_window(&listed);
+                let has_resigned = self.resigned.iter().any(|row| Some(row.0) == start_hash);
                 self.servers
                     .insert(id.clone(), Server::new(listed, hash, window, now));
+                // A late copy of the list may bring its entry back.
+                if has_resigned {
+                    self.signal(now, &id, Signal::SaidLeaving, "answer");
+                }
             }
         }
         if presence == Presence::Leaving {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -110,6 +110,7 @@
 pub use crate::event::Outcome;
 pub use crate::event::Reach;
 pub use crate::event::RequestId;
+pub use crate::event::ServerNotice;
 pub use crate::listing::Member;
 pub use crate::listing::Order;
 pub use crate::listing::Progress;
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -206,6 +206,6 @@
 fn capacity(server: &Server) -> f64 {
     match server.state {
         State::Serving => f64::from(server.listed.backend.slots),
-        State::Warming | State::Ejected | State::Leaving => 0.0,
+        State::Warming | State::Ejected | State::Leaving | State::Resigned => 0.0,
     }
 }
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -14,6 +14,7 @@
 
 use crate::choice::Choice;
 use crate::choice::FullCause;
+use crate::crashes::Incarnation;
 use crate::event::CallerRequest;
 use crate::event::Outcome;
 use crate::plan::AccountTerms;
@@ -137,6 +138,7 @@
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
+    pub(crate) start: Incarnation,
     pub(crate) version: Version,
     pub(crate) choice: Choice,
 }
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use corianderway_chart::Chart;
+use corianderway_model::Presence;
 use corianderway_model::SortedMap;
 use corianderway_model::Time;
 use serde::Deserialize;
@@ -64,6 +65,13 @@
 /// effect.
 const WINDOW_SHRINK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Share of its window with which a server returns from a pause that it asked for.
+const RETURN_SHARE: f64 = 0.25;
+
+/// How long a server that said that it leaves may still be used if a service has no other:
+/// less than the 2.5 s after which it must get no requests, since a request takes some time.
+const RESIGNATION_GRACE: Duration = Duration::from_millis(1_500);
+
 /// Objects remembered for each server; more than any server caches.
 const MAX_OBJECTS: usize = 128;
 
@@ -75,6 +83,7 @@
     Serving,
     Ejected,
     Leaving,
+    Resigned,
 }
 
 /// An event in the chart of a backend server.
@@ -88,6 +97,8 @@
     Listed,
     /// The server is draining or its entry is gone.
     Withdrawn,
+    /// An answer of the server says that it leaves.
+    SaidLeaving,
     /// The server answered without a failure.
     Succeeded,
     /// The server failed or could not be reached.
@@ -160,6 +171,10 @@
     ejections: u32,
     ejected_until: Time,
     full_until: Time,
+    // End of the pause that the server asked for.
+    paused_until: Time,
+    // When the server said that it leaves.
+    resigned: Option<Time>,
 }
 
 impl Server {
@@ -183,6 +198,8 @@
             ejections: 0,
             ejected_until: now,
             full_until: now,
+            paused_until: now,
+            resigned: None,
             listed,
         }
     }
@@ -325,6 +342,31 @@
         self.full_until = now + span;
     }
 
+    /// Records that an answer says that the server leaves.
+    pub(crate) fn resign(&mut self, now: Time) {
+        self.resigned.get_or_insert(now);
+    }
+
+    /// Returns whether the server said so only recently, so that it still serves what
+    /// reaches it.
+    pub(crate) fn has_just_resigned(&self, now: Time) -> bool {
+        let recent = |at| now.since(at) < RESIGNATION_GRACE;
+        let is_listed = self.missing.is_none() && self.listed.backend.presence == Presence::Live;
+        self.state == State::Resigned && is_listed && self.resigned.is_some_and(recent)
+    }
+
+    /// Excludes the server for a time that it asked for. Afterwards it gets a part of the
+    /// requests that it got before, which grows with its answers.
+    pub(crate) fn pause(&mut self, now: Time, span: Duration) {
+        self.paused_until = self.paused_until.max(now + span);
+        self.window = (self.window * RETURN_SHARE).max(1.0);
+    }
+
+    /// Returns how much longer the server wants no requests.
+    pub(crate) fn pause_left(&self, now: Time) -> Duration {
+        self.paused_until.since(now)
+    }
+
     /// Returns whether the server recently reported that it has no room.
     pub(crate) fn is_full(&self, now: Time) -> bool {
         now < self.full_until
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -225,6 +225,7 @@
             Event::Request(query) => self.receive(now, query, out),
             Event::CallerGone(id) => self.caller_left(now, id, out),
             Event::AttemptEnded { id, outcome } => self.attempt_ended(now, id, outcome, out),
+            Event::ServerNotice { id, notice } => self.apply_notice(now, id, notice, out),
             Event::ServerChecked { server, reachable } => {
                 self.server_checked(now, &server, reachable);
             }
@@ -463,7 +464,7 @@
 
     fn log_server_changes(&mut self, out: &mut Vec<Action>) {
         for change in self.fleet.take_changes() {
-            if change.to == State::Leaving {
+            if matches!(change.to, State::Leaving | State::Resigned) {
                 self.pending_failures.discard(&change.server);
             }
             let note = Note::new(Severity::Notable, "server")
