edge: heartbeats ask for unknown changes; watches are held longer again

Change: the heartbeat asks for the changes of configuration, servers and evacuations in turn, at a tenth of a watch's price, and thereby shows a single deaf watch as well as a silent store. Watches are held for 10 s. The stand-in's deaf watches are only those that wait, so that the heartbeat's own calls are answered and it must find the deaf watch by the changes alone. Evidence: daemon/tests/silent_sources.rs, source_faults.rs and estate.rs pass.

--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -76,8 +76,9 @@
     pub copy: RefCell<StoreCopy>,
     /// Wakes the streams to instances that follow the copy.
     pub notifier: Notifier,
-    /// Wakes the tasks that follow a kind when their calls may never be answered.
-    pub(super) resend: Notifier,
+    /// Wakes the task that follows a kind, in the order of [`KINDS`], when its call may
+    /// never be answered.
+    pub(super) resend: [Notifier; KINDS.len()],
     reach: Cell<Reach>,
     // What is followed.
     source: Cell<Source>,
@@ -173,7 +174,7 @@
             regions: settings.regions,
             copy: RefCell::default(),
             notifier: Notifier::default(),
-            resend: Notifier::default(),
+            resend: Default::default(),
             reach: Cell::new(Reach::Nothing),
             source: Cell::new(Source::Nothing),
             cancel: RefCell::default(),
@@ -263,15 +264,10 @@
     send_event(ctx, event).await;
 }
 
-/// Sends the store a cheap call; returns its answer.
-pub(super) async fn send_probe(ctx: &Context) -> Option<Reply> {
-    let call = Call::list(Kind::Evacuations, None, Consistency::Cached);
-    send_call(&ctx.client, &call, PROBE_TIMEOUT).await
-}
-
 // Checks whether the store answers.
 async fn probe(ctx: &Context) {
-    let why = match send_probe(ctx).await {
+    let call = Call::list(Kind::Evacuations, None, Consistency::Cached);
+    let why = match send_call(&ctx.client, &call, PROBE_TIMEOUT).await {
         Some(reply) if reply.status == OK => {
             send_event(ctx, Event::ProbeAnswered).await;
             return;
--- a/crates/daemon/src/edge/watch.rs
+++ b/crates/daemon/src/edge/watch.rs
@@ -22,13 +22,10 @@
 use crate::edge::store::HISTORY_GONE;
 use crate::edge::store::OK;
 
-/// How long the store holds a watch while nothing changes. A watch whose answer was lost
-/// is sent again after this and [`WATCH_ANSWER_TIMEOUT`], which together are shorter than
-/// the 4 s after a disturbance in which changes may be late.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// The same for kinds whose changes are not bounded in time.
-const UNHURRIED_WATCH_TIMEOUT: Duration = Duration::from_secs(6);
+/// How long the store holds a watch while nothing changes. It is long because each watch
+/// call is billed; a watch that will never be answered is noticed by the heartbeat, and by
+/// what other instances know.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The timeout for the answer to a watch, beyond the time for which the store holds it.
 const WATCH_ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -89,11 +86,11 @@
 }
 
 async fn follow_changes(ctx: &Rc<Context>, kind: Kind) -> FetchError {
-    let wait = watch_timeout(kind);
     loop {
         let from = ctx.copy.borrow().of(kind).revision.unwrap_or(0);
-        let call = Call::watch(kind, from, wait);
-        let reply = match send_checked(ctx, &call, wait + WATCH_ANSWER_TIMEOUT).await {
+        let call = Call::watch(kind, from, WATCH_TIMEOUT);
+        let timeout = WATCH_TIMEOUT + WATCH_ANSWER_TIMEOUT;
+        let reply = match send_checked(ctx, kind, &call, timeout).await {
             Ok(reply) => reply,
             // The next watch begins where this one did, so no change is missed.
             Err(FetchError::Outdated) => continue,
@@ -117,13 +114,6 @@
     }
 }
 
-fn watch_timeout(kind: Kind) -> Duration {
-    match kind {
-        Kind::Configuration | Kind::Servers | Kind::Evacuations => WATCH_TIMEOUT,
-        Kind::Orders | Kind::Members => UNHURRIED_WATCH_TIMEOUT,
-    }
-}
-
 // The delay between two watches. Each watch call is billed, so in a large fleet
 // more changes of the servers' list share one answer.
 fn gather_delay(ctx: &Context, kind: Kind) -> Duration {
@@ -154,7 +144,7 @@
     let mut revision = None;
     loop {
         let call = Call::list(kind, after.as_deref(), reading);
-        let reply = send_checked(ctx, &call, ANSWER_TIMEOUT).await?;
+        let reply = send_checked(ctx, kind, &call, ANSWER_TIMEOUT).await?;
         let page = store::parse_page(&reply.body);
         let page = page.map_err(|error| FetchError::Unanswered(error.to_string()))?;
         for error in &page.malformed {
@@ -179,10 +169,11 @@
 // "history gone" is an error.
 async fn send_checked(
     ctx: &Rc<Context>,
+    kind: Kind,
     call: &Call,
     timeout: Duration,
 ) -> Result<Reply, FetchError> {
-    let outdated = ctx.resend.subscribe();
+    let outdated = ctx.resend[kind as usize].subscribe();
     let given_up = async {
         // Ends only with a signal, since the sender lives as long as the duty.
         let _ = outdated.recv().await;
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -208,7 +208,10 @@
         pairs.find(|(n, _)| n == name).map(|(_, v)| v.into_owned())
     };
     let parts: Vec<&str> = url.path().split('/').skip(2).collect();
+    // Only a watch that waits can go deaf.
+    let waits = query("wait_ms").is_some_and(|wait| wait != "0");
     let watched = query("watch").and(parts.first().copied());
+    let watched = watched.filter(|_| waits);
     let is_lost = {
         let mut shared = store.lock();
         shared.calls += 1;
