--- a/crates/daemon/tests/server_notices.rs
+++ b/crates/daemon/tests/server_notices.rs
@@ -73,7 +73,7 @@
     while Instant::now() < end {
         assert_eq!(read(instance, "k1").unwrap().status, 200);
     }
-    let rejections = second.rejections();
+    let rejections: Vec<Instant> = second.rejections().iter().map(|r| r.at).collect();
     assert!(rejections.len() >= 2, "{} rejections", rejections.len());
     let gaps = rejections
         .windows(2)
--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -13,6 +13,7 @@
 pub use crate::estate::endpoint::entry;
 pub use crate::estate::endpoint::Endpoint;
 pub use crate::estate::endpoint::Mode;
+pub use crate::estate::endpoint::Rejection;
 pub use crate::estate::endpoint::RequestRecord;
 pub use crate::estate::node::Node;
 pub use crate::estate::node::Site;
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -66,6 +66,21 @@
     pub headers: Vec<String>,
     /// The body.
     pub body: String,
+    /// Whether the answer says that the endpoint leaves.
+    pub leaving: bool,
+}
+
+/// A request that an endpoint rejected without running it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// The time at which it arrived.
+    pub at: Instant,
+    /// The identity of the endpoint at that time.
+    pub endpoint: String,
+    /// The `Request-Id` header.
+    pub id: String,
+    /// How long the endpoint wants no requests.
+    pub pause: Duration,
 }
 
 /// A running endpoint.
@@ -81,7 +96,7 @@
     id: String,
     mode: Mode,
     seen: Vec<RequestRecord>,
-    rejected: Vec<Instant>,
+    rejected: Vec<Rejection>,
 }
 
 impl Endpoint {
@@ -141,8 +156,8 @@
         self.lock().seen.clone()
     }
 
-    /// Returns the times at which it rejected requests, in order.
-    pub fn rejections(&self) -> Vec<Instant> {
+    /// Returns the requests that it rejected, in order of arrival.
+    pub fn rejections(&self) -> Vec<Rejection> {
         self.lock().rejected.clone()
     }
 
@@ -193,7 +208,17 @@
     }
     let id = header(&request, "request-id").unwrap_or_default();
     if let Mode::Full | Mode::Pausing(_) = mode {
-        endpoint.lock().rejected.push(Instant::now());
+        let pause = match mode {
+            Mode::Pausing(span) => span,
+            _ => Duration::ZERO,
+        };
+        let rejection = Rejection {
+            at: Instant::now(),
+            endpoint: by,
+            id: id.clone(),
+            pause,
+        };
+        endpoint.lock().rejected.push(rejection);
         let mut response = Response::new(StatusCode::ServiceUnavailable);
         if let Mode::Pausing(span) = mode {
             response.insert_header("retry-after", span.as_secs_f64().to_string());
@@ -215,6 +240,7 @@
         account: header(&request, "tenant"),
         headers: request.header_names().map(ToString::to_string).collect(),
         body,
+        leaving: mode == Mode::Leaving,
     };
     endpoint.lock().seen.push(seen);
     match mode {
--- a/crates/standins/src/soak/guarantees.rs
+++ b/crates/standins/src/soak/guarantees.rs
@@ -25,6 +25,11 @@
 /// The platform's bound on the time until a leaving endpoint gets no requests.
 const MAX_DRAIN_DELAY: Duration = Duration::from_millis(2_500);
 
+/// The platform's bounds on the requests of an instance that reach an endpoint which asked
+/// for a pause: the time from which they count, and their number.
+const PAUSE_DELAY: Duration = Duration::from_millis(500);
+const MAX_IN_PAUSE: usize = 2;
+
 /// The platform's bound on the time for which one run of an instance may apply an older
 /// configuration after a newer one.
 const MAX_REGRESSION: Duration = Duration::from_millis(250);
@@ -85,6 +90,14 @@
         "a leaving endpoint gets no requests",
         requests_after_leave(history, &calls),
     );
+    report(
+        "an endpoint that says that it leaves gets no requests",
+        requests_after_notice(history, &calls),
+    );
+    report(
+        "an endpoint that asks for a pause gets no requests",
+        requests_in_pause(history, &calls),
+    );
     report(
         "a configuration takes effect in time",
         stale_routes(history, &runs),
@@ -228,6 +241,64 @@
     wrong
 }
 
+// Counts requests that a caller sent later than the bound after the same run of the same
+// instance had passed on an answer that said that the endpoint leaves.
+fn requests_after_notice(history: &History, calls: &Calls<'_>) -> Vec<String> {
+    let mut told: BTreeMap<(&str, usize, u32), Instant> = BTreeMap::new();
+    for record in history.requests.iter().filter(|record| record.leaving) {
+        let call = calls.get(record.id.as_str());
+        if let Some(call) = call.filter(|call| call.is_served()) {
+            let key = (record.endpoint.as_str(), call.node, call.run);
+            let first = told.entry(key).or_insert(call.ended);
+            *first = call.ended.min(*first);
+        }
+    }
+    let mut wrong = Vec::new();
+    for record in &history.requests {
+        let Some(call) = calls.get(record.id.as_str()) else {
+            continue;
+        };
+        let key = (record.endpoint.as_str(), call.node, call.run);
+        let Some(at) = told.get(&key) else { continue };
+        if call.sent > *at + MAX_DRAIN_DELAY + SCHEDULING_SLACK {
+            let (id, endpoint, late) = (&record.id, &record.endpoint, call.sent - *at);
+            wrong.push(format!("{id} at {endpoint}, sent {late:?} after"));
+        }
+    }
+    wrong
+}
+
+// Counts requests from one run of an instance that reach an endpoint between half a second
+// after it asked that run for a pause and the end of the pause.
+fn requests_in_pause(history: &History, calls: &Calls<'_>) -> Vec<String> {
+    let ran = history.requests.iter().map(|r| (r.at, &r.endpoint, &r.id));
+    let rejected = history
+        .rejections
+        .iter()
+        .map(|r| (r.at, &r.endpoint, &r.id));
+    let arrivals: Vec<_> = ran.chain(rejected).collect();
+    let origin = |id: &str| calls.get(id).map(|call| (call.node, call.run));
+    let mut wrong = Vec::new();
+    for rejection in history.rejections.iter().filter(|r| !r.pause.is_zero()) {
+        let Some((node, run)) = origin(&rejection.id) else {
+            continue;
+        };
+        let (from, to) = (rejection.at + PAUSE_DELAY, rejection.at + rejection.pause);
+        let in_pause = arrivals.iter().filter(|(at, endpoint, id)| {
+            from < *at
+                && *at < to
+                && **endpoint == rejection.endpoint
+                && origin(id) == Some((node, run))
+        });
+        let count = in_pause.count();
+        if count > MAX_IN_PAUSE && history.was_undisturbed(node, rejection.at, to) {
+            let endpoint = &rejection.endpoint;
+            wrong.push(format!("{count} requests by node {node} at {endpoint}"));
+        }
+    }
+    wrong
+}
+
 // Returns the changes of the moving route: the time and the new service of each.
 fn routes(history: &History) -> Vec<(Instant, &'static str)> {
     let changes = history.changes.iter();
--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::estate::Rejection;
 use crate::estate::RequestRecord;
 
 /// The time for which an instance must have been undisturbed before the platform's
@@ -89,6 +90,7 @@
 pub(super) struct History {
     pub(super) calls: Vec<Call>,
     pub(super) requests: Vec<RequestRecord>,
+    pub(super) rejections: Vec<Rejection>,
     pub(super) disturbances: Vec<Disturbance>,
     pub(super) changes: Vec<(Instant, Change)>,
     /// Spans in which no instance could reach the store.
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -25,6 +25,9 @@
 /// The delay of a slow link or endpoint.
 const SLOW_DELAY: Duration = Duration::from_millis(300);
 
+/// How long an endpoint that turns requests away wants none.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// The number of bytes after which a truncating link closes a response.
 const TRUNCATE_BYTES: u64 = 20;
 
@@ -63,6 +66,9 @@
     EndpointLink(usize, LinkFault, Duration),
     /// An endpoint is in a faulty mode.
     Endpoint(usize, Mode, Duration),
+    /// The endpoint says in its answers that it leaves; then another one takes over its
+    /// address.
+    Resign(usize, Duration),
     /// The endpoint is draining, then ready again.
     Drain(usize, Duration),
     /// The endpoint is removed and another one takes over its address.
@@ -135,6 +141,28 @@
         }
         at += Duration::from_millis(rng.random_range(0..2 * MEAN_GAP_MS));
     }
+    steps.extend(notices(seed, span));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+// Generates what endpoints say of themselves. It has random numbers of its own, so that the
+// other faults of a seed stay the same.
+fn notices(seed: u64, span: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut at = Duration::from_secs(2);
+    let mut steps = Vec::new();
+    while at < span {
+        let endpoint = rng.random_range(0..ENDPOINT_COUNT);
+        let lasts = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        let fault = if rng.random_bool(0.5) {
+            Fault::Resign(endpoint, lasts)
+        } else {
+            Fault::Endpoint(endpoint, Mode::Pausing(PAUSE), lasts)
+        };
+        steps.push(Step { at, fault });
+        at += Duration::from_millis(rng.random_range(0..4 * MEAN_GAP_MS));
+    }
     steps
 }
 
@@ -183,6 +211,7 @@
         Fault::EndpointLink(at, kind, span) => Fault::EndpointLink(endpoint(at), kind, span),
         Fault::Endpoint(at, mode, span) => Fault::Endpoint(endpoint(at), mode, span),
         Fault::Drain(at, span) => Fault::Drain(endpoint(at), span),
+        Fault::Resign(at, span) => Fault::Resign(endpoint(at), span),
         Fault::ReuseAddress(at) => Fault::ReuseAddress(endpoint(at)),
         Fault::ResetCallers(at) => Fault::ResetCallers(node(at)),
         same @ (Fault::StoreDown(_)
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -120,6 +120,7 @@
     StoreLink(usize),
     EndpointLink(usize),
     SetMode(usize),
+    Replace(usize),
     EndpointReady(usize),
     EndEvacuation(usize),
 }
@@ -219,6 +220,9 @@
             .flat_map(|e| e.endpoint.requests())
             .collect();
         history.requests.sort_by_key(|request| request.at);
+        let endpoints = self.state.endpoints.iter();
+        let rejections = endpoints.flat_map(|e| e.endpoint.rejections());
+        history.rejections = rejections.collect();
         history
     }
 
@@ -272,6 +276,11 @@
                 self.record_change(Change::EndpointLeaving(id));
                 self.schedule(now + span, Recovery::EndpointReady(at));
             }
+            Fault::Resign(at, span) => {
+                self.state.endpoints[at].endpoint.set_mode(Mode::Leaving);
+                self.record_endpoint_fault(at, now, now + span);
+                self.schedule(now + span, Recovery::Replace(at));
+            }
             Fault::ReuseAddress(at) => self.reuse_address(at),
             Fault::ResetCallers(at) => {
                 let front = &self.state.hosts[at].front;
@@ -317,6 +326,10 @@
                     self.state.endpoints[at].link.set_link(Link::default());
                 }
                 Recovery::SetMode(at) => self.state.endpoints[at].endpoint.set_mode(Mode::Healthy),
+                Recovery::Replace(at) => {
+                    self.state.endpoints[at].endpoint.set_mode(Mode::Healthy);
+                    self.reuse_address(at);
+                }
                 Recovery::EndpointReady(at) => {
                     let id = self.write_entry(at, "ready");
                     self.record_change(Change::EndpointReady(id));
