--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -62,6 +62,7 @@
 mod members;
 mod moves;
 mod note;
+mod notices;
 mod outage;
 mod pace;
 mod pending_failures;
