edge: what an attempt of a write sent and read is logged

Cause: three hypotheses on a refused request that had run could not be told apart from logs. A rejection's line had no status, no line said whether the connection was kept, how much had been written or whether answers to earlier requests were skipped, and a cancelled attempt left no line. Change: one exchange line for each attempt of a request that must not run twice, unless a plain answer ended it. Nothing that is decided changes.

--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -169,6 +169,7 @@
                 self.step(Event::AttemptEnded { id, outcome });
             }
             Input::Event(event) => self.step(event),
+            Input::Note(note) => self.publish_note(note),
             Input::Explain(trace, answer) => {
                 // Fails if the operator's connection has been closed.
                 drop(answer.try_send(self.recent.explain(&trace)));
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -2,8 +2,11 @@
 //!
 //! The attempt uses a pooled connection or opens a new one. Its outcome and the
 //! answer, if there is one, go to the decision duty. A cancelled attempt drops its
-//! connection and reports nothing. A connection returns to the pool only after the
+//! connection and has no outcome. A connection returns to the pool only after the
 //! whole request has been sent on it, which may be after the answer.
+//!
+//! An attempt of a request that must not run twice is logged with what it wrote and
+//! read, unless a plain answer ended it.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -17,8 +20,10 @@
 use async_std::net::TcpStream;
 use corianderway_platform::front::ResponseHead;
 use corianderway_steer::Event;
+use corianderway_steer::Note;
 use corianderway_steer::Outcome;
 use corianderway_steer::ServerNotice;
+use corianderway_steer::Severity;
 use corianderway_wire::head::Framing;
 use futures_lite::future::poll_once;
 use futures_lite::future::FutureExt as _;
@@ -55,6 +60,12 @@
 /// still wait for their answers.
 const MAX_REST_BYTES: usize = 1024 * 1024;
 
+/// The lowest HTTP status that counts as a failure of the backend server.
+const ERROR_STATUS: u16 = 500;
+
+/// The end of an attempt that isn't logged.
+const PLAIN_ANSWER: &str = "answered";
+
 /// The maximum size of an answer's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -97,6 +108,42 @@
     }
 }
 
+/// What an attempt has written and read so far.
+#[derive(Debug, Default)]
+struct Progress {
+    // Whether the connection was opened for this attempt, once there is one.
+    is_new: Cell<Option<bool>>,
+    // The length of the request in bytes, once it is written.
+    length: Cell<usize>,
+    // The number of bytes of the request that have been sent.
+    sent: Cell<usize>,
+    // The number of answers to earlier requests.
+    skipped: Cell<u32>,
+    // The status of the answer.
+    status: Cell<Option<u16>>,
+}
+
+impl Progress {
+    // Creates the log line of an attempt that ended in this way.
+    fn note(&self, job: &Job, end: &'static str) -> Note {
+        let connection = match self.is_new.get() {
+            None => "none",
+            Some(true) => "new",
+            Some(false) => "kept",
+        };
+        let status = self.status.get();
+        Note::new(Severity::Notable, "exchange")
+            .for_request(job.outbound.trace())
+            .with("server", &job.server)
+            .with("end", end)
+            .with("connection", connection)
+            .with("sent", self.sent.get())
+            .with("length", self.length.get())
+            .with("skipped", self.skipped.get())
+            .with("status", status.map_or("-".to_owned(), |s| s.to_string()))
+    }
+}
+
 /// Runs one job and sends its outcome to the decision duty.
 pub async fn run(
     job: Job,
@@ -111,8 +158,15 @@
         let _ = job.cancelled.recv().await;
         None
     };
-    let attempt = async { Some(attempt(&job, clock, &pool, reservation).await) };
-    let Some(ended) = attempt.or(cancelled).await else {
+    let progress = Progress::default();
+    let attempt = async { Some(attempt(&job, clock, &pool, reservation, &progress).await) };
+    let ended = attempt.or(cancelled).await;
+    let end = end_name(ended.as_ref());
+    if job.once && end != PLAIN_ANSWER {
+        // Sending fails only at process end, since the decision duty ends last.
+        drop(decisions.send(Input::Note(progress.note(&job, end))).await);
+    }
+    let Some(ended) = ended else {
         return;
     };
     let Ended {
@@ -138,7 +192,28 @@
     }
 }
 
-async fn attempt(job: &Job, clock: Clock, pool: &RefCell<Pool>, reservation: Reservation) -> Ended {
+// Names the end of an attempt for the log; `None` is a cancelled one.
+fn end_name(ended: Option<&Ended>) -> &'static str {
+    match ended.map(|ended| ended.outcome) {
+        None => "cancelled",
+        Some(Outcome::Answered { status, .. }) if status < ERROR_STATUS => PLAIN_ANSWER,
+        Some(Outcome::Answered { .. }) => "failed",
+        Some(Outcome::Full { .. }) => "rejected",
+        Some(Outcome::Misdirected) => "misdirected",
+        Some(Outcome::Unreachable) => "unreachable",
+        Some(Outcome::NotSent) => "not-sent",
+        Some(Outcome::Broken) => "broken",
+        Some(Outcome::TimedOut) => "timed-out",
+    }
+}
+
+async fn attempt(
+    job: &Job,
+    clock: Clock,
+    pool: &RefCell<Pool>,
+    reservation: Reservation,
+    progress: &Progress,
+) -> Ended {
     let (stream, is_new) = match open(job, clock, pool).await {
         Ok(opened) => opened,
         Err(outcome) => return outcome.into(),
@@ -150,18 +225,19 @@
         return Outcome::NotSent.into();
     }
     let request = job.outbound.write(&job.server, job.account.as_ref(), left);
-    let sent = Cell::new(0);
+    progress.is_new.set(Some(is_new));
+    progress.length.set(request.len());
     let sending = async {
         // The write may fail after an early answer, which is read all the same.
-        drop(send(&stream, &request, &sent).await);
+        drop(send(&stream, &request, &progress.sent).await);
         std::future::pending().await
     };
-    let answer = read_answer(&stream, job, is_new, reservation);
+    let answer = read_answer(&stream, job, progress, reservation);
     // A backend server may answer before it has read the whole request.
     let Some((answer, keep)) = answer.or(sending).await else {
         return Outcome::Broken.into();
     };
-    let sent = sent.get();
+    let sent = progress.sent.get();
     let reusable = keep.map(|keep| Reusable {
         stream,
         request,
@@ -262,10 +338,11 @@
 async fn read_answer(
     stream: &TcpStream,
     job: &Job,
-    is_new: bool,
+    progress: &Progress,
     mut reservation: Reservation,
 ) -> Option<(Answer, Option<Duration>)> {
     let bodiless = job.outbound.is_bodiless();
+    let is_new = progress.is_new.get() == Some(true);
     let mut ahead = Vec::new();
     let mut skipped_late = false;
     for _ in 0..MAX_HEADS {
@@ -286,8 +363,10 @@
         // A late answer to an earlier request; the wanted one follows it.
         if other && head.framing != Framing::Close {
             skipped_late = true;
+            progress.skipped.set(progress.skipped.get() + 1);
             continue;
         }
+        progress.status.set(Some(head.status));
         if other || (named.is_none() && (!is_new || skipped_late)) {
             return None;
         }
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -17,6 +17,7 @@
 use corianderway_steer::Event;
 use corianderway_steer::Member;
 use corianderway_steer::Message;
+use corianderway_steer::Note;
 use corianderway_steer::Order;
 use corianderway_steer::Outcome;
 use corianderway_steer::Progress;
@@ -59,6 +60,8 @@
     Attempted(RequestId, Outcome, Option<Answer>),
     /// Any other event for the decision core.
     Event(Event),
+    /// What another duty logs about a request.
+    Note(Note),
     /// An operator's question why a request ended as it did.
     Explain(String, Sender<String>),
 }
