tests: two writes that ran are refused, red

A write that runs gets 503 not-run, since the late copy of the rejection that its id got before comes first on the connection that both use. Three more tests pass: other statuses are passed on unchanged, a rejection remains a refusal, and the line of an attempt.

--- a/crates/daemon/tests/refused_writes.rs
+++ b/crates/daemon/tests/refused_writes.rs
@@ -28,11 +28,14 @@
 /// The timeout of the routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The statuses that tell a caller that its request has not run and never will.
+const REFUSING_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// The body of every request.
 const BODY: &str = "transfer 17";
 
 struct Fleet {
-    _endpoint: Scripted,
+    endpoint: Scripted,
     instance: Node,
     _store: Store,
 }
@@ -67,7 +70,7 @@
         let site = Site::new("north", "a", store.addr);
         let instance = Node::start(site, &[("a", "north")], dir).unwrap();
         let fleet = Self {
-            _endpoint: endpoint,
+            endpoint,
             instance,
             _store: store,
         };
@@ -88,6 +91,12 @@
             .body(BODY);
         call(self.instance.addr(node::CALLERS_PORT), &request).unwrap()
     }
+
+    // Returns how often a request reached the backend server.
+    fn arrivals(&self, id: &str) -> usize {
+        let heard = self.endpoint.heard();
+        heard.iter().filter(|request| request.id == id).count()
+    }
 }
 
 fn response(status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
@@ -96,11 +105,103 @@
         .into_bytes()
 }
 
+fn run_and_answer(heard: &ReceivedRequest, status: u16) -> Vec<Step> {
+    let answer = response(status, &heard.id, "Server-Stamp: s\r\n", "ran");
+    vec![Step::Read(BODY.len()), Step::Write(answer)]
+}
+
 fn reject(heard: &ReceivedRequest) -> Vec<Step> {
     let answer = response(503, &heard.id, "Not-Run: full\r\n", "");
     vec![Step::Read(BODY.len()), Step::Write(answer)]
 }
 
+fn assert_may_have_run(reply: &Reply, what: &str) {
+    assert!(
+        !REFUSING_STATUSES.contains(&reply.status),
+        "{what}: {} {}",
+        reply.status,
+        reply.text()
+    );
+}
+
+// Guards against a write that ran at a backend server which then answers with a status that
+// says that it did not: the caller would send the write again.
+#[test]
+fn a_write_that_ran_is_not_answered_with_a_refusing_status() {
+    for status in [408, 429, 503] {
+        let fleet = Fleet::start(move |heard| run_and_answer(heard, status));
+        for number in 0..5 {
+            let id = format!("r-{number}");
+            let reply = fleet.post("/once/17", &id);
+            let ran = fleet.endpoint.bodies();
+            // A backend server that failed may get no further requests for a while.
+            if !ran.iter().any(|(run, _)| *run == id) {
+                assert!(number > 0, "the first write ran");
+                continue;
+            }
+            assert_may_have_run(&reply, &format!("{status} of {id}"));
+            assert!(reply.text().contains("may-have-run"), "{}", reply.text());
+            assert_eq!(fleet.arrivals(&id), 1, "{id} was sent once");
+            // The status isn't the backend server's, so its stamp must not be there either.
+            assert_eq!(reply.header("server-stamp"), None);
+        }
+    }
+}
+
+// The status of a backend server is changed only where it would be a false promise.
+#[test]
+fn other_answers_of_backend_servers_are_passed_on_unchanged() {
+    for status in [200, 404, 500, 504] {
+        let fleet = Fleet::start(move |heard| run_and_answer(heard, status));
+        let reply = fleet.post("/once/17", "r-0");
+        assert_eq!((reply.status, reply.text()), (status, "ran".to_owned()));
+        assert_eq!(reply.header("server-stamp"), Some("s"));
+    }
+    for status in [408, 429, 503] {
+        let fleet = Fleet::start(move |heard| run_and_answer(heard, status));
+        let reply = fleet.post("/read/17", "r-0");
+        assert_eq!((reply.status, reply.text()), (status, "ran".to_owned()));
+        assert_eq!(reply.header("server-stamp"), Some("s"));
+    }
+}
+
+// A rejection that says that nothing ran remains a refusal that callers may rely on.
+#[test]
+fn a_rejected_write_is_refused_as_not_run() {
+    let fleet = Fleet::start(reject);
+    let reply = fleet.post("/once/17", "r-0");
+    assert_eq!(reply.status, 503);
+    assert!(reply.text().contains("not-run"), "{}", reply.text());
+    assert!(reply.header("retry-after").is_some());
+}
+
+// Guards against a second, late copy of a rejection that is taken for the answer to a write
+// which runs: the caller has sent the write again under the same id, and it went out on the
+// same connection.
+#[test]
+fn a_late_copy_of_a_rejection_does_not_refuse_the_same_id_again() {
+    let fleet = Fleet::start(|heard| {
+        if heard.number == 0 {
+            return reject(heard);
+        }
+        // The copy comes ahead of the answer to the write that runs.
+        let mut steps = reject(heard);
+        steps.extend(run_and_answer(heard, 200).split_off(1));
+        steps
+    });
+    let reply = fleet.post("/once/17", "r-0");
+    assert_eq!(reply.status, 503);
+    let reply = fleet.until("a second arrival", || {
+        let reply = fleet.post("/once/17", "r-0");
+        (fleet.arrivals("r-0") > 1).then_some(reply)
+    });
+    let second = fleet.endpoint.heard()[1].clone();
+    // On a connection of its own the write is rejected, and the refusal is true.
+    if second.number > 0 {
+        assert_may_have_run(&reply, "a write that ran on a kept connection");
+    }
+}
+
 // Without this line an attempt that was written and then cancelled can't be told from one
 // that was never written.
 #[test]
