edge: a connection is not used for an id that was answered on it

Callers saw: 503 not-run for a write that a backend server ran. Cause: an answer is matched to its request by the Request-Id alone. A late copy of the rejection that a write got before bears the same id if its caller sends the write again under that id, and both exchanges use one connection: the copy was read as the answer, while the write ran. Change: a connection remembers the ids of the latest requests that were answered on it, and the pool gives a request none that has answered its id. The pool is generic over what it keeps. Callers of the platform give each attempt an id of its own, so this path needs a caller that does not.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -3,6 +3,7 @@
 //! Opens the sockets, creates the rings and starts a thread for each duty. The
 //! main thread then handles signals until the planned stop ends.
 
+mod backend_connection;
 mod body;
 mod body_memory;
 mod callers;
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -30,6 +30,7 @@
 use futures_lite::AsyncWriteExt as _;
 
 use crate::clock::Clock;
+use crate::edge::backend_connection::Connection;
 use crate::edge::body;
 use crate::edge::body_memory::Reservation;
 use crate::edge::rings::Answer;
@@ -79,7 +80,7 @@
 
 /// An answered exchange whose connection may be used again.
 struct Reusable {
-    stream: TcpStream,
+    connection: Connection,
     request: Vec<u8>,
     // The number of bytes of the request that have been sent.
     sent: usize,
@@ -148,7 +149,7 @@
 pub async fn run(
     job: Job,
     clock: Clock,
-    pool: Rc<RefCell<Pool>>,
+    pool: Rc<RefCell<Pool<Connection>>>,
     reservation: Reservation,
     decisions: Sender<Input>,
 ) {
@@ -210,11 +211,11 @@
 async fn attempt(
     job: &Job,
     clock: Clock,
-    pool: &RefCell<Pool>,
+    pool: &RefCell<Pool<Connection>>,
     reservation: Reservation,
     progress: &Progress,
 ) -> Ended {
-    let (stream, is_new) = match open(job, clock, pool).await {
+    let mut connection = match open(job, clock, pool).await {
         Ok(opened) => opened,
         Err(outcome) => return outcome.into(),
     };
@@ -225,21 +226,22 @@
         return Outcome::NotSent.into();
     }
     let request = job.outbound.write(&job.server, job.account.as_ref(), left);
-    progress.is_new.set(Some(is_new));
+    progress.is_new.set(Some(connection.is_new()));
     progress.length.set(request.len());
     let sending = async {
         // The write may fail after an early answer, which is read all the same.
-        drop(send(&stream, &request, &progress.sent).await);
+        drop(send(&connection.stream, &request, &progress.sent).await);
         std::future::pending().await
     };
-    let answer = read_answer(&stream, job, progress, reservation);
+    let answer = read_answer(&connection.stream, job, progress, reservation);
     // A backend server may answer before it has read the whole request.
     let Some((answer, keep)) = answer.or(sending).await else {
         return Outcome::Broken.into();
     };
     let sent = progress.sent.get();
+    connection.record_answered(job.outbound.trace());
     let reusable = keep.map(|keep| Reusable {
-        stream,
+        connection,
         request,
         sent,
         keep,
@@ -266,31 +268,35 @@
     // Sends the rest of the request and returns the connection to the pool. Closes
     // it if that fails: whatever followed an incomplete request would be read as
     // the rest of its body.
-    async fn finish(mut self, addr: SocketAddr, pool: &RefCell<Pool>) {
+    async fn finish(mut self, addr: SocketAddr, pool: &RefCell<Pool<Connection>>) {
         let unsent = self.request.split_off(self.sent);
         // Frees the memory of what was sent.
         self.request = Vec::new();
         if !unsent.is_empty() {
             let sent = Cell::new(0);
-            let rest = send(&self.stream, &unsent, &sent);
+            let rest = send(&self.connection.stream, &unsent, &sent);
             if !matches!(future::timeout(REST_TIMEOUT, rest).await, Ok(Ok(()))) {
                 return;
             }
         }
-        pool.borrow_mut().put_for(addr, self.stream, self.keep);
+        pool.borrow_mut().put_for(addr, self.connection, self.keep);
     }
 }
 
-// Takes a connection from the pool or opens one; the flag is true if it is new.
-async fn open(job: &Job, clock: Clock, pool: &RefCell<Pool>) -> Result<(TcpStream, bool), Outcome> {
+// Takes a connection from the pool or opens one.
+async fn open(
+    job: &Job,
+    clock: Clock,
+    pool: &RefCell<Pool<Connection>>,
+) -> Result<Connection, Outcome> {
     let max_idle = if job.once {
         MAX_IDLE_ONCE
     } else {
         Duration::MAX
     };
-    while let Some(stream) = take(pool, job.addr, max_idle) {
-        if is_usable(&stream).await {
-            return Ok((stream, false));
+    while let Some(connection) = take(pool, job, max_idle) {
+        if is_usable(&connection.stream).await {
+            return Ok(connection);
         }
     }
     let limit = CONNECT_TIMEOUT.min(clock.until(job.deadline));
@@ -301,7 +307,7 @@
     stream
         .set_nodelay(true)
         .map_err(|_broken| Outcome::Unreachable)?;
-    Ok((stream, true))
+    Ok(stream.into())
 }
 
 /// Opens a connection; returns `None` if that fails or times out.
@@ -311,8 +317,10 @@
 }
 
 // A function of its own, so that the borrow ends before the caller awaits.
-fn take(pool: &RefCell<Pool>, addr: SocketAddr, max_idle: Duration) -> Option<TcpStream> {
-    pool.borrow_mut().take_within(addr, max_idle)
+fn take(pool: &RefCell<Pool<Connection>>, job: &Job, max_idle: Duration) -> Option<Connection> {
+    let id = job.outbound.trace();
+    pool.borrow_mut()
+        .take_if(job.addr, max_idle, |idle| !idle.has_answered(id))
 }
 
 // An idle connection that is readable was closed, or holds unrequested bytes.
--- a/crates/daemon/src/edge/servers.rs
+++ b/crates/daemon/src/edge/servers.rs
@@ -15,6 +15,7 @@
 use corianderway_steer::Event;
 
 use crate::clock::Clock;
+use crate::edge::backend_connection::Connection;
 use crate::edge::body_memory::BodyMemory;
 use crate::edge::exchange;
 use crate::edge::rings::Input;
@@ -63,7 +64,7 @@
     drop(decisions.send(input).await);
 }
 
-async fn expire(pool: Rc<RefCell<Pool>>) {
+async fn expire(pool: Rc<RefCell<Pool<Connection>>>) {
     loop {
         task::sleep(EXPIRY_INTERVAL).await;
         pool.borrow_mut().expire();
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -83,7 +83,7 @@
 }
 
 /// Runs a job until the body of its response has been passed on.
-pub async fn run(job: Job, clock: Clock, pool: Rc<RefCell<Pool>>) {
+pub async fn run(job: Job, clock: Clock, pool: Rc<RefCell<Pool<TcpStream>>>) {
     let Job {
         addr,
         head,
@@ -149,7 +149,7 @@
     new_connection: bool,
     clock: Clock,
     start_by: Time,
-    pool: &RefCell<Pool>,
+    pool: &RefCell<Pool<TcpStream>>,
 ) -> Result<TcpStream, AttemptOutcome> {
     if !new_connection {
         while let Some(stream) = pooled(pool, addr) {
@@ -171,7 +171,7 @@
 }
 
 // A function of its own, so that the borrow ends before the caller awaits anything.
-fn pooled(pool: &RefCell<Pool>, addr: SocketAddr) -> Option<TcpStream> {
+fn pooled(pool: &RefCell<Pool<TcpStream>>, addr: SocketAddr) -> Option<TcpStream> {
     pool.borrow_mut().take(addr)
 }
 
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_std::net::TcpStream;
-
 /// The default time that a connection may stay idle.
 const MAX_IDLE: Duration = Duration::from_secs(5);
 
@@ -13,44 +11,56 @@
 const MAX_IDLE_PER_SERVER: usize = 64;
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
-pub struct Pool {
+#[derive(Debug)]
+pub struct Pool<C> {
     // Sorted by address.
-    servers: Vec<(SocketAddr, Vec<Idle>)>,
+    servers: Vec<(SocketAddr, Vec<Idle<C>>)>,
 }
 
 #[derive(Debug)]
-struct Idle {
-    stream: TcpStream,
+struct Idle<C> {
+    connection: C,
     since: Instant,
     // How long the connection may stay idle.
     ttl: Duration,
 }
 
-impl Pool {
+impl<C> Default for Pool<C> {
+    fn default() -> Self {
+        let servers = Vec::new();
+        Self { servers }
+    }
+}
+
+impl<C> Pool<C> {
     /// Removes and returns the connection that became idle last.
-    pub fn take(&mut self, addr: SocketAddr) -> Option<TcpStream> {
-        self.take_within(addr, MAX_IDLE)
+    pub fn take(&mut self, addr: SocketAddr) -> Option<C> {
+        self.take_if(addr, MAX_IDLE, |_| true)
     }
 
-    /// Removes and returns the connection that became idle last, if it has been
-    /// idle for less than `max_idle` and its own limit.
-    pub fn take_within(&mut self, addr: SocketAddr, max_idle: Duration) -> Option<TcpStream> {
+    /// Removes and returns the connection that became idle last of those that are
+    /// `usable` and have been idle for less than `max_idle` and their own limit.
+    pub fn take_if(
+        &mut self,
+        addr: SocketAddr,
+        max_idle: Duration,
+        usable: impl Fn(&C) -> bool,
+    ) -> Option<C> {
         let at = self.servers.binary_search_by_key(&addr, |row| row.0).ok()?;
-        let last = self.servers[at].1.last()?;
-        if last.since.elapsed() >= last.ttl.min(max_idle) {
-            return None;
-        }
-        self.servers[at].1.pop().map(|idle| idle.stream)
+        let connections = &mut self.servers[at].1;
+        let found = connections.iter().rposition(|idle| {
+            idle.since.elapsed() < idle.ttl.min(max_idle) && usable(&idle.connection)
+        });
+        Some(connections.remove(found?).connection)
     }
 
     /// Adds a connection on which no response is outstanding.
-    pub fn put(&mut self, addr: SocketAddr, stream: TcpStream) {
-        self.put_for(addr, stream, MAX_IDLE);
+    pub fn put(&mut self, addr: SocketAddr, connection: C) {
+        self.put_for(addr, connection, MAX_IDLE);
     }
 
     /// Adds a connection on which no response is outstanding, for at most `ttl`.
-    pub fn put_for(&mut self, addr: SocketAddr, stream: TcpStream, ttl: Duration) {
+    pub fn put_for(&mut self, addr: SocketAddr, connection: C, ttl: Duration) {
         let at = match self.servers.binary_search_by_key(&addr, |row| row.0) {
             Ok(at) => at,
             Err(at) => {
@@ -61,7 +71,11 @@
         let connections = &mut self.servers[at].1;
         if connections.len() < MAX_IDLE_PER_SERVER {
             let since = Instant::now();
-            connections.push(Idle { stream, since, ttl });
+            connections.push(Idle {
+                connection,
+                since,
+                ttl,
+            });
         }
     }
 
--- a/crates/daemon/src/servers.rs
+++ b/crates/daemon/src/servers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_std::net::TcpStream;
 use async_std::task;
 
 use crate::clock::Clock;
@@ -26,7 +27,7 @@
     });
 }
 
-async fn expire(pool: Rc<RefCell<Pool>>) {
+async fn expire(pool: Rc<RefCell<Pool<TcpStream>>>) {
     loop {
         task::sleep(EXPIRY_INTERVAL).await;
         pool.borrow_mut().expire();
