wire: a response head with a second status line is malformed

Callers saw: 503 not-run for a write that a backend server ran, and 200 for a request that it had answered with 404. Cause: a backend server that sends a further answer after a complete one and breaks it off within its head leaves the start of a head on a kept connection. The next answer follows it, and both read as one head with the status of the first and the id of the second: the id matches, so it was taken for the answer to the request that ran. Change: a head in which another status line follows is malformed, wherever that line begins, so the exchange is broken (502, may have run) and the connection is closed.

--- a/crates/daemon/tests/refused_writes.rs
+++ b/crates/daemon/tests/refused_writes.rs
@@ -230,3 +230,75 @@
         }
     }
 }
+
+// Guards against the start of a rejection that is sent after a complete answer and cut off at
+// any byte: the next answer on the connection follows it, and both together read as one head
+// that rejects a write which runs.
+#[test]
+fn a_cut_rejection_ahead_of_an_answer_does_not_refuse_a_write_that_ran() {
+    let rejection = |id: &str| {
+        format!(
+            "HTTP/1.1 503 Full\r\nNot-Run: full\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        )
+        .into_bytes()
+    };
+    let fleet = Fleet::start(move |heard| {
+        let mut steps = run_and_answer(heard, 200);
+        if let Some(cut) = heard.id.strip_prefix("cut-").filter(|_| heard.number > 0) {
+            let cut = cut.parse().unwrap();
+            let part = rejection("r-0")[..cut].to_vec();
+            steps.insert(1, Step::Write(part));
+        }
+        steps
+    });
+    let length = rejection("r-0").len();
+    let mut on_kept = 0;
+    for cut in 0..=length {
+        let id = format!("cut-{cut}");
+        fleet.until("a connection that is kept", || {
+            (fleet.post("/once/17", "r-0").status == 200).then_some(())
+        });
+        let reply = fleet.post("/once/17", &id);
+        let Some(heard) = fleet.endpoint.heard().into_iter().find(|h| h.id == id) else {
+            continue;
+        };
+        on_kept += usize::from(heard.number > 0);
+        assert_may_have_run(&reply, &id);
+        if reply.status == 200 {
+            assert_eq!(reply.text(), "ran", "{id}");
+        }
+    }
+    assert!(
+        on_kept > length / 2,
+        "{on_kept} of {length} on a kept connection"
+    );
+}
+
+// Guards against the same with the start of a success: it must not turn the failure that
+// follows it into a success.
+#[test]
+fn a_cut_success_ahead_of_a_failure_is_no_success() {
+    let copy = response(200, "r-0", "Server-Stamp: s\r\n", "ran");
+    let length = copy.len();
+    let fleet = Fleet::start(move |heard| {
+        let cut = heard.id.strip_prefix("cut-").filter(|_| heard.number > 0);
+        let Some(cut) = cut else {
+            return run_and_answer(heard, 200);
+        };
+        let mut steps = run_and_answer(heard, 404);
+        let part = copy[..cut.parse().unwrap()].to_vec();
+        steps.insert(1, Step::Write(part));
+        steps
+    });
+    for cut in 0..=length {
+        let id = format!("cut-{cut}");
+        fleet.until("a connection that is kept", || {
+            (fleet.post("/read/17", "r-0").status == 200).then_some(())
+        });
+        let reply = fleet.post("/read/17", &id);
+        let heard = fleet.endpoint.heard().into_iter().find(|h| h.id == id);
+        if heard.is_some_and(|h| h.number > 0) {
+            assert_ne!(reply.status, 200, "{id}: {}", reply.text());
+        }
+    }
+}
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -98,10 +98,16 @@
 ///
 /// `bodiless` is set for a response to a `HEAD` request.
 ///
+/// A head that holds a second status line is rejected: the first response broke off within its
+/// head, and what follows belongs to another one.
+///
 /// # Errors
 ///
 /// Fails if the head is malformed or its length is ambiguous.
 pub fn check_response(head: &[u8], bodiless: bool) -> Result<(u16, Framing), HeadError> {
+    let later = head.get(1..).unwrap_or_default();
+    let detail = "second status line";
+    ensure!(!has_status_line(later), MalformedSnafu { detail });
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     response.parse(head).map_err(parse_error)?;
@@ -141,6 +147,17 @@
     Ok(Framing::Length(length))
 }
 
+// Finds a status line anywhere, since what precedes it may be the start of a header's value.
+fn has_status_line(bytes: &[u8]) -> bool {
+    let mut places = bytes.windows("HTTP/1.1 200".len());
+    places.any(|place| match place {
+        [b'H', b'T', b'T', b'P', b'/', b'1', b'.', minor, b' ', status @ ..] => {
+            minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+        }
+        _ => false,
+    })
+}
+
 fn has_name(header: &httparse::Header<'_>, name: &str) -> bool {
     header.name.eq_ignore_ascii_case(name)
 }
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -70,6 +70,27 @@
     }
 }
 
+// Guards against a response that breaks off within its head and is joined with the next one:
+// the status is that of the first, the rest that of the second.
+#[test]
+fn a_head_with_two_status_lines_is_malformed() {
+    let first = b"HTTP/1.1 503 Full\r\nNot-Run: full\r\nContent-Length: 0\r\n\r\n";
+    let second = b"HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(head::check_response(second, false).unwrap().0, 200);
+    let via = b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 gate\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(head::check_response(via, false).unwrap().0, 200);
+    for cut in 1..first.len() {
+        let joined = [&first[..cut], second].concat();
+        // Some cuts are found by the check of the lines.
+        let Ok(end) = head::head_length(&joined) else {
+            continue;
+        };
+        let end = end.expect("the second head is complete");
+        let checked = head::check_response(&joined[..end], false);
+        assert!(checked.is_err(), "{cut}: {checked:?}");
+    }
+}
+
 fn request(path: &str) -> Request {
     Request::new(Method::Get, format!("http://a.example{path}").as_str())
 }
