chart: activities that a transition can only begin and end as declared

A chart said which actions end a subject (enter-by), but not what may still go on when it does: a transition could leave a state with an attempt in flight without ending it, and no check at load saw it.

A chart may now list activities, with the action that begins each one and, by event, the actions that end it. A state names the activity that goes on in it (during). At load each transition into the activity must perform the first action, each one out of it must start with the actions of its event, no other event may end it, and no other transition may perform any of these actions.

--- a/crates/chart/src/chart.rs
+++ b/crates/chart/src/chart.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde::de::IntoDeserializer;
 
+use crate::activity::Activity;
 use crate::definition;
 use crate::definition::Definition;
 use crate::error::Error;
@@ -77,6 +78,9 @@
         for event in &outline.events {
             name::<E>(chart, "event", event)?;
         }
+        for action in outline.activities.values().flat_map(Activity::actions) {
+            name::<A>(chart, "action", action)?;
+        }
         let mut rows = outline
             .states
             .iter()
--- a/crates/chart/src/definition.rs
+++ b/crates/chart/src/definition.rs
@@ -3,7 +3,8 @@
 //!
 //! A checked chart has only listed and reachable states, each state that isn't
 //! final handles or ignores every event exactly once, and the last branch for an
-//! event is its only unguarded one.
+//! event is its only unguarded one. Each transition performs the actions that the
+//! states and activities it enters and leaves require.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -14,6 +15,7 @@
 use snafu::ensure;
 use snafu::ResultExt;
 
+use crate::activity::Activity;
 use crate::error::EntryActionSnafu;
 use crate::error::Error;
 use crate::error::FinalHandlesEventsSnafu;
@@ -39,6 +41,9 @@
     pub initial: String,
     /// All events of the chart.
     pub events: Vec<String>,
+    /// What goes on in some of the states, by name.
+    #[serde(default)]
+    pub activities: BTreeMap<String, Activity>,
     /// All states by name.
     pub states: BTreeMap<String, Node>,
 }
@@ -60,6 +65,8 @@
     /// there are any.
     #[serde(rename = "enter-by")]
     pub enter_by: Vec<String>,
+    /// The activity that goes on in the state, if any.
+    pub during: Option<String>,
 }
 
 /// A transition for an event, taken if its guard holds.
@@ -95,6 +102,7 @@
 
     fn check(&self) -> Result<()> {
         self.check_listed(&self.initial)?;
+        self.check_activities()?;
         for (state, node) in &self.states {
             self.check_node(state, node)?;
         }
@@ -157,7 +165,8 @@
         );
         branches.iter().try_for_each(|branch| {
             self.check_listed(&branch.to)?;
-            self.check_entry(state, event, branch)
+            self.check_entry(state, event, branch)?;
+            self.check_transition(state, event, branch)
         })
     }
 
--- a/crates/chart/src/error.rs
+++ b/crates/chart/src/error.rs
@@ -69,6 +69,40 @@
         event: String,
         to: String,
     },
+    #[snafu(display(
+        "chart {chart}: activity {activity:?} is not listed; add it under activities"
+    ))]
+    MissingActivity { chart: String, activity: String },
+    #[snafu(display(
+        "chart {chart}: state {state:?} is initial or final, so {activity:?} can't begin before \
+         it or end after it; remove during"
+    ))]
+    ActivityPlace {
+        chart: String,
+        state: String,
+        activity: String,
+    },
+    #[snafu(display(
+        "chart {chart}: {event:?} in state {state:?} must perform the action under begin-by once \
+         if it begins {activity:?}, and not otherwise; correct its actions"
+    ))]
+    ActivityBegin {
+        chart: String,
+        state: String,
+        event: String,
+        activity: String,
+    },
+    #[snafu(display(
+        "chart {chart}: {event:?} in state {state:?} must start with the actions under end-by \
+         for this event if it ends {activity:?}, and perform none of them otherwise; correct its \
+         actions or ignore the event"
+    ))]
+    ActivityEnd {
+        chart: String,
+        state: String,
+        event: String,
+        activity: String,
+    },
     #[snafu(display(
         "chart {chart}: final state {state:?} handles events; remove final, or its on and ignore"
     ))]
--- a/crates/chart/src/lib.rs
+++ b/crates/chart/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A chart lists its states and events. Each state handles every event, with a
 //! transition and its actions, or ignores it explicitly; loading a chart checks
-//! that none is left out. States, events, guards and actions are enums of the
+//! that none is left out. A chart may also name activities that go on in some states,
+//! with the actions that begin and end them; no transition can leave these out. States, events, guards and actions are enums of the
 //! caller, and their names in the file are the variants' serde names.
 //!
 //! # Example
@@ -50,11 +51,13 @@
 //! # Ok::<(), corianderway_chart::Error>(())
 //! ```
 
+mod activity;
 mod chart;
 mod definition;
 mod diagram;
 mod error;
 
+pub use crate::activity::Activity;
 pub use crate::chart::Chart;
 pub use crate::chart::Step;
 pub use crate::definition::Branch;
--- a/crates/chart/tests/charts.rs
+++ b/crates/chart/tests/charts.rs
@@ -29,6 +29,8 @@
 #[serde(rename_all = "kebab-case")]
 enum Action {
     Ring,
+    Latch,
+    Knock,
 }
 
 type Door = Chart<State, Event, Guard, Action>;
@@ -74,6 +76,33 @@
     assert!(!door.is_final(State::Open));
 }
 
+#[test]
+fn an_activity_goes_on_in_several_states() {
+    let text = "
+chart: door
+initial: shut
+events: [push, pull]
+activities:
+  draught: { begin-by: ring, end-by: { push: [latch], pull: [knock, latch] } }
+states:
+  shut:
+    on:
+      push: { to: open, do: [ring] }
+    ignore: [pull]
+  open:
+    during: draught
+    on:
+      push: { to: shut, do: [latch] }
+      pull:
+        - { when: locked, to: open }
+        - { to: gone, do: [knock, latch] }
+  gone: { final: true }
+";
+    let door = Door::parse(text).unwrap();
+    let left = door.step(State::Open, Event::Pull, |Guard::Locked| false);
+    assert_eq!(left.actions, [Action::Knock, Action::Latch]);
+}
+
 #[test]
 fn invalid_charts_are_rejected_with_a_remedy() {
     let cases: Vec<Rejected> =
