steer: no refusal is decided while an attempt is on its way

Only a stale place in a queue could have sent refused from outside.

The choice has a state of its own, choosing. In sent and orphaned an attempt is in flight, which the chart declares as an activity: only its end, the deadline and the departure of the caller lead out, with end-attempt and, unless the attempt ended by itself, cancel before anything else. A possible run is counted by end-attempt alone and no more by hand in two places; a refusal takes the count when it is sent. If the chosen server is gone, the request is refused at once; it used to sit without an attempt until its deadline.

Evidence: ten charts with the wrong order, in tests/requests.rs, each rejected at load; five of them are the former transitions or the loss of one action.

--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -72,6 +72,7 @@
             token_requests: 0,
             tried: Vec::new(),
             possible_runs: 0,
+            chosen: None,
             attempt: None,
             outcome: None,
             answered: false,
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -1,5 +1,4 @@
-//! The attempts of a request, from the choice of a backend server to the answer
-//! or refusal.
+//! The attempts of a request, up to the answer or refusal.
 //!
 //! This module runs the request chart: it evaluates the guards, carries out the
 //! effects and records each attempt's outcome for the backend server, the
@@ -9,11 +8,7 @@
 use std::time::Duration;
 
 use corianderway_model::Time;
-use rand::Rng as _;
 
-use crate::choice::Blocked;
-use crate::choice::Choice;
-use crate::choice::Criteria;
 use crate::choice::FullCause;
 use crate::event::Action;
 use crate::event::Outcome;
@@ -33,7 +28,6 @@
 use crate::server::millis;
 use crate::service_time::Warmth;
 use crate::steer::Steer;
-use crate::version_filter::VersionFilter;
 
 /// Time for which a server that reported itself full receives no requests.
 const FULL_BACKOFF: Duration = Duration::from_millis(40);
@@ -41,18 +35,10 @@
 /// Factor over the typical time from which an answer counts as slow.
 const SLOW_FACTOR: f64 = 1.5;
 
-/// Factor on the remaining time of the request that builds an object's state,
-/// for which another request for the object waits.
-const BUILD_WAIT_FACTOR: f64 = 1.5;
-
 /// Share of a route's slack, its target latency minus the expected time, that
 /// requests may wait at a backend server.
 const TOLERATED_WAIT_SHARE: f64 = 0.4;
 
-/// By how much the time to come back exceeds the servers' pause at the most, as a share of it,
-/// so that callers don't come back at once.
-const PAUSE_SPREAD: f64 = 0.5;
-
 /// Lowest HTTP status that counts as a failure of the backend server.
 const ERROR_STATUS: u16 = 500;
 
@@ -92,12 +78,6 @@
             | Outcome::Broken
             | Outcome::TimedOut => Signal::Failed,
         };
-        if matches!(
-            outcome,
-            Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut
-        ) {
-            open.possible_runs += 1;
-        }
         let service = open.service.clone();
         self.advance(now, open, signal, out);
         self.retry_waiting(now, &service, out);
@@ -183,7 +163,8 @@
         match effect {
             Effect::AskForToken => return self.ask_token(now, open, out),
             Effect::Count => self.count_admitted(now, open),
-            Effect::Send => return self.send(now, open, out),
+            Effect::Choose => return Some(self.choose_next(now, open)),
+            Effect::Forward => return self.forward(now, open, out),
             Effect::Enqueue => return self.enqueue(now, open, out),
             Effect::Cancel => out.push(Action::Cancel(open.query.id)),
             Effect::EndAttempt => self.end_attempt(now, open, out),
@@ -199,94 +180,6 @@
         None
     }
 
-    fn send(&mut self, now: Time, open: &mut OpenRequest, out: &mut Vec<Action>) -> Option<Signal> {
-        let choice = match self.choose(now, open) {
-            Ok(choice) => choice,
-            Err(Blocked::Paused(span)) => {
-                let delay = span.mul_f64(1.0 + self.rng.random::<f64>() * PAUSE_SPREAD);
-                let refusal = open.refusal_for(Reason::Overloaded);
-                open.refusal = Some(refusal.with_retry_after(delay));
-                return Some(Signal::Refused);
-            }
-            Err(blocked) => return Some(on_blocked(now, open, blocked)),
-        };
-        let server = self.fleet.server(&choice.server)?;
-        let (id, addr) = (open.query.id, server.listed.backend.addr);
-        let start = server.listed.incarnation();
-        let version = server.listed.backend.version.clone();
-        self.shifts.count(now, choice.remote);
-        self.moves.record_sent(&open.service, &version);
-        let object = open.query.object.filter(|_| open.route.sticky);
-        let builds = object.filter(|_| matches!(choice.warmth, Warmth::Likely | Warmth::Unknown));
-        self.fleet
-            .begin(now, &choice.server, id, choice.expected(), builds);
-        let note = self
-            .note(Severity::Routine, "sent", open)
-            .with("attempt", open.tried.len() + 1)
-            .with("object", object.map_or(0, |hash| hash as u32))
-            .with("server", &choice.server)
-            .with("version", &version)
-            .with("choice", &choice)
-            .with("left_ms", open.time_left(now).as_millis());
-        out.push(Action::Log(note));
-        open.tried.push(choice.server.clone());
-        out.push(Action::Forward {
-            id,
-            server: choice.server.clone(),
-            addr,
-            account: open.account.as_ref().map(|terms| terms.account.clone()),
-            deadline: open.deadline,
-            once: !open.is_idempotent(),
-        });
-        open.attempt = Some(Attempt {
-            server: choice.server.clone(),
-            start,
-            version,
-            choice,
-        });
-        None
-    }
-
-    fn choose(&mut self, now: Time, open: &OpenRequest) -> Result<Choice, Blocked> {
-        let object = open.query.object.filter(|_| open.route.sticky);
-        let fleet = &self.fleet;
-        let cached = |version: &_| object.map(|o| fleet.has_object(&open.service, version, o));
-        let draw = self.rng.random();
-        let version_filter = self.moves.version_filter(now, &open.service, draw, cached);
-        let first = self.choose_within(now, open, &version_filter);
-        let fallback = self.moves.fallback(now, &open.service, &version_filter);
-        match (first, fallback) {
-            (Err(_), Some(version_filter)) => self.choose_within(now, open, &version_filter),
-            (first, _) => first,
-        }
-    }
-
-    fn choose_within(
-        &mut self,
-        now: Time,
-        open: &OpenRequest,
-        version_filter: &VersionFilter,
-    ) -> Result<Choice, Blocked> {
-        let region_rule = self.shifts.region_rule(now);
-        let account = open.account.as_ref();
-        let criteria = Criteria {
-            route: &open.route,
-            servers: self.fleet.servers_of(&open.service),
-            object: open.query.object.filter(|_| open.route.sticky),
-            tried: &open.tried,
-            regions: [
-                &open.route.regions,
-                account.map_or(&[], |terms| terms.regions.as_slice()),
-            ],
-            version_filter,
-            placement: self.fleet.placement(&open.service),
-            time_left: open.time_left(now),
-            region_rule,
-            draw: self.rng.random(),
-        };
-        self.fleet.choose(now, &criteria)
-    }
-
     // Records the end of an attempt for its backend server, its route and its
     // version.
     fn end_attempt(&mut self, now: Time, open: &mut OpenRequest, out: &mut Vec<Action>) {
@@ -301,9 +194,7 @@
         } = attempt;
         let ended = self.fleet.end(now, &server, open.query.id);
         let (took, expected) = ended.unwrap_or((0.0, 1.0));
-        // An attempt that the caller's departure or the deadline ended has no
-        // outcome.
-        let outcome = open.outcome.take().unwrap_or(Outcome::TimedOut);
+        let outcome = open.take_outcome();
         let object = open.query.object.filter(|_| open.route.sticky);
         let target_latency = millis(open.route.target_latency);
         let name_hash = hash::short(server.as_str());
@@ -421,7 +312,9 @@
             self.deliver(now, open, out);
             return;
         }
-        let refusal = open.refusal.unwrap_or(open.refusal_for(Reason::TimedOut));
+        let mut refusal = open.refusal.unwrap_or(open.refusal_for(Reason::TimedOut));
+        // The reason may have been set before the attempt ended.
+        refusal.may_have_run |= open.possible_runs > 0;
         let refusal = if refusal.status() == 503 && refusal.retry_after.is_none() {
             refusal.with_retry_after(Self::retry_after(open))
         } else {
@@ -447,8 +340,8 @@
         out.push(Action::Refuse { id, refusal });
     }
 
-    // Creates a log line with the fields common to all lines about a request.
-    fn note(&self, severity: Severity, event: &'static str, open: &OpenRequest) -> Note {
+    /// Creates a log line with the fields common to all lines about a request.
+    pub(crate) fn note(&self, severity: Severity, event: &'static str, open: &OpenRequest) -> Note {
         let account = open.account.as_ref().map(|terms| terms.account.as_str());
         Note::new(severity, event)
             .for_request(&open.query.trace)
@@ -458,30 +351,3 @@
             .with("config", self.plan.as_ref().map_or(0, |p| p.version()))
     }
 }
-
-// Returns the event that follows when no backend server is chosen, and sets the
-// wait or the refusal.
-fn on_blocked(now: Time, open: &mut OpenRequest, blocked: Blocked) -> Signal {
-    let reason = match blocked {
-        Blocked::Building(span) => {
-            // Waiting for the state gives a faster answer than building it at
-            // another server.
-            let until = (now + span.mul_f64(BUILD_WAIT_FACTOR)).min(open.deadline);
-            open.wait_until = open.wait_until.max(Some(until));
-            open.full_cause = Some(FullCause::NotCached);
-            return Signal::Full;
-        }
-        Blocked::Full(cause) => {
-            open.full_cause = Some(cause);
-            if open.tried.is_empty() {
-                return Signal::Full;
-            }
-            Reason::Overloaded
-        }
-        Blocked::Paused(_) => Reason::Overloaded,
-        Blocked::NoServer => Reason::NoServer,
-        Blocked::TooLate => Reason::TimedOut,
-    };
-    open.refusal = Some(open.refusal_for(reason));
-    Signal::Refused
-}
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -76,6 +76,16 @@
     TimedOut,
 }
 
+impl Outcome {
+    /// Returns whether a backend server may have run the request, or may still run it.
+    pub const fn may_have_run(self) -> bool {
+        match self {
+            Self::Answered { .. } | Self::Broken | Self::TimedOut => true,
+            Self::Full { .. } | Self::Misdirected | Self::Unreachable | Self::NotSent => false,
+        }
+    }
+}
+
 /// The load that a backend server reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -51,6 +51,7 @@
 mod choice;
 mod crashes;
 mod digest;
+mod dispatch;
 mod event;
 mod evidence;
 mod exposure;
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -1,5 +1,6 @@
 //! The requests that an instance has open.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,7 @@
     Received,
     Asking,
     Waiting,
+    Choosing,
     Sent,
     Orphaned,
     Done,
@@ -49,6 +51,8 @@
     /// It needs a token that the relay may lend, as this instance has none left
     /// for the client account.
     TokenNeeded,
+    /// A backend server is chosen; it is in [`OpenRequest::chosen`].
+    Chosen,
     /// It is refused; the reason is in [`OpenRequest::refusal`].
     Refused,
     /// No backend server has room for it.
@@ -89,13 +93,15 @@
     AskForToken,
     /// Counts the request for its service's retry budget and offered load.
     Count,
-    /// Chooses a backend server and sends the request there.
-    Send,
+    /// Chooses a backend server.
+    Choose,
+    /// Sends the request to the chosen backend server.
+    Forward,
     /// Queues the request until a backend server has room.
     Enqueue,
     /// Stops the attempt in flight.
     Cancel,
-    /// Records the end of the attempt.
+    /// Records the end of the attempt, and whether it may have run.
     EndAttempt,
     /// Sends the answer to the caller.
     Deliver,
@@ -128,6 +134,8 @@
     pub(crate) tried: Vec<ServerId>,
     /// Number of attempts that may have run.
     pub(crate) possible_runs: u32,
+    /// The next attempt and the address for it, until it is sent.
+    pub(crate) chosen: Option<(Attempt, SocketAddr)>,
     /// The attempt in flight.
     pub(crate) attempt: Option<Attempt>,
     /// The outcome of the last attempt.
@@ -173,6 +181,16 @@
         }
     }
 
+    /// Takes the outcome of the attempt that ends, and counts the attempt if it may have run.
+    ///
+    /// An attempt that the caller's departure or the deadline ended has none, and may run
+    /// even after it was cancelled.
+    pub(crate) fn take_outcome(&mut self) -> Outcome {
+        let outcome = self.outcome.take().unwrap_or(Outcome::TimedOut);
+        self.possible_runs += u32::from(outcome.may_have_run());
+        outcome
+    }
+
     /// Returns when the current state times out.
     pub(crate) fn expiry(&self) -> Time {
         match (self.state, self.wait_until) {
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -129,15 +129,16 @@
             let Some(mut open) = self.requests.remove(&id) else {
                 continue;
             };
-            // An attempt that is cancelled may have run.
-            open.possible_runs += u32::from(open.attempt.is_some());
             let refusal = match open.state {
                 State::Asking if open.may_ask(now) => None,
                 State::Asking if now < open.deadline => Some(self.give_up_asking(now, &open)),
                 State::Waiting => Some(open.refusal_for(Reason::Overloaded)),
-                State::Received | State::Asking | State::Sent | State::Orphaned | State::Done => {
-                    Some(open.refusal_for(Reason::TimedOut))
-                }
+                State::Received
+                | State::Asking
+                | State::Choosing
+                | State::Sent
+                | State::Orphaned
+                | State::Done => Some(open.refusal_for(Reason::TimedOut)),
             };
             open.refusal = refusal;
             self.advance(now, open, Signal::TimedOut, out);
--- a/crates/steer/tests/requests.rs
+++ b/crates/steer/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use corianderway_chart::Definition;
 use corianderway_model::Secret;
 use corianderway_model::ServerId;
 use corianderway_steer::Action;
@@ -13,6 +14,7 @@
 use corianderway_steer::Reach;
 use corianderway_steer::Reason;
 use corianderway_steer::ServerChange;
+use corianderway_steer::REQUEST_CHART;
 
 use crate::rig::answered;
 use crate::rig::refused_in;
@@ -339,3 +341,66 @@
     }
     panic!("no request went to {server}");
 }
+
+// Guards against a refusal that is decided while an attempt is on its way: the chart that
+// permits one can't be loaded.
+#[test]
+fn no_chart_ends_a_request_beside_its_attempt() {
+    let table = [
+        // No event but the attempt's end, the deadline and the caller's departure.
+        (
+            "ignore: [admitted, token-needed, chosen, refused, full, room-freed]",
+            "ignore: [admitted, token-needed, chosen, full, room-freed]",
+            "      timed-out: { to: done, do: [cancel, end-attempt, refuse] }",
+            "      refused: { to: done, do: [cancel, end-attempt, refuse] }
+      timed-out: { to: done, do: [cancel, end-attempt, refuse] }",
+        ),
+        (
+            "ignore: [admitted, token-needed, chosen, refused, full, room-freed]",
+            "ignore: [admitted, token-needed, chosen, refused, room-freed]",
+            "      timed-out: { to: done, do: [cancel, end-attempt, refuse] }",
+            "      full: { to: waiting, do: [enqueue] }
+      timed-out: { to: done, do: [cancel, end-attempt, refuse] }",
+        ),
+        // No end without the count of a run, or without the cancellation.
+        (
+            "do: [cancel, end-attempt, refuse]",
+            "do: [cancel, refuse]",
+            "",
+            "",
+        ),
+        (
+            "do: [cancel, end-attempt, refuse]",
+            "do: [end-attempt, refuse]",
+            "",
+            "",
+        ),
+        (
+            "do: [cancel, end-attempt, refuse]",
+            "do: [refuse, cancel, end-attempt]",
+            "",
+            "",
+        ),
+        ("do: [end-attempt, deliver]", "do: [deliver]", "", ""),
+        ("do: [end-attempt, release]", "do: [release]", "", ""),
+        // No retry beside the attempt either.
+        ("do: [end-attempt, choose]", "do: [choose]", "", ""),
+        ("    during: attempt\n", "", "", ""),
+        // No second attempt beside the first one.
+        (
+            "do: [end-attempt, deliver]",
+            "do: [end-attempt, forward, deliver]",
+            "",
+            "",
+        ),
+    ];
+    assert!(Definition::parse(REQUEST_CHART).is_ok());
+    for (from, to, beside, added) in table {
+        let text = REQUEST_CHART.replacen(from, to, 1);
+        assert_ne!(text, REQUEST_CHART, "{from}");
+        let text = text.replacen(beside, added, 1);
+        let error = Definition::parse(&text).map(|_| ()).unwrap_err();
+        let error = error.to_string();
+        assert!(error.contains("\"attempt\""), "{to}: {error}");
+    }
+}
