--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -2,7 +2,10 @@
 #![allow(dead_code, reason = "each test file uses some items of the rig")]
 
 pub mod cluster;
+pub mod execution;
 pub mod moving;
+pub mod views;
+pub mod world;
 
 use std::sync::Arc;
 use std::time::Duration;
