edge: an attempt that was cancelled while it waited writes nothing

Its request was counted as one that may have run, so no refusal was false, but a backend server ran it for nobody.

The cancellation is polled first. No test: whether both are ready at one poll depends on the threads of the process, and no test can order them from outside.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -2,7 +2,8 @@
 //!
 //! The attempt uses a pooled connection or opens a new one. Its outcome and the
 //! answer, if there is one, go to the decision duty. A cancelled attempt drops its
-//! connection and has no outcome. A connection returns to the pool only after the
+//! connection and has no outcome; cancelled in the ring or while it connects, it writes
+//! nothing. A connection returns to the pool only after the
 //! whole request has been sent on it, which may be after the answer.
 //!
 //! An attempt of a request that must not run twice is logged with what it wrote and
@@ -161,7 +162,8 @@
     };
     let progress = Progress::default();
     let attempt = async { Some(attempt(&job, clock, &pool, reservation, &progress).await) };
-    let ended = attempt.or(cancelled).await;
+    // The cancellation is polled first, so that nothing is written after it.
+    let ended = cancelled.or(attempt).await;
     let end = end_name(ended.as_ref());
     if job.once && end != PLAIN_ANSWER {
         // Sending fails only at process end, since the decision duty ends last.
