node: a claim is not released while a later attempt may run

What callers saw: a request of a `once` route was sent to a second backend server after the first had rejected it; its caller left; the claim was released as not run. A repeat under the same idempotency key ran a second time, or was refused as `not-started`, while the first sending ran.

Cause: the outcome of the earlier attempt was still set when the request ended during the next one, so the claim was told that nothing had been accepted.

Evidence: `a_claim_is_not_released_while_a_later_attempt_may_run` (node/tests/matrix.rs) failed before: the repeat was sent (`[Sent]`) instead of refused as `repeated/may-have-run`.

Change: sending an attempt clears the outcome of the one before it.

Over processes this order was not produced: the callers duty keeps a call whose response is to be recorded once it has taken the first attempt.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -330,6 +330,8 @@
             self.retries.record_attempt(now);
         }
         open.sent = true;
+        // The outcome of an earlier attempt says nothing about this one.
+        open.outcome = None;
         open.ticket = Some(self.fleet.begin(decision.server));
         open.attempts.record_attempt(decision.server);
         out.push(Action::Forward {
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -171,6 +171,22 @@
     assert_eq!(rig.observed(id), [Observed::Sent, refused]);
 }
 
+// Guards against a claim that is released although its request runs: an earlier attempt had
+// been rejected, and the caller left during the next one.
+#[test]
+fn a_claim_is_not_released_while_a_later_attempt_may_run() {
+    let mut rig = Rig::start(100.0, 8, 2);
+    let token = token();
+    let first = rig.send("POST", "/move/1", Some(&token));
+    rig.end(first, AttemptOutcome::Shed);
+    assert_eq!(rig.observed(first), [Observed::Sent, Observed::Sent]);
+    inject(&mut rig, first, Fault::CallerLeft);
+    let again = rig.send("POST", "/move/1", Some(&token));
+    rig.run(Duration::from_secs(5));
+    let refused = Observed::Refused("repeated", "may-have-run");
+    assert_eq!(rig.observed(again), [refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
