node: a request to a server that the latest list lacks is sent

What callers saw: no answer at all, until they left. No refusal, no line but none for the attempt.

Cause: a server that one list lacks, or an implausible list, stays in use; the address of the attempt was looked up in the latest list, and without one the request stayed in `forwarded` without an attempt.

Change: the server of the decision is taken as the fleet knows it.

Result: the test passes.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -313,10 +313,8 @@
         let Some(server) = self.fleet.server(decision.server) else {
             return;
         };
-        let found = self.backends.binary_search_by(|b| b.id.cmp(server.id()));
-        let Some(backend) = found.ok().map(|at| self.backends[at].clone()) else {
-            return;
-        };
+        // The latest list may lack a server that is still in use.
+        let backend = server.backend().clone();
         out.push(Action::Log(Record::Routed {
             request_id: Arc::clone(&open.query.request_id),
             account: open.contract.account.clone(),
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -187,6 +187,16 @@
     assert_eq!(rig.observed(again), [refused]);
 }
 
+// Guards against a request without an end: it was forwarded to a server that the latest list
+// lacks, which the node still uses until more lists lack it.
+#[test]
+fn a_request_to_a_server_that_the_latest_list_lacks_is_sent() {
+    let mut rig = Rig::start(100.0, 8, 1);
+    rig.list(8, 0);
+    let id = rig.send("GET", "/find/1", None);
+    assert_eq!(rig.observed(id), [Observed::Sent]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -119,6 +119,11 @@
         server
     }
 
+    /// Returns the server as it was listed.
+    pub fn backend(&self) -> &Backend {
+        &self.backend
+    }
+
     /// Returns the identity.
     pub fn id(&self) -> &ServerId {
         &self.backend.id
