node: a claimed request without a server ends at the end of its time

What callers saw: nothing yet.

Cause: at the very moment after which a claimed request is not sent, the claim still passed it on (`<=`), and the request found no server and no time to wait (`<`), and gave it back, again and again.

Evidence: `a_claimed_request_without_a_server_is_refused_when_its_time_is_over` (node/tests/matrix.rs) did not end within 60 s before. Under a real clock the two times must be equal to the nanosecond.

Change: the request waits for a server at that moment too.

Result: the test passes; so do node/tests/matrix.rs and control/tests/matrix.rs whole.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -220,7 +220,7 @@
             }
             Err(Blocked::Server(NoServer::Overloaded)) => Some(Signal::NoSlot),
             // A claimed request waits for a server while it may still be sent.
-            Err(Blocked::Server(_)) if open.claim.is_some() && now < open.start_by => {
+            Err(Blocked::Server(_)) if open.claim.is_some() && now <= open.start_by => {
                 Some(Signal::NoSlot)
             }
             Err(Blocked::Server(cause)) => refusal_signal(Err(refusal_for(cause, open)), open),
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -197,6 +197,21 @@
     assert_eq!(rig.observed(id), [Observed::Sent]);
 }
 
+// Guards against a step without an end at the very moment after which a claimed request is
+// not sent: the claim passed it on, and the request gave it back.
+#[test]
+fn a_claimed_request_without_a_server_is_refused_when_its_time_is_over() {
+    let mut rig = Rig::start(100.0, 8, 1);
+    for _ in 0..10 {
+        rig.list(8, 0);
+        rig.run(Duration::from_secs(1));
+    }
+    let id = rig.send("POST", "/move/1", Some(&token()));
+    rig.run(Duration::from_secs(5));
+    let refused = Observed::Refused("no-server", "not-run");
+    assert_eq!(rig.observed(id), [refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
