node: a claimed attempt that ends after its claim is refused

What callers saw: no answer, for good, to a request of a `once` route whose instance was paused beyond the request's deadline while a backend server ran it. The call stayed open in the instance too, so that a planned stop waited for its whole grace.

Cause: at the end of the request's time its claim replies that it may have run. The request was still in flight, so the reply was dropped; when the attempt ended, the claim had nothing more to say.

Evidence: `a_claimed_attempt_that_ends_after_its_deadline_is_refused_as_may_have_run` (node/tests/matrix.rs) failed before (`[Sent]` and nothing else), and over processes `a_request_in_flight_beyond_its_deadline_during_a_pause_is_refused_as_may_have_run` (daemon/tests/once.rs): no answer within 15 s of the end of the pause.

Change: the request keeps that its claim has replied, and is refused as `repeated`, `may-have-run` when its attempt ends without an answer.

Result: both pass, and node/tests and daemon/tests/once.rs whole.

--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -186,3 +186,32 @@
     );
     assert_ne!(reply.status, 200);
 }
+
+// Guards against a caller without an answer: the process was paused beyond the request's
+// deadline, and its claim ended before the attempt did.
+#[test]
+fn a_request_in_flight_beyond_its_deadline_during_a_pause_is_refused_as_may_have_run() {
+    let mut setup = Setup::start(1);
+    let token = idempotency_key();
+    let request = setup
+        .transfer("/transfers/4?work_ms=10000", &token)
+        .header("x-deadline-ms", 1_500);
+    let addr = setup.fleet.entries[0].callers;
+    let caller = thread::spawn(move || call(addr, &request));
+    until("the run", WAIT_TIMEOUT, || {
+        (run_count(&setup.fleet.servers, &token) == 1).then_some(())
+    })
+    .unwrap();
+    // The backend server doesn't answer at the deadline either.
+    setup.fleet.servers[0].process.suspend().unwrap();
+    setup.fleet.entries[0].process.suspend().unwrap();
+    thread::sleep(Duration::from_secs(2));
+    setup.fleet.entries[0].process.resume().unwrap();
+    let reply = until("the answer", WAIT_TIMEOUT, || {
+        caller.is_finished().then_some(())
+    });
+    setup.fleet.servers[0].process.resume().unwrap();
+    reply.unwrap();
+    let reply = caller.join().unwrap().unwrap();
+    assert_eq!(ran(&reply), "may-have-run", "{}", reply.text());
+}
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -52,6 +52,7 @@
             ticket: None,
             claim: None,
             claim_attempt: 0,
+            claim_replied: false,
             sent: false,
             picked_version: None,
             broken_count: 0,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -192,6 +192,11 @@
             Effect::SettleClaim => {
                 let answer = open.claim_outcome.take();
                 self.settle_claim(now, open, answer);
+                // The claim has replied at the end of the request's time, and does so once.
+                if open.claim_replied && open.state == State::Claiming {
+                    let refusal = Refusal::may_have_run(Reason::Repeated);
+                    return refusal_signal(Err(refusal), open);
+                }
             }
             Effect::Replay => replay(open, out),
         }
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -235,8 +235,10 @@
         let Some(mut open) = self.requests.take(id) else {
             return;
         };
-        // The request has been forwarded, so its caller gets that attempt's response.
+        // The request has been forwarded, so its caller gets that attempt's response, if
+        // there is one.
         if open.state != State::Claiming {
+            open.claim_replied = true;
             self.requests.insert(open);
             return;
         }
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -43,6 +43,8 @@
     pub(crate) claim: Option<Arc<str>>,
     /// The number of the claimed attempt, which the claims state machine expects back.
     pub(crate) claim_attempt: u64,
+    /// Whether the claims state machine has replied before the attempt ended.
+    pub(crate) claim_replied: bool,
     /// Whether an attempt was sent since the last report to the claims state machine.
     pub(crate) sent: bool,
     /// The version selected for the attempt.
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -212,6 +212,19 @@
     assert_eq!(rig.observed(id), [refused]);
 }
 
+// Guards against a caller without an answer: its claim said that the request may have run
+// while the attempt was still in flight, and nothing more after its end.
+#[test]
+fn a_claimed_attempt_that_ends_after_its_deadline_is_refused_as_may_have_run() {
+    let mut rig = Rig::start(100.0, 8, 2);
+    let id = rig.send("POST", "/move/1", Some(&token()));
+    rig.run(Duration::from_secs(5));
+    assert_eq!(rig.observed(id), [Observed::Sent]);
+    rig.end(id, AttemptOutcome::TimedOut);
+    let refused = Observed::Refused("repeated", "may-have-run");
+    assert_eq!(rig.observed(id), [Observed::Sent, refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
