tests: random faults at any moment of requests on the own path

300 drawn runs of 250 events on one node: requests of an idempotent and of a `once` route, six idempotency keys that are sent again and again, every outcome of an attempt, callers that leave, lists that lack servers, a platform that is silent or loses answers, stops. Every request ends once; no refusal says that it has not run, or was not started, if an attempt may have run or is in flight; under one idempotency key nothing is sent again once it may have run.

--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -281,8 +281,18 @@
 
 /// An idempotency key: a UUID of version 7 created at the origin of the clock.
 pub fn token() -> String {
-    let (high, low) = (WALL_ORIGIN_MS >> 16, WALL_ORIGIN_MS & 0xffff);
-    format!("{high:08x}-{low:04x}-7000-8000-000000000001")
+    numbered_token(1)
+}
+
+/// One of several idempotency keys like that of [`token`].
+pub fn numbered_token(number: u32) -> String {
+    token_made_at(WALL_ORIGIN_MS, number)
+}
+
+/// An idempotency key that was created at this wall clock, in milliseconds.
+pub fn token_made_at(made_ms: u64, number: u32) -> String {
+    let (high, low) = (made_ms >> 16, made_ms & 0xffff);
+    format!("{high:08x}-{low:04x}-7000-8000-{number:012x}")
 }
 
 fn entry() -> Entry {
