node: a repeat is not refused as not run before its claim is known

What callers saw: `not-run` for a request that had run. Its first sending ended as `may-have-run` or without an answer; the repeat under the same idempotency key was refused for want of rate, of a key, of room or because the instance stopped, before anyone had looked up whether the first had run. The same under a key so old that its claim may have been removed.

Cause: `not-run` and `not-started` were told apart by claims only; every refusal ahead of the claim, and those of `deduplicated` routes, said `not-run`, which the README keeps for requests of which no sending ran.

Change: a refusal of a request with an idempotency key says `not-started` unless its claim says that nothing ran. A malformed key, another request under a used key and a malformed head remain `not-run`.

--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -155,20 +155,20 @@
         request_head: RequestHead,
     ) -> Result<Response, Refusal> {
         let (verdict, verdicts) = async_channel::bounded(rings::VERDICTS_CAPACITY);
-        let overloaded = Refusal::not_run(Reason::Overloaded).retry_after(Duration::from_secs(1));
         self.stage = Stage::Open;
         ctx.open_requests.fetch_add(1, Ordering::AcqRel);
         let input = Input::Request(request_head, verdict);
         if ctx.outputs.decisions.try_send(input).is_err() {
             ctx.open_requests.fetch_sub(1, Ordering::AcqRel);
             self.stage = Stage::Finished;
-            return Err(overloaded);
+            let overloaded = self.refuse(Reason::Overloaded);
+            return Err(overloaded.retry_after(Duration::from_secs(1)));
         }
         let mut sent = false;
         loop {
             let verdict = verdicts.recv().await;
             // The decision duty ends last, so the ring closes only if it stopped or failed.
-            let verdict = verdict.map_err(|_closed| stopping_refusal(sent))?;
+            let verdict = verdict.map_err(|_closed| self.stopping_refusal(sent))?;
             match verdict {
                 Verdict::Refuse(refusal) => return Err(refusal),
                 Verdict::Replay(answer) => return Ok(replay::restore(&answer)),
@@ -269,10 +269,10 @@
         let key = match &self.credential {
             Credential::Absent => None,
             Credential::Key(key) if credential::path_contains(&self.head, key.expose()) => {
-                return Err(Refusal::not_run(Reason::KeyRefused));
+                return Err(self.refuse(Reason::KeyRefused));
             }
             Credential::Key(key) => Some(key.clone()),
-            Credential::Ambiguous => return Err(Refusal::not_run(Reason::KeyRefused)),
+            Credential::Ambiguous => return Err(self.refuse(Reason::KeyRefused)),
         };
         let url = self.head.url();
         Ok(RequestHead {
@@ -294,6 +294,19 @@
         })
     }
 
+    // A refusal of a request of which nothing was sent.
+    fn refuse(&self, reason: Reason) -> Refusal {
+        Refusal::not_run(reason).under_key(self.idempotency_key().as_deref())
+    }
+
+    fn stopping_refusal(&self, sent: bool) -> Refusal {
+        if sent {
+            Refusal::may_have_run(Reason::Stopping)
+        } else {
+            self.refuse(Reason::Stopping)
+        }
+    }
+
     fn idempotency_key(&self) -> Option<Arc<str>> {
         let idempotency_key = self.head.header(response::IDEMPOTENCY_KEY)?.as_str();
         let fits = (1..=MAX_IDEMPOTENCY_KEY_BYTES).contains(&idempotency_key.len());
@@ -348,14 +361,6 @@
     drop(ctx.outputs.decisions.send(Input::Event(event)).await);
 }
 
-fn stopping_refusal(sent: bool) -> Refusal {
-    if sent {
-        Refusal::may_have_run(Reason::Stopping)
-    } else {
-        Refusal::not_run(Reason::Stopping)
-    }
-}
-
 fn request_id(head: &Request, id: RequestId, prefix: &str) -> Arc<str> {
     let supplied = head
         .header(response::REQUEST_ID)
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -114,6 +114,7 @@
     refusal: Refusal,
     out: &mut Vec<Action>,
 ) {
+    let refusal = refusal.under_key(query.idempotency_key.as_deref());
     let account = contract.map(|c| c.account.clone());
     let route = route.map(|r| r.name.clone());
     out.push(Action::Log(Record::Refused {
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -151,12 +151,12 @@
                 Reason::ServerBroke
             }
         };
-        let retry = None;
-        open.refusal = Some(Refusal {
+        let refusal = Refusal {
             reason,
             ran,
-            retry_delay: retry,
-        });
+            retry_delay: None,
+        };
+        open.refusal = Some(refusal.under_key(open.query.idempotency_key.as_deref()));
         false
     }
 
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -56,7 +56,7 @@
         let token = open.query.idempotency_key.as_deref().unwrap_or_default();
         let key = RequestKey::try_from(token).map_err(|_malformed| unusable)?;
         key.check_age(self.unix_seconds(now))
-            .map_err(|_age| unusable)?;
+            .map_err(|_age| unusable.under_key(Some(token)))?;
         let left = open.deadline.since(now);
         let account = open.contract.account.clone();
         open.claim = Some(key.claim_name(&account).into());
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -65,7 +65,7 @@
         if self.attempts.may_have_run() {
             Refusal::may_have_run(reason)
         } else {
-            Refusal::not_run(reason)
+            Refusal::not_run(reason).under_key(self.query.idempotency_key.as_deref())
         }
     }
 }
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -53,7 +53,8 @@
 /// Whether a refused request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ran {
-    /// No backend server accepted any byte of the request.
+    /// No backend server accepted any byte of the request, nor of an earlier sending of it
+    /// under the same idempotency key.
     NotRun,
     /// This request was not run, but an earlier one with the same idempotency key may
     /// have been.
@@ -92,6 +93,16 @@
         }
     }
 
+    /// Says of a request that was not run what is known of all sendings under its
+    /// idempotency key, if it has one: an earlier one may have run.
+    #[must_use]
+    pub fn under_key(mut self, idempotency_key: Option<&str>) -> Self {
+        if idempotency_key.is_some() && self.ran == Ran::NotRun {
+            self.ran = Ran::NotStarted;
+        }
+        self
+    }
+
     /// Sets the delay after which the caller may retry.
     #[must_use]
     pub fn retry_after(mut self, span: Duration) -> Self {
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -1,8 +1,9 @@
 //! Random faults at any moment and in any order.
 //!
 //! No refusal says that a request has not run if an attempt of it may have run or may
-//! run later, and a request that may run only once is not sent again after it may have
-//! run, whichever of its sendings that was.
+//! run later; `not-run` speaks for every sending under its idempotency key. A request that
+//! may run only once is not sent again after it may have run, whichever of its sendings that
+//! was.
 
 mod rig;
 
@@ -254,37 +255,40 @@
         let (stage, may_have_run) = (seen.stage, seen.may_have_run);
         let in_flight = stage == Stage::InFlight;
         let is_once = seen.token.is_some();
-        let checks = match one {
+        match one {
             Observed::Sent => {
                 seen.stage = Stage::InFlight;
-                [
+                first_violation(&[
                     (stage == Stage::Ended, "sent after its end"),
                     (in_flight, "sent to two servers at once"),
                     (is_once && same_may_run, "sent again though it may have run"),
-                ]
+                ])
             }
             Observed::Refused(_, ran) => {
                 seen.stage = Stage::Ended;
                 let denies = matches!(*ran, "not-run" | "not-started");
-                [
+                first_violation(&[
                     (stage == Stage::Ended, "ended twice"),
                     (in_flight, "refused during an attempt"),
                     (
                         denies && may_have_run,
                         "refused as not run though it may have run",
                     ),
-                ]
+                    (
+                        *ran == "not-run" && same_may_run,
+                        "refused as not run though a sending under its key may have run",
+                    ),
+                ])
             }
             Observed::Replayed => {
                 seen.stage = Stage::Ended;
-                [
+                first_violation(&[
                     (stage == Stage::Ended, "ended twice"),
                     (in_flight, "replayed during an attempt"),
                     (!same_may_run, "replayed though it never ran"),
-                ]
+                ])
             }
-        };
-        checks.iter().find(|row| row.0).map(|row| row.1)
+        }
     }
 
     // Whether a sending under the idempotency key of this one may have run, or is on its way.
@@ -302,6 +306,10 @@
     }
 }
 
+fn first_violation(checks: &[(bool, &'static str)]) -> Option<&'static str> {
+    checks.iter().find(|row| row.0).map(|row| row.1)
+}
+
 #[test]
 fn no_request_is_refused_as_not_run_if_it_may_run_under_random_faults() {
     fn holds(seed: u64, limited: bool) -> bool {
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 
 use crate::rig::token;
+use crate::rig::token_made_at;
 use crate::rig::Observed;
 use crate::rig::Platform;
 use crate::rig::Rig;
@@ -225,6 +226,31 @@
     assert_eq!(rig.observed(id), [Observed::Sent, refused]);
 }
 
+// Guards against a wrong "not run": a repeat was refused before its claim was looked up, and
+// an earlier sending under the same idempotency key had run.
+#[test]
+fn a_repeat_refused_before_its_claim_is_known_is_not_reported_as_not_run() {
+    let mut rig = Rig::start(1.0, 8, 2);
+    let first = rig.send("POST", "/move/1", Some(&token()));
+    rig.end(first, AttemptOutcome::Broken);
+    let again = rig.send("POST", "/move/1", Some(&token()));
+    rig.run(Duration::from_millis(600));
+    let refused = Observed::Refused("rate-exceeded", "not-started");
+    assert_eq!(rig.observed(again), [refused]);
+}
+
+// Guards against a wrong "not run" under a key so old that its claim may have been removed.
+#[test]
+fn a_request_under_an_old_key_is_not_reported_as_not_run() {
+    let mut rig = Rig::start(100.0, 8, 2);
+    let old = rig.send("POST", "/move/1", Some(&token_made_at(0, 1)));
+    let refused = Observed::Refused("token-unusable", "not-started");
+    assert_eq!(rig.observed(old), [refused]);
+    let malformed = rig.send("POST", "/move/1", Some("move-1"));
+    let refused = Observed::Refused("token-unusable", "not-run");
+    assert_eq!(rig.observed(malformed), [refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
