daemon: a response without a date is delivered whole

What callers saw, on the daemon's own path: for a response whose backend server sent no `Date`, a head that ended within it. `Content-Length` bytes of our own headers were taken for the body, and the rest, the true body at its end, stood on the connection ahead of the next response.

Cause: the library that decodes responses adds a `date` whose value is a whole header line with its line break; it was written out as it was. The stand-ins send a date, so no test had met it. The path on the platform decodes responses itself.

Evidence: `a_response_without_a_date_is_delivered_whole` (daemon/tests/http.rs) failed before: `x-request-i` in place of `/capsules/1`.

Result: daemon/tests/http.rs passes whole.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -256,7 +256,13 @@
             })
         }
     };
-    decoded.map_err(|_malformed| AttemptOutcome::Broken)
+    let mut response = decoded.map_err(|_malformed| AttemptOutcome::Broken)?;
+    // The library adds a date with a line break to a response without one.
+    let has_line_break = |values: &HeaderValues| values.as_str().contains('\n');
+    if response.header("date").is_some_and(has_line_break) {
+        response.remove_header("date");
+    }
+    Ok(response)
 }
 
 // Reads a small body before the response is passed on. This takes one message
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -177,3 +177,29 @@
         writing.join().unwrap();
     }
 }
+
+// Guards against a header that ends the head of a response early: the library that decodes
+// responses adds a date with a line break to those without one.
+#[test]
+fn a_response_without_a_date_is_delivered_whole() {
+    let mut fleet = Fleet::start(1, 1);
+    let server = Scripted::start(|heard| {
+        let body = match heard.target.as_str() {
+            "/health" => "{\"status\":\"ok\"}",
+            "/load" => "{\"running\":0}",
+            target => target,
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        vec![Step::Write([head.as_bytes(), body.as_bytes()].concat())]
+    });
+    fleet.add_backend("finder-9", server.addr);
+    fleet.servers.clear();
+    let mut client = Client::connect(fleet.entries[0].callers).unwrap();
+    let reply = until("a response of the scripted server", WAIT_TIMEOUT, || {
+        let reply = client.call(&Request::get("/capsules/1").host(HOST)).ok()?;
+        (reply.status == 200).then_some(reply)
+    });
+    assert_eq!(reply.unwrap().text(), "/capsules/1");
+    let reply = client.call(&Request::get("/capsules/22").host(HOST));
+    assert_eq!(reply.unwrap().text(), "/capsules/22");
+}
