--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -151,12 +151,12 @@
                 Reason::ServerBroke
             }
         };
-        let retry = None;
-        open.refusal = Some(Refusal {
+        let refusal = Refusal {
             reason,
             ran,
-            retry_delay: retry,
-        });
+            retry_delay: None,
+        };
+        open.refusal = Some(refusal.under_key(open.query.idempotency_key.as_deref()));
         false
     }
 
@@ -192,6 +192,11 @@
             Effect::SettleClaim => {
                 let answer = open.claim_outcome.take();
                 self.settle_claim(now, open, answer);
+                // The claim has replied at the end of the request's time, and does so once.
+                if open.claim_replied && open.state == State::Claiming {
+                    let refusal = Refusal::may_have_run(Reason::Repeated);
+                    return refusal_signal(Err(refusal), open);
+                }
             }
             Effect::Replay => replay(open, out),
         }
@@ -220,7 +225,7 @@
             }
             Err(Blocked::Server(NoServer::Overloaded)) => Some(Signal::NoSlot),
             // A claimed request waits for a server while it may still be sent.
-            Err(Blocked::Server(_)) if open.claim.is_some() && now < open.start_by => {
+            Err(Blocked::Server(_)) if open.claim.is_some() && now <= open.start_by => {
                 Some(Signal::NoSlot)
             }
             Err(Blocked::Server(cause)) => refusal_signal(Err(refusal_for(cause, open)), open),
@@ -313,10 +318,8 @@
         let Some(server) = self.fleet.server(decision.server) else {
             return;
         };
-        let found = self.backends.binary_search_by(|b| b.id.cmp(server.id()));
-        let Some(backend) = found.ok().map(|at| self.backends[at].clone()) else {
-            return;
-        };
+        // The latest list may lack a server that is still in use.
+        let backend = server.backend().clone();
         out.push(Action::Log(Record::Routed {
             request_id: Arc::clone(&open.query.request_id),
             account: open.contract.account.clone(),
@@ -330,6 +333,8 @@
             self.retries.record_attempt(now);
         }
         open.sent = true;
+        // The outcome of an earlier attempt says nothing about this one.
+        open.outcome = None;
         open.ticket = Some(self.fleet.begin(decision.server));
         open.attempts.record_attempt(decision.server);
         out.push(Action::Forward {
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -56,7 +56,7 @@
         let token = open.query.idempotency_key.as_deref().unwrap_or_default();
         let key = RequestKey::try_from(token).map_err(|_malformed| unusable)?;
         key.check_age(self.unix_seconds(now))
-            .map_err(|_age| unusable)?;
+            .map_err(|_age| unusable.under_key(Some(token)))?;
         let left = open.deadline.since(now);
         let account = open.contract.account.clone();
         open.claim = Some(key.claim_name(&account).into());
@@ -235,8 +235,10 @@
         let Some(mut open) = self.requests.take(id) else {
             return;
         };
-        // The request has been forwarded, so its caller gets that attempt's response.
+        // The request has been forwarded, so its caller gets that attempt's response, if
+        // there is one.
         if open.state != State::Claiming {
+            open.claim_replied = true;
             self.requests.insert(open);
             return;
         }
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 
 use crate::rig::token;
+use crate::rig::token_made_at;
 use crate::rig::Observed;
 use crate::rig::Platform;
 use crate::rig::Rig;
@@ -171,6 +172,85 @@
     assert_eq!(rig.observed(id), [Observed::Sent, refused]);
 }
 
+// Guards against a claim that is released although its request runs: an earlier attempt had
+// been rejected, and the caller left during the next one.
+#[test]
+fn a_claim_is_not_released_while_a_later_attempt_may_run() {
+    let mut rig = Rig::start(100.0, 8, 2);
+    let token = token();
+    let first = rig.send("POST", "/move/1", Some(&token));
+    rig.end(first, AttemptOutcome::Shed);
+    assert_eq!(rig.observed(first), [Observed::Sent, Observed::Sent]);
+    inject(&mut rig, first, Fault::CallerLeft);
+    let again = rig.send("POST", "/move/1", Some(&token));
+    rig.run(Duration::from_secs(5));
+    let refused = Observed::Refused("repeated", "may-have-run");
+    assert_eq!(rig.observed(again), [refused]);
+}
+
+// Guards against a request without an end: it was forwarded to a server that the latest list
+// lacks, which the node still uses until more lists lack it.
+#[test]
+fn a_request_to_a_server_that_the_latest_list_lacks_is_sent() {
+    let mut rig = Rig::start(100.0, 8, 1);
+    rig.list(8, 0);
+    let id = rig.send("GET", "/find/1", None);
+    assert_eq!(rig.observed(id), [Observed::Sent]);
+}
+
+// Guards against a step without an end at the very moment after which a claimed request is
+// not sent: the claim passed it on, and the request gave it back.
+#[test]
+fn a_claimed_request_without_a_server_is_refused_when_its_time_is_over() {
+    let mut rig = Rig::start(100.0, 8, 1);
+    for _ in 0..10 {
+        rig.list(8, 0);
+        rig.run(Duration::from_secs(1));
+    }
+    let id = rig.send("POST", "/move/1", Some(&token()));
+    rig.run(Duration::from_secs(5));
+    let refused = Observed::Refused("no-server", "not-run");
+    assert_eq!(rig.observed(id), [refused]);
+}
+
+// Guards against a caller without an answer: its claim said that the request may have run
+// while the attempt was still in flight, and nothing more after its end.
+#[test]
+fn a_claimed_attempt_that_ends_after_its_deadline_is_refused_as_may_have_run() {
+    let mut rig = Rig::start(100.0, 8, 2);
+    let id = rig.send("POST", "/move/1", Some(&token()));
+    rig.run(Duration::from_secs(5));
+    assert_eq!(rig.observed(id), [Observed::Sent]);
+    rig.end(id, AttemptOutcome::TimedOut);
+    let refused = Observed::Refused("repeated", "may-have-run");
+    assert_eq!(rig.observed(id), [Observed::Sent, refused]);
+}
+
+// Guards against a wrong "not run": a repeat was refused before its claim was looked up, and
+// an earlier sending under the same idempotency key had run.
+#[test]
+fn a_repeat_refused_before_its_claim_is_known_is_not_reported_as_not_run() {
+    let mut rig = Rig::start(1.0, 8, 2);
+    let first = rig.send("POST", "/move/1", Some(&token()));
+    rig.end(first, AttemptOutcome::Broken);
+    let again = rig.send("POST", "/move/1", Some(&token()));
+    rig.run(Duration::from_millis(600));
+    let refused = Observed::Refused("rate-exceeded", "not-started");
+    assert_eq!(rig.observed(again), [refused]);
+}
+
+// Guards against a wrong "not run" under a key so old that its claim may have been removed.
+#[test]
+fn a_request_under_an_old_key_is_not_reported_as_not_run() {
+    let mut rig = Rig::start(100.0, 8, 2);
+    let old = rig.send("POST", "/move/1", Some(&token_made_at(0, 1)));
+    let refused = Observed::Refused("token-unusable", "not-started");
+    assert_eq!(rig.observed(old), [refused]);
+    let malformed = rig.send("POST", "/move/1", Some("move-1"));
+    let refused = Observed::Refused("token-unusable", "not-run");
+    assert_eq!(rig.observed(malformed), [refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
