node: a request whose connection broke is sent again after the check of its server

Cause, from the lines of a play that left 2 of 6 servers: instance 0 sent the request to a second server in the same millisecond in which the connection to the first broke, and answered its caller 3 ms later. That both servers were lost it knew 4 and 7 ms after that answer. The caller sent the request again at instance 1, which had heard of neither crash and sent it to two more servers. So the crash of a server was known neither before the next sending nor before the answer, and reports came late by as much as the check and the message took. Change: a state `checking` in the chart. A request whose connection broke waits until its server was checked, for 500 ms or half of its time at most. If the server answers, it is sent again at once. If it is lost, the crash is reported, and the request goes on 100 ms later: to a second server, or, if it is quarantined by then, back to its caller as before with `server-broke`, `may-have-run`. A poll that began before the crash and got a part of its answers ends no check. Claimed requests were not sent again after a broken connection before, and are as they were. The retry after a real crash is later by the check and 100 ms; not measured under a load of other requests.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -55,6 +55,7 @@
             sent: false,
             picked_version: None,
             broken_count: 0,
+            checked_server: None,
             claim_outcome: None,
             outcome: None,
             refusal: None,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -126,6 +126,7 @@
         match guard {
             Guard::NeedsClaim => open.route.replay == Replay::Once,
             Guard::HasClaim => open.claim.is_some(),
+            Guard::Broke => open.outcome == Some(AttemptOutcome::Broken),
             Guard::MayRetry => self.may_retry(now, open),
         }
     }
@@ -136,10 +137,18 @@
         };
         let budget = &mut self.retries;
         let deadline = open.deadline;
-        let in_budget =
-            || now < deadline && open.broken_count < MAX_BROKEN_RETRIES && budget.try_take(now);
+        let quarantined = self.quarantine.is_refused(open.query.digest, now);
+        let in_budget = || {
+            now < deadline
+                && !quarantined
+                && open.broken_count < MAX_BROKEN_RETRIES
+                && budget.try_take(now)
+        };
         let ran = match open.attempts.record_failure(failure, in_budget) {
-            Retry::Again => return true,
+            Retry::Again => {
+                open.broken_count += u32::from(open.outcome == Some(AttemptOutcome::Broken));
+                return true;
+            }
             Retry::NotRun(_) => Ran::NotRun,
             Retry::MayHaveRun(_) => Ran::MayHaveRun,
         };
@@ -175,6 +184,7 @@
                 return refusal_signal(claimed, open);
             }
             Effect::Forward => return self.forward(now, open, out),
+            Effect::AwaitCheck => return self.await_check(now, open),
             Effect::WaitForSlot => {
                 open.queued_since.get_or_insert(now);
                 self.wait_for_slot(now, open);
@@ -344,7 +354,6 @@
 
     fn record_attempt(&mut self, now: Time, open: &mut OpenRequest, out: &mut Vec<Action>) {
         if open.outcome == Some(AttemptOutcome::Broken) {
-            open.broken_count += 1;
             self.track_broken_attempt(now, open, out);
         }
         let (Some(ticket), Some(outcome)) = (open.ticket.take(), open.outcome) else {
--- a/crates/node/src/chart.rs
+++ b/crates/node/src/chart.rs
@@ -17,6 +17,7 @@
     Waiting,
     Claiming,
     Forwarded,
+    Checking,
     Queued,
     Answering,
     Done,
@@ -46,6 +47,9 @@
     Answered,
     /// The attempt ended without a response.
     Failed,
+    /// The check of the backend server whose connection broke has ended, or the time for
+    /// it is over.
+    Checked,
     /// The response was delivered, or the caller disconnected.
     Ended,
 }
@@ -58,6 +62,8 @@
     NeedsClaim,
     /// A claim of the request has begun.
     HasClaim,
+    /// The connection to the backend server broke after bytes were sent.
+    Broke,
     /// Another attempt is safe, and an attempt, retry budget and time are left for it.
     MayRetry,
 }
@@ -74,6 +80,8 @@
     AbandonClaim,
     /// Selects a backend server and sends the request to it.
     Forward,
+    /// Waits until the backend server whose connection broke was checked.
+    AwaitCheck,
     /// Queues the request for a slot of its service.
     WaitForSlot,
     /// Sends the refusal to the caller.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,7 @@
 mod admission;
 mod attempt;
 mod chart;
+mod checks;
 mod claims;
 mod configuration;
 mod contracts;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -38,6 +38,7 @@
 
 use crate::chart::RequestChart;
 use crate::chart::REQUEST_CHART;
+use crate::checks::PendingCheck;
 use crate::configuration;
 use crate::contracts::Contracts;
 use crate::current_versions::CurrentVersions;
@@ -101,6 +102,7 @@
     pub(crate) drains: Drains,
     pub(crate) quarantine: Quarantine,
     pub(crate) broken_attempts: Vec<BrokenAttempt>,
+    pub(crate) pending_checks: Vec<PendingCheck>,
     pub(crate) shifts: Shifts,
     pub(crate) retries: RetryBudget,
     pub(crate) fleet: Fleet,
@@ -169,6 +171,7 @@
             drains: Drains::new(me.id.clone()).context(RolloutSnafu)?,
             quarantine: Quarantine::new(),
             broken_attempts: Vec::new(),
+            pending_checks: Vec::new(),
             shifts: Shifts::default(),
             retries: RetryBudget::new(RETRY_RATIO, RETRY_ALLOWANCE, RETRY_WINDOW),
             fleet: Fleet::new().context(FleetSnafu)?,
@@ -325,6 +328,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.step_quota(now, LimitEvent::Tick, out);
+        self.resume_checked(now, out);
         self.retry_waiting(now, out);
         if now < self.next_tick {
             return;
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -5,6 +5,7 @@
 use corianderway_control::ClaimOutcome;
 use corianderway_model::Contract;
 use corianderway_model::Route;
+use corianderway_model::ServerId;
 use corianderway_model::Time;
 use corianderway_model::Version;
 use corianderway_routing::Attempts;
@@ -47,8 +48,10 @@
     pub(crate) sent: bool,
     /// The version selected for the attempt.
     pub(crate) picked_version: Option<Version>,
-    /// The attempts whose connection broke after bytes were sent.
+    /// The retries after attempts whose connection broke after bytes were sent.
     pub(crate) broken_count: u32,
+    /// The backend server that is checked, since the connection to it broke.
+    pub(crate) checked_server: Option<ServerId>,
     /// The outcome to record in the claim, or the recorded one to replay.
     pub(crate) claim_outcome: Option<Arc<ClaimOutcome>>,
     /// How the last attempt ended.
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -62,6 +62,7 @@
         let shared = SharedReport::from(report);
         self.update_fleet(now, &shared);
         self.unsent_reports.push(shared);
+        self.end_checks(now, report, out);
     }
 
     /// Applies the reports of another instance. They carry no reachability, since that
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -44,7 +44,7 @@
     pub(crate) fn track_broken_attempt(
         &mut self,
         now: Time,
-        open: &OpenRequest,
+        open: &mut OpenRequest,
         out: &mut Vec<Action>,
     ) {
         let handle = open
@@ -63,6 +63,7 @@
             signature: open.query.digest,
             at: now,
         });
+        open.checked_server = Some(id.clone());
         out.push(Action::Probe { server: id, addr });
     }
 
--- a/crates/node/tests/matrix.rs
+++ b/crates/node/tests/matrix.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use corianderway_chart::Definition;
+use corianderway_node::Action;
 use corianderway_node::AttemptOutcome;
 use corianderway_node::Event;
+use corianderway_node::PollResult;
 use corianderway_node::RequestId;
 use corianderway_node::REQUEST_CHART;
 use serde::Deserialize;
 
 use crate::rig::token;
+use crate::rig::Checks;
 use crate::rig::Observed;
 use crate::rig::Platform;
 use crate::rig::Rig;
@@ -82,6 +85,10 @@
     if state == "answering" {
         answer(&mut rig, id);
     }
+    if state == "checking" {
+        rig.checks = Checks::Silent;
+        rig.end(id, AttemptOutcome::Broken);
+    }
     (rig, id)
 }
 
@@ -171,6 +178,52 @@
     assert_eq!(rig.observed(id), [Observed::Sent, refused]);
 }
 
+// Guards against a retry while nobody knows whether the request crashed its server: a poll
+// that began before the crash got the first of its two answers.
+#[test]
+fn a_poll_that_the_crash_cut_off_does_not_end_the_check() {
+    let (mut rig, id) = rig_in_state("checking", false);
+    let Some(Action::Probe { server, .. }) = rig.sent.last().cloned() else {
+        panic!("no check");
+    };
+    let mut report = PollResult {
+        server,
+        reached: true,
+        healthy: Some(true),
+        draining: false,
+        load: None,
+    };
+    rig.step(Event::ServerPolled(report.clone()));
+    assert_eq!(rig.observed(id), [Observed::Sent]);
+    report.load = Some(0);
+    rig.step(Event::ServerPolled(report));
+    assert_eq!(rig.observed(id), [Observed::Sent, Observed::Sent]);
+}
+
+// Guards against a wrong "not run" of a request that is quarantined after its crashes.
+#[test]
+fn a_request_that_crashed_servers_is_not_refused_as_not_run() {
+    let mut rig = Rig::start(100.0, 8, 4);
+    rig.checks = Checks::Silent;
+    let id = rig.send("GET", "/find/1", None);
+    for _ in 0..2 {
+        rig.end(id, AttemptOutcome::Broken);
+        let Some(Action::Probe { server, .. }) = rig.sent.last().cloned() else {
+            panic!("no check");
+        };
+        rig.step(Event::ServerPolled(PollResult {
+            server,
+            reached: false,
+            healthy: None,
+            draining: false,
+            load: None,
+        }));
+        rig.run(Duration::from_secs(1));
+    }
+    let refused = Observed::Refused("server-broke", "may-have-run");
+    assert_eq!(rig.observed(id), [Observed::Sent, Observed::Sent, refused]);
+}
+
 #[test]
 fn every_state_has_a_cell_for_every_fault() {
     let cells: Vec<Cell> = serde_yaml_ng::from_str(include_str!("matrix.yaml")).unwrap();
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test program uses a part")]
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +23,7 @@
 use corianderway_node::AttemptOutcome;
 use corianderway_node::Event;
 use corianderway_node::Node;
+use corianderway_node::PollResult;
 use corianderway_node::ReadOutcome;
 use corianderway_node::RequestHead;
 use corianderway_node::RequestId;
@@ -47,6 +50,22 @@
     Lost,
 }
 
+/// How checks of backend servers end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Checks {
+    /// The server answers immediately.
+    Answered,
+    /// No check ends.
+    Silent,
+}
+
+/// The objects that the platform stores, which several rigs may share.
+#[derive(Debug)]
+pub struct Store {
+    revision: u64,
+    rows: Vec<(String, StoredValue)>,
+}
+
 /// What was done with a request, in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Observed {
@@ -63,10 +82,13 @@
     pub node: Node,
     pub now: Time,
     pub platform: Platform,
+    pub checks: Checks,
     pub key: String,
+    /// What goes to callers, backend servers and other instances, in order.
+    pub sent: Vec<Action>,
     record: KeyRecord,
-    revision: u64,
-    stored: Vec<(String, StoredValue)>,
+    entries: Vec<Entry>,
+    store: Rc<RefCell<Store>>,
     held_calls: Vec<Action>,
     watch: Option<(Time, u64)>,
     observed: Vec<(RequestId, Observed)>,
@@ -81,41 +103,73 @@
 
     /// Like [`Rig::start`], with the given capacity of the region.
     pub fn with_capacity(rate: f64, capacity: f64, slots: u32, servers: usize) -> Self {
+        let mut rig = Self::member(0, 1, rate, capacity, None);
+        rig.list(slots, servers);
+        rig.run(Duration::from_secs(30));
+        assert!(rig.node.is_ready());
+        rig
+    }
+
+    /// Creates one of `members` nodes, which share a store; without one, it gets its own.
+    pub fn member(
+        at: usize,
+        members: usize,
+        rate: f64,
+        capacity: f64,
+        shared: Option<&Rc<RefCell<Store>>>,
+    ) -> Self {
         let account = "finder".try_into().unwrap();
         let (record, text) =
             KeyRecord::generate(account, &[7; NONCE_BYTES], WALL_ORIGIN_MS / 1_000);
         let mut rig = Self {
-            node: Node::new(entry(), Vec::new(), 7).unwrap(),
+            node: Node::new(entry(at), Vec::new(), 7).unwrap(),
             now: Time::ZERO,
             platform: Platform::Up,
+            checks: Checks::Answered,
             key: text.reveal().to_owned(),
+            sent: Vec::new(),
             record,
-            revision: 1,
-            stored: Vec::new(),
+            entries: (0..members).map(entry).collect(),
+            store: shared.map_or_else(empty_store, Rc::clone),
             held_calls: Vec::new(),
             watch: None,
             observed: Vec::new(),
             next: 0,
         };
-        rig.store("contracts/finder", &contract(rate, capacity));
-        let key = format!("keys/{}", rig.record.id);
-        let value = serde_json::to_string(&rig.record).unwrap();
-        rig.store(&key, &value);
-        rig.list(slots, servers);
-        rig.run(Duration::from_secs(30));
-        assert!(rig.node.is_ready());
+        if shared.is_none() {
+            rig.store("contracts/finder", &contract(rate, capacity));
+            let key = format!("keys/{}", rig.record.id);
+            let value = serde_json::to_string(&rig.record).unwrap();
+            rig.store(&key, &value);
+        }
         rig
     }
 
+    /// Returns the store, for another member.
+    pub fn shared_store(&self) -> Rc<RefCell<Store>> {
+        Rc::clone(&self.store)
+    }
+
     /// Replaces the list of backend servers.
     pub fn list(&mut self, slots: u32, servers: usize) {
         let backends = (0..servers).map(|at| backend(at, slots)).collect();
-        let entries = vec![entry()];
+        let entries = self.entries.clone();
         self.step(Event::InstancesListed { entries, backends });
     }
 
-    /// Sends a request and returns its number.
+    /// Sends a request of its own and returns its number.
     pub fn send(&mut self, method: &str, path: &str, token: Option<&str>) -> RequestId {
+        self.send_digest(method, path, token, self.next + 1)
+    }
+
+    /// Sends a request with this digest and returns its number.
+    pub fn send_digest(
+        &mut self,
+        method: &str,
+        path: &str,
+        token: Option<&str>,
+        digest: u64,
+    ) -> RequestId {
         self.next += 1;
         let id = RequestId(self.next);
         let query = RequestHead {
@@ -126,7 +180,7 @@
             path: path.into(),
             key: Some(Secret::new(&self.key)),
             idempotency_key: token.map(Arc::from),
-            digest: self.next,
+            digest,
             request_hash: BodyHash::new([path.as_bytes()]),
             client: "127.0.0.1".parse().unwrap(),
             timeout: None,
@@ -145,12 +199,17 @@
         let end = self.now + span;
         while self.now < end {
             self.now = self.now + TICK_INTERVAL;
-            self.end_watch();
-            let wall = WALL_ORIGIN_MS + self.now.as_nanos() / 1_000_000;
-            self.step(Event::Tick { wall });
+            self.tick();
         }
     }
 
+    /// Passes a tick to the node.
+    pub fn tick(&mut self) {
+        self.end_watch();
+        let wall = WALL_ORIGIN_MS + self.now.as_nanos() / 1_000_000;
+        self.step(Event::Tick { wall });
+    }
+
     /// Returns what was done with a request so far.
     pub fn observed(&self, id: RequestId) -> Vec<Observed> {
         let of = self.observed.iter().filter(|row| row.0 == id);
@@ -175,6 +234,15 @@
     }
 
     fn perform(&mut self, action: Action) {
+        if matches!(
+            action,
+            Action::Forward { .. }
+                | Action::Refuse { .. }
+                | Action::Send { .. }
+                | Action::Probe { .. }
+        ) {
+            self.sent.push(action.clone());
+        }
         match action {
             Action::Forward { id, .. } => self.observed.push((id, Observed::Sent)),
             Action::Refuse { id, refusal } => {
@@ -185,6 +253,15 @@
             Action::ListConfig { call } => self.answer_list(call),
             Action::WatchConfig { call, .. } => self.watch = Some((self.now + WATCH_TIMEOUT, call)),
             Action::Write { .. } | Action::Read { .. } => self.serve(action),
+            Action::Probe { server, .. } if self.checks == Checks::Answered => {
+                self.step(Event::ServerPolled(PollResult {
+                    server,
+                    reached: true,
+                    healthy: Some(true),
+                    draining: false,
+                    load: Some(0),
+                }));
+            }
             Action::Advise { .. }
             | Action::ListClaims
             | Action::Send { .. }
@@ -197,7 +274,7 @@
         let Some((at, call)) = self.watch else { return };
         if self.now >= at {
             self.watch = None;
-            let (revision, objects) = (self.revision, Vec::new());
+            let (revision, objects) = (self.revision(), Vec::new());
             self.step(Event::ConfigWatched {
                 call,
                 revision,
@@ -242,35 +319,43 @@
         let held = self.find(&name);
         let outcome = if held.as_ref().map(|h| h.version) == write.expect {
             self.store(&name, &write.value.unwrap_or_default());
-            WriteOutcome::Written(self.revision)
+            WriteOutcome::Written(self.revision())
         } else {
             WriteOutcome::Conflict(held)
         };
         self.step(Event::WriteEnded { ticket, outcome });
     }
 
+    fn revision(&self) -> u64 {
+        self.store.borrow().revision
+    }
+
     fn find(&self, name: &str) -> Option<StoredValue> {
-        let found = self.stored.iter().find(|row| row.0 == name);
+        let store = self.store.borrow();
+        let found = store.rows.iter().find(|row| row.0 == name);
         found.map(|row| row.1.clone())
     }
 
     fn store(&mut self, name: &str, value: &str) {
-        self.revision += 1;
-        self.stored.retain(|row| row.0 != name);
+        let mut store = self.store.borrow_mut();
+        store.revision += 1;
+        store.rows.retain(|row| row.0 != name);
         let held = StoredValue {
-            version: self.revision,
+            version: store.revision,
             value: value.into(),
         };
-        self.stored.push((name.to_owned(), held));
+        store.rows.push((name.to_owned(), held));
     }
 
     fn answer_list(&mut self, call: u64) {
-        let objects = self.stored.iter().filter_map(|(name, held)| {
+        let store = self.store.borrow();
+        let objects = store.rows.iter().filter_map(|(name, held)| {
             let (kind, name) = name.split_once('/')?;
             let id = Id::new(Kind::from_collection(kind)?, name);
             Some(Object::new(id, held.version, Arc::clone(&held.value)))
         });
-        let (revision, objects) = (self.revision, objects.collect());
+        let (revision, objects) = (store.revision, objects.collect());
+        drop(store);
         self.step(Event::ConfigListed {
             call,
             revision,
@@ -279,17 +364,24 @@
     }
 }
 
+fn empty_store() -> Rc<RefCell<Store>> {
+    Rc::new(RefCell::new(Store {
+        revision: 1,
+        rows: Vec::new(),
+    }))
+}
+
 /// An idempotency key: a UUID of version 7 created at the origin of the clock.
 pub fn token() -> String {
     let (high, low) = (WALL_ORIGIN_MS >> 16, WALL_ORIGIN_MS & 0xffff);
     format!("{high:08x}-{low:04x}-7000-8000-000000000001")
 }
 
-fn entry() -> Entry {
+fn entry(at: usize) -> Entry {
     Entry {
-        id: "entry-1".try_into().unwrap(),
-        callers: "127.0.0.1:8001".parse().unwrap(),
-        peers: "127.0.0.1:9001".parse().unwrap(),
+        id: format!("entry-{}", at + 1).try_into().unwrap(),
+        callers: format!("127.0.0.1:{}", 8_001 + at).parse().unwrap(),
+        peers: format!("127.0.0.1:{}", 9_001 + at).parse().unwrap(),
         region: "north".try_into().unwrap(),
         domain: "north-a".try_into().unwrap(),
         presence: Presence::Live,
