edge: logs tell when a kind of object was last learnt of, and from whom

Change: event=learnt (a line a second and kind at most) and event=store-check (only with news or a missed answer). silent_sources prints all logs when a withdrawal takes half of its bound. No decision depends on either.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -13,6 +13,7 @@
 mod frame;
 mod heartbeat;
 mod http_ports;
+mod learnt;
 mod limits;
 mod metrics;
 mod notifier;
--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -8,11 +8,14 @@
 //! missed answers the store is lost.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use async_std::task;
 use corianderway_platform::store;
 use corianderway_platform::store::Call;
 use corianderway_platform::store::Kind;
+use corianderway_wire::log_line::LogLine;
+use log::Level;
 
 use crate::edge::notifier::Notifier;
 use crate::edge::store::log_event;
@@ -57,7 +60,9 @@
         // A suspect kind is checked again: its watch may be about to bring the changes.
         let next = suspect.map(|row| row.0).or_else(|| kinds.next());
         let kind = next.unwrap_or(Kind::Configuration);
+        let begun = Instant::now();
         let answer = check(ctx, kind).await;
+        log_check(ctx, kind, answer, begun.elapsed());
         if answer == Answer::Missed {
             missed += 1;
             continue;
@@ -95,3 +100,14 @@
         Some(_) | None => Answer::NoNews,
     }
 }
+
+// Logs a check that was missed or told news. Of the others it is enough that they were in turn.
+fn log_check(ctx: &Context, kind: Kind, answer: Answer, took: Duration) {
+    if answer != Answer::NoNews {
+        let line = LogLine::new("store-check")
+            .with("kind", kind.as_str())
+            .with("answer", format!("{answer:?}"))
+            .with("took_ms", took.as_millis());
+        ctx.log.put(Level::Info, line);
+    }
+}
--- a/crates/daemon/src/edge/replica_client.rs
+++ b/crates/daemon/src/edge/replica_client.rs
@@ -19,6 +19,7 @@
 
 use crate::edge::frame::Frame;
 use crate::edge::frame::KnownRevisions;
+use crate::edge::learnt::Origin;
 use crate::edge::publish::publish;
 use crate::edge::replica_server;
 use crate::edge::replica_server::ReadError;
@@ -98,15 +99,16 @@
             }
             Ok(Frame::Pulse) => {
                 *followed = true;
+                ctx.learnt.borrow_mut().confirm();
                 ctx.set_reach(Reach::Replica).await;
                 Ok(())
             }
-            Ok(Frame::Whole { kind, list }) => apply(ctx, kind, &list, None).await,
+            Ok(Frame::Whole { kind, list }) => apply(ctx, from, kind, &list, None).await,
             Ok(Frame::Part {
                 kind,
                 list,
                 removed,
-            }) => apply(ctx, kind, &list, Some(removed)).await,
+            }) => apply(ctx, from, kind, &list, Some(removed)).await,
             Err(ReadError::Broken) => return ReplicaLoss::Broken,
             Err(ReadError::TimedOut) => {
                 return ReplicaLoss::Unusable(format!("{from}: silent"));
@@ -131,20 +133,22 @@
 // Applies a whole list, or the changed objects and the names of removed ones.
 async fn apply(
     ctx: &Rc<Context>,
+    from: SocketAddr,
     index: u8,
     list: &str,
     removed: Option<Vec<String>>,
 ) -> Result<(), String> {
     let kind = Frame::kind(index).ok_or_else(|| format!("kind {index} is not known"))?;
     let page = store::parse_page(list.as_bytes()).map_err(|error| error.to_string())?;
+    let origin = Origin::Replica(from);
     let changes = match removed {
-        None => ctx.replace(kind, page.objects, page.revision),
+        None => ctx.replace(kind, origin, page.objects, page.revision),
         Some(removed) => {
             let removals = removed
                 .iter()
                 .map(|name| Change::Removed(name.as_str().into()));
             let puts = page.objects.into_iter().map(Change::Put);
-            ctx.apply(kind, removals.chain(puts).collect(), page.revision)
+            ctx.apply(kind, origin, removals.chain(puts).collect(), page.revision)
         }
     };
     publish(ctx, kind, &changes).await;
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -36,6 +36,8 @@
 use crate::client::Reply;
 use crate::edge::copy::StoreCopy;
 use crate::edge::heartbeat;
+use crate::edge::learnt::Learnt;
+use crate::edge::learnt::Origin;
 use crate::edge::notifier::Notifier;
 use crate::edge::replica_client;
 use crate::edge::replica_server;
@@ -74,6 +76,8 @@
     pub(super) regions: SortedMap<FailureDomain, Region>,
     /// The copy of the store.
     pub copy: RefCell<StoreCopy>,
+    /// When each kind was last learnt of.
+    pub(super) learnt: RefCell<Learnt>,
     /// Wakes the streams to instances that follow the copy.
     pub notifier: Notifier,
     /// Wakes the task that follows a kind, in the order of [`KINDS`], when its call may
@@ -106,21 +110,40 @@
     }
 
     /// Applies a whole list of a kind; returns what changed.
-    pub fn replace(&self, kind: Kind, objects: Vec<Object>, revision: u64) -> Vec<Change> {
+    pub fn replace(
+        &self,
+        kind: Kind,
+        origin: Origin,
+        objects: Vec<Object>,
+        revision: u64,
+    ) -> Vec<Change> {
         let mut copy = self.copy.borrow_mut();
         let changes = copy.of_mut(kind).replace(objects, revision);
+        self.record(kind, origin, revision, &changes);
         self.notifier.notify();
         changes
     }
 
     /// Applies changes of a kind; returns those that were new.
-    pub fn apply(&self, kind: Kind, received: Vec<Change>, revision: u64) -> Vec<Change> {
+    pub fn apply(
+        &self,
+        kind: Kind,
+        origin: Origin,
+        received: Vec<Change>,
+        revision: u64,
+    ) -> Vec<Change> {
         let mut copy = self.copy.borrow_mut();
         let changes = copy.of_mut(kind).apply(received, revision);
+        self.record(kind, origin, revision, &changes);
         self.notifier.notify();
         changes
     }
 
+    fn record(&self, kind: Kind, origin: Origin, revision: u64, changes: &[Change]) {
+        let mut learnt = self.learnt.borrow_mut();
+        learnt.record(&self.log, kind, origin, revision, changes.len());
+    }
+
     /// Records that a kind was listed; once all are, the copy is up to date with
     /// the store.
     pub async fn mark_listed(&self, kind: Kind) {
@@ -173,6 +196,7 @@
             me: settings.member,
             regions: settings.regions,
             copy: RefCell::default(),
+            learnt: RefCell::default(),
             notifier: Notifier::default(),
             resend: Default::default(),
             reach: Cell::new(Reach::Nothing),
--- a/crates/daemon/src/edge/watch.rs
+++ b/crates/daemon/src/edge/watch.rs
@@ -14,6 +14,7 @@
 use futures_lite::future::FutureExt as _;
 
 use crate::client::Reply;
+use crate::edge::learnt::Origin;
 use crate::edge::publish::publish;
 use crate::edge::store::log_event;
 use crate::edge::store::send_call;
@@ -105,7 +106,7 @@
                     log_event(ctx, "object-unread", kind, error);
                 }
                 let (received, revision) = (changes.changes, changes.revision);
-                let applied = ctx.apply(kind, received, revision);
+                let applied = ctx.apply(kind, Origin::Watch, received, revision);
                 publish(ctx, kind, &applied).await;
             }
             Err(error) => return FetchError::Unanswered(error.to_string()),
@@ -155,7 +156,7 @@
         // changed while later pages were read.
         let first = *revision.get_or_insert(page.revision);
         if page.next.is_none() {
-            let changes = ctx.replace(kind, objects, first);
+            let changes = ctx.replace(kind, Origin::List, objects, first);
             // Published also if empty: the decisions then know that nothing is
             // listed.
             publish(ctx, kind, &changes).await;
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -95,11 +95,15 @@
 
     /// Waits until a condition holds; panics with all logs if it doesn't in time.
     pub fn until<T>(&self, what: &str, condition: impl FnMut() -> Option<T>) -> T {
-        until(what, WAIT_TIMEOUT, condition).unwrap_or_else(|error| {
-            let logs = self.instances.iter().flat_map(|i| i.process.lines());
-            let logs: Vec<String> = logs.collect();
-            panic!("{error}\n{}", logs.join("\n"))
-        })
+        until(what, WAIT_TIMEOUT, condition)
+            .unwrap_or_else(|error| panic!("{error}\n{}", self.logs()))
+    }
+
+    /// Returns the logs of all instances, one after another.
+    pub fn logs(&self) -> String {
+        let logs = self.instances.iter().flat_map(|i| i.process.lines());
+        let logs: Vec<String> = logs.collect();
+        logs.join("\n")
     }
 }
 
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -41,6 +41,10 @@
         assert_eq!(read(instance, "k1").unwrap().status, 200);
     }
     let span = changed.elapsed();
+    // Half of the limit or more is worth a look, also if it is no failure.
+    if span > MAX_CHANGE_DELAY / 2 {
+        println!("withdrawn after {span:?}\n{}", fleet.logs());
+    }
     assert!(span < MAX_CHANGE_DELAY, "{span:?}");
 }
 
