--- a/crates/daemon/src/edge/copy.rs
+++ b/crates/daemon/src/edge/copy.rs
@@ -193,6 +193,17 @@
     }
 }
 
+/// Returns the kind of object that an input is read from.
+pub fn store_kind(input: InputKind) -> Kind {
+    match input {
+        InputKind::Plan => Kind::Configuration,
+        InputKind::Servers => Kind::Servers,
+        InputKind::Orders => Kind::Orders,
+        InputKind::Evacuations => Kind::Evacuations,
+        InputKind::Members => Kind::Members,
+    }
+}
+
 fn input_kind(kind: Kind) -> InputKind {
     match kind {
         Kind::Configuration => InputKind::Plan,
