steer: a check of the store names the other kinds that may be incomplete

Cause: a kind with news was checked again until a second check found the same revision known. A kind that changes more often than its watch is answered kept the others from their turn. Change: the chart edge-check.yaml; each answer tells the store's revision, kinds that are not known up to it are checked at once, each once a round. News have the watch of their kind sent again at once, if one waits.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -39,6 +39,7 @@
 
 use corianderway_platform::settings::Settings;
 use corianderway_steer::Steer;
+use corianderway_steer::StoreCheck;
 use corianderway_wire::log_line::LogLine;
 use log::Level;
 use snafu::ResultExt as _;
@@ -123,6 +124,7 @@
         rand::random(),
     );
     let steer = steer.context(SteerSnafu)?;
+    let checks = StoreCheck::new().context(SteerSnafu)?;
     let outputs = Outputs {
         servers: to_servers,
         store: commands,
@@ -151,7 +153,14 @@
     .context(ThreadSnafu)?;
     let (ring, store_log) = (decisions.clone(), log.clone());
     duty::spawn("store", move || {
-        store::run(settings, replica_listener, command_rx, ring, store_log);
+        store::run(
+            settings,
+            checks,
+            replica_listener,
+            command_rx,
+            ring,
+            store_log,
+        );
     })
     .context(ThreadSnafu)?;
     let (ring, peer_log) = (decisions.clone(), log.clone());
--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -1,9 +1,10 @@
 //! Notices that the store was silent, or that a watch will never be answered.
 //!
 //! A call that arrives while the store is silent is never answered, also after the store is
-//! back. So the store is asked at a short interval, as [`StoreCheck`] decides. If it answers
-//! again after a missed answer, all calls that wait are sent again; if changes of a kind stay
-//! unknown, those of that kind are. After several missed answers the store is lost.
+//! back. So the store is asked at a short interval, as the decision core says. If it answers
+//! again after a missed answer, all calls that wait are sent again; if a check finds changes
+//! that are not known yet, the watch of their kind is. After several missed answers the store
+//! is lost.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -15,7 +16,6 @@
 use corianderway_steer::InputKind;
 use corianderway_steer::Remedy;
 use corianderway_steer::Revisions;
-use corianderway_steer::StoreCheck;
 use corianderway_steer::MAX_MISSED;
 use corianderway_wire::log_line::LogLine;
 use log::Level;
@@ -31,7 +31,7 @@
 
 /// Checks the store; returns the number of missed answers once it is lost.
 pub(super) async fn run(ctx: &Context) -> u32 {
-    let mut checks = StoreCheck::default();
+    let mut checks = ctx.checks.clone();
     loop {
         task::sleep(checks.delay(&known(ctx))).await;
         let input = checks.choose(&known(ctx));
@@ -39,17 +39,18 @@
         let answer = check(ctx, input).await;
         log_check(ctx, input, answer, begun.elapsed());
         let kind = store_kind(input);
-        match checks.answer(&known(ctx), input, answer) {
-            Some(Remedy::Resend(_)) => {
-                log_event(ctx, "watch-deaf", kind, "changes stay unknown");
+        match checks.answer(input, answer) {
+            // Between two watches none waits, and the next one brings the changes.
+            Some(Remedy::Resend(_)) if ctx.resend[kind as usize].has_subscribers() => {
+                log_event(ctx, "watch-deaf", kind, "changes not known yet");
                 ctx.resend[kind as usize].notify();
             }
+            Some(Remedy::Resend(_)) | None => (),
             Some(Remedy::ResendAll) => {
                 log_silence(ctx, "store-answers", MAX_MISSED - 1);
                 ctx.resend.iter().for_each(Notifier::notify);
             }
             Some(Remedy::Lose) => return MAX_MISSED,
-            None => (),
         }
     }
 }
--- a/crates/daemon/src/edge/notifier.rs
+++ b/crates/daemon/src/edge/notifier.rs
@@ -19,6 +19,14 @@
         }
     }
 
+    /// Returns whether there is anyone to wake.
+    pub fn has_subscribers(&self) -> bool {
+        self.0
+            .borrow()
+            .iter()
+            .any(|subscriber| !subscriber.is_closed())
+    }
+
     /// Returns the receiver of a new subscriber, which ends when it is dropped.
     pub fn subscribe(&self) -> Receiver<()> {
         let (sender, receiver) = async_channel::bounded(1);
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -28,6 +28,7 @@
 use corianderway_steer::Member;
 use corianderway_steer::Reach;
 use corianderway_steer::Source;
+use corianderway_steer::StoreCheck;
 use corianderway_wire::log_line::LogLine;
 use futures_lite::future::FutureExt as _;
 use log::Level;
@@ -83,6 +84,8 @@
     /// Wakes the task that follows a kind, in the order of [`KINDS`], when its call may
     /// never be answered.
     pub(super) resend: [Notifier; KINDS.len()],
+    /// The checks of the store, as they begin when it is followed.
+    pub(super) checks: StoreCheck,
     reach: Cell<Reach>,
     // What is followed.
     source: Cell<Source>,
@@ -183,6 +186,7 @@
 /// Runs until the decision duty has ended.
 pub fn run(
     settings: Settings,
+    checks: StoreCheck,
     listener: TcpListener,
     commands: Receiver<StoreCommand>,
     decisions: Sender<Input>,
@@ -199,6 +203,7 @@
             learnt: RefCell::default(),
             notifier: Notifier::default(),
             resend: Default::default(),
+            checks,
             reach: Cell::new(Reach::Nothing),
             source: Cell::new(Source::Nothing),
             cancel: RefCell::default(),
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -143,4 +143,5 @@
 pub use crate::store_check::CheckAnswer;
 pub use crate::store_check::Remedy;
 pub use crate::store_check::StoreCheck;
+pub use crate::store_check::CHECK_CHART;
 pub use crate::store_check::MAX_MISSED;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -76,7 +76,8 @@
 pub struct ChartError(ChartKind);
 
 #[derive(Debug, Snafu)]
-enum ChartKind {
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum ChartKind {
     #[snafu(display("charts/{file}: {source}; correct the chart"))]
     Chart {
         file: &'static str,
--- a/crates/steer/tests/store_checks.rs
+++ b/crates/steer/tests/store_checks.rs
@@ -24,6 +24,10 @@
 /// The maximum one-way delay of a call, in ms.
 const MAX_DELAY: u64 = 30;
 
+/// The maximum price of all checks and of watches that are sent again, as a part of that of the
+/// watches, while each kind changes.
+const MAX_COST: f64 = 0.1;
+
 /// The number of draws.
 const DRAWS: u64 = 1_000;
 
@@ -89,8 +93,9 @@
     checks: StoreCheck,
     rng: SmallRng,
     now: u64,
-    // The number of checks, and of watches that were sent again.
+    // The number of checks, of watches, and of those that were sent again.
     sent: u64,
+    watched: u64,
     resent: u64,
 }
 
@@ -101,10 +106,11 @@
             known: Revisions::default(),
             watches: [Watch::Paused(0); KINDS.len()],
             check: Check::Due(0),
-            checks: StoreCheck::default(),
+            checks: StoreCheck::new().expect("the chart is valid"),
             rng,
             now: 0,
             sent: 0,
+            watched: 0,
             resent: 0,
         }
     }
@@ -133,7 +139,10 @@
                 self.known.raise(kind, revision);
                 Watch::Paused(now + GATHER_DELAY)
             }
-            Watch::Paused(at) if at <= now => Watch::Waiting(now + self.delay()),
+            Watch::Paused(at) if at <= now => {
+                self.watched += 1;
+                Watch::Waiting(now + self.delay())
+            }
             watch => watch,
         };
         self.watches[kind as usize] = watch;
@@ -163,7 +172,7 @@
                     },
                     CheckAnswer::Missed => CheckAnswer::Missed,
                 };
-                match self.checks.answer(&self.known, kind, answer) {
+                match self.checks.answer(kind, answer) {
                     Some(Remedy::Resend(kind)) => self.resend(kind),
                     Some(remedy) => panic!("{remedy:?} although each check was answered"),
                     None => (),
@@ -230,3 +239,49 @@
         "{late} of {DRAWS} beyond {MAX_NOTICE} ms, {broken} beyond {MAX_CHANGE_DELAY:?}, {last:?} ms"
     );
 }
+
+// Guards against a bill that grows: a check costs a tenth of a watch, and a watch that is sent
+// again although it would be answered costs a whole one.
+#[test]
+fn checks_of_healthy_watches_cost_little() {
+    for seed in 0..DRAWS / 20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let seconds = 60;
+        let changes = match seed % 2 {
+            0 => Vec::new(),
+            _ => draw_changes(&mut rng, &KINDS, seconds * 1_000),
+        };
+        let quiet = changes.is_empty();
+        let mut store = Store(changes);
+        store.0.sort_by_key(|row| row.0);
+        let mut reader = Reader::new(store, rng);
+        (0..seconds * 1_000).for_each(|_| reader.turn());
+        let (checks, again) = (reader.sent, reader.resent);
+        if quiet {
+            assert!(checks <= 2 * seconds && again == 0, "{checks} {again}");
+        } else {
+            let part = (checks as f64 / 10.0 + again as f64) / reader.watched as f64;
+            assert!(part < MAX_COST, "{checks} {again} {part}");
+        }
+    }
+}
+
+#[test]
+fn one_missed_answer_sends_calls_again_and_two_lose_the_store() {
+    let known = Revisions::default();
+    for news in [false, true] {
+        let told = CheckAnswer::Told { revision: 7, news };
+        let mut checks = StoreCheck::new().expect("the chart is valid");
+        assert!(checks.delay(&known) > Duration::ZERO);
+        let kind = checks.choose(&known);
+        assert_eq!(checks.answer(kind, CheckAnswer::Missed), None);
+        assert_eq!(checks.delay(&known), Duration::ZERO);
+        let kind = checks.choose(&known);
+        assert_eq!(checks.answer(kind, told), Some(Remedy::ResendAll));
+        let kind = checks.choose(&known);
+        assert_eq!(checks.answer(kind, CheckAnswer::Missed), None);
+        let kind = checks.choose(&known);
+        let lost = checks.answer(kind, CheckAnswer::Missed);
+        assert_eq!(lost, Some(Remedy::Lose));
+    }
+}
