steer: leaving a lagging replica is no outage of the store

Cause: the duty that reads the store reports that nothing is followed any more with the same event as the loss of the store. An instance that left a lagging replica took its own decision for an outage, and kept the removed server for 1.8 s more. The cluster of the tests reports what the duty reports. Change: Event::StoreLost; Event::Reach tells only what is followed. Tests that meant an outage by Event::Reach(Nothing) say so with Event::StoreLost.

--- a/crates/daemon/src/edge/replica_client.rs
+++ b/crates/daemon/src/edge/replica_client.rs
@@ -47,7 +47,7 @@
     /// Returns the event for the decision duty.
     pub(super) fn event(&self) -> Event {
         match self {
-            Self::StoreLost => Event::Reach(Reach::Nothing),
+            Self::StoreLost => Event::StoreLost,
             Self::Broken | Self::Unusable(_) => Event::ReplicaLost,
         }
     }
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -251,7 +251,7 @@
                     let watching = async { Some(watch::follow(&ctx, kind).await) };
                     if let Some(why) = watching.or(until_cancelled(&cancelled)).await {
                         log_event(&ctx, "store-lost", kind, &why);
-                        lose_source(&ctx, Event::Reach(Reach::Nothing)).await;
+                        lose_source(&ctx, Event::StoreLost).await;
                     }
                 });
             }
@@ -260,7 +260,7 @@
                 let checking = async { Some(heartbeat::run(&ctx).await) };
                 if let Some(missed) = checking.or(until_cancelled(&cancelled)).await {
                     log_silence(&ctx, "store-lost", missed);
-                    lose_source(&ctx, Event::Reach(Reach::Nothing)).await;
+                    lose_source(&ctx, Event::StoreLost).await;
                 }
             });
         }
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -156,8 +156,10 @@
     Orders(Vec<Order>),
     /// The complete list of instances in the store.
     Members(Vec<Member>),
-    /// The source that is followed is up to date, or the store no longer answers it.
+    /// The source that is followed is up to date, or none is followed any more.
     Reach(Reach),
+    /// The store no longer answers this instance, or the one whose replica it follows.
+    StoreLost,
     /// The instance whose replica is followed is silent or gone. Nothing is known of the
     /// store.
     ReplicaLost,
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -260,12 +260,17 @@
             }
             Event::Reach(reach) => {
                 self.set_reach(now, reach, out);
-                let (signal, outage) = match reach {
-                    Reach::Nothing => (SourceSignal::Failed, OutageSignal::Lost),
-                    Reach::Replica | Reach::Store => (SourceSignal::Reached, OutageSignal::Reached),
-                };
-                self.outage.advance(now, outage);
-                self.advance_source(now, signal, out);
+                // That nothing is followed is what was decided here; it tells nothing of the
+                // store.
+                if reach != Reach::Nothing {
+                    self.outage.advance(now, OutageSignal::Reached);
+                    self.advance_source(now, SourceSignal::Reached, out);
+                }
+            }
+            Event::StoreLost => {
+                self.set_reach(now, Reach::Nothing, out);
+                self.outage.advance(now, OutageSignal::Lost);
+                self.advance_source(now, SourceSignal::Failed, out);
             }
             Event::ReplicaLost => {
                 self.set_reach(now, Reach::Nothing, out);
--- a/crates/steer/tests/notices.rs
+++ b/crates/steer/tests/notices.rs
@@ -77,7 +77,7 @@
     let removed = ServerChange::Removed(later.backend.id.clone());
     for events in [
         vec![Event::Servers(vec![ServerChange::Put(later.clone())])],
-        vec![Event::Reach(Reach::Nothing), Event::Reach(Reach::Store)],
+        vec![Event::StoreLost, Event::Reach(Reach::Store)],
         vec![Event::ReplicaLost, Event::Reach(Reach::Replica)],
         // Its entry is removed, and an older copy brings it back.
         vec![
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -202,7 +202,7 @@
         .into_iter()
         .map(|listed| ServerChange::Removed(listed.backend.id))
         .collect();
-    rig.step(Event::Reach(Reach::Nothing));
+    rig.step(Event::StoreLost);
     rig.pass(Duration::from_secs(3));
     rig.step(Event::Reach(Reach::Store));
     rig.step(Event::Servers(all));
--- a/crates/steer/tests/rig/cluster.rs
+++ b/crates/steer/tests/rig/cluster.rs
@@ -54,6 +54,8 @@
     pub reports: Vec<(Order, Progress)>,
     /// Requests that were refused, with the instances that refused them.
     pub refused: Vec<(usize, RequestId, Refusal)>,
+    /// Servers that left, each with the instance that says so and the time.
+    pub left: Vec<(usize, String, Time)>,
     /// The number of requests for tokens that were sent.
     pub token_requests: usize,
     // The sender of the latest complete summary of each domain.
@@ -81,6 +83,7 @@
             forwarded: Vec::new(),
             reports: Vec::new(),
             refused: Vec::new(),
+            left: Vec::new(),
             token_requests: 0,
             relays: SortedMap::default(),
             waiting: Vec::new(),
@@ -160,12 +163,28 @@
             }
         };
         if !is_intact {
-            self.sources[number] = Source::Nothing;
             self.waiting[number] = None;
-            self.step(number, Event::Reach(Reach::Nothing));
+            let is_cut = self.is_source_cut(number);
+            self.sources[number] = Source::Nothing;
+            let loss = if is_cut {
+                Event::ReplicaLost
+            } else {
+                Event::StoreLost
+            };
+            self.step(number, loss);
         }
     }
 
+    // Returns whether the replica that an instance follows can't be reached, which tells
+    // nothing of the store.
+    fn is_source_cut(&self, number: usize) -> bool {
+        let Source::Copy(from) = self.sources[number] else {
+            return false;
+        };
+        let serves = |at: &usize| self.members[*at].replica == from;
+        self.cut.contains(&number) || self.cut.iter().any(serves)
+    }
+
     /// Returns whether an instance waits for a replica whose instance does not follow the
     /// store.
     pub fn waits(&self, number: usize) -> bool {
@@ -247,8 +266,19 @@
                         Source::Copy(_) => Some(self.rigs[number].now),
                         Source::Nothing | Source::Store => None,
                     };
-                    if source == Source::Store {
-                        self.step(number, Event::Reach(Reach::Store));
+                    match source {
+                        Source::Store => self.step(number, Event::Reach(Reach::Store)),
+                        // The duty that reads the store reports what it follows.
+                        Source::Nothing => self.step(number, Event::Reach(Reach::Nothing)),
+                        Source::Copy(_) => (),
+                    }
+                }
+                Action::Log(note) if note.event == "server" => {
+                    let value = |key| note.fields.iter().find(|row| row.0 == key);
+                    let is_leaving = value("to").is_some_and(|row| row.1 == "Leaving");
+                    if let Some((_, server)) = value("server").filter(|_| is_leaving) {
+                        let now = self.rigs[number].now;
+                        self.left.push((number, server.clone(), now));
                     }
                 }
                 _ => (),
