--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -28,6 +28,7 @@
 use corianderway_steer::Member;
 use corianderway_steer::Reach;
 use corianderway_steer::Source;
+use corianderway_steer::StoreCheck;
 use corianderway_wire::log_line::LogLine;
 use futures_lite::future::FutureExt as _;
 use log::Level;
@@ -36,6 +37,8 @@
 use crate::client::Reply;
 use crate::edge::copy::StoreCopy;
 use crate::edge::heartbeat;
+use crate::edge::learnt::Learnt;
+use crate::edge::learnt::Origin;
 use crate::edge::notifier::Notifier;
 use crate::edge::replica_client;
 use crate::edge::replica_server;
@@ -74,11 +77,15 @@
     pub(super) regions: SortedMap<FailureDomain, Region>,
     /// The copy of the store.
     pub copy: RefCell<StoreCopy>,
+    /// When each kind was last learnt of.
+    pub(super) learnt: RefCell<Learnt>,
     /// Wakes the streams to instances that follow the copy.
     pub notifier: Notifier,
     /// Wakes the task that follows a kind, in the order of [`KINDS`], when its call may
     /// never be answered.
     pub(super) resend: [Notifier; KINDS.len()],
+    /// The checks of the store, as they begin when it is followed.
+    pub(super) checks: StoreCheck,
     reach: Cell<Reach>,
     // What is followed.
     source: Cell<Source>,
@@ -106,21 +113,40 @@
     }
 
     /// Applies a whole list of a kind; returns what changed.
-    pub fn replace(&self, kind: Kind, objects: Vec<Object>, revision: u64) -> Vec<Change> {
+    pub fn replace(
+        &self,
+        kind: Kind,
+        origin: Origin,
+        objects: Vec<Object>,
+        revision: u64,
+    ) -> Vec<Change> {
         let mut copy = self.copy.borrow_mut();
         let changes = copy.of_mut(kind).replace(objects, revision);
+        self.record(kind, origin, revision, &changes);
         self.notifier.notify();
         changes
     }
 
     /// Applies changes of a kind; returns those that were new.
-    pub fn apply(&self, kind: Kind, received: Vec<Change>, revision: u64) -> Vec<Change> {
+    pub fn apply(
+        &self,
+        kind: Kind,
+        origin: Origin,
+        received: Vec<Change>,
+        revision: u64,
+    ) -> Vec<Change> {
         let mut copy = self.copy.borrow_mut();
         let changes = copy.of_mut(kind).apply(received, revision);
+        self.record(kind, origin, revision, &changes);
         self.notifier.notify();
         changes
     }
 
+    fn record(&self, kind: Kind, origin: Origin, revision: u64, changes: &[Change]) {
+        let mut learnt = self.learnt.borrow_mut();
+        learnt.record(&self.log, kind, origin, revision, changes.len());
+    }
+
     /// Records that a kind was listed; once all are, the copy is up to date with
     /// the store.
     pub async fn mark_listed(&self, kind: Kind) {
@@ -160,6 +186,7 @@
 /// Runs until the decision duty has ended.
 pub fn run(
     settings: Settings,
+    checks: StoreCheck,
     listener: TcpListener,
     commands: Receiver<StoreCommand>,
     decisions: Sender<Input>,
@@ -173,8 +200,10 @@
             me: settings.member,
             regions: settings.regions,
             copy: RefCell::default(),
+            learnt: RefCell::default(),
             notifier: Notifier::default(),
             resend: Default::default(),
+            checks,
             reach: Cell::new(Reach::Nothing),
             source: Cell::new(Source::Nothing),
             cancel: RefCell::default(),
@@ -222,7 +251,7 @@
                     let watching = async { Some(watch::follow(&ctx, kind).await) };
                     if let Some(why) = watching.or(until_cancelled(&cancelled)).await {
                         log_event(&ctx, "store-lost", kind, &why);
-                        lose_source(&ctx, Event::Reach(Reach::Nothing)).await;
+                        lose_source(&ctx, Event::StoreLost).await;
                     }
                 });
             }
@@ -231,7 +260,7 @@
                 let checking = async { Some(heartbeat::run(&ctx).await) };
                 if let Some(missed) = checking.or(until_cancelled(&cancelled)).await {
                     log_silence(&ctx, "store-lost", missed);
-                    lose_source(&ctx, Event::Reach(Reach::Nothing)).await;
+                    lose_source(&ctx, Event::StoreLost).await;
                 }
             });
         }
