edge: status 421 alone is no proof that a write has not run

Callers saw: 503 not-run for a write that a backend server ran and answered with 421, and with a second backend server the write ran twice. Cause: 421 counted as not run whoever had answered. Evidence: a_write_that_ran_and_got_421_is_neither_refused_nor_sent_again failed (503 no-server, not-run). Change: without either, the answer to a request that must not run twice counts as an answer whose status may not be passed on (502, may have run). Idempotent requests go to another server as before.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -247,7 +247,10 @@
         keep,
     });
     let load = answer.head.load;
-    let (outcome, answer, notices) = if answer.head.misdirected {
+    // The status alone proves nothing of a request that must not run twice.
+    let elsewhere = answer.head.misdirected && !job.once;
+    let elsewhere = elsewhere || answer.head.is_elsewhere(&job.server);
+    let (outcome, answer, notices) = if elsewhere {
         // Another server says nothing of the one that was meant.
         (Outcome::Misdirected, None, Vec::new())
     } else if answer.head.not_run {
--- /dev/null
+++ b/crates/daemon/tests/refused_writes_review.rs
@@ -0,0 +1,154 @@
+//! Further ways to a refused write that runs, and what callers can do with the checks that
+//! guard against them.
+
+use std::path::Path;
+use std::time::Duration;
+
+use corianderway_standins::estate::entry;
+use corianderway_standins::estate::node;
+use corianderway_standins::estate::Node;
+use corianderway_standins::estate::ReceivedRequest;
+use corianderway_standins::estate::Scripted;
+use corianderway_standins::estate::Site;
+use corianderway_standins::estate::Step;
+use corianderway_standins::estate::Store;
+use corianderway_standins::harness::call;
+use corianderway_standins::harness::until;
+use corianderway_standins::harness::Reply;
+use corianderway_standins::harness::Request;
+use serde_json::json;
+use serde_json::Value;
+
+/// The timeout for each awaited condition.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The timeout of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The statuses that tell a caller that its request has not run and never will.
+const REFUSING_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// The body of every request.
+const BODY: &str = "transfer 17";
+
+struct Fleet {
+    endpoint: Scripted,
+    instance: Node,
+    _store: Store,
+}
+
+fn configuration() -> Value {
+    let timeout = ROUTE_TIMEOUT.as_millis();
+    json!({
+        "version": 1,
+        "routes": {
+            "columns": ["name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
+                "priority", "max_attempts", "public", "sticky", "service"],
+            "rows": [
+                ["read", node::HOST, "/read/", "safe", timeout, 600, 2, 1, true, false, "s1"],
+                ["once", node::HOST, "/once/", "unsafe", timeout, 600, 2, 2, true, false, "s1"],
+            ],
+        },
+        "services": { "columns": ["name"], "rows": [["s1"]] },
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+        "tenants": { "columns": ["name", "api_keys", "rate_per_s", "burst"], "rows": [] },
+    })
+}
+
+impl Fleet {
+    // Starts an instance and backend servers that all have the same address.
+    fn start(
+        servers: usize,
+        script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let store = Store::start();
+        let endpoint = Scripted::start(script);
+        store.put("config", "main", &configuration());
+        for number in 1..=servers {
+            let entry = entry(endpoint.addr, "s1", "a", "ready", 1);
+            store.put("servers", &format!("i-{number}"), &entry);
+        }
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let site = Site::new("north", "a", store.addr);
+        let instance = Node::start(site, &[("a", "north")], dir).unwrap();
+        let fleet = Self {
+            endpoint,
+            instance,
+            _store: store,
+        };
+        fleet.until("readiness", || fleet.instance.is_ready().then_some(()));
+        fleet
+    }
+
+    fn until<T>(&self, what: &str, condition: impl FnMut() -> Option<T>) -> T {
+        until(what, WAIT_TIMEOUT, condition)
+            .unwrap_or_else(|error| panic!("{error}\n{}", self.instance.process.lines().join("\n")))
+    }
+
+    fn post(&self, path: &str, id: &str) -> Reply {
+        let request = Request::post(path)
+            .header("Host", node::HOST)
+            .header("Request-Id", id)
+            .header("Deadline-Ms", "4000")
+            .body(BODY);
+        call(self.instance.addr(node::CALLERS_PORT), &request).unwrap()
+    }
+
+    // Returns how often a request was run.
+    fn runs(&self, id: &str) -> usize {
+        let bodies = self.endpoint.bodies();
+        bodies.iter().filter(|(run, _)| run == id).count()
+    }
+}
+
+fn response(status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+fn run_and_answer(heard: &ReceivedRequest, status: u16) -> Vec<Step> {
+    let answer = response(status, &heard.id, "Server-Stamp: s\r\n", "ran");
+    vec![Step::Read(BODY.len()), Step::Write(answer)]
+}
+
+fn assert_may_have_run(reply: &Reply, what: &str) {
+    assert!(
+        !REFUSING_STATUSES.contains(&reply.status),
+        "{what}: {} {}",
+        reply.status,
+        reply.text()
+    );
+}
+
+// Guards against the fourth of the statuses: a backend server that runs a write and answers
+// 421 without saying that it has not run. The write must neither be refused nor run again.
+#[test]
+fn a_write_that_ran_and_got_421_is_neither_refused_nor_sent_again() {
+    for servers in [1, 2] {
+        let fleet = Fleet::start(servers, |heard| run_and_answer(heard, 421));
+        let reply = fleet.post("/once/17", "r-0");
+        assert_eq!(fleet.runs("r-0"), 1, "runs with {servers} servers");
+        assert_may_have_run(&reply, &format!("{servers} servers"));
+        assert!(reply.text().contains("may-have-run"), "{}", reply.text());
+    }
+}
+
+// A 421 that names another backend server, or says that nothing ran, remains a proof: the
+// write is sent to a second server.
+#[test]
+fn a_write_that_another_server_turned_away_is_sent_again() {
+    for proof in ["Instance-Id: i-9\r\n", "Not-Run: 1\r\n"] {
+        let fleet = Fleet::start(2, move |heard| {
+            if heard.number == 0 && heard.connection == 0 {
+                let answer = response(421, &heard.id, proof, "");
+                // The server closes, so that the second attempt uses another connection.
+                return vec![Step::Write(answer), Step::Close];
+            }
+            run_and_answer(heard, 200)
+        });
+        let reply = fleet.post("/once/17", "r-0");
+        assert_eq!((reply.status, fleet.runs("r-0")), (200, 1), "{proof}");
+    }
+}
