wire: an empty line ahead of a response is no part of another one

Callers saw: 502 for a response that an empty line precedes, which was read before the check for a second status line. Cause: the check began at the second byte of the head, and the status line itself began later. Evidence: a_response_after_an_empty_line_has_one_status_line failed; it passes with the check taken out. Change: empty lines are passed over.

--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -105,7 +105,10 @@
 ///
 /// Fails if the head is malformed or its length is ambiguous.
 pub fn check_response(head: &[u8], bodiless: bool) -> Result<(u16, Framing), HeadError> {
-    let later = head.get(1..).unwrap_or_default();
+    // An empty line may precede the response.
+    let first = head.iter().position(|byte| !matches!(byte, b'\r' | b'\n'));
+    let later = first.and_then(|first| head.get(first + 1..));
+    let later = later.unwrap_or_default();
     let detail = "second status line";
     ensure!(!has_status_line(later), MalformedSnafu { detail });
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -162,3 +162,11 @@
         assert!(error.starts_with("s.yaml: "), "{error}");
     }
 }
+
+// An empty line ahead of a response, such as one too many after the body before it, isn't the
+// start of another response.
+#[test]
+fn a_response_after_an_empty_line_has_one_status_line() {
+    let late = b"\r\nHTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(head::check_response(late, false).unwrap().0, 200);
+}
