--- a/crates/daemon/tests/refused_writes_review.rs
+++ b/crates/daemon/tests/refused_writes_review.rs
@@ -152,3 +152,16 @@
         assert_eq!((reply.status, fleet.runs("r-0")), (200, 1), "{proof}");
     }
 }
+
+// Guards against a caller whose id looks like the start of a second answer. Backend servers
+// echo it, so a sound server would count as one that breaks off its answers.
+#[test]
+fn an_id_that_looks_like_a_status_line_fails_no_backend_server() {
+    let fleet = Fleet::start(1, |heard| run_and_answer(heard, 200));
+    assert_eq!(fleet.post("/read/17", "r-0").status, 200);
+    let status = fleet.post("/read/17", "HTTP/1.1 200").status;
+    assert!(matches!(status, 200 | 400), "{status}");
+    let lines = fleet.instance.process.lines();
+    let broken = lines.iter().find(|line| line.contains("outcome=Broken"));
+    assert_eq!(broken, None);
+}
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -150,8 +150,9 @@
     Ok(Framing::Length(length))
 }
 
-// Finds a status line anywhere, since what precedes it may be the start of a header's value.
-fn has_status_line(bytes: &[u8]) -> bool {
+/// Returns whether bytes hold a status line anywhere, since what precedes it may be the start of
+/// a header's value.
+pub fn has_status_line(bytes: &[u8]) -> bool {
     let mut places = bytes.windows("HTTP/1.1 200".len());
     places.any(|place| match place {
         [b'H', b'T', b'T', b'P', b'/', b'1', b'.', minor, b' ', status @ ..] => {
