edge: a refused HEAD request gets no body

Callers saw: the body of a refusal ahead of the next answer on a kept connection. Cause: refusals were encoded as answers to GET. Evidence: a_refused_head_request_gets_no_body failed. Change: the encoder is told the method. Measured: the test passes.

--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -164,7 +164,11 @@
             let bytes = answer.head.write(&answer.body, bodiless, close);
             write(stream, &bytes).await
         }
-        Reply::Refuse(refusal) => respond(stream, refusal_response(&refusal, &trace), close).await,
+        Reply::Refuse(refusal) => {
+            let method = if bodiless { Method::Head } else { Method::Get };
+            let response = refusal_response(&refusal, &trace);
+            respond(stream, response, method, close).await
+        }
         Reply::Instances(..) => Ok(()),
     };
     match written {
@@ -220,12 +224,17 @@
     format!("{:.3}", delay.as_secs_f64())
 }
 
-async fn respond(stream: &TcpStream, mut response: Response, close: bool) -> io::Result<()> {
+async fn respond(
+    stream: &TcpStream,
+    mut response: Response,
+    method: Method,
+    close: bool,
+) -> io::Result<()> {
     if close {
         response.insert_header("connection", "close");
     }
     let mut bytes = Vec::new();
-    let mut encoder = server::Encoder::new(response, Method::Get);
+    let mut encoder = server::Encoder::new(response, method);
     encoder.read_to_end(&mut bytes).await?;
     write(stream, &bytes).await
 }
@@ -269,7 +278,7 @@
     let body = json!({ "code": code, "ran": "not-run", "detail": detail });
     response.set_body(body.to_string());
     // The connection is closed even if the caller has already disconnected.
-    drop(respond(stream, response, true).await);
+    drop(respond(stream, response, Method::Get, true).await);
     drain_input(stream).await;
     Next::Close
 }
--- a/crates/daemon/tests/refused_writes_review.rs
+++ b/crates/daemon/tests/refused_writes_review.rs
@@ -1,6 +1,9 @@
 //! Further ways to a refused write that runs, and what callers can do with the checks that
 //! guard against them.
 
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::TcpStream;
 use std::path::Path;
 use std::time::Duration;
 
@@ -165,3 +168,24 @@
     let broken = lines.iter().find(|line| line.contains("outcome=Broken"));
     assert_eq!(broken, None);
 }
+
+// Guards against the body of a refusal that is sent for a `HEAD` request: its caller reads
+// the body as the start of the next answer on the connection.
+#[test]
+fn a_refused_head_request_gets_no_body() {
+    let fleet = Fleet::start(1, |heard| run_and_answer(heard, 200));
+    let mut stream = TcpStream::connect(fleet.instance.addr(node::CALLERS_PORT)).unwrap();
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let host = node::HOST;
+    let head = format!("HEAD /nowhere HTTP/1.1\r\nHost: {host}\r\nRequest-Id: r-0\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    let get = format!(
+        "GET /nowhere HTTP/1.1\r\nHost: {host}\r\nRequest-Id: r-1\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(get.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    let text = String::from_utf8_lossy(&bytes);
+    let second = text.split_once("\r\n\r\n").unwrap().1;
+    assert!(second.starts_with("HTTP/1.1 404"), "{text}");
+}
