tests: no noise ahead of an answer refuses a write that runs

Copies of rejections and answers, whole or cut at any byte, with or without ids, lengths, chunks and trailers, interim responses and odd lines, drawn from 400 seeds, ahead of the answer to a write.

--- a/crates/daemon/tests/refused_writes_review.rs
+++ b/crates/daemon/tests/refused_writes_review.rs
@@ -1,6 +1,7 @@
 //! Further ways to a refused write that runs, and what callers can do with the checks that
 //! guard against them.
 
+use std::collections::BTreeMap;
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net::TcpStream;
@@ -189,3 +190,92 @@
     let second = text.split_once("\r\n\r\n").unwrap().1;
     assert!(second.starts_with("HTTP/1.1 404"), "{text}");
 }
+
+// What a faulty backend server sends ahead of an answer, drawn from a seed: whole and cut
+// copies of rejections and answers to earlier requests, interim responses, odd lines.
+fn noise(seed: u64) -> Vec<u8> {
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut draw = |bound: usize| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 11) as usize % bound
+    };
+    let mut bytes = Vec::new();
+    for _ in 0..=draw(3) {
+        let status = [100, 103, 200, 204, 304, 400, 421, 429, 503][draw(9)];
+        let id = [
+            "Request-Id: r-0\r\n",
+            "",
+            "Request-Id: r-0\r\nRequest-Id: r-9\r\n",
+        ][draw(3)];
+        let mark = [
+            "Not-Run: full\r\n",
+            "not-run: 1\r\nInstance-Id: i-9\r\n",
+            "",
+        ][draw(3)];
+        let rest = [
+            "Content-Length: 0\r\n\r\n",
+            "Content-Length: 5\r\n\r\nearly",
+            "Content-Length: 90\r\n\r\nshort",
+            "Transfer-Encoding: chunked\r\n\r\n5\r\nearly\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n0\r\nNot-Run: 1\r\n\r\n",
+            "\r\n",
+        ][draw(6)];
+        let piece = match draw(8) {
+            0 => ["\r\n", "\r\n\r\n", "0\r\n\r\n", "junk\r\n", "HTTP/1.1 "][draw(5)].to_owned(),
+            _ => format!("HTTP/1.1 {status} Status\r\n{mark}{id}{rest}"),
+        };
+        let end = if draw(2) == 0 {
+            piece.len()
+        } else {
+            draw(piece.len() + 1)
+        };
+        bytes.extend_from_slice(&piece.as_bytes()[..end]);
+    }
+    bytes
+}
+
+// Guards against anything of that kind that refuses a write which runs.
+#[test]
+fn no_noise_ahead_of_an_answer_refuses_a_write_that_runs() {
+    let fleet = Fleet::start(1, |heard| {
+        let mut steps = run_and_answer(heard, 200);
+        if let Some(seed) = heard.id.strip_prefix("s-").filter(|_| heard.number > 0) {
+            steps.insert(1, Step::Write(noise(seed.parse().unwrap())));
+        }
+        steps
+    });
+    let addr = fleet.instance.addr(node::CALLERS_PORT);
+    let mut seen = BTreeMap::new();
+    for seed in 0..400 {
+        let post = |id: &str, limit: u32| {
+            let request = Request::post("/once/17").header("Host", node::HOST);
+            let request = request.header("Request-Id", id);
+            call(addr, &request.header("Deadline-Ms", limit).body(BODY)).unwrap()
+        };
+        fleet.until("a connection that is kept", || {
+            (post("r-0", 1_000).status == 200).then_some(())
+        });
+        let id = format!("s-{seed}");
+        let reply = post(&id, 60);
+        let ran = fleet.runs(&id) > 0;
+        let kept = fleet
+            .endpoint
+            .heard()
+            .iter()
+            .any(|h| h.id == id && h.number > 0);
+        *seen.entry((reply.status, ran, kept)).or_insert(0) += 1;
+        if ran {
+            let noise = noise(seed);
+            let noise = String::from_utf8_lossy(&noise);
+            assert_may_have_run(&reply, &format!("{id} after {noise:?}"));
+            assert!(
+                reply.status != 200 || reply.text() == "ran",
+                "{id} after {noise:?}"
+            );
+        }
+    }
+    let kept: u32 = seen.iter().filter(|row| row.0 .2).map(|row| row.1).sum();
+    assert!(kept > 300, "on a kept connection: {kept}; {seen:?}");
+}
