--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -105,7 +105,10 @@
 ///
 /// Fails if the head is malformed or its length is ambiguous.
 pub fn check_response(head: &[u8], bodiless: bool) -> Result<(u16, Framing), HeadError> {
-    let later = head.get(1..).unwrap_or_default();
+    // An empty line may precede the response.
+    let first = head.iter().position(|byte| !matches!(byte, b'\r' | b'\n'));
+    let later = first.and_then(|first| head.get(first + 1..));
+    let later = later.unwrap_or_default();
     let detail = "second status line";
     ensure!(!has_status_line(later), MalformedSnafu { detail });
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -147,8 +150,9 @@
     Ok(Framing::Length(length))
 }
 
-// Finds a status line anywhere, since what precedes it may be the start of a header's value.
-fn has_status_line(bytes: &[u8]) -> bool {
+/// Returns whether bytes hold a status line anywhere, since what precedes it may be the start of
+/// a header's value.
+pub fn has_status_line(bytes: &[u8]) -> bool {
     let mut places = bytes.windows("HTTP/1.1 200".len());
     places.any(|place| match place {
         [b'H', b'T', b'T', b'P', b'/', b'1', b'.', minor, b' ', status @ ..] => {
