daemon: responses on kept connections are matched by id

What callers saw, on the daemon's own path: the response to another request, and `not-run` for a request that the server ran, after a backend server had sent a second, late copy of a response on a connection in use again.

Cause: responses on a kept connection were taken in order; bytes at rest were seen before a request was sent, but not a copy that came after that.

Change: a connection is kept only if the response sends back the request's `x-request-id`; a response with another id, or none, on a kept connection ends the attempt as one that may have run. To servers that send back no id each request opens a connection, as those of `once` routes always did. The stand-in sends the id back. What this costs beside servers that don't was not measured.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -93,8 +93,8 @@
         new_connection,
         reply,
     } = job;
-    let stream = match open(addr, new_connection, clock, start_by, &pool).await {
-        Ok(stream) => stream,
+    let (stream, origin) = match open(addr, new_connection, clock, start_by, &pool).await {
+        Ok(opened) => opened,
         Err(outcome) => {
             fail(&reply, outcome, payload).await;
             return;
@@ -107,10 +107,14 @@
         fail(&reply, AttemptOutcome::NotSent, payload).await;
         return;
     };
-    let is_head = request.method() == Method::Head;
+    let expected = Expected {
+        id: request_id(&request),
+        is_head: request.method() == Method::Head,
+        origin,
+    };
     let progress = Progress::default();
     let mut sending = Box::pin(send(stream.clone(), request, &progress));
-    let answer = read_response(stream.clone(), is_head)
+    let answer = read_response(stream.clone(), &expected)
         .or(async { Err((&mut sending).await) })
         .or(caller_disconnected(&reply));
     let result = future::timeout(clock.until(deadline), answer).await;
@@ -138,6 +142,29 @@
     has_head: Cell<bool>,
 }
 
+/// Whether a connection was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    New,
+    Kept,
+}
+
+// What is known of the response to a request.
+#[derive(Debug)]
+struct Expected {
+    id: String,
+    is_head: bool,
+    origin: Origin,
+}
+
+impl Expected {
+    // A server that sends back the request's id shows which request it responds to.
+    fn is_matched_by(&self, response: &Response) -> bool {
+        let id = response.header(response::REQUEST_ID);
+        id.is_some_and(|values| values.as_str() == self.id)
+    }
+}
+
 struct ServerResponse {
     response: Response,
     framing: Framing,
@@ -150,11 +177,11 @@
     clock: Clock,
     start_by: Time,
     pool: &RefCell<Pool>,
-) -> Result<TcpStream, AttemptOutcome> {
+) -> Result<(TcpStream, Origin), AttemptOutcome> {
     if !new_connection {
         while let Some(stream) = pooled(pool, addr) {
             if is_idle(&stream).await {
-                return Ok(stream);
+                return Ok((stream, Origin::Kept));
             }
         }
     }
@@ -167,7 +194,7 @@
     stream
         .set_nodelay(true)
         .map_err(|_broken| AttemptOutcome::Unreachable)?;
-    Ok(stream)
+    Ok((stream, Origin::New))
 }
 
 // A function of its own, so that the borrow ends before the caller awaits anything.
@@ -187,6 +214,11 @@
     Some(head)
 }
 
+fn request_id(request: &Request) -> String {
+    let id = request.header(response::REQUEST_ID);
+    id.map_or(String::new(), |values| values.as_str().to_owned())
+}
+
 // Sends the request. If sending fails, the exchange ends only if the head of the
 // response has not been received, since a server may respond early.
 async fn send(stream: TcpStream, request: Request, progress: &Progress) -> AttemptOutcome {
@@ -199,23 +231,32 @@
     AttemptOutcome::Broken
 }
 
-async fn read_response(stream: TcpStream, is_head: bool) -> Result<ServerResponse, AttemptOutcome> {
+async fn read_response(
+    stream: TcpStream,
+    expected: &Expected,
+) -> Result<ServerResponse, AttemptOutcome> {
     let mut read_ahead = Vec::new();
     let (head, status, framing) = loop {
         let head = message_reader::read_head(&stream, &mut read_ahead).await;
         let head = head.map_err(|_closed| AttemptOutcome::Broken)?;
-        let (status, framing) =
-            head::check_response(&head, is_head).map_err(|_malformed| AttemptOutcome::Broken)?;
+        let (status, framing) = head::check_response(&head, expected.is_head)
+            .map_err(|_malformed| AttemptOutcome::Broken)?;
         if status >= 200 {
             break (head, status, framing);
         }
     };
     let mut response = decode(stream, head, framing, &mut read_ahead).await?;
+    let is_matched = expected.is_matched_by(&response);
+    // A late copy of an earlier response may come ahead of the one to this request, which
+    // the server may run.
+    if expected.origin == Origin::Kept && !is_matched {
+        return Err(AttemptOutcome::Broken);
+    }
     if status == 503 && response.header(SHED_HEADER).is_some() {
         return Err(AttemptOutcome::Shed);
     }
     let close = response.header("connection").is_some_and(is_close);
-    let reusable = !close && framing != Framing::Close && read_ahead.is_empty();
+    let reusable = is_matched && !close && framing != Framing::Close && read_ahead.is_empty();
     for name in HOP_HEADERS {
         response.remove_header(name);
     }
--- a/crates/standins/src/backend/work.rs
+++ b/crates/standins/src/backend/work.rs
@@ -29,6 +29,9 @@
 /// uses. Entry instances forward it like any other header.
 pub const REGION_HEADER: &str = "x-standin-from";
 
+/// The header with the id of a request, which is sent back.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// The exit status of an injected crash.
 const CRASH_STATUS: i32 = 101;
 
@@ -71,9 +74,15 @@
         let link = links.find(|l| Some(l.region.as_str()) == from);
         let delay = link.map_or(Duration::ZERO, |l| l.delay);
         serve::delay_link(delay).await;
+        let id = header(&request, REQUEST_ID_HEADER);
         let response = self.execute(request, stream).await;
         serve::delay_link(delay).await;
-        response
+        let mut response = response?;
+        // Shows which request the response belongs to, so that the connection is kept.
+        if let Some(id) = id {
+            response.insert_header(REQUEST_ID_HEADER, id);
+        }
+        Ok(response)
     }
 
     async fn execute(
@@ -180,7 +189,7 @@
             method: request.method().to_string(),
             path: request.url().path().to_owned(),
             key: header(request, "idempotency-key"),
-            request: header(request, "x-request-id"),
+            request: header(request, REQUEST_ID_HEADER),
             keyed: self.carries_key(request),
             ..Record::default()
         }
