edge: a request without an id gets a connection of its own

Callers saw: 502 for a request without a Request-Id, after other requests on the same connection to the server, which counted as a server that breaks off its answers: any caller could so make sound servers look faulty. Cause: an answer without an id, as the server's 400 to such a request, can't be matched on a connection that was used before. Change: such a request is not sent on a pooled connection. The exchange line names a refusing status of a server ambiguous, where 408, 421 and 429 counted as plain answers and left no line.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -20,6 +20,7 @@
 use async_std::future;
 use async_std::net::TcpStream;
 use corianderway_platform::front::ResponseHead;
+use corianderway_steer::is_refusing;
 use corianderway_steer::Event;
 use corianderway_steer::Note;
 use corianderway_steer::Outcome;
@@ -199,6 +200,7 @@
 fn end_name(ended: Option<&Ended>) -> &'static str {
     match ended.map(|ended| ended.outcome) {
         None => "cancelled",
+        Some(Outcome::Answered { status, .. }) if is_refusing(status) => "ambiguous",
         Some(Outcome::Answered { status, .. }) if status < ERROR_STATUS => PLAIN_ANSWER,
         Some(Outcome::Answered { .. }) => "failed",
         Some(Outcome::Full { .. }) => "rejected",
@@ -324,6 +326,10 @@
 // A function of its own, so that the borrow ends before the caller awaits.
 fn take(pool: &RefCell<Pool<Connection>>, job: &Job, max_idle: Duration) -> Option<Connection> {
     let id = job.outbound.trace();
+    // Without an id its answer can't be told from one to an earlier request.
+    if id.is_empty() {
+        return None;
+    }
     pool.borrow_mut()
         .take_if(job.addr, max_idle, |idle| !idle.has_answered(id))
 }
--- a/crates/daemon/tests/refused_writes.rs
+++ b/crates/daemon/tests/refused_writes.rs
@@ -208,11 +208,13 @@
 fn what_an_attempt_of_a_write_sent_and_read_is_logged() {
     let expected = [
         ("/once/full", "end=rejected", "status=503"),
+        ("/once/late", "end=ambiguous", "status=408"),
         ("/once/silent", "end=cancelled", "status=-"),
     ];
     for (path, end, status) in expected {
         let fleet = Fleet::start(|heard| match heard.target.as_str() {
             "/once/silent" => vec![Step::Wait(3 * ROUTE_TIMEOUT)],
+            "/once/late" => run_and_answer(heard, 408),
             _ => reject(heard),
         });
         let id = "r-0";
--- a/crates/daemon/tests/refused_writes_review.rs
+++ b/crates/daemon/tests/refused_writes_review.rs
@@ -170,6 +170,32 @@
     assert_eq!(broken, None);
 }
 
+// Guards against a caller that sends no id, on a connection that was used before: the answer
+// can't be matched, and a sound backend server would count as a faulty one.
+#[test]
+fn a_request_without_an_id_fails_no_backend_server() {
+    let fleet = Fleet::start(1, |heard| {
+        if heard.id.is_empty() {
+            let answer = b"HTTP/1.1 400 No Id\r\nNot-Run: id\r\nContent-Length: 0\r\n\r\n";
+            return vec![Step::Read(BODY.len()), Step::Write(answer.to_vec())];
+        }
+        run_and_answer(heard, 200)
+    });
+    for number in 0..4 {
+        let id = format!("r-{number}");
+        fleet.until("an answer", || {
+            (fleet.post("/read/17", &id).status == 200).then_some(())
+        });
+        let request = Request::post("/read/17").header("Host", node::HOST);
+        let addr = fleet.instance.addr(node::CALLERS_PORT);
+        let status = call(addr, &request.body(BODY)).unwrap().status;
+        assert_ne!(status, 502);
+    }
+    let lines = fleet.instance.process.lines();
+    let broken = lines.iter().find(|line| line.contains("outcome=Broken"));
+    assert_eq!(broken, None);
+}
+
 // Guards against the body of a refusal that is sent for a `HEAD` request: its caller reads
 // the body as the start of the next answer on the connection.
 #[test]
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -130,6 +130,7 @@
 pub use crate::plan::PlanError;
 pub use crate::plan::Route;
 pub use crate::plan::ServiceTerms;
+pub use crate::refusal::is_refusing;
 pub use crate::refusal::Reason;
 pub use crate::refusal::Refusal;
 pub use crate::relay::RELAY_CHART;
--- a/crates/steer/src/refusal.rs
+++ b/crates/steer/src/refusal.rs
@@ -69,7 +69,7 @@
 
 /// Returns whether a status tells the caller that its request has not run and never
 /// will, so that it may send a non-idempotent request again.
-pub(crate) const fn is_refusing(status: u16) -> bool {
+pub const fn is_refusing(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
 
