daemon: buffers of 128 KiB and more go back to the system when they are freed

Cause: glibc raises the size from which a buffer is a mapping of its own once the first such buffer is freed. Bodies of 1 MB then come from the threads' heaps, which keep what lies below a living buffer. Change: mallopt sets that threshold once, at the start of the process, which also ends its growth. The program is linked to the C library as before; another C library keeps its behavior.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The entry daemon: accepts requests of callers and steers them to backend servers.
 
 mod admin;
+mod allocator;
 mod args;
 mod body;
 mod callers;
@@ -48,6 +49,7 @@
 const EXECUTOR_THREADS: &str = "1";
 
 fn main() -> ExitCode {
+    allocator::set_up();
     std::env::set_var("ASYNC_STD_THREAD_COUNT", EXECUTOR_THREADS);
     let args = Corianderwayd::from_env_or_exit();
     if args.version {
