soak: what was refused is checked whoever refused it, and after the end

Callers rely on 408, 421, 429 and 503 whoever made the status. The check of refused writes passed over answers that bear an endpoint's stamp, and ended with the run, so a write that ran after its refusal was not seen when the processes ended first.

Each write is now checked by id from what its caller was answered and what all endpoints ran, whoever answered. At the end the callers stop, then every process, and 3.5 s later the history is collected and checked once more.

--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -6,12 +6,13 @@
 //! A run's faults and requests derive from a seed, though the timing of its processes
 //! varies. [`plan`] generates the faults, [`world`] injects them into processes and
 //! links, [`callers`] send requests throughout, and [`guarantees`] checks the
-//! [`history`] each second and at the end.
+//! [`history`] each second, and once more some seconds after every process has ended.
 
 mod callers;
 mod guarantees;
 mod history;
 mod plan;
+mod promises;
 mod world;
 
 use std::path::PathBuf;
@@ -31,6 +32,10 @@
 /// The time for which callers continue after the recovery.
 const FINAL_CALL_TIME: Duration = Duration::from_secs(2);
 
+/// The time after the end of every process in which endpoints may still run requests;
+/// longer than a caller waits.
+const AFTERMATH_TIME: Duration = Duration::from_millis(3_500);
+
 /// The interval at which the guarantees are checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -91,6 +96,10 @@
         thread::sleep(Duration::from_millis(10));
     }
     callers.stop();
+    if broken.is_empty() {
+        world.end();
+        thread::sleep(AFTERMATH_TIME);
+    }
     let history = world.history();
     if broken.is_empty() {
         broken = guarantees::check(&history, true);
--- a/crates/standins/src/soak/guarantees.rs
+++ b/crates/standins/src/soak/guarantees.rs
@@ -14,6 +14,10 @@
 use crate::soak::history::History;
 use crate::soak::history::Kind;
 use crate::soak::history::SETTLING_TIME;
+use crate::soak::promises::false_refusals;
+use crate::soak::promises::repeated_writes;
+use crate::soak::promises::Calls;
+use crate::soak::promises::Runs;
 use crate::soak::world::LIMITED_ACCOUNT;
 use crate::soak::world::LIMITED_BURST;
 use crate::soak::world::LIMITED_RATE_PER_S;
@@ -70,10 +74,7 @@
         broken.extend(some.map(|line| format!("{guarantee} ({count}): {line}")));
     };
     report("a write runs at most once", repeated_writes(&calls, &runs));
-    report(
-        "a refused write has not run",
-        false_refusals(history, &runs),
-    );
+    report("a refused write has not run", false_refusals(&calls, &runs));
     report(
         "a response belongs to its request",
         mismatched_responses(history),
@@ -118,34 +119,6 @@
     broken
 }
 
-type Calls<'a> = BTreeMap<&'a str, &'a Call>;
-type Runs<'a> = BTreeMap<&'a str, Vec<&'a RequestRecord>>;
-
-fn repeated_writes(calls: &Calls<'_>, runs: &Runs<'_>) -> Vec<String> {
-    let repeated = runs.iter().filter(|(_, records)| records.len() > 1);
-    let writes = repeated.filter(|(id, _)| calls.get(*id).is_some_and(|c| c.kind == Kind::Write));
-    writes
-        .map(|(id, records)| format!("{id} ran {} times", records.len()))
-        .collect()
-}
-
-fn false_refusals(history: &History, runs: &Runs<'_>) -> Vec<String> {
-    let refused = history.calls.iter().filter(|call| {
-        let End::Answered {
-            status,
-            from_endpoint,
-            ..
-        } = call.end
-        else {
-            return false;
-        };
-        call.kind == Kind::Write && !from_endpoint && matches!(status, 408 | 421 | 429 | 503)
-    });
-    let ran = refused.filter(|call| runs.contains_key(call.id.as_str()));
-    ran.map(|call| format!("{} was refused but ran: {:?}", call.id, call.end))
-        .collect()
-}
-
 fn mismatched_responses(history: &History) -> Vec<String> {
     let wrong = history.calls.iter().filter(|call| {
         let End::Answered {
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -3,10 +3,12 @@
 //! [`World`] injects faults into them, ends the faults when due, and records both in the
 //! history.
 
+mod listing;
+mod processes;
+
 use std::path::PathBuf;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,7 +17,6 @@
 use std::time::Instant;
 
 use serde_json::json;
-use serde_json::Value;
 
 use crate::estate::node;
 use crate::estate::Endpoint;
@@ -53,10 +54,6 @@
 /// The maximum wait until all instances are ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The time after which a process that ignores a planned stop is killed, slightly longer
-/// than its grace period.
-const KILL_DELAY: Duration = Duration::from_millis(4_500);
-
 /// The state that callers share with the run.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -339,84 +336,6 @@
         }
     }
 
-    // Collects the processes that ended after a planned stop, and kills overdue ones.
-    fn collect_stopped(&mut self, now: Instant) {
-        let count = self.state.hosts.len();
-        for at in 0..count {
-            let host = &mut self.state.hosts[at];
-            let (Some(since), Some(node)) = (host.stopping, host.node.as_mut()) else {
-                continue;
-            };
-            let ended = matches!(node.process.exit_status(), Ok(Some(_)));
-            let forced = !ended && now - since >= KILL_DELAY;
-            if forced {
-                drop(node.process.kill());
-            }
-            if ended || forced {
-                let node = host.node.take();
-                host.stopping = None;
-                self.state
-                    .logs
-                    .extend(node.map(|n| (n.site.name.clone(), n.process.lines())));
-
-                self.end_disturbances(at, now);
-                if forced {
-                    self.record_disturbance(at, since, Some(now), false);
-                }
-                // The time until the restart is not part of the planned stop.
-                self.record_disturbance(at, now, None, false);
-            }
-        }
-    }
-
-    fn kill(&mut self, at: usize, back: Instant) {
-        let host = &mut self.state.hosts[at];
-        if host.stopping.is_some() {
-            return;
-        }
-        let Some(mut node) = host.node.take() else {
-            return;
-        };
-        drop(node.process.kill());
-        self.state
-            .logs
-            .push((node.site.name.clone(), node.process.lines()));
-
-        self.record_disturbance(at, Instant::now(), None, false);
-        self.schedule(back, Recovery::Start(at));
-    }
-
-    fn stop(&mut self, at: usize, span: Duration) {
-        let now = Instant::now();
-        {
-            let host = &mut self.state.hosts[at];
-            let Some(node) = host.node.as_mut().filter(|_| host.stopping.is_none()) else {
-                return;
-            };
-            if node.process.terminate().is_err() {
-                return;
-            }
-            host.stopping = Some(now);
-        }
-        self.record_disturbance(at, now, None, true);
-        self.schedule(now + KILL_DELAY + span, Recovery::Start(at));
-    }
-
-    fn start_node(&mut self, at: usize) -> Result<(), Error> {
-        let site = self.state.hosts[at].site.clone();
-        self.shared.runs[at].fetch_add(1, Ordering::AcqRel);
-        let node = Node::start(site, &DOMAINS, &self.dir)?;
-        self.state.hosts[at].node = Some(node);
-        let now = Instant::now();
-        self.end_disturbances(at, now);
-        self.record_disturbance(at, now, Some(now), false);
-        Ok(())
-    }
-
-    fn with_node(&mut self, at: usize, act: impl FnOnce(&mut Node) -> bool) -> bool {
-        self.state.hosts[at].node.as_mut().is_some_and(act)
-    }
-
     fn fault_store_link(&mut self, at: usize, link_fault: LinkFault, span: Duration) {
         let now = Instant::now();
         self.state.hosts[at].store.set_link(link_fault.link());
@@ -432,66 +351,6 @@
             .push((id, from, Some(to)));
     }
 
-    // Another endpoint takes over the address; requests for the removed one must not run
-    // on it.
-    fn reuse_address(&mut self, at: usize) {
-        let (old, new) = {
-            let target = &mut self.state.endpoints[at];
-            target.generation += 1;
-            target.seq = 0;
-            let old = target.endpoint.id();
-            let new = format!("e{at}-{}-{}", target.generation, target.service);
-            target.endpoint.set_id(&new);
-            (old, new)
-        };
-        self.store.remove("servers", &old);
-        self.record_change(Change::EndpointLeaving(old.clone()));
-        let now = Instant::now();
-        self.shared.history().endpoint_faults.push((old, now, None));
-        let listed = self.write_entry(at, "ready");
-        debug_assert_eq!(listed, new, "an endpoint is listed under its identity");
-    }
-
-    // Writes the store entry of an endpoint and returns its identity.
-    fn write_entry(&mut self, at: usize, presence: &str) -> String {
-        let target = &mut self.state.endpoints[at];
-        target.seq += 1;
-        let id = target.endpoint.id();
-        let (service, domain, seq) = (target.service, target.domain, target.seq);
-        let entry = target
-            .endpoint
-            .entry_at(target.link.addr, service, domain, presence, seq);
-        self.store.put("servers", &id, &entry);
-        id
-    }
-
-    fn rotate_key(&mut self) {
-        let (old, new) = {
-            let old = format!("k-{}", self.state.key_number);
-            self.state.key_number += 1;
-            (old, format!("k-{}", self.state.key_number))
-        };
-        self.configure();
-        self.record_change(Change::KeyWithdrawn(old));
-        let mut key = self
-            .shared
-            .key
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *key = new;
-    }
-
-    fn configure(&mut self) {
-        self.state.version += 1;
-        let moved = if self.state.moved { "s2" } else { "s1" };
-        let spec = configuration(
-            self.state.version,
-            moved,
-            &format!("k-{}", self.state.key_number),
-        );
-        self.store.put("config", "main", &spec);
-    }
-
     fn record_change(&mut self, change: Change) {
         self.shared.history().changes.push((Instant::now(), change));
     }
@@ -525,42 +384,3 @@
         self.state.recoveries.push((at, recovery));
     }
 }
-
-fn configuration(version: u64, moved: &str, key: &str) -> Value {
-    let timeout = ROUTE_TIMEOUT.as_millis() as u64;
-    let row = |name: &str, kind: &str, service: &str| {
-        let path = format!("/{name}/");
-        json!([
-            name,
-            node::HOST,
-            path,
-            kind,
-            timeout,
-            600,
-            2,
-            3,
-            false,
-            true,
-            service
-        ])
-    };
-    json!({
-        "version": version,
-        "routes": {
-            "columns": ["name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
-                "priority", "max_attempts", "public", "sticky", "service"],
-            "rows": [row("read", "safe", "s1"), row("write", "unsafe", "s2"),
-                row("moved", "safe", moved), row("limited", "safe", "s1")],
-        },
-        "services": {
-            "columns": ["name", "cold_start_s", "cold_per_s"],
-            "rows": [["s1", 1.0, 50.0], ["s2", 1.0, 50.0]],
-        },
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 100_000,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
-        "tenants": {
-            "columns": ["name", "api_keys", "rate_per_s", "burst"],
-            "rows": [["t1", [UNLIMITED_KEY, key], 0, 0], [LIMITED_ACCOUNT, [LIMITED_KEY], LIMITED_RATE_PER_S, LIMITED_BURST]],
-        },
-    })
-}
