estate: an endpoint that misleads about what has run

The stand-in of an endpoint wrote its answers through async-h1, which can send each answer once and after the request. It now reads requests and writes answers itself, and has four more ways to behave: it runs a request and answers any status without Not-Run; it answers before it has read the body and reads on; it sends a second copy of each answer, also of a rejection, ahead of the next answer on the connection; it holds requests in a queue until their Deadline-Ms has nearly passed, then rejects and runs them in turn.

A record of a request has as much of its body as arrived.

--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -5,6 +5,7 @@
 
 mod crashing;
 mod endpoint;
+mod exchange;
 pub mod node;
 mod scripted;
 mod store;
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -9,24 +9,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_h1::server;
-use async_std::net;
-use async_std::task;
-use http_types::Request;
-use http_types::Response;
-use http_types::StatusCode;
 use serde_json::json;
 use serde_json::Value;
 
 use crate::duty;
+use crate::estate::exchange;
 
-/// The `server-stamp` of every response.
-const SERVER_STAMP: &str = "3e1b.07.5a2";
-
-/// The time that a request for a path under `/slow/` runs.
-const SLOW_PATH_DELAY: Duration = Duration::from_millis(1_500);
-
-/// The number of slots in the store's entry and in `server-load`.
+/// The number of slots in the store's entry and in `server-load`, unless another is set.
 const SLOTS: u32 = 8;
 
 /// The behavior of an endpoint.
@@ -47,6 +36,17 @@
     Leaving,
     /// Rejects each request without running it, and wants none for this long.
     Pausing(Duration),
+    /// Runs each request and answers with this status, which may be one that seems to say
+    /// that it has not run.
+    Status(u16),
+    /// Starts each request and answers with this status before it has read the body.
+    Early(u16),
+    /// Rejects and runs requests in turn, and sends a second copy of each answer ahead of
+    /// the next answer on the connection.
+    Repeating,
+    /// Holds requests in a queue until their time has nearly passed, then rejects and runs
+    /// them in turn.
+    Queued,
 }
 
 /// A request that an endpoint ran.
@@ -64,7 +64,7 @@
     pub account: Option<String>,
     /// The names of all headers, in lower case.
     pub headers: Vec<String>,
-    /// The body.
+    /// The body, as much of it as arrived.
     pub body: String,
     /// Whether the answer says that the endpoint leaves.
     pub leaving: bool,
@@ -91,12 +91,15 @@
     state: Arc<Mutex<State>>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    id: String,
-    mode: Mode,
-    seen: Vec<RequestRecord>,
-    rejected: Vec<Rejection>,
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) id: String,
+    pub(super) mode: Mode,
+    pub(super) slots: u32,
+    /// The number of requests that arrived.
+    pub(super) arrived: u64,
+    pub(super) seen: Vec<RequestRecord>,
+    pub(super) rejected: Vec<Rejection>,
 }
 
 impl Endpoint {
@@ -110,12 +113,16 @@
         let addr = listener.local_addr().expect("the address of a listener");
         let state = State {
             id: id.to_owned(),
-            ..State::default()
+            mode: Mode::default(),
+            slots: SLOTS,
+            arrived: 0,
+            seen: Vec::new(),
+            rejected: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let endpoint = Self { addr, state };
         let served = endpoint.clone();
-        duty::spawn("endpoint", move || serve(listener, served));
+        duty::spawn("endpoint", move || exchange::serve(listener, served));
         endpoint
     }
 
@@ -133,7 +140,14 @@
         state: &str,
         seq: u64,
     ) -> Value {
-        entry(addr, service, zone, state, seq)
+        let mut entry = entry(addr, service, zone, state, seq);
+        entry["info"]["slots"] = json!(self.lock().slots);
+        entry
+    }
+
+    /// Changes the number of slots that it states.
+    pub fn set_slots(&self, slots: u32) {
+        self.lock().slots = slots;
     }
 
     /// Returns its identity.
@@ -166,7 +180,7 @@
         self.lock().rejected.clone()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -180,92 +194,3 @@
         "born": 1_790_000_000_000_u64,
     })
 }
-
-async fn serve(listener: TcpListener, endpoint: Endpoint) {
-    let listener = net::TcpListener::from(listener);
-    while let Ok((stream, _)) = listener.accept().await {
-        let endpoint = endpoint.clone();
-        task::spawn_local(async move {
-            let answer = |request: Request| {
-                let endpoint = endpoint.clone();
-                async move { Ok(run(request, &endpoint).await) }
-            };
-            // A broken connection affects only its own caller.
-            drop(server::accept(stream, answer).await);
-        });
-    }
-}
-
-async fn run(mut request: Request, endpoint: &Endpoint) -> Response {
-    let header = |request: &Request, name: &str| {
-        let values = request.header(name);
-        values.map(|values| values.as_str().to_owned())
-    };
-    let (by, mode) = {
-        let state = endpoint.lock();
-        (state.id.clone(), state.mode)
-    };
-    let expected = header(&request, "expect-instance");
-    if expected.is_some_and(|expected| expected != by) {
-        let mut response = Response::new(StatusCode::MisdirectedRequest);
-        response.insert_header("instance-id", &by);
-        return response;
-    }
-    let id = header(&request, "request-id").unwrap_or_default();
-    if let Mode::Full | Mode::Pausing(_) = mode {
-        let pause = match mode {
-            Mode::Pausing(span) => span,
-            _ => Duration::ZERO,
-        };
-        let rejection = Rejection {
-            at: Instant::now(),
-            endpoint: by,
-            id: id.clone(),
-            pause,
-        };
-        endpoint.lock().rejected.push(rejection);
-        let mut response = Response::new(StatusCode::ServiceUnavailable);
-        if let Mode::Pausing(span) = mode {
-            response.insert_header("retry-after", span.as_secs_f64().to_string());
-        }
-        response.insert_header("request-id", id);
-        response.insert_header("not-run", "full");
-        return response;
-    }
-    let url = request.url();
-    let query = url.query().map_or(String::new(), |q| format!("?{q}"));
-    let slow = url.path().starts_with("/slow/");
-    let line = format!("{} {}{query}", request.method(), url.path());
-    let body = request.body_string().await.unwrap_or_default();
-    let seen = RequestRecord {
-        at: Instant::now(),
-        endpoint: by.clone(),
-        request_line: line,
-        id: id.clone(),
-        account: header(&request, "tenant"),
-        headers: request.header_names().map(ToString::to_string).collect(),
-        body,
-        leaving: mode == Mode::Leaving,
-    };
-    endpoint.lock().seen.push(seen);
-    match mode {
-        Mode::Slow(span) => task::sleep(span).await,
-        Mode::Unanswered => std::future::pending().await,
-        _ if slow => task::sleep(SLOW_PATH_DELAY).await,
-        Mode::Healthy | Mode::Failing | Mode::Full | Mode::Leaving | Mode::Pausing(_) => (),
-    }
-    let status = if mode == Mode::Failing {
-        StatusCode::InternalServerError
-    } else {
-        StatusCode::Ok
-    };
-    let mut response = Response::new(status);
-    response.insert_header("request-id", id);
-    response.insert_header("server-stamp", SERVER_STAMP);
-    response.insert_header("server-load", format!("1,0,{SLOTS}"));
-    if mode == Mode::Leaving {
-        response.insert_header("server-leaving", "1");
-    }
-    response.set_body(format!("answer of {by}"));
-    response
-}
