soak: servers that mislead, short pauses, bodies in pieces and callers that leave

None of these was drawn: an answer with a status that promises without Not-Run, an early answer, a late second copy, a rejection at the end of the request's time, a pause as short as scheduling may take, a body above 100 bytes, or a caller that leaves. They have random numbers of their own, so that the other faults and the requests of a seed stay the same. Bodies are 1 B to 300 kB, some in pieces with pauses, by length or in chunks. Endpoints state 2, 4 or 8 slots, one a run.

Of suspensions that overlap the longest counts; a short pause would have ended another.

--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -14,6 +14,7 @@
 
 use crate::estate::node;
 use crate::harness::Client;
+use crate::harness::Error;
 use crate::harness::Reply;
 use crate::harness::Request;
 use crate::soak::history::Call;
@@ -22,6 +23,7 @@
 use crate::soak::world::Shared;
 use crate::soak::world::World;
 use crate::soak::world::LIMITED_KEY;
+use crate::soak::world::MAX_BODY_BYTES;
 use crate::soak::world::UNLIMITED_KEY;
 use crate::soak::Options;
 
@@ -37,6 +39,22 @@
 /// The probability that a caller reconnects to a random instance without a failure.
 const RECONNECT_PROBABILITY: f64 = 0.02;
 
+/// The probabilities that a write is sent in pieces, and that a caller leaves before it has
+/// a response.
+const PIECES_PROBABILITY: f64 = 0.2;
+const LEAVE_PROBABILITY: f64 = 0.05;
+
+/// The probability that a write in pieces is sent in chunks, and the header that says so.
+const CHUNKED_PROBABILITY: f64 = 0.5;
+const CHUNKED: (&str, &str) = ("transfer-encoding", "chunked");
+
+/// The number of pieces of a body, and the pause before each, in milliseconds.
+const PIECES: std::ops::RangeInclusive<usize> = 2..=5;
+const PIECE_GAP_MS: std::ops::Range<u64> = 1..60;
+
+/// The range of the time after which a caller leaves, in milliseconds.
+const LEAVE_AFTER_MS: std::ops::Range<u64> = 0..400;
+
 /// The number of affinity keys.
 const AFFINITY_KEYS: u32 = 40;
 
@@ -76,6 +94,8 @@
 
 fn run_caller(shared: &Shared, seed: u64, caller: usize, is_limited: bool) {
     let mut rng = SmallRng::seed_from_u64(seed);
+    // How requests are sent has random numbers of its own, so that what is sent stays.
+    let mut habits = SmallRng::seed_from_u64(!seed);
     let mut open: Option<(usize, u32, Client)> = None;
     let mut count = 0;
     while !shared.stopped.load(Ordering::Acquire) {
@@ -91,7 +111,7 @@
         };
         count += 1;
         let id = format!("c{caller}-{count}");
-        let (call, kept) = send_request(shared, &mut rng, client, &id, is_limited);
+        let (call, kept) = send_request(shared, (&mut rng, &mut habits), client, &id, is_limited);
         let (node, run) = (*node, *run);
         shared.record(Call { node, run, ..call });
         if !kept {
@@ -103,7 +123,7 @@
 // Sends one request; returns it and whether the connection stays open.
 fn send_request(
     shared: &Shared,
-    rng: &mut SmallRng,
+    (rng, habits): (&mut SmallRng, &mut SmallRng),
     client: &mut Client,
     id: &str,
     is_limited: bool,
@@ -136,13 +156,29 @@
         .header("Key", &key)
         .header("Cookie", cookie)
         .header("Deadline-Ms", DEADLINE_MS);
+    let mut pieces = 1;
     if kind == Kind::Write {
-        request = request.body(format!("body of {id}"));
+        request = request.body(body(habits));
+        if habits.random_bool(PIECES_PROBABILITY) {
+            pieces = habits.random_range(PIECES);
+            if habits.random_bool(CHUNKED_PROBABILITY) {
+                request = request.header(CHUNKED.0, CHUNKED.1);
+            }
+        }
     }
+    let leaves = habits.random_bool(LEAVE_PROBABILITY);
     let sent = Instant::now();
     let timeout_set = client.set_read_timeout(READ_TIMEOUT).is_ok();
-    let reply = client.call(&request).ok().filter(|_| timeout_set);
-    let closes = reply.as_ref().is_none_or(closes);
+    // A response may come although the request wasn't taken as a whole.
+    drop(send_pieces(client, &request, pieces, habits));
+    let (end, closes) = if leaves {
+        thread::sleep(Duration::from_millis(habits.random_range(LEAVE_AFTER_MS)));
+        (End::Left, true)
+    } else {
+        let reply = client.read(method).ok().filter(|_| timeout_set);
+        let closes = reply.as_ref().is_none_or(closes);
+        (reply.map_or(End::Incomplete, response_end), closes)
+    };
     let call = Call {
         id: id.to_owned(),
         kind,
@@ -151,11 +187,47 @@
         run: 0,
         sent,
         ended: Instant::now(),
-        end: reply.map_or(End::Incomplete, response_end),
+        end,
     };
     (call, !closes)
 }
 
+// Bodies of all magnitudes are equally frequent.
+fn body(rng: &mut SmallRng) -> Vec<u8> {
+    let magnitude = rng.random_range(0.0..(MAX_BODY_BYTES as f64).ln());
+    vec![b'b'; magnitude.exp() as usize]
+}
+
+// Sends the head, then each part of the body after a pause. A body in one piece is sent
+// with the head, and others in chunks if the request says so.
+fn send_pieces(
+    client: &mut Client,
+    request: &Request,
+    pieces: usize,
+    rng: &mut SmallRng,
+) -> Result<(), Error> {
+    if pieces == 1 {
+        return client.write(&request.bytes());
+    }
+    let bytes = request.bytes();
+    let (head, body) = bytes.split_at(bytes.len() - request.body.len());
+    client.write(head)?;
+    let is_chunked = request.headers.iter().any(|(n, _)| n == CHUNKED.0);
+    for piece in body.chunks(body.len().div_ceil(pieces)) {
+        thread::sleep(Duration::from_millis(rng.random_range(PIECE_GAP_MS)));
+        if is_chunked {
+            client.write(format!("{:x}\r\n", piece.len()).as_bytes())?;
+            client.write(&[piece, b"\r\n"].concat())?;
+        } else {
+            client.write(piece)?;
+        }
+    }
+    if is_chunked {
+        client.write(b"0\r\n\r\n")?;
+    }
+    Ok(())
+}
+
 fn closes(reply: &Reply) -> bool {
     let option = reply.header("connection");
     option.is_some_and(|option| option.eq_ignore_ascii_case("close"))
--- a/crates/standins/src/soak/guarantees.rs
+++ b/crates/standins/src/soak/guarantees.rs
@@ -451,7 +451,8 @@
     let recent = history
         .calls
         .iter()
-        .filter(|c| c.kind != Kind::Limited && last - c.sent < Duration::from_secs(1));
+        .filter(|c| c.kind != Kind::Limited && c.end != End::Left)
+        .filter(|c| last - c.sent < Duration::from_secs(1));
     let recent: Vec<&Call> = recent.collect();
     let served = recent.iter().filter(|call| call.is_served()).count();
     if served as f64 >= recent.len() as f64 * MIN_SERVED {
--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -39,6 +39,8 @@
     },
     /// No complete response arrived.
     Incomplete,
+    /// The caller left before a response arrived.
+    Left,
 }
 
 /// One request of a caller.
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -50,6 +50,29 @@
     Mode::Unanswered,
 ];
 
+/// What an endpoint may do that misleads a caller about whether a request has run.
+const MISLEADING_MODES: [Mode; 8] = [
+    Mode::Status(503),
+    Mode::Status(429),
+    Mode::Status(408),
+    Mode::Early(200),
+    Mode::Early(503),
+    Mode::Repeating,
+    Mode::Repeating,
+    Mode::Queued,
+];
+
+/// The mean time between two endpoints that mislead, in milliseconds.
+const MISLEADING_GAP_MS: u64 = 700;
+
+/// The mean time between two pauses of an instance, and the range of their durations, in
+/// milliseconds. A busy machine delays a process as long.
+const PAUSE_GAP_MS: u64 = 300;
+const PAUSE_DURATION_MS: std::ops::Range<u64> = 20..250;
+
+/// The number of slots that endpoints state, one a run; requests wait when there are few.
+const SLOTS: [u32; 3] = [2, 4, 8];
+
 /// A fault or an operator's action; each number is the index of an instance, an
 /// endpoint or a failure domain, and each duration is how long the fault lasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +115,8 @@
     Stop,
     /// It is suspended.
     Suspend,
+    /// It is suspended for as short a time as scheduling may take.
+    Pause,
 }
 
 /// A fault of a link.
@@ -142,6 +167,8 @@
         at += Duration::from_millis(rng.random_range(0..2 * MEAN_GAP_MS));
     }
     steps.extend(notices(seed, span));
+    steps.extend(misleading(seed, span));
+    steps.extend(pauses(seed, span, instances));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -166,6 +193,42 @@
     steps
 }
 
+// Generates the endpoints that mislead, with random numbers of their own.
+fn misleading(seed: u64, span: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16));
+    let mut at = Duration::from_secs(2);
+    let mut steps = Vec::new();
+    while at < span {
+        let endpoint = rng.random_range(0..ENDPOINT_COUNT);
+        let lasts = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        let fault = Fault::Endpoint(endpoint, choose(&mut rng, &MISLEADING_MODES), lasts);
+        steps.push(Step { at, fault });
+        at += Duration::from_millis(rng.random_range(0..2 * MISLEADING_GAP_MS));
+    }
+    steps
+}
+
+// Generates short pauses of instances, with random numbers of their own.
+fn pauses(seed: u64, span: Duration, instances: usize) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = Duration::from_secs(2);
+    let mut steps = Vec::new();
+    while at < span {
+        let node = rng.random_range(0..instances);
+        let lasts = Duration::from_millis(rng.random_range(PAUSE_DURATION_MS));
+        let fault = Fault::Process(node, ProcessFault::Pause, lasts);
+        steps.push(Step { at, fault });
+        at += Duration::from_millis(rng.random_range(0..2 * PAUSE_GAP_MS));
+    }
+    steps
+}
+
+/// Returns the number of slots that the endpoints of a run state.
+pub(super) fn slots(seed: u64) -> u32 {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
+    choose(&mut rng, &SLOTS)
+}
+
 fn fault(rng: &mut SmallRng, instances: usize) -> Fault {
     let node = rng.random_range(0..instances);
     let endpoint = rng.random_range(0..ENDPOINT_COUNT);
--- a/crates/standins/src/soak/promises.rs
+++ b/crates/standins/src/soak/promises.rs
@@ -28,7 +28,7 @@
     let refused = calls.values().filter(|call| {
         let promises = match call.end {
             End::Answered { status, .. } => matches!(status, 408 | 421 | 429 | 503),
-            End::Incomplete => false,
+            End::Incomplete | End::Left => false,
         };
         call.kind == Kind::Write && promises
     });
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -32,6 +32,7 @@
 use crate::soak::history::Change;
 use crate::soak::history::Disturbance;
 use crate::soak::history::History;
+use crate::soak::plan;
 use crate::soak::plan::Fault;
 use crate::soak::plan::LinkFault;
 use crate::soak::plan::ProcessFault;
@@ -42,6 +43,9 @@
 /// The timeout of every route.
 pub(super) const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The largest body of a request, in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 300_000;
+
 /// The rate-limited client account, its rate per second and its burst.
 pub(super) const LIMITED_ACCOUNT: &str = "t2";
 pub(super) const LIMITED_RATE_PER_S: f64 = 20.0;
@@ -110,7 +114,7 @@
 
 /// The action that ends a fault; the number is an instance, an endpoint or a failure
 /// domain.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Recovery {
     Start(usize),
     Resume(usize),
@@ -140,6 +144,7 @@
         for number in 0..ENDPOINT_COUNT {
             let service = if number % 2 == 0 { "s1" } else { "s2" };
             let endpoint = Endpoint::start(&format!("e{number}-0-{service}"));
+            endpoint.set_slots(plan::slots(options.seed));
             let link = Proxy::start(endpoint.addr)?;
             let domain = DOMAINS[number / 2 % DOMAINS.len()].0;
             endpoints.push(ListedEndpoint {
@@ -247,6 +252,12 @@
                     self.schedule(now + span, Recovery::Resume(at));
                 }
             }
+            Fault::Process(at, ProcessFault::Pause, span) => {
+                // Not a disturbance: every bound holds with the slack for scheduling.
+                if self.with_node(at, |node| node.process.suspend().is_ok()) {
+                    self.schedule(now + span, Recovery::Resume(at));
+                }
+            }
             Fault::StoreLink(at, link_fault, span) => self.fault_store_link(at, link_fault, span),
             Fault::StoreDown(span) => {
                 self.shared
@@ -313,6 +324,8 @@
             match recovery {
                 // An instance that fails to start is reported by the check for recovery.
                 Recovery::Start(at) => drop(self.start_node(at)),
+                // The longest of the suspensions that overlap counts.
+                Recovery::Resume(at) if self.is_pending(&Recovery::Resume(at)) => (),
                 Recovery::Resume(at) => {
                     self.with_node(at, |node| node.process.resume().is_ok());
                 }
@@ -380,6 +393,11 @@
         }
     }
 
+    fn is_pending(&self, recovery: &Recovery) -> bool {
+        let mut pending = self.state.recoveries.iter();
+        pending.any(|(_, other)| other == recovery)
+    }
+
     fn schedule(&mut self, at: Instant, recovery: Recovery) {
         self.state.recoveries.push((at, recovery));
     }
--- a/crates/standins/src/soak/world/listing.rs
+++ b/crates/standins/src/soak/world/listing.rs
@@ -13,6 +13,7 @@
 use crate::soak::world::LIMITED_BURST;
 use crate::soak::world::LIMITED_KEY;
 use crate::soak::world::LIMITED_RATE_PER_S;
+use crate::soak::world::MAX_BODY_BYTES;
 use crate::soak::world::ROUTE_TIMEOUT;
 use crate::soak::world::UNLIMITED_KEY;
 
@@ -108,7 +109,7 @@
             "columns": ["name", "cold_start_s", "cold_per_s"],
             "rows": [["s1", 1.0, 50.0], ["s2", 1.0, 50.0]],
         },
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": MAX_BODY_BYTES,
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
         "tenants": {
             "columns": ["name", "api_keys", "rate_per_s", "burst"],
