--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -22,8 +22,13 @@
 
 use crate::harness::Error;
 pub use crate::soak::history::Call;
+pub use crate::soak::history::End;
+pub use crate::soak::history::Kind;
 pub use crate::soak::plan::Fault;
 pub use crate::soak::plan::Step;
+pub use crate::soak::promises::false_refusals;
+pub use crate::soak::promises::Calls;
+pub use crate::soak::promises::Runs;
 use crate::soak::world::World;
 
 /// The time after the last fault in which all components must recover.
--- a/crates/standins/src/soak/promises.rs
+++ b/crates/standins/src/soak/promises.rs
@@ -8,10 +8,10 @@
 use crate::soak::history::Kind;
 
 /// The requests of callers, by id.
-pub(super) type Calls<'a> = BTreeMap<&'a str, &'a Call>;
+pub type Calls<'a> = BTreeMap<&'a str, &'a Call>;
 
 /// The runs of requests at all endpoints, by id.
-pub(super) type Runs<'a> = BTreeMap<&'a str, Vec<&'a RequestRecord>>;
+pub type Runs<'a> = BTreeMap<&'a str, Vec<&'a RequestRecord>>;
 
 /// Returns a line for each write that ran more than once.
 pub(super) fn repeated_writes(calls: &Calls<'_>, runs: &Runs<'_>) -> Vec<String> {
@@ -24,7 +24,7 @@
 
 /// Returns a line for each write that ran, before or after its caller was answered with a
 /// status which says that it has not run and never will. Who made the status doesn't matter.
-pub(super) fn false_refusals(calls: &Calls<'_>, runs: &Runs<'_>) -> Vec<String> {
+pub fn false_refusals(calls: &Calls<'_>, runs: &Runs<'_>) -> Vec<String> {
     let refused = calls.values().filter(|call| {
         let promises = match call.end {
             End::Answered { status, .. } => matches!(status, 408 | 421 | 429 | 503),
