--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -51,7 +51,11 @@
     let Options { seed, .. } = options;
     let (asked, served) = (report.requests, report.served);
     let faults = report.steps.len();
-    println!("seed {seed}: {faults} faults, {asked} requests, {served} served");
+    let (refused, rejected) = (report.refused, report.rejected);
+    println!(
+        "seed {seed}: {faults} faults, {asked} requests, {served} served, {refused} writes refused, \
+         {rejected} of them rejected by endpoints"
+    );
     for line in &report.violations {
         println!("  violated: {line}");
     }
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -15,6 +15,7 @@
 mod promises;
 mod world;
 
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
@@ -27,6 +28,7 @@
 pub use crate::soak::plan::Fault;
 pub use crate::soak::plan::Step;
 pub use crate::soak::promises::false_refusals;
+use crate::soak::promises::is_refused_write;
 pub use crate::soak::promises::Calls;
 pub use crate::soak::promises::Runs;
 use crate::soak::world::World;
@@ -70,6 +72,10 @@
     pub requests: usize,
     /// The number of requests that were served successfully.
     pub served: usize,
+    /// The number of writes that were refused with a status that says that they have not run.
+    pub refused: usize,
+    /// The number of those that an endpoint had rejected before.
+    pub rejected: usize,
     /// The log lines of each instance, with its name; empty on success.
     pub logs: Vec<(String, Vec<String>)>,
 }
@@ -111,6 +117,11 @@
     }
     let successes = history.calls.iter().filter(|call| call.is_served());
     let served = successes.count();
+    let refused = history.calls.iter().filter(|call| is_refused_write(call));
+    let refused: BTreeSet<&str> = refused.map(|call| call.id.as_str()).collect();
+    let rejections = history.rejections.iter().map(|row| row.id.as_str());
+    let rejected: BTreeSet<&str> = rejections.filter(|id| refused.contains(id)).collect();
+    let (refused, rejected) = (refused.len(), rejected.len());
     let logs = if broken.is_empty() {
         Vec::new()
     } else {
@@ -121,6 +132,8 @@
         violations: broken,
         requests: history.calls.len(),
         served,
+        refused,
+        rejected,
         logs,
     })
 }
--- a/crates/standins/src/soak/promises.rs
+++ b/crates/standins/src/soak/promises.rs
@@ -25,13 +25,7 @@
 /// Returns a line for each write that ran, before or after its caller was answered with a
 /// status which says that it has not run and never will. Who made the status doesn't matter.
 pub fn false_refusals(calls: &Calls<'_>, runs: &Runs<'_>) -> Vec<String> {
-    let refused = calls.values().filter(|call| {
-        let promises = match call.end {
-            End::Answered { status, .. } => matches!(status, 408 | 421 | 429 | 503),
-            End::Incomplete | End::Left => false,
-        };
-        call.kind == Kind::Write && promises
-    });
+    let refused = calls.values().filter(|call| is_refused_write(call));
     let ran = refused.flat_map(|call| {
         let records = runs.get(call.id.as_str()).into_iter().flatten();
         records.map(|record| false_refusal(call, record))
@@ -39,6 +33,15 @@
     ran.collect()
 }
 
+/// Reports whether a request is a write with an answer that says that it has not run.
+pub(super) fn is_refused_write(call: &Call) -> bool {
+    let promises = match call.end {
+        End::Answered { status, .. } => matches!(status, 408 | 421 | 429 | 503),
+        End::Incomplete | End::Left => false,
+    };
+    call.kind == Kind::Write && promises
+}
+
 fn false_refusal(call: &Call, record: &RequestRecord) -> String {
     let order = if record.at <= call.ended {
         format!("ran {:?} before the answer", call.ended - record.at)
