soak: writes whose time is short

Every request waited up to 3 s, longer than its route, so none ran out of time in a queue or on its way. A fifth of the writes now wait 20 ms to 1 s. They don't count in the check for recovery, since a healthy fleet may miss so short a deadline.

--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -33,8 +33,12 @@
 /// The timeout of a read without new bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// The `Deadline-Ms` header of every request.
-const DEADLINE_MS: &str = "3000";
+/// The `Deadline-Ms` header of most requests, and the range of that of the others.
+const DEADLINE_MS: u64 = 3_000;
+const SHORT_DEADLINE_MS: std::ops::Range<u64> = 20..1_000;
+
+/// The probability that a write has a short deadline.
+const SHORT_DEADLINE_PROBABILITY: f64 = 0.2;
 
 /// The probability that a caller reconnects to a random instance without a failure.
 const RECONNECT_PROBABILITY: f64 = 0.02;
@@ -150,12 +154,18 @@
         Kind::Read | Kind::Write | Kind::Moved => UNLIMITED_KEY.to_owned(),
     };
     let cookie = format!("Affinity-Key={}", rng.random_range(0..AFFINITY_KEYS));
+    let is_hurried = kind == Kind::Write && habits.random_bool(SHORT_DEADLINE_PROBABILITY);
+    let deadline_ms = if is_hurried {
+        habits.random_range(SHORT_DEADLINE_MS)
+    } else {
+        DEADLINE_MS
+    };
     let mut request = Request::new(method, path)
         .host(node::HOST)
         .header("Request-Id", id)
         .header("Key", &key)
         .header("Cookie", cookie)
-        .header("Deadline-Ms", DEADLINE_MS);
+        .header("Deadline-Ms", deadline_ms);
     let mut pieces = 1;
     if kind == Kind::Write {
         request = request.body(body(habits));
@@ -185,6 +195,7 @@
         key,
         node: 0,
         run: 0,
+        is_hurried,
         sent,
         ended: Instant::now(),
         end,
--- a/crates/standins/src/soak/guarantees.rs
+++ b/crates/standins/src/soak/guarantees.rs
@@ -451,7 +451,7 @@
     let recent = history
         .calls
         .iter()
-        .filter(|c| c.kind != Kind::Limited && c.end != End::Left)
+        .filter(|c| c.kind != Kind::Limited && c.end != End::Left && !c.is_hurried)
         .filter(|c| last - c.sent < Duration::from_secs(1));
     let recent: Vec<&Call> = recent.collect();
     let served = recent.iter().filter(|call| call.is_served()).count();
--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -56,6 +56,8 @@
     pub node: usize,
     /// The number of that instance's start.
     pub run: u32,
+    /// Whether its deadline is short, so that a healthy fleet may miss it.
+    pub is_hurried: bool,
     /// The time at which it was sent.
     pub sent: Instant,
     /// The time at which it ended.
--- a/crates/standins/tests/promises.rs
+++ b/crates/standins/tests/promises.rs
@@ -21,6 +21,7 @@
         key: "k-base".to_owned(),
         node: 0,
         run: 1,
+        is_hurried: false,
         sent: at,
         ended: at,
         end,
