soak: a pause that the instance was not told of does not count

The check counted from the rejection itself.

A rejection now asks for a pause unless the link held back or lost answers at that time. Slow links and links that hold requests back still count, so the check stays as strict where the answer arrived. Requests and rejections that waited in a queue of the endpoint keep the time of their arrival, and have the time at which they began to run beside it.

--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -54,6 +54,8 @@
 pub struct RequestRecord {
     /// The time at which it arrived.
     pub at: Instant,
+    /// The time at which it began to run.
+    pub began: Instant,
     /// The identity of the endpoint at that time.
     pub endpoint: String,
     /// The method and the target.
--- a/crates/standins/src/estate/exchange.rs
+++ b/crates/standins/src/estate/exchange.rs
@@ -136,6 +136,7 @@
     // Serves one request; `None` when the connection has ended.
     async fn exchange(&mut self) -> Option<()> {
         let head = self.head().await?;
+        let at = Instant::now();
         let (by, mode, turn) = {
             let mut state = self.endpoint.lock();
             let turn = state.arrived;
@@ -153,7 +154,7 @@
         }
         match Act::new(mode, turn, &head) {
             Act::Reject { pause } => {
-                let response = self.reject(&head, by, pause);
+                let response = self.reject(&head, at, by, pause);
                 self.reply(&head, response, mode).await
             }
             Act::Run {
@@ -161,7 +162,7 @@
                 delay,
                 early: true,
             } => {
-                let number = self.start(&head, by.clone(), mode, Vec::new());
+                let number = self.start(&head, at, by.clone(), mode, Vec::new());
                 task::sleep(delay).await;
                 let response = self.result(&head, status, mode, &by);
                 self.write(response, mode).await?;
@@ -172,7 +173,7 @@
             }
             Act::Run { status, delay, .. } => {
                 let (body, whole) = self.body(&head).await;
-                self.start(&head, by.clone(), mode, body);
+                self.start(&head, at, by.clone(), mode, body);
                 whole.then_some(())?;
                 task::sleep(delay).await;
                 let response = self.result(&head, status, mode, &by);
@@ -180,7 +181,7 @@
             }
             Act::Keep => {
                 let (body, _) = self.body(&head).await;
-                self.start(&head, by, mode, body);
+                self.start(&head, at, by, mode, body);
                 std::future::pending().await
             }
         }
@@ -193,10 +194,10 @@
         whole.then_some(())
     }
 
-    fn reject(&self, head: &Head, by: String, pause: Duration) -> Vec<u8> {
+    fn reject(&self, head: &Head, at: Instant, by: String, pause: Duration) -> Vec<u8> {
         let id = head.header("request-id").unwrap_or_default();
         let rejection = Rejection {
-            at: Instant::now(),
+            at,
             endpoint: by,
             id: id.to_owned(),
             pause,
@@ -211,9 +212,10 @@
     }
 
     // Records that a request runs; returns the number of its record.
-    fn start(&self, head: &Head, by: String, mode: Mode, body: Vec<u8>) -> usize {
+    fn start(&self, head: &Head, at: Instant, by: String, mode: Mode, body: Vec<u8>) -> usize {
         let record = RequestRecord {
-            at: Instant::now(),
+            at,
+            began: Instant::now(),
             endpoint: by,
             request_line: format!("{} {}", head.method, head.target),
             id: head.header("request-id").unwrap_or_default().to_owned(),
--- a/crates/standins/src/soak/guarantees.rs
+++ b/crates/standins/src/soak/guarantees.rs
@@ -242,7 +242,8 @@
 }
 
 // Counts requests from one run of an instance that reach an endpoint between half a second
-// after it asked that run for a pause and the end of the pause.
+// after it asked that run for a pause and the end of the pause. An answer that may have been
+// held back or lost on the link asks for nothing.
 fn requests_in_pause(history: &History, calls: &Calls<'_>) -> Vec<String> {
     let ran = history.requests.iter().map(|r| (r.at, &r.endpoint, &r.id));
     let rejected = history
@@ -252,7 +253,8 @@
     let arrivals: Vec<_> = ran.chain(rejected).collect();
     let origin = |id: &str| calls.get(id).map(|call| (call.node, call.run));
     let mut wrong = Vec::new();
-    for rejection in history.rejections.iter().filter(|r| !r.pause.is_zero()) {
+    let asked = history.rejections.iter().filter(|r| !r.pause.is_zero());
+    for rejection in asked.filter(|r| !history.were_answers_held(&r.endpoint, r.at)) {
         let Some((node, run)) = origin(&rejection.id) else {
             continue;
         };
--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -99,6 +99,8 @@
     pub(super) changes: Vec<(Instant, Change)>,
     /// Spans in which no instance could reach the store.
     pub(super) store_faults: Vec<(Instant, Option<Instant>)>,
+    /// Spans in which the link to an endpoint, by identity, held answers back or lost them.
+    pub(super) link_faults: Vec<(String, Instant, Instant)>,
     /// Spans in which an endpoint, by identity, or the link to it was faulty.
     pub(super) endpoint_faults: Vec<(String, Instant, Option<Instant>)>,
 }
@@ -118,6 +120,12 @@
 }
 
 impl History {
+    /// Reports whether the link to an endpoint held its answers back or lost them at a time.
+    pub(super) fn were_answers_held(&self, endpoint: &str, at: Instant) -> bool {
+        let mut faults = self.link_faults.iter().filter(|row| row.0 == endpoint);
+        faults.any(|(_, from, to)| *from <= at && at <= *to)
+    }
+
     /// Reports whether an instance and the store were undisturbed from [`SETTLING_TIME`]
     /// before `from` until `to`.
     pub(super) fn was_undisturbed(&self, node: usize, from: Instant, to: Instant) -> bool {
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -286,6 +286,18 @@
 }
 
 impl LinkFault {
+    /// Reports whether answers that are sent meanwhile are lost, or held back until its end.
+    pub(super) fn holds_answers(self) -> bool {
+        match self {
+            Self::Blocked
+            | Self::BackwardBlocked
+            | Self::Severed
+            | Self::ResponseLost
+            | Self::ResponseTruncated => true,
+            Self::ForwardBlocked | Self::Slow => false,
+        }
+    }
+
     /// Returns the state of a link with this fault.
     pub(super) fn link(self) -> Link {
         let healthy = Link::default();
--- a/crates/standins/src/soak/promises.rs
+++ b/crates/standins/src/soak/promises.rs
@@ -43,10 +43,10 @@
 }
 
 fn false_refusal(call: &Call, record: &RequestRecord) -> String {
-    let order = if record.at <= call.ended {
-        format!("ran {:?} before the answer", call.ended - record.at)
+    let order = if record.began <= call.ended {
+        format!("ran {:?} before the answer", call.ended - record.began)
     } else {
-        format!("ran {:?} after the answer", record.at - call.ended)
+        format!("ran {:?} after the answer", record.began - call.ended)
     };
     let Call { id, node, end, .. } = call;
     format!(
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -272,6 +272,11 @@
             Fault::EndpointLink(at, link_fault, span) => {
                 self.state.endpoints[at].link.set_link(link_fault.link());
                 self.record_endpoint_fault(at, now, now + span);
+                if link_fault.holds_answers() {
+                    let id = self.state.endpoints[at].endpoint.id();
+                    let row = (id, now, now + span);
+                    self.shared.history().link_faults.push(row);
+                }
                 self.schedule(now + span, Recovery::EndpointLink(at));
             }
             Fault::Endpoint(at, mode, span) => {
--- a/crates/standins/tests/promises.rs
+++ b/crates/standins/tests/promises.rs
@@ -40,6 +40,7 @@
 fn record(id: &str, at: Instant) -> RequestRecord {
     RequestRecord {
         at,
+        began: at,
         endpoint: "e1-0-s2".to_owned(),
         request_line: "POST /write/1".to_owned(),
         id: id.to_owned(),
