soak: a pause that lasted longer than scheduling may take is a disturbance

The soak's own thread was held up for 34 s while it started a process: that process's first line is 34 s after its time, no fault was injected in between, and the node had been suspended 12 ms before for 116 ms. What held them up is not known.

A suspension is measured when it ends, and counts as a disturbance when it was longer than the slack for scheduling. The report says how long the soak was held up at most. Each check copied all bodies, some 100 MB; they are shared now.

--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -54,7 +54,8 @@
     let (refused, rejected) = (report.refused, report.rejected);
     println!(
         "seed {seed}: {faults} faults, {asked} requests, {served} served, {refused} writes refused, \
-         {rejected} of them rejected by endpoints"
+         {rejected} of them rejected by endpoints, stalled {} ms at most",
+        report.stall.as_millis()
     );
     for line in &report.violations {
         println!("  violated: {line}");
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -67,7 +67,7 @@
     /// The names of all headers, in lower case.
     pub headers: Vec<String>,
     /// The body, as much of it as arrived.
-    pub body: String,
+    pub body: Arc<str>,
     /// Whether the answer says that the endpoint leaves.
     pub leaving: bool,
 }
--- a/crates/standins/src/estate/exchange.rs
+++ b/crates/standins/src/estate/exchange.rs
@@ -167,7 +167,7 @@
                 let response = self.result(&head, status, mode, &by);
                 self.write(response, mode).await?;
                 let (body, whole) = self.body(&head).await;
-                let body = String::from_utf8_lossy(&body).into_owned();
+                let body = String::from_utf8_lossy(&body).into();
                 self.endpoint.lock().seen[number].body = body;
                 whole.then_some(())
             }
@@ -221,7 +221,7 @@
             id: head.header("request-id").unwrap_or_default().to_owned(),
             account: head.header("tenant").map(str::to_owned),
             headers: head.headers.iter().map(|(name, _)| name.clone()).collect(),
-            body: String::from_utf8_lossy(&body).into_owned(),
+            body: String::from_utf8_lossy(&body).into(),
             leaving: mode == Mode::Leaving,
         };
         let mut state = self.endpoint.lock();
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -76,6 +76,9 @@
     pub refused: usize,
     /// The number of those that an endpoint had rejected before.
     pub rejected: usize,
+    /// The longest time for which the run injected and ended no faults, as its own thread was
+    /// held up.
+    pub stall: Duration,
     /// The log lines of each instance, with its name; empty on success.
     pub logs: Vec<(String, Vec<String>)>,
 }
@@ -94,7 +97,11 @@
     let mut checked = started;
     let mut broken = Vec::new();
     let end = options.span + RECOVERY_TIME + FINAL_CALL_TIME;
+    let mut stall = Duration::ZERO;
+    let mut turn = started;
     while started.elapsed() < end && broken.is_empty() {
+        stall = stall.max(turn.elapsed());
+        turn = Instant::now();
         while next < steps.len() && started.elapsed() >= steps[next].at {
             world.inject(steps[next].fault);
             next += 1;
@@ -106,6 +113,7 @@
         }
         thread::sleep(Duration::from_millis(10));
     }
+    stall = stall.max(turn.elapsed());
     callers.stop();
     if broken.is_empty() {
         world.end();
@@ -134,6 +142,7 @@
         served,
         refused,
         rejected,
+        stall,
         logs,
     })
 }
--- a/crates/standins/src/soak/world/processes.rs
+++ b/crates/standins/src/soak/world/processes.rs
@@ -7,6 +7,7 @@
 use crate::estate::Node;
 use crate::harness::until;
 use crate::harness::Error;
+use crate::soak::guarantees::SCHEDULING_SLACK;
 use crate::soak::plan::DOMAINS;
 use crate::soak::world::Recovery;
 use crate::soak::world::World;
@@ -116,12 +117,34 @@
         self.shared.runs[at].fetch_add(1, Ordering::AcqRel);
         let node = Node::start(site, &DOMAINS, &self.dir)?;
         self.state.hosts[at].node = Some(node);
+        self.state.hosts[at].suspended = None;
         let now = Instant::now();
         self.end_disturbances(at, now);
         self.record_disturbance(at, now, Some(now), false);
         Ok(())
     }
 
+    // Suspends an instance and reports whether it could.
+    pub(super) fn suspend(&mut self, at: usize) -> bool {
+        let suspended = self.with_node(at, |node| node.process.suspend().is_ok());
+        if suspended {
+            let since = &mut self.state.hosts[at].suspended;
+            since.get_or_insert_with(Instant::now);
+        }
+        suspended
+    }
+
+    // Resumes an instance. What was to be a short pause is a disturbance if it became
+    // longer, since this thread or the machine was late.
+    pub(super) fn resume(&mut self, at: usize) {
+        self.with_node(at, |node| node.process.resume().is_ok());
+        let now = Instant::now();
+        let since = self.state.hosts[at].suspended.take();
+        if let Some(since) = since.filter(|since| now - *since > SCHEDULING_SLACK) {
+            self.record_disturbance(at, since, Some(now), false);
+        }
+    }
+
     pub(super) fn with_node(&mut self, at: usize, act: impl FnOnce(&mut Node) -> bool) -> bool {
         self.state.hosts[at].node.as_mut().is_some_and(act)
     }
