--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -77,7 +77,7 @@
     CheckAnswer::Told { revision, news }
 }
 
-// Logs a check that was missed or told news. Of the others it is enough that they were in turn.
+// Logs a check without an answer, or with unknown changes.
 fn log_check(ctx: &Context, input: InputKind, answer: CheckAnswer, took: Duration) {
     if matches!(answer, CheckAnswer::Told { news: false, .. }) {
         return;
--- a/crates/steer/src/store_check.rs
+++ b/crates/steer/src/store_check.rs
@@ -105,7 +105,7 @@
     state: State,
     // The kind that the next round begins with.
     turn: usize,
-    // The store's revision as told in this round, and the kinds that were asked for.
+    // The store's revision as answered in this round, and the kinds that were asked for.
     revision: u64,
     asked: Vec<InputKind>,
     // The revisions up to which there were no unknown changes.
