--- a/crates/node/src/checks.rs
+++ b/crates/node/src/checks.rs
@@ -41,11 +41,11 @@
             return Some(Signal::Checked);
         };
         // The other half of the time left is for running the request.
-        let patience = CHECK_TIMEOUT.min(open.deadline.since(now) / 2);
+        let timeout = CHECK_TIMEOUT.min(open.deadline.since(now) / 2);
         self.pending_checks.push(PendingCheck {
             id: open.query.id,
             server,
-            until: now + patience,
+            until: now + timeout,
             lost: false,
         });
         None
