soak: a faulty link stays faulty for the endpoint that takes its address over

Cause: the link that cuts answers after 20 bytes was noted under the identity of e5-0-s2, whose address e5-1-s2 took over 1.4 s later, with the link. The node's log has end=broken status=- for each attempt there and no server-paused line: no wish for a pause arrived. Change: the spans in which a link holds answers back belong to the address.

--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -99,7 +99,8 @@
     pub(super) changes: Vec<(Instant, Change)>,
     /// Spans in which no instance could reach the store.
     pub(super) store_faults: Vec<(Instant, Option<Instant>)>,
-    /// Spans in which the link to an endpoint, by identity, held answers back or lost them.
+    /// Spans in which the link at an address held answers back or lost them. The address is
+    /// the start of the identities of all endpoints that have it one after the other.
     pub(super) link_faults: Vec<(String, Instant, Instant)>,
     /// Spans in which an endpoint, by identity, or the link to it was faulty.
     pub(super) endpoint_faults: Vec<(String, Instant, Option<Instant>)>,
@@ -122,7 +123,10 @@
 impl History {
     /// Reports whether the link to an endpoint held its answers back or lost them at a time.
     pub(super) fn were_answers_held(&self, endpoint: &str, at: Instant) -> bool {
-        let mut faults = self.link_faults.iter().filter(|row| row.0 == endpoint);
+        let mut faults = self
+            .link_faults
+            .iter()
+            .filter(|row| endpoint.starts_with(&row.0));
         faults.any(|(_, from, to)| *from <= at && at <= *to)
     }
 
