--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -22,3 +22,4 @@
 pub use crate::estate::scripted::Scripted;
 pub use crate::estate::scripted::Step;
 pub use crate::estate::store::Store;
+pub use crate::estate::store::UndoneWrites;
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -33,7 +33,7 @@
 const PAGE_OBJECTS: usize = 3;
 
 /// A write of an operator or an endpoint that a return to an older copy has undone.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Undone {
     Put(Key, Value),
     Removed(Key),
@@ -41,7 +41,11 @@
 
 /// The writes that a return to an older copy has undone, in their order.
 #[derive(Clone, Debug, Default)]
-pub struct UndoneWrites(Vec<Undone>);
+pub struct UndoneWrites {
+    writes: Vec<Undone>,
+    // The number of writes in the copy.
+    copied: usize,
+}
 
 // A kind and a name.
 type Key = (String, String);
@@ -143,11 +147,17 @@
         self.lock().restore(age)
     }
 
-    /// Writes again what a return to an older copy has undone.
+    /// Writes again what a return to an older copy has undone, except for objects that
+    /// operator or endpoints have written since.
     pub fn write_again(&self, undone: UndoneWrites) {
         let mut shared = self.lock();
-        for write in undone.0 {
+        let since = shared.writes.split_at_checked(undone.copied);
+        let since = since.map(|rows| rows.1).unwrap_or_default();
+        let newer = since.iter().filter(|write| write.author.is_some());
+        let newer: Vec<Key> = newer.map(|write| write.key.clone()).collect();
+        for write in undone.writes {
             match write.clone() {
+                Undone::Put(key, _) | Undone::Removed(key) if newer.contains(&key) => (),
                 Undone::Put(key, spec) => shared.put(key, &spec, Some(write)),
                 Undone::Removed(key) => {
                     shared.remove(&key, Some(write));
@@ -231,12 +241,13 @@
         let revision = self.revision;
         self.history.retain(|row| row.0 <= revision);
         self.era += 1;
-        UndoneWrites(
-            undone
+        UndoneWrites {
+            writes: undone
                 .into_iter()
                 .filter_map(|write| write.author)
                 .collect(),
-        )
+            copied: kept,
+        }
     }
 
     fn record(&mut self, key: &Key, author: Option<Undone>) {
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -70,6 +70,11 @@
 const PAUSE_GAP_MS: u64 = 300;
 const PAUSE_DURATION_MS: std::ops::Range<u64> = 20..250;
 
+/// The probability that the store comes back from an older copy in a run, and the range of the
+/// copy's age, in milliseconds.
+const RESTORED_CHANCE: f64 = 0.25;
+const COPY_AGE_MS: std::ops::Range<u64> = 200..5_000;
+
 /// The number of slots that endpoints state, one a run; requests wait when there are few.
 const SLOTS: [u32; 3] = [2, 4, 8];
 
@@ -83,6 +88,9 @@
     StoreLink(usize, LinkFault, Duration),
     /// No instance can reach the store.
     StoreDown(Duration),
+    /// No instance can reach the store, which then comes back from a copy of the first
+    /// duration before the fault.
+    StoreRestored(Duration, Duration),
     /// The store drops its watch history.
     Compact,
     /// A fault of the link to an endpoint.
@@ -169,6 +177,7 @@
     steps.extend(notices(seed, span));
     steps.extend(misleading(seed, span));
     steps.extend(pauses(seed, span, instances));
+    steps.extend(restored(seed, span));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -223,6 +232,20 @@
     steps
 }
 
+// Generates the return of the store from an older copy in some runs, with random numbers of its
+// own.
+fn restored(seed: u64, span: Duration) -> Option<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed.rotate_left(16));
+    let is_drawn = rng.random_bool(RESTORED_CHANCE);
+    let at = rng.random_range(2_000..(span.as_millis() as u64).max(2_001));
+    let age = Duration::from_millis(rng.random_range(COPY_AGE_MS));
+    let lasts = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    is_drawn.then_some(Step {
+        at: Duration::from_millis(at),
+        fault: Fault::StoreRestored(age, lasts),
+    })
+}
+
 /// Returns the number of slots that the endpoints of a run state.
 pub(super) fn slots(seed: u64) -> u32 {
     let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
@@ -278,6 +301,7 @@
         Fault::ReuseAddress(at) => Fault::ReuseAddress(endpoint(at)),
         Fault::ResetCallers(at) => Fault::ResetCallers(node(at)),
         same @ (Fault::StoreDown(_)
+        | Fault::StoreRestored(..)
         | Fault::Compact
         | Fault::MoveRoute
         | Fault::RotateKey
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -24,6 +24,7 @@
 use crate::estate::Node;
 use crate::estate::Site;
 use crate::estate::Store;
+use crate::estate::UndoneWrites;
 use crate::harness::until;
 use crate::harness::Error;
 use crate::harness::Link;
@@ -58,6 +59,9 @@
 /// The maximum wait until all instances are ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The time that operator and endpoints need to write again what the store has lost.
+const WRITING_AGAIN: Duration = Duration::from_millis(1_500);
+
 /// The state that callers share with the run.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -85,6 +89,8 @@
     hosts: Vec<Host>,
     endpoints: Vec<ListedEndpoint>,
     recoveries: Vec<(Instant, Recovery)>,
+    // What operator and endpoints have to write again.
+    undone: UndoneWrites,
     version: u64,
     moved: bool,
     key_number: u32,
@@ -125,6 +131,8 @@
     Replace(usize),
     EndpointReady(usize),
     EndEvacuation(usize),
+    Restore(Duration),
+    WriteAgain,
 }
 
 impl Shared {
@@ -183,6 +191,7 @@
             hosts,
             endpoints,
             recoveries: Vec::new(),
+            undone: UndoneWrites::default(),
             version: 0,
             moved: false,
             key_number: 0,
@@ -261,14 +270,10 @@
                 }
             }
             Fault::StoreLink(at, link_fault, span) => self.fault_store_link(at, link_fault, span),
-            Fault::StoreDown(span) => {
-                self.shared
-                    .history()
-                    .store_faults
-                    .push((now, Some(now + span)));
-                for at in 0..self.state.hosts.len() {
-                    self.fault_store_link(at, LinkFault::Severed, span);
-                }
+            Fault::StoreDown(span) => self.cut_store(now + span, span),
+            Fault::StoreRestored(age, span) => {
+                self.cut_store(now + span + WRITING_AGAIN, span);
+                self.schedule(now + span, Recovery::Restore(age + span));
             }
             Fault::Compact => self.store.compact(),
             Fault::EndpointLink(at, link_fault, span) => {
@@ -349,10 +354,27 @@
                     self.record_change(Change::EndpointReady(id));
                 }
                 Recovery::EndEvacuation(at) => self.store.remove("evacuations", DOMAINS[at].0),
+                Recovery::Restore(age) => {
+                    self.state.undone = self.store.restore(age);
+                    self.schedule(now + WRITING_AGAIN, Recovery::WriteAgain);
+                }
+                Recovery::WriteAgain => {
+                    self.store
+                        .write_again(std::mem::take(&mut self.state.undone));
+                }
             }
         }
     }
 
+    // Cuts off the store for a time. Its contents may be wrong until `until`.
+    fn cut_store(&mut self, until: Instant, span: Duration) {
+        let row = (Instant::now(), Some(until));
+        self.shared.history().store_faults.push(row);
+        for at in 0..self.state.hosts.len() {
+            self.fault_store_link(at, LinkFault::Severed, span);
+        }
+    }
+
     fn fault_store_link(&mut self, at: usize, link_fault: LinkFault, span: Duration) {
         let now = Instant::now();
         self.state.hosts[at].store.set_link(link_fault.link());
