--- a/crates/model/src/revision.rs
+++ b/crates/model/src/revision.rs
@@ -54,6 +54,7 @@
     }
 
     /// Returns the revision after this one.
+    #[must_use]
     pub const fn next(self) -> Self {
         Self::new(self.era, self.number + 1)
     }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -19,6 +19,7 @@
 use corianderway_model::Version;
 
 use crate::crashes::Incarnation;
+use crate::departures::Departures;
 use crate::event::Load;
 use crate::event::RequestId;
 use crate::event::ServerNotice;
@@ -77,35 +78,6 @@
     pub(crate) why: &'static str,
 }
 
-/// The start of a server that left the list.
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    start: u32,
-    // The sequence number of its latest report.
-    report: u64,
-    // The era of the list that it left.
-    era: Era,
-    at: Time,
-}
-
-impl Departure {
-    fn new(listed: &ServerEntry, era: Era, at: Time) -> Self {
-        Self {
-            start: listed.incarnation().start,
-            report: listed.report_sequence,
-            era,
-            at,
-        }
-    }
-
-    // Returns whether an entry of a later era says no more than was known when the server left.
-    fn covers(&self, listed: &ServerEntry) -> bool {
-        self.era < listed.revision.era
-            && self.report >= listed.report_sequence
-            && self.start == listed.incarnation().start
-    }
-}
-
 /// The backend servers of all services.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -120,10 +92,7 @@
     evacuated: Vec<FailureDomain>,
     // The starts of servers that said that they leave, with the time of that.
     resigned: Vec<(u32, Time)>,
-    // The starts of servers that left the list, which an older copy of the store may bring back.
-    departures: Vec<Departure>,
-    // The era of the store.
-    era: Era,
+    departures: Departures,
     // The instances that receive callers' requests.
     neighbours: Vec<Neighbour>,
     changes: Vec<StateChange>,
@@ -141,8 +110,7 @@
             unknown_placement: Placement::default(),
             evacuated: Vec::new(),
             resigned: Vec::new(),
-            departures: Vec::new(),
-            era: Era::FIRST,
+            departures: Departures::default(),
             neighbours: vec![this_instance.clone()],
             changes: Vec::new(),
             service_times: ServiceTimes::default(),
@@ -296,7 +264,7 @@
 
     /// Begins an era of the store.
     pub(crate) fn enter_era(&mut self, era: Era) {
-        self.era = era;
+        self.departures.enter_era(era);
     }
 
     pub(crate) fn is_evacuated(&self, domain: &FailureDomain) -> bool {
@@ -342,8 +310,7 @@
             .retain(|_, s| !is_out(s) || s.missing.is_none() || s.active() > 0);
         self.resigned
             .retain(|row| now.since(row.1) < RESIGNATION_TTL);
-        self.departures
-            .retain(|departure| now.since(departure.at) < RESIGNATION_TTL);
+        self.departures.expire(now);
         if self.servers.len() != count {
             self.index();
         }
@@ -527,7 +494,7 @@
 
     // Updates or adds a server; returns its start if that was not known.
     fn put(&mut self, now: Time, listed: ServerEntry) -> Option<Incarnation> {
-        if self.departures.iter().any(|left| left.covers(&listed)) {
+        if self.departures.covers(&listed) {
             return None;
         }
         let id = listed.backend.id.clone();
@@ -562,8 +529,9 @@
                 }
             }
             known => {
-                let replaced = known.map(|old| Departure::new(&old.listed, self.era, now));
-                self.departures.extend(replaced);
+                if let Some(replaced) = known {
+                    self.departures.record(now, &replaced.listed);
+                }
                 let hash = hash::of(id.as_str().as_bytes());
                 let window = self.first_window(&listed);
                 let has_resigned = self.resigned.iter().any(|row| Some(row.0) == start_hash);
@@ -599,8 +567,7 @@
         };
         if server.missing.is_none() {
             server.missing = Some(now);
-            let left = Departure::new(&server.listed, self.era, now);
-            self.departures.push(left);
+            self.departures.record(now, &server.listed);
         }
         if !unsettled {
             self.signal(now, id, Signal::Withdrawn, "removed");
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -50,6 +50,7 @@
 mod bucket;
 mod choice;
 mod crashes;
+mod departures;
 mod digest;
 mod dispatch;
 mod event;
