daemon, steer: store changes go first, and old choices are not sent

Change: a ring of its own for changes of the store; a choice that is older than 800 ms, or whose server has left, ends as outdated before the first byte and is made again, without a retry.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -63,6 +63,7 @@
 use crate::edge::signals::SignalHandler;
 use crate::logs;
 use crate::logs::Log;
+use crate::prioritized::Prioritized;
 
 /// The port for metrics and explanations; exporters of the Prometheus text
 /// format commonly use it.
@@ -108,7 +109,9 @@
     let socket = UdpSocket::bind(addr).context(ListenSnafu { field, addr })?;
 
     let clock = Clock::start();
-    let (decisions, inputs) = async_channel::bounded(rings::DECISIONS);
+    let (decisions, ordinary) = async_channel::bounded(rings::DECISIONS);
+    let (urgent_decisions, urgent) = async_channel::bounded(rings::URGENT_DECISIONS);
+    let inputs = Prioritized::new(urgent, ordinary);
     let (to_servers, server_rx) = async_channel::bounded(rings::SERVER_COMMANDS);
     let (commands, command_rx) = async_channel::bounded(rings::STORE_COMMANDS);
     let (messages, queued) = async_channel::bounded(rings::PEER_MESSAGES);
@@ -152,7 +155,7 @@
         servers::run(server_rx, clock, bodies, ring);
     })
     .context(ThreadSnafu)?;
-    let (ring, store_log) = (decisions.clone(), log.clone());
+    let (ring, store_log) = (urgent_decisions, log.clone());
     duty::spawn("store", move || {
         store::run(
             settings,
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -1,7 +1,9 @@
 //! The decision duty: runs the decision core and executes its actions.
 //!
-//! The duty receives requests and events on one ring, passes them to [`Steer`],
-//! and sends the resulting actions to the other duties. It never blocks on a
+//! The duty receives requests and events, passes them to [`Steer`], and sends the
+//! resulting actions to the other duties. Changes of the store have a ring of their own
+//! and go first, so that they don't wait behind the requests of an instance that is
+//! behind with its work. It never blocks on a
 //! ring: if an output ring is full, the attempt ends as not sent or the message
 //! is dropped. Each request gets at most one reply. The duty owns the head and the
 //! body of each request, from its arrival until the action that ends it.
@@ -11,7 +13,6 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use async_channel::Receiver;
 use async_channel::Sender;
 use corianderway_model::SortedMap;
 use corianderway_platform::front::Outbound;
@@ -38,6 +39,7 @@
 use crate::edge::rings::StoreCommand;
 use crate::logs::Log;
 use crate::park;
+use crate::prioritized::Prioritized;
 
 /// State that duties share without a ring.
 #[derive(Clone, Debug, Default)]
@@ -90,14 +92,22 @@
 struct OpenRequest {
     outbound: Option<Outbound>,
     reply: Sender<Reply>,
-    // Present while an attempt runs; dropping it cancels the attempt.
-    attempt: Option<Sender<()>>,
+    attempt: Option<RunningAttempt>,
     answer: Option<Answer>,
     // The memory of the body, also while its caller has gone.
     #[expect(dead_code, reason = "held for its drop")]
     reservation: Option<Reservation>,
 }
 
+/// An attempt that runs. Dropping it cancels the attempt.
+#[derive(Debug)]
+struct RunningAttempt {
+    #[expect(dead_code, reason = "held for its drop")]
+    cancel: Sender<()>,
+    // Set if nothing may be sent any more, unless the first byte has been.
+    recalled: Arc<AtomicBool>,
+}
+
 impl DecisionDuty {
     /// Creates the duty with no open requests.
     pub fn new(
@@ -120,7 +130,7 @@
     }
 
     /// Processes inputs until `done` is set or every sender has been dropped.
-    pub fn run(mut self, inputs: &Receiver<Input>, done: &AtomicBool) {
+    pub fn run(mut self, inputs: &Prioritized<Input>, done: &AtomicBool) {
         while !done.load(Ordering::Acquire) {
             let wait = self.clock.until(self.steer.next_tick());
             // Checked before the ring, which may never be empty under load.
@@ -128,7 +138,7 @@
                 self.step(Event::Tick);
                 continue;
             }
-            match park::wait_for(inputs.recv(), wait) {
+            match park::wait_for(inputs.next(), wait) {
                 Some(Ok(input)) => self.receive(input),
                 Some(Err(_closed)) => return,
                 None => (),
@@ -209,16 +219,21 @@
                 addr,
                 account,
                 deadline,
+                begin_by,
                 once,
             } => {
-                let (attempt, cancelled) = async_channel::bounded(1);
+                let (cancel, cancelled) = async_channel::bounded(1);
                 let entry = self.requests.get_mut(&id);
                 let Some((entry, outbound)) = entry
                     .and_then(|entry| entry.outbound.clone().map(|outbound| (entry, outbound)))
                 else {
                     return;
                 };
-                entry.attempt = Some(attempt);
+                let recalled = Arc::new(AtomicBool::new(false));
+                entry.attempt = Some(RunningAttempt {
+                    cancel,
+                    recalled: Arc::clone(&recalled),
+                });
                 let job = Job {
                     id,
                     server,
@@ -226,6 +241,8 @@
                     account,
                     outbound,
                     deadline,
+                    begin_by,
+                    recalled,
                     once,
                     cancelled,
                 };
@@ -243,6 +260,12 @@
                         .try_send(ServerCommand::Check(server, addr)),
                 );
             }
+            Action::Recall(id) => {
+                let entry = self.requests.get_mut(&id);
+                if let Some(attempt) = entry.and_then(|entry| entry.attempt.as_ref()) {
+                    attempt.recalled.store(true, Ordering::Release);
+                }
+            }
             Action::Cancel(id) => {
                 if let Some(entry) = self.requests.get_mut(&id) {
                     entry.attempt = None;
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -14,6 +14,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -207,6 +208,7 @@
         Some(Outcome::Misdirected) => "misdirected",
         Some(Outcome::Unreachable) => "unreachable",
         Some(Outcome::NotSent) => "not-sent",
+        Some(Outcome::Outdated) => "outdated",
         Some(Outcome::Broken) => "broken",
         Some(Outcome::TimedOut) => "timed-out",
     }
@@ -229,6 +231,9 @@
     if left.is_zero() {
         return Outcome::NotSent.into();
     }
+    if job.recalled.load(Ordering::Acquire) || clock.until(job.begin_by).is_zero() {
+        return Outcome::Outdated.into();
+    }
     let request = job.outbound.write(&job.server, job.account.as_ref(), left);
     progress.is_new.set(Some(connection.is_new()));
     progress.length.set(request.len());
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -2,6 +2,8 @@
 //! platform.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -31,6 +33,10 @@
 /// refused as not run, and other senders wait.
 pub const DECISIONS: usize = 4_096;
 
+/// The capacity of the decision duty's ring for changes of the store, which go ahead of all
+/// other inputs. If it is full, the store duty waits.
+pub const URGENT_DECISIONS: usize = 1_024;
+
 /// The capacity of the ring to the servers duty. If it is full, the attempt ends
 /// as not sent, and a check is dropped.
 pub const SERVER_COMMANDS: usize = 1_024;
@@ -111,8 +117,12 @@
     pub account: Option<Account>,
     /// The request to send.
     pub outbound: Outbound,
-    /// The time after which nothing may be sent.
+    /// The time after which the answer is no longer awaited.
     pub deadline: Time,
+    /// The time after which nothing may be sent.
+    pub begin_by: Time,
+    /// Whether the choice of the backend server was recalled.
+    pub recalled: Arc<AtomicBool>,
     /// True if the request must not run twice.
     pub once: bool,
     /// Closes when the attempt is cancelled.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod platform;
 mod pool;
+mod prioritized;
 mod probes;
 mod record;
 mod request;
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -66,6 +66,10 @@
             return;
         };
         open.outcome = Some(outcome);
+        if outcome == Outcome::Outdated {
+            // The server got nothing, and may be chosen again.
+            open.tried.pop();
+        }
         let signal = match outcome {
             Outcome::Answered { status, .. } => {
                 open.answered = open.may_deliver(status);
@@ -75,6 +79,7 @@
             | Outcome::Misdirected
             | Outcome::Unreachable
             | Outcome::NotSent
+            | Outcome::Outdated
             | Outcome::Broken
             | Outcome::TimedOut => Signal::Failed,
         };
@@ -125,7 +130,7 @@
             }
             Outcome::Answered { status, .. } if status >= ERROR_STATUS => (true, Reason::Broken),
             Outcome::Answered { .. } => return false,
-            Outcome::Full { .. } => (false, Reason::Overloaded),
+            Outcome::Full { .. } | Outcome::Outdated => (false, Reason::Overloaded),
             Outcome::Misdirected | Outcome::Unreachable => (false, Reason::NoServer),
             Outcome::NotSent => (false, Reason::TimedOut),
             Outcome::Broken => (true, Reason::Broken),
@@ -134,9 +139,9 @@
         let safe = !ran || open.is_idempotent();
         let quarantined = self.crashes.is_quarantined(open.query.signature);
         let attempts = open.tried.len() as u32;
-        // An attempt that failed to connect doesn't use the retry budget, and
+        // An attempt that sent nothing doesn't use the retry budget, and
         // may exceed the route's attempts up to twice their number.
-        let unsent = outcome == Outcome::Unreachable;
+        let unsent = matches!(outcome, Outcome::Unreachable | Outcome::Outdated);
         let attempts_left = attempts < open.route.max_attempts
             || (unsent && attempts <= 2 * open.route.max_attempts);
         let has_time = open.time_left(now) > Duration::ZERO && outcome != Outcome::TimedOut;
@@ -249,7 +254,9 @@
                 self.moves.record_unsent(&open.service, &version);
                 self.pending_failures.discard(&server);
             }
-            Outcome::NotSent => self.moves.record_unsent(&open.service, &version),
+            Outcome::NotSent | Outcome::Outdated => {
+                self.moves.record_unsent(&open.service, &version)
+            }
             Outcome::Broken => {
                 self.fleet.record_failure(now, &server, false);
                 self.crashes
--- a/crates/steer/src/dispatch.rs
+++ b/crates/steer/src/dispatch.rs
@@ -1,5 +1,8 @@
 //! The start of an attempt: the choice of its backend server, and the sending.
 
+use std::time::Duration;
+
+use corianderway_model::ServerId;
 use corianderway_model::Time;
 use rand::Rng as _;
 
@@ -21,6 +24,11 @@
 /// for which another request for the object waits.
 const BUILD_WAIT_FACTOR: f64 = 1.5;
 
+/// How long the choice of a backend server holds until the request is sent. What an instance
+/// learns of the server meanwhile, such as that it leaves, reaches it later if it is behind
+/// with its work. Opening a connection may take most of this time.
+const CHOICE_VALIDITY: Duration = Duration::from_millis(800);
+
 /// By how much the time to come back exceeds the servers' pause at the most, as a share of it,
 /// so that callers don't come back at once.
 const PAUSE_SPREAD: f64 = 0.5;
@@ -86,12 +94,22 @@
             addr,
             account: open.account.as_ref().map(|terms| terms.account.clone()),
             deadline: open.deadline,
+            begin_by: now + CHOICE_VALIDITY,
             once: !open.is_idempotent(),
         });
         open.attempt = Some(attempt);
         None
     }
 
+    /// Recalls the requests that were sent to a server and may not have reached it.
+    pub(crate) fn recall(&self, server: &ServerId, out: &mut Vec<Action>) {
+        let attempts = self.requests.iter().filter_map(|(id, open)| {
+            let attempt = open.attempt.as_ref()?;
+            (attempt.server == *server).then_some(*id)
+        });
+        out.extend(attempts.map(Action::Recall));
+    }
+
     fn choose(&mut self, now: Time, open: &OpenRequest) -> Result<Choice, Blocked> {
         let object = open.query.object.filter(|_| open.route.sticky);
         let fleet = &self.fleet;
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -70,6 +70,9 @@
     Unreachable,
     /// The deadline passed before anything was sent.
     NotSent,
+    /// The choice of the backend server was recalled, or became too old, before anything
+    /// was sent.
+    Outdated,
     /// The connection broke or the answer was invalid, after bytes were sent.
     Broken,
     /// No complete answer arrived by the deadline, after bytes were sent.
@@ -81,7 +84,11 @@
     pub const fn may_have_run(self) -> bool {
         match self {
             Self::Answered { .. } | Self::Broken | Self::TimedOut => true,
-            Self::Full { .. } | Self::Misdirected | Self::Unreachable | Self::NotSent => false,
+            Self::Full { .. }
+            | Self::Misdirected
+            | Self::Unreachable
+            | Self::NotSent
+            | Self::Outdated => false,
         }
     }
 }
@@ -209,9 +216,13 @@
         account: Option<Account>,
         /// The time after which the answer is no longer awaited.
         deadline: Time,
+        /// The time after which nothing may be sent, since the choice of the server is too old.
+        begin_by: Time,
         /// Whether the request must run at most once.
         once: bool,
     },
+    /// End the current attempt of a request as outdated, unless its first byte has been sent.
+    Recall(RequestId),
     /// Check soon whether a backend server still accepts connections.
     CheckServer {
         /// The backend server.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -472,6 +472,7 @@
         for change in self.fleet.take_changes() {
             if matches!(change.to, State::Leaving | State::Resigned) {
                 self.pending_failures.discard(&change.server);
+                self.recall(&change.server, out);
             }
             let note = Note::new(Severity::Notable, "server")
                 .with("server", &change.server)
--- a/crates/steer/tests/faults.rs
+++ b/crates/steer/tests/faults.rs
@@ -152,7 +152,9 @@
         if let Some(observed) = self.observed.get_mut(&id) {
             observed.sent = false;
             match outcome {
-                Outcome::Unreachable | Outcome::NotSent => observed.attempts -= 1,
+                Outcome::Unreachable | Outcome::NotSent | Outcome::Outdated => {
+                    observed.attempts -= 1
+                }
                 Outcome::Full { .. } | Outcome::Misdirected => (),
                 Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut => {
                     observed.may_have_run = true;
--- a/crates/steer/tests/rig/world.rs
+++ b/crates/steer/tests/rig/world.rs
@@ -309,7 +309,7 @@
         });
         let load = load.filter(|_| self.rng.random_bool(0.5));
         let breaks = seen.breaks && self.rng.random_bool(0.7);
-        let outcome = match self.rng.random_range(0..16) {
+        let outcome = match self.rng.random_range(0..17) {
             _ if breaks => Outcome::Broken,
             0..5 => Outcome::Answered { status: 200, load },
             5 => Outcome::Answered { status: 500, load },
@@ -323,6 +323,7 @@
             11 => Outcome::Unreachable,
             12 => Outcome::NotSent,
             13 => Outcome::TimedOut,
+            14 => Outcome::Outdated,
             _ => Outcome::Broken,
         };
         self.outcomes.push((id, outcome));
@@ -345,7 +346,8 @@
                 Outcome::Full { .. }
                 | Outcome::Misdirected
                 | Outcome::Unreachable
-                | Outcome::NotSent => !last.cancelled,
+                | Outcome::NotSent
+                | Outcome::Outdated => !last.cancelled,
                 Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut => false,
             };
             if let Outcome::Answered { status, .. } = outcome {
