steer: a version takes over only once its answers could have shown a fault

Slow answers were still open when the target was judged. And where all requests to the deadline exceed what a bad version may get, odds that merely did not speak against the target let it take over. Change: beyond the allowance a target needs log odds of ln 10 for failures and for times before it takes over (a version 0.2 worse passes with a probability of a tenth at most); the answers that should have been comparable count, so the want of times proves nothing; overdue requests count as slow in the proof until they end; requests on routes without a usual time are sampled as rarely as those for new objects.

--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -7,9 +7,12 @@
 
 use std::time::Duration;
 
+use corianderway_model::Service;
 use corianderway_model::Time;
+use corianderway_model::Version;
 
 use crate::choice::FullCause;
+use crate::digest::ServerTimes;
 use crate::event::Action;
 use crate::event::Outcome;
 use crate::event::RequestId;
@@ -293,6 +296,25 @@
         }
     }
 
+    /// Returns the requests of a service that have taken longer than an answer on time
+    /// and have not been counted, each with its version.
+    pub(crate) fn overdue(&self, now: Time, service: &Service) -> Vec<(Version, ServerTimes)> {
+        let open = self.requests.iter().filter_map(|(id, open)| {
+            let attempt = open.attempt.as_ref().filter(|_| open.service == *service)?;
+            let limit = SLOW_FACTOR * attempt.choice.typical?.max(1.0);
+            let took = self.fleet.server(&attempt.server)?.elapsed(*id, now)?;
+            let hash = hash::short(attempt.server.as_str());
+            (took > limit).then(|| (attempt.version.clone(), ServerTimes::new(hash, true)))
+        });
+        let unanswered = self.pending_failures.slow();
+        let unanswered = unanswered.filter(|row| row.service == *service);
+        let unanswered = unanswered.map(|row| {
+            let timed = ServerTimes::new(row.server_hash, true);
+            (row.version.clone(), timed)
+        });
+        open.chain(unanswered).collect()
+    }
+
     fn count(&mut self, observation: &Observation) {
         let urgent = self.moves.record(observation);
         self.urgent |= urgent;
--- a/crates/steer/src/dispatch.rs
+++ b/crates/steer/src/dispatch.rs
@@ -95,9 +95,16 @@
     fn choose(&mut self, now: Time, open: &OpenRequest) -> Result<Choice, Blocked> {
         let object = open.query.object.filter(|_| open.route.sticky);
         let fleet = &self.fleet;
-        let cached = |version: &_| object.map(|o| fleet.has_object(&open.service, version, o));
+        // Without a usual time of the route, no answer can be compared.
+        let measured = fleet.service_times.is_measured(&open.route.name);
+        let comparable = |version: &_| match object {
+            _ if !measured => Some(false),
+            object => object.map(|object| fleet.has_object(&open.service, version, object)),
+        };
         let draw = self.rng.random();
-        let version_filter = self.moves.version_filter(now, &open.service, draw, cached);
+        let version_filter = self
+            .moves
+            .version_filter(now, &open.service, draw, comparable);
         let first = self.choose_within(now, open, &version_filter);
         let fallback = self.moves.fallback(now, &open.service, &version_filter);
         match (first, fallback) {
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -96,6 +96,10 @@
     pub(crate) base: Vec<Tally>,
     pub(crate) target_times: Vec<ServerTimes>,
     pub(crate) base_times: Vec<ServerTimes>,
+    /// Open requests of this instance that have taken longer than an answer on
+    /// time, as slow ones. They end as slow or get lost with their server.
+    pub(crate) target_overdue: Vec<ServerTimes>,
+    pub(crate) base_overdue: Vec<ServerTimes>,
     /// Requests of this instance that the old version is running.
     pub(crate) old_inflight: u32,
     /// Requests that this instance has sent.
@@ -123,6 +127,8 @@
             base: Vec::new(),
             target_times: Vec::new(),
             base_times: Vec::new(),
+            target_overdue: Vec::new(),
+            base_overdue: Vec::new(),
             old_inflight: 0,
             sent: Exposure::default(),
             domains: SortedMap::default(),
@@ -218,11 +224,43 @@
     /// Returns whether the answers before and during the takeover prove that
     /// the target is no worse than the old version.
     pub(crate) fn is_proven(&self) -> bool {
-        let target = self.merge_times(|r| &r.target_times, &self.target_times);
-        let slowness = self.slowness_odds() >= log_odds::required_slowness_odds(&target);
+        let slowness = self.slowness_odds() >= self.required_slowness_odds(Phase::Full);
         slowness && self.failure_odds().is_proven()
     }
 
+    /// Returns whether the answers before the takeover would have shown a fault,
+    /// with the stated power.
+    pub(crate) fn has_power(&self) -> bool {
+        let slowness = self.slowness_odds() >= self.required_slowness_odds(Phase::Canary);
+        slowness && self.odds.has_power()
+    }
+
+    // The log odds that the times have to reach. Where the times of the old
+    // version can be compared, those of the target have to be as well: the want of
+    // times proves nothing.
+    fn required_slowness_odds(&self, phase: Phase) -> f64 {
+        let target = self.merge_times(|r| &r.target_times, &self.target_times());
+        let timed: u32 = target.iter().map(|row| row.total()).sum();
+        let base = self.merge_tallies(phase, |r| &r.base, &self.base);
+        let (base_timed, base_answers) = base.iter().fold((0, 0), |(timed, answers), tally| {
+            (timed + tally.timed, answers + tally.answers)
+        });
+        let answers = f64::from(self.target_answers(phase));
+        let expected = answers * ratio(base_timed, base_answers);
+        log_odds::required_slowness_odds(expected.max(f64::from(timed)))
+    }
+
+    /// Returns this instance's times of the target, with the overdue requests.
+    pub(crate) fn target_times(&self) -> Vec<ServerTimes> {
+        merge(&self.target_times, &self.target_overdue)
+    }
+
+    /// Returns this instance's times of the old version, with the overdue
+    /// requests.
+    pub(crate) fn base_times(&self) -> Vec<ServerTimes> {
+        merge(&self.base_times, &self.base_overdue)
+    }
+
     // The log odds from failures, including those during the takeover.
     fn failure_odds(&self) -> FailureOdds {
         let mut takeover = Count::default();
@@ -236,8 +274,8 @@
     }
 
     fn slowness_odds(&self) -> f64 {
-        let old = self.merge_times(|r| &r.base_times, &self.base_times);
-        let target = self.merge_times(|r| &r.target_times, &self.target_times);
+        let old = self.merge_times(|r| &r.base_times, &self.base_times());
+        let target = self.merge_times(|r| &r.target_times, &self.target_times());
         log_odds::slowness_log_odds(&old, &target)
     }
 
@@ -337,13 +375,14 @@
             self.failure_odds().text()
         };
         format!(
-            "target-bad:{} target-slow:{} old-bad:{} old-slow:{} doubt:{:.1} sound:{failure_odds},{:.1}",
+            "target-bad:{} target-slow:{} old-bad:{} old-slow:{} doubt:{:.1} sound:{failure_odds},{:.1}/{:.1}",
             bad(&target),
             slow(&target),
             bad(&base),
             slow(&base),
             self.comparison.log_e_value(),
-            self.slowness_odds()
+            self.slowness_odds(),
+            self.required_slowness_odds(phase)
         )
     }
 
@@ -412,6 +451,14 @@
     known.copied().unwrap_or_default()
 }
 
+fn merge(rows: &[ServerTimes], others: &[ServerTimes]) -> Vec<ServerTimes> {
+    let mut sum = rows.to_vec();
+    for timed in others {
+        timed.add_to(&mut sum);
+    }
+    sum
+}
+
 fn to_count(sample: Sample) -> Count {
     Count {
         answers: sample.total as u32,
--- a/crates/steer/src/log_odds.rs
+++ b/crates/steer/src/log_odds.rs
@@ -26,8 +26,10 @@
 const MAX_RATE: f64 = 0.98;
 
 /// The log odds in favor of the target, from failures or from times, that are
-/// required before it takes over for good.
-const PROOF_LOG_ODDS: f64 = 1.5;
+/// required before it receives more than a bad version may: ln 10. A version whose rate
+/// is higher by [`FAULT_RATE_INCREASE`] reaches them with a probability of a tenth at most,
+/// however often they are looked at.
+const PROOF_LOG_ODDS: f64 = std::f64::consts::LN_10;
 
 /// The log odds that each request with a comparable time has to contribute
 /// while there are few: about half of what a request of a sound version
@@ -71,6 +73,8 @@
     // The log odds in favor of a target that fails no more often than the old
     // version.
     log_odds: f64,
+    // The same, with the answers from before an interruption.
+    total_log_odds: f64,
     // The log odds for a fault that began at the least favorable moment, as a
     // CUSUM statistic.
     cusum: f64,
@@ -89,6 +93,7 @@
         let base_rate = (self.base.0 / self.base.1.max(1.0)).max(MIN_FAILURE_RATE);
         let (gain, loss) = gain_and_loss(new, base_rate);
         self.log_odds += gain - loss;
+        self.total_log_odds += gain - loss;
         self.cusum = (self.cusum + loss - gain).max(self.cusum_floor);
     }
 
@@ -105,6 +110,12 @@
         self.log_odds >= 0.0 && self.cusum < CUSUM_LIMIT
     }
 
+    /// Returns whether a faulty target would have shown by now: whether all answers
+    /// together favor the target enough.
+    pub(crate) fn has_power(&self) -> bool {
+        self.total_log_odds >= PROOF_LOG_ODDS
+    }
+
     /// Returns whether the failures prove that the target is no worse.
     pub(crate) fn is_proven(&self) -> bool {
         self.log_odds >= PROOF_LOG_ODDS && self.cusum < CUSUM_LIMIT
@@ -116,12 +127,11 @@
     }
 }
 
-/// Returns the log odds that the target's server times have to reach. No times
-/// require none: a service whose servers always have requests waiting has no
-/// comparable times.
-pub(crate) fn required_slowness_odds(target: &[ServerTimes]) -> f64 {
-    let total: u32 = target.iter().map(|row| row.total()).sum();
-    (f64::from(total) * PROOF_LOG_ODDS_PER_REQUEST).min(PROOF_LOG_ODDS)
+/// Returns the log odds that the target's server times have to reach, where `timed`
+/// requests should have a comparable time. None require none: a service whose servers
+/// always have requests waiting has no comparable times.
+pub(crate) fn required_slowness_odds(timed: f64) -> f64 {
+    (timed * PROOF_LOG_ODDS_PER_REQUEST).min(PROOF_LOG_ODDS)
 }
 
 /// Returns the log odds in favor of a target that is slow no more often than
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -10,6 +10,7 @@
 use corianderway_model::Version;
 
 use crate::digest::MoveReport;
+use crate::digest::ServerTimes;
 use crate::exposure::Allowance;
 use crate::listing::Order;
 use crate::listing::Progress;
@@ -106,21 +107,23 @@
     }
 
     /// Returns the versions that a request may be routed to. `draw` is a random
-    /// number. `cached` returns whether a server of a version has cached the
-    /// request's object, or `None` if the request names no object.
+    /// number. `comparable` returns whether the time of a version's answer could
+    /// be compared with the usual one: whether that is known, and a server of the
+    /// version has cached the request's object; or `None` if the request names no
+    /// object.
     pub(crate) fn version_filter(
         &mut self,
         now: Time,
         service: &Service,
         draw: u64,
-        cached: impl FnOnce(&Version) -> Option<bool>,
+        comparable: impl FnOnce(&Version) -> Option<bool>,
     ) -> VersionFilter {
         let Some(row) = self.by_service.get_mut(service) else {
             return self.other_versions(now, service, None);
         };
         let target = row.order.target.clone();
-        let cached = (row.phase == Phase::Canary).then(|| cached(&target));
-        if row.routes_to_target(now, draw, cached.flatten()) {
+        let comparable = (row.phase == Phase::Canary).then(|| comparable(&target));
+        if row.routes_to_target(now, draw, comparable.flatten()) {
             VersionFilter::Only(target)
         } else {
             self.other_versions(now, service, Some(target))
@@ -213,6 +216,14 @@
         }
     }
 
+    /// Replaces the open requests of a service that have taken longer than an
+    /// answer on time.
+    pub(crate) fn set_overdue(&mut self, service: &Service, requests: &[(Version, ServerTimes)]) {
+        if let Some(row) = self.by_service.get_mut(service) {
+            row.set_overdue(requests);
+        }
+    }
+
     /// Returns the reports of all moves for the other instances.
     pub(crate) fn reports(&self, now: Time) -> Vec<MoveReport> {
         self.by_service
--- a/crates/steer/src/pending_failures.rs
+++ b/crates/steer/src/pending_failures.rs
@@ -60,6 +60,12 @@
         self.remove_where(|row| now.since(row.0) >= LIVENESS_TIMEOUT)
     }
 
+    /// Returns the requests that no server answered in time.
+    pub(crate) fn slow(&self) -> impl Iterator<Item = &Observation> {
+        let rows = self.0.iter().map(|row| &row.2);
+        rows.filter(|observation| observation.result == RequestResult::Slow)
+    }
+
     fn remove_where(
         &mut self,
         predicate: impl Fn(&(Time, ServerId, Observation)) -> bool,
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -266,6 +266,12 @@
         Some((request.expected - millis(now.since(request.since))).max(MIN_BUILD_MS))
     }
 
+    /// Returns how long a request in flight has taken so far, in milliseconds.
+    pub(crate) fn elapsed(&self, id: RequestId, now: Time) -> Option<f64> {
+        let request = self.requests.iter().find(|request| request.id == id)?;
+        Some(millis(now.since(request.since)))
+    }
+
     /// Removes a request that has ended. Returns its actual and its expected
     /// time, in milliseconds.
     pub(crate) fn end(&mut self, id: RequestId, now: Time) -> Option<(f64, f64)> {
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -93,6 +93,8 @@
             .collect();
         for (service, open) in running {
             self.moves.set_old_inflight(&service, open);
+            let overdue = self.overdue(now, &service);
+            self.moves.set_overdue(&service, &overdue);
         }
         let is_leader = self.members.is_leader(now, self.follows_store());
         // While no instance reaches the store, one of them still decides on
--- a/crates/steer/src/version_move.rs
+++ b/crates/steer/src/version_move.rs
@@ -11,6 +11,7 @@
 use corianderway_rollout::Splitter;
 
 use crate::digest::MoveReport;
+use crate::digest::ServerTimes;
 use crate::evidence::Evidence;
 use crate::exposure::Allowance;
 use crate::exposure::CountRate;
@@ -58,9 +59,9 @@
 /// distinguishable from chance.
 const MIN_ANSWERS_PER_S: f64 = 5.0;
 
-/// The factor by which fewer requests for new objects go to the target once its
-/// servers have cached others.
-const NEW_OBJECT_FACTOR: u64 = 4;
+/// The factor by which fewer requests whose times are hard to compare go to the
+/// target once its servers have cached the objects of others.
+const INCOMPARABLE_FACTOR: u64 = 4;
 
 /// The minimum interval between two reports to the store that a move has ended.
 const END_REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -152,11 +153,16 @@
     }
 
     /// Returns whether a request is routed to the target. `draw` is a random
-    /// number, and `cached` says whether a server of the target has cached the
-    /// request's object.
-    pub(crate) fn routes_to_target(&mut self, now: Time, draw: u64, cached: Option<bool>) -> bool {
+    /// number, and `comparable` says whether the time of the answer could be
+    /// compared.
+    pub(crate) fn routes_to_target(
+        &mut self,
+        now: Time,
+        draw: u64,
+        comparable: Option<bool>,
+    ) -> bool {
         match self.phase {
-            Phase::Canary => self.samples_target(now, draw, cached),
+            Phase::Canary => self.samples_target(now, draw, comparable),
             Phase::Full | Phase::Finished | Phase::Completed => true,
             Phase::RolledBack => false,
         }
@@ -164,16 +170,16 @@
 
     // Returns whether a request is routed to the target before the takeover.
     // Requests for objects that the target's servers have cached are preferred,
-    // since their times are comparable. Requests for new objects are sampled
-    // more rarely.
-    fn samples_target(&mut self, now: Time, draw: u64, cached: Option<bool>) -> bool {
+    // since their times are comparable. Requests for new objects, and on routes
+    // whose usual time is unknown, are sampled more rarely.
+    fn samples_target(&mut self, now: Time, draw: u64, comparable: Option<bool>) -> bool {
         let share = Share::from_ratio(self.canary_share(now));
-        let draw = match cached {
+        let draw = match comparable {
             None | Some(true) => 0,
-            Some(false) if self.has_cached => draw.saturating_mul(NEW_OBJECT_FACTOR),
+            Some(false) if self.has_cached => draw.saturating_mul(INCOMPARABLE_FACTOR),
             Some(false) => draw,
         };
-        self.has_cached |= cached == Some(true);
+        self.has_cached |= comparable == Some(true);
         self.splitter.choose(share, draw) == Arm::New
     }
 
@@ -224,6 +230,20 @@
         false
     }
 
+    /// Replaces the open requests that have taken longer than an answer on time.
+    pub(crate) fn set_overdue(&mut self, requests: &[(Version, ServerTimes)]) {
+        let (mut target, mut base) = (Vec::new(), Vec::new());
+        for (version, timed) in requests {
+            let rows = if self.is_target(version) {
+                &mut target
+            } else {
+                &mut base
+            };
+            timed.add_to(rows);
+        }
+        (self.evidence.target_overdue, self.evidence.base_overdue) = (target, base);
+    }
+
     /// Raises the age of the order to `age` if another instance saw the order
     /// earlier.
     pub(crate) fn raise_age(&mut self, now: Time, age: Duration) {
@@ -247,8 +267,8 @@
             old_inflight: self.evidence.old_inflight,
             exposed: self.evidence.sent.target,
             sent: self.evidence.sent.all,
-            target_times: self.evidence.target_times.clone(),
-            base_times: self.evidence.base_times.clone(),
+            target_times: self.evidence.target_times(),
+            base_times: self.evidence.base_times(),
         }
     }
 
@@ -360,9 +380,10 @@
         !self.evidence.is_suspect(self.phase) && self.evidence.is_proven()
     }
 
-    // Returns whether the target seems sound and the takeover may begin: either
-    // the allowance covers all requests until the deadline, or the old
-    // version's last requests need the time that is left.
+    // Returns whether the takeover of a target that seems sound may begin: either
+    // the allowance covers all requests until the deadline, or the old version's
+    // last requests need the time that is left. In the second case a bad target
+    // would exceed the allowance, so its answers must have been enough to find it.
     fn may_take_over(&self, now: Time, remaining: Duration) -> bool {
         let has_answers = self.evidence.target_answers(self.phase) >= MIN_TARGET_ANSWERS;
         let sound = !self.evidence.is_suspect(self.phase) && self.evidence.favors_target();
@@ -370,7 +391,9 @@
             let rest = recent.max(self.mean_rate(now)) * remaining.as_secs_f64();
             self.allowance.covers(self.evidence.exposure(), rest)
         });
-        has_answers && sound && (covered || remaining <= self.takeover_lead())
+        let in_time = remaining > MIN_DRAIN + REPORT_LEAD_TIME;
+        let due = || remaining <= self.takeover_lead() && self.evidence.has_power();
+        has_answers && sound && ((covered && in_time) || due())
     }
 
     /// Returns the progress to report to the store, unless the store has it
