--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -13,6 +13,7 @@
 use corianderway_platform::store;
 use corianderway_platform::store::Call;
 use corianderway_steer::CheckAnswer;
+use corianderway_steer::Event;
 use corianderway_steer::InputKind;
 use corianderway_steer::Remedy;
 use corianderway_steer::Revisions;
@@ -25,6 +26,7 @@
 use crate::edge::store::log_event;
 use crate::edge::store::log_silence;
 use crate::edge::store::send_call;
+use crate::edge::store::send_event;
 use crate::edge::store::Context;
 use crate::edge::store::OK;
 use crate::edge::store::PROBE_TIMEOUT;
@@ -38,6 +40,9 @@
         let begun = Instant::now();
         let answer = check(ctx, input).await;
         log_check(ctx, input, answer, begun.elapsed());
+        if answer == CheckAnswer::Missed {
+            send_event(ctx, Event::CheckMissed).await;
+        }
         let kind = store_kind(input);
         match checks.answer(input, answer) {
             // Between two watches none waits, and the next one brings the changes.
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -99,6 +99,9 @@
     /// Whether the instance does not keep up with its work.
     #[serde(rename = "l", default)]
     pub late: bool,
+    /// Whether the store recently did not answer one of the instance's own calls.
+    #[serde(rename = "o", default)]
+    pub doubts_store: bool,
     /// Always 0: instances of earlier builds require the field, which held one
     /// revision for all kinds.
     #[serde(rename = "v")]
@@ -186,6 +189,9 @@
 /// The flag of an instance that does not keep up with its work.
 const FLAG_LATE: u8 = 8;
 
+/// The flag of an instance that the store recently did not answer.
+const FLAG_DOUBTS: u8 = 16;
+
 /// The report on one version move, by one instance or merged over a failure
 /// domain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -262,7 +268,8 @@
         let flags = flag(digest.ready && !leaves, FLAG_SERVING)
             | flag(digest.reaches_store, FLAG_STORE)
             | flag(leaves, FLAG_LEAVING)
-            | flag(digest.late, FLAG_LATE);
+            | flag(digest.late, FLAG_LATE)
+            | flag(digest.doubts_store, FLAG_DOUBTS);
         Self(hash, digest.sequence, flags)
     }
 
@@ -291,6 +298,11 @@
         self.2 & FLAG_LATE != 0
     }
 
+    /// Returns whether the store recently did not answer the instance.
+    pub fn doubts_store(self) -> bool {
+        self.2 & FLAG_DOUBTS != 0
+    }
+
     /// Returns whether the instance is stopping.
     pub fn is_leaving(self) -> bool {
         self.2 & FLAG_LEAVING != 0
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -170,6 +170,8 @@
     Reach(Reach),
     /// The store no longer answers this instance, or the one whose replica it follows.
     StoreLost,
+    /// The store did not answer one of this instance's checks.
+    CheckMissed,
     /// The instance whose replica is followed is silent or gone. Nothing is known of the
     /// store.
     ReplicaLost,
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -14,6 +14,7 @@
 use crate::event::Reach;
 use crate::note::Note;
 use crate::note::Severity;
+use crate::outage::Signal as OutageSignal;
 use crate::relay::DigestChange;
 use crate::relay::DomainState;
 use crate::relay::Role;
@@ -75,6 +76,7 @@
                 .with("instance", &digest.from)
                 .with("ready", digest.ready)
                 .with("stored", digest.reaches_store)
+                .with("doubts", digest.doubts_store)
                 .with("presence", format!("{:?}", digest.presence));
             out.push(Action::Log(note));
         }
@@ -90,6 +92,9 @@
             return false;
         }
         self.crashes.merge(now, &summary.crashes);
+        if self.members.miss_store(now) {
+            self.advance_outage(now, OutageSignal::OthersDoubt);
+        }
         let transitions = self
             .moves
             .apply_summary(now, &summary.domain, &summary.moves);
@@ -235,6 +240,7 @@
             ready: self.is_ready(),
             reaches_store: self.follows_store(),
             late: self.pace.is_late(),
+            doubts_store: self.doubts_store(now),
             legacy_revision: 0,
             changed: self.changed,
             rate,
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -267,6 +267,23 @@
         !reached && !others.any(|member| member.entry.id < *me)
     }
 
+    /// Returns whether the store recently did not answer an instance of another failure
+    /// domain, as the latest summaries tell. Returns true, too, if none tells: then there is
+    /// no evidence that the store was there.
+    pub(crate) fn miss_store(&self, now: Time) -> bool {
+        let own = &self.me.entry.domain;
+        let recent = |row: &LatestSummary| now.since(row.arrived) < RELAY_TIMEOUT;
+        let others = self.latest.iter().filter(|row| row.0 != own && recent(row.1));
+        let mut told = false;
+        for status in others.flat_map(|row| &row.1.summary.instances) {
+            if status.doubts_store() {
+                return true;
+            }
+            told |= status.reaches_store();
+        }
+        !told
+    }
+
     /// Returns the replicas of the store that can be followed. The addresses in `seeds`
     /// count while no summary is valid.
     pub(crate) fn replicas(&self, now: Time, seeds: &[SocketAddr]) -> Replicas {
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -254,6 +254,7 @@
         && known.presence == digest.presence
         && known.ready == digest.ready
         && known.late == digest.late
+        && known.doubts_store == digest.doubts_store
         && known.reaches_store == digest.reaches_store;
     let regular = known.crashes == digest.crashes
         && phases(known) == phases(digest)
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -121,6 +121,8 @@
     // How the store is followed, and since when.
     pub(crate) reach: (Reach, Time),
     pub(crate) outage: Outage,
+    // When the store last did not answer this instance.
+    pub(crate) store_missed: Option<Time>,
     /// The latest change of each kind that was observed.
     pub(crate) changed: Revisions,
     /// The revisions up to which all changes of each kind are known.
@@ -200,6 +202,7 @@
             stopping: None,
             reach: (Reach::Nothing, Time::ZERO),
             outage: Outage::new(outage.context(chart("edge-store.yaml"))?),
+            store_missed: None,
             changed: Revisions::default(),
             known: Revisions::default(),
             later_plan: false,
@@ -263,15 +266,19 @@
                 // That nothing is followed is what was decided here; it tells nothing of the
                 // store.
                 if reach != Reach::Nothing {
-                    self.outage.advance(now, OutageSignal::Reached);
+                    self.advance_outage(now, OutageSignal::Reached);
                     self.advance_source(now, SourceSignal::Reached, out);
                 }
             }
             Event::StoreLost => {
                 self.set_reach(now, Reach::Nothing, out);
-                self.outage.advance(now, OutageSignal::Lost);
+                self.record_loss(now);
                 self.advance_source(now, SourceSignal::Failed, out);
             }
+            Event::CheckMissed => {
+                self.store_missed = Some(now);
+                self.urgent = true;
+            }
             Event::ReplicaLost => {
                 self.set_reach(now, Reach::Nothing, out);
                 self.advance_source(now, SourceSignal::Failed, out);
@@ -279,7 +286,7 @@
             Event::ProbeAnswered => self.advance_source(now, SourceSignal::Probed, out),
             // The replica that is followed, if any, still reaches the store.
             Event::ProbeFailed if self.is_detached() => {
-                self.outage.advance(now, OutageSignal::Lost);
+                self.advance_outage(now, OutageSignal::Lost);
             }
             Event::ProbeFailed => (),
             Event::Seeds(seeds) => self.seeds = seeds,
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -46,7 +46,7 @@
                 .with("busy", format!("{busy:.2}"));
             out.push(Action::Log(note));
         }
-        self.outage.advance(now, OutageSignal::Tick);
+        self.advance_outage(now, OutageSignal::Tick);
         self.advance_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
         let named = self.named(now).into_iter().map(neighbour).collect();
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -120,6 +120,7 @@
         ready: true,
         reaches_store: true,
         late: false,
+        doubts_store: false,
         legacy_revision: 0,
         changed,
         rate: 0.0,
