--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -273,7 +273,10 @@
     pub(crate) fn miss_store(&self, now: Time) -> bool {
         let own = &self.me.entry.domain;
         let recent = |row: &LatestSummary| now.since(row.arrived) < RELAY_TIMEOUT;
-        let others = self.latest.iter().filter(|row| row.0 != own && recent(row.1));
+        let others = self
+            .latest
+            .iter()
+            .filter(|row| row.0 != own && recent(row.1));
         let mut told = false;
         for status in others.flat_map(|row| &row.1.summary.instances) {
             if status.doubts_store() {
--- a/crates/steer/tests/rig/moving.rs
+++ b/crates/steer/tests/rig/moving.rs
@@ -42,6 +42,9 @@
 /// The factor by which a cold server is slower.
 const COLD_FACTOR: f64 = 2.0;
 
+/// The fraction of requests on the route that fails, where one of two does.
+const FAILING_ROUTE_FRACTION: f64 = 0.3;
+
 /// The interval between two steps of the simulation.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -73,6 +76,10 @@
     FailsUnderLoad {
         fraction: f64,
     },
+    /// A fraction of its answers on one of two routes are failures.
+    FailsOnRoute {
+        fraction: f64,
+    },
 }
 
 /// A disturbance of servers of both versions during a move, beginning `from`
@@ -166,6 +173,8 @@
     runs: BTreeMap<(Time, u64), Run>,
     number: u64,
     objects: BTreeMap<(usize, RequestId), u64>,
+    // The requests on the second route.
+    second: BTreeSet<(usize, RequestId)>,
     order: Order,
     events: Vec<(Time, Event)>,
     bad_times: Vec<Time>,
@@ -217,6 +226,7 @@
             runs: BTreeMap::new(),
             number: 0,
             objects: BTreeMap::new(),
+            second: BTreeSet::new(),
             order: super::order("bids", "v2", scenario.span),
             events: Vec::new(),
             bad_times: Vec::new(),
@@ -302,7 +312,13 @@
                 expected -= 1.0;
                 let object =
                     instance as u64 % 3 * 1_000 + self.rng.random_range(0..OBJECTS_PER_REGION);
-                let id = self.cluster.rigs[instance].request("/bids/1", Some(object));
+                let second = matches!(self.scenario.fault, Fault::FailsOnRoute { .. })
+                    && self.rng.random::<f64>() < FAILING_ROUTE_FRACTION;
+                let path = if second { "/offers/1" } else { "/bids/1" };
+                let id = self.cluster.rigs[instance].request(path, Some(object));
+                if second {
+                    self.second.insert((instance, id));
+                }
                 self.objects.insert((instance, id), object);
                 self.result.requests += 1;
                 self.cluster.collect(instance);
@@ -331,7 +347,8 @@
                 self.result.late_requests += u32::from(target);
             }
             let object = self.objects[&(instance, id)];
-            let (end, status, waits) = self.run(&server, object, target, age);
+            let second = self.second.contains(&(instance, id));
+            let (end, status, waits) = self.run(&server, object, (target, second), age);
             let load = Load {
                 running: waits.min(SLOTS_PER_SERVER as u32),
                 waiting: waits.saturating_sub(SLOTS_PER_SERVER as u32),
@@ -350,7 +367,13 @@
 
     // Returns when a server ends a request, with what status, and how many
     // requests it is running then.
-    fn run(&mut self, id: &ServerId, object: u64, target: bool, age: Duration) -> (Time, u16, u32) {
+    fn run(
+        &mut self,
+        id: &ServerId,
+        object: u64,
+        (target, second): (bool, bool),
+        age: Duration,
+    ) -> (Time, u16, u32) {
         let spread = 1.0 + (self.rng.random::<f64>() - 0.5) * 0.5;
         let chance = self.rng.random::<f64>();
         let now = self.now;
@@ -379,6 +402,7 @@
             _ if !target => (),
             Fault::Fails { fraction, onset } => bad = age >= onset && chance < fraction,
             Fault::FailsUnderLoad { fraction } => bad = busy > 2 && chance < fraction,
+            Fault::FailsOnRoute { fraction } => bad = second && chance < fraction,
             Fault::Slow { fraction, factor } if chance < fraction => {
                 work *= factor;
                 self.bad_times.push(now);
@@ -528,5 +552,11 @@
     let mut route = super::route("bids", "/bids/", "bids", Replay::Idempotent);
     route.target_latency = Duration::from_secs_f64(scenario.work_ms * 2.3 / 1_000.0);
     route.timeout = Some(Duration::from_secs_f64(scenario.work_ms * 7.6 / 1_000.0));
-    super::plan(1, vec![route], None)
+    let mut routes = vec![route.clone()];
+    if matches!(scenario.fault, Fault::FailsOnRoute { .. }) {
+        route.name = "offers".try_into().unwrap();
+        route.prefix = "/offers/".into();
+        routes.push(route);
+    }
+    super::plan(1, routes, None)
 }
