--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -18,7 +18,6 @@
 use crate::event::RequestId;
 use crate::evidence::RequestResult;
 use crate::hash;
-use crate::machine_speed::Stretch;
 use crate::note::Note;
 use crate::note::Severity;
 use crate::pending_failures::Observation;
@@ -224,33 +223,19 @@
                 self.fleet.record_load(now, &server, load, tolerated);
                 self.crashes.answered(now, open.query.signature);
                 // What the speed of the machine explains is no slowness of the server.
-                let stated = load.and_then(|load| Some(Stretch::new(now, load.stretch?)));
-                let speeds = &self.fleet.machine_speeds;
-                let stretch = speeds.factor_of_answer(choice.stretch, stated);
+                let stretch = self.fleet.stretch_of_answer(now, choice.stretch, load);
                 let ratio = took / expected.max(1.0) * choice.stretch / stretch;
                 self.fleet.record_answer(now, &server, ratio, failed);
                 self.fleet.record_object(now, &server, object, failed);
                 if choice.wait <= 0.0 && !failed {
-                    let name = &open.route.name;
-                    self.fleet.service_times.record(
-                        name,
-                        target_latency,
-                        choice.warmth,
-                        took / stretch,
-                    );
+                    let (name, took) = (&open.route.name, took / stretch);
+                    self.fleet
+                        .service_times
+                        .record(name, target_latency, choice.warmth, took);
                 }
                 let earlier = self.pending_failures.release(&server);
                 self.count_observations(earlier);
-                let evidence = match (status, choice.typical) {
-                    (GATEWAY_TIMEOUT, typical) => typical.map(|_| RequestResult::Slow),
-                    (ERROR_STATUS.., _) => Some(RequestResult::Failed),
-                    (_, Some(typical)) if took > SLOW_FACTOR * typical.max(1.0) => {
-                        Some(RequestResult::Slow)
-                    }
-                    (_, Some(_)) => Some(RequestResult::OnTime),
-                    (_, None) => Some(RequestResult::Untimed),
-                };
-                if let Some(evidence) = evidence {
+                if let Some(evidence) = result_of(status, choice.typical, took) {
                     self.count(&observation(evidence));
                 }
             }
@@ -266,7 +251,7 @@
                 self.pending_failures.discard(&server);
             }
             Outcome::NotSent | Outcome::Outdated => {
-                self.moves.record_unsent(&open.service, &version)
+                self.moves.record_unsent(&open.service, &version);
             }
             Outcome::Broken => {
                 self.fleet.record_failure(now, &server, false);
@@ -388,3 +373,15 @@
             .with("config", self.plan.as_ref().map_or(0, |p| p.version()))
     }
 }
+
+// Returns what an answer is evidence of. `typical` is the usual time of comparable answers, in
+// milliseconds.
+fn result_of(status: u16, typical: Option<f64>, took: f64) -> Option<RequestResult> {
+    match (status, typical) {
+        (GATEWAY_TIMEOUT, typical) => typical.map(|_| RequestResult::Slow),
+        (ERROR_STATUS.., _) => Some(RequestResult::Failed),
+        (_, Some(typical)) if took > SLOW_FACTOR * typical.max(1.0) => Some(RequestResult::Slow),
+        (_, Some(_)) => Some(RequestResult::OnTime),
+        (_, None) => Some(RequestResult::Untimed),
+    }
+}
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -77,6 +77,10 @@
 
 /// The state of one instance, sent once a second and after important changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a field of the message"
+)]
 pub struct Digest {
     /// The instance.
     #[serde(rename = "i")]
@@ -107,7 +111,7 @@
     #[serde(rename = "v")]
     pub legacy_revision: u64,
     /// The latest change of each kind of input that the instance has observed.
-    #[serde(rename = "u", default)]
+    #[serde(flatten)]
     pub changed: Revisions,
     /// Requests per second that the instance receives, with and without a
     /// client account.
@@ -153,7 +157,7 @@
     #[serde(rename = "v")]
     pub legacy_revision: u64,
     /// The latest change of each kind of input that one of the instances has observed.
-    #[serde(rename = "u", default)]
+    #[serde(flatten)]
     pub changed: Revisions,
     /// Requests per second that the instances receive together.
     #[serde(rename = "q")]
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -76,6 +76,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod restored;
 mod revisions;
 mod server;
 mod service_time;
--- a/crates/steer/src/outage.rs
+++ b/crates/steer/src/outage.rs
@@ -50,6 +50,8 @@
     NeighborLost,
     /// The store did not answer an instance of another failure domain.
     OthersDoubt,
+    /// The store came back from an older copy.
+    Restored,
     /// The contents of the store, or of a replica, are up to date.
     Reached,
     Tick,
