--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -71,6 +71,9 @@
     Unreachable,
     /// The deadline passed before anything was sent.
     NotSent,
+    /// The choice of the backend server was recalled, or became too old, before anything
+    /// was sent.
+    Outdated,
     /// The connection broke or the answer was invalid, after bytes were sent.
     Broken,
     /// No complete answer arrived by the deadline, after bytes were sent.
@@ -82,7 +85,11 @@
     pub const fn may_have_run(self) -> bool {
         match self {
             Self::Answered { .. } | Self::Broken | Self::TimedOut => true,
-            Self::Full { .. } | Self::Misdirected | Self::Unreachable | Self::NotSent => false,
+            Self::Full { .. }
+            | Self::Misdirected
+            | Self::Unreachable
+            | Self::NotSent
+            | Self::Outdated => false,
         }
     }
 }
@@ -96,6 +103,9 @@
     pub waiting: u32,
     /// The maximum number of requests that it runs at once.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual, if it
+    /// says so.
+    pub stretch: Option<u32>,
 }
 
 /// What a backend server says of itself with an answer.
@@ -171,6 +181,8 @@
     Reach(Reach),
     /// The store no longer answers this instance, or the one whose replica it follows.
     StoreLost,
+    /// The store did not answer one of this instance's checks.
+    CheckMissed,
     /// The instance whose replica is followed is silent or gone. Nothing is known of the
     /// store.
     ReplicaLost,
@@ -213,9 +225,13 @@
         account: Option<Account>,
         /// The time after which the answer is no longer awaited.
         deadline: Time,
+        /// The time after which nothing may be sent, since the choice of the server is too old.
+        begin_by: Time,
         /// Whether the request must run at most once.
         once: bool,
     },
+    /// End the current attempt of a request as outdated, unless its first byte has been sent.
+    Recall(RequestId),
     /// Check soon whether a backend server still accepts connections.
     CheckServer {
         /// The backend server.
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -26,6 +26,8 @@
 use crate::hash;
 use crate::listing::ServerChange;
 use crate::listing::ServerEntry;
+use crate::machine_speed::MachineSpeeds;
+use crate::machine_speed::Stretch;
 use crate::placement::Placement;
 use crate::plan::ServiceTerms;
 use crate::server::Server;
@@ -97,6 +99,7 @@
     neighbours: Vec<Neighbour>,
     changes: Vec<StateChange>,
     pub(crate) service_times: ServiceTimes,
+    pub(crate) machine_speeds: MachineSpeeds,
 }
 
 impl Fleet {
@@ -114,6 +117,7 @@
             neighbours: vec![this_instance.clone()],
             changes: Vec::new(),
             service_times: ServiceTimes::default(),
+            machine_speeds: MachineSpeeds::default(),
             this_instance,
         }
     }
@@ -361,9 +365,21 @@
     ) {
         if let (Some(server), Some(load)) = (self.servers.get_mut(id), load) {
             server.record_load(now, load, tolerated * f64::from(load.slots));
+            if let Some(percent) = load.stretch {
+                let stated = Stretch::new(now, percent);
+                let earlier = server.record_stretch(stated);
+                self.machine_speeds.record(earlier, stated);
+            }
         }
     }
 
+    /// Returns the factor by which an answer took longer than on the mean machine, where
+    /// `expected` is the factor that was expected when the request was sent.
+    pub(crate) fn stretch_of_answer(&self, now: Time, expected: f64, load: Option<Load>) -> f64 {
+        let stated = load.and_then(|load| Some(Stretch::new(now, load.stretch?)));
+        self.machine_speeds.factor_of_answer(expected, stated)
+    }
+
     /// Records whether a server has cached the object of a request that ended there: it
     /// has unless the request failed.
     pub(crate) fn record_object(
--- a/crates/steer/src/restored.rs
+++ b/crates/steer/src/restored.rs
@@ -39,7 +39,7 @@
         self.changed.enter(era);
         self.known.enter(era);
         self.fleet.enter_era(era);
-        self.outage.advance(now, OutageSignal::Restored);
+        self.advance_outage(now, OutageSignal::Restored);
         self.unsettled.get_or_insert_default();
         self.urgent = true;
     }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -122,6 +122,8 @@
     // How the store is followed, and since when.
     pub(crate) reach: (Reach, Time),
     pub(crate) outage: Outage,
+    // When the store last did not answer this instance.
+    pub(crate) store_missed: Option<Time>,
     /// What the store listed since it came back from an older copy, until it has settled.
     pub(crate) unsettled: Option<UnsettledLists>,
     /// The latest change of each kind that was observed.
@@ -203,6 +205,7 @@
             stopping: None,
             reach: (Reach::Nothing, Time::ZERO),
             outage: Outage::new(outage.context(chart("edge-store.yaml"))?),
+            store_missed: None,
             unsettled: None,
             changed: Revisions::default(),
             known: Revisions::default(),
@@ -258,15 +261,19 @@
                 // That nothing is followed is what was decided here; it tells nothing of the
                 // store.
                 if reach != Reach::Nothing {
-                    self.outage.advance(now, OutageSignal::Reached);
+                    self.advance_outage(now, OutageSignal::Reached);
                     self.advance_source(now, SourceSignal::Reached, out);
                 }
             }
             Event::StoreLost => {
                 self.set_reach(now, Reach::Nothing, out);
-                self.outage.advance(now, OutageSignal::Lost);
+                self.record_loss(now);
                 self.advance_source(now, SourceSignal::Failed, out);
             }
+            Event::CheckMissed => {
+                self.store_missed = Some(now);
+                self.urgent = true;
+            }
             Event::ReplicaLost => {
                 self.set_reach(now, Reach::Nothing, out);
                 self.advance_source(now, SourceSignal::Failed, out);
@@ -274,7 +281,7 @@
             Event::ProbeAnswered => self.advance_source(now, SourceSignal::Probed, out),
             // The replica that is followed, if any, still reaches the store.
             Event::ProbeFailed if self.is_detached() => {
-                self.outage.advance(now, OutageSignal::Lost);
+                self.advance_outage(now, OutageSignal::Lost);
             }
             Event::ProbeFailed => (),
             Event::Restored(era) => self.enter_era(now, era, out),
@@ -459,6 +466,7 @@
         for change in self.fleet.take_changes() {
             if matches!(change.to, State::Leaving | State::Resigned) {
                 self.pending_failures.discard(&change.server);
+                self.recall(&change.server, out);
             }
             let note = Note::new(Severity::Notable, "server")
                 .with("server", &change.server)
