--- a/crates/steer/tests/eras.rs
+++ b/crates/steer/tests/eras.rs
@@ -302,3 +302,29 @@
     known.raise(InputKind::Servers, Revision::new(era(0), 950));
     assert_eq!(known.of(InputKind::Servers), Revision::new(era(1), 20));
 }
+
+// Instances of earlier builds know no eras.
+#[test]
+fn digests_are_understood_by_and_from_earlier_builds() {
+    let other = rig::member("entry-2", "north", "north-a");
+    let Event::Message(Message::Digest(digest)) = rig::digest(&other, InputKind::Plan, 500) else {
+        panic!("no digest");
+    };
+    let mut json = serde_json::to_value(&*digest).unwrap();
+    let numbers = serde_json::json!([500, 0, 0, 0, 0]);
+    assert_eq!((json.get("u"), json.get("e")), (Some(&numbers), None));
+    let read: Digest = serde_json::from_value(json.clone()).unwrap();
+    assert_eq!(read, *digest);
+    json.as_object_mut().unwrap().remove("u");
+    let read: Digest = serde_json::from_value(json).unwrap();
+    assert_eq!(read.changed, Revisions::default());
+
+    let mut later = Digest::clone(&digest);
+    later
+        .changed
+        .raise(InputKind::Plan, Revision::new(era(2), 20));
+    let json = serde_json::to_value(&later).unwrap();
+    let numbers = serde_json::json!([20, 0, 0, 0, 0]);
+    assert_eq!((&json["u"], &json["e"]), (&numbers, &serde_json::json!(2)));
+    assert_eq!(serde_json::from_value::<Digest>(json).unwrap(), later);
+}
