--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -14,10 +14,12 @@
 mod frame;
 mod heartbeat;
 mod http_ports;
+mod incoming;
 mod learnt;
 mod limits;
 mod metrics;
 mod notifier;
+mod outgoing;
 mod peers;
 mod publish;
 mod recent;
@@ -39,6 +41,7 @@
 use std::sync::Arc;
 
 use corianderway_platform::settings::Settings;
+use corianderway_steer::ConnectionChart;
 use corianderway_steer::Steer;
 use corianderway_steer::StoreCheck;
 use corianderway_wire::log_line::LogLine;
@@ -126,6 +129,7 @@
     );
     let steer = steer.context(SteerSnafu)?;
     let checks = StoreCheck::new().context(SteerSnafu)?;
+    let chart = ConnectionChart::load().context(SteerSnafu)?;
     let outputs = Outputs {
         servers: to_servers,
         store: commands,
@@ -170,7 +174,7 @@
     let (ring, http_shared) = (decisions.clone(), shared.clone());
     let make = move || http_ports::Context::new(ring, http_shared, scrape);
     duty::spawn("doors", move || http_ports::run(ports, make)).context(ThreadSnafu)?;
-    let make = move || callers::Context::new(decisions, shared, body_memory, stopping);
+    let make = move || callers::Context::new(decisions, shared, body_memory, stopping, chart);
     duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
 
     let unfinished = signals.wait_for_stop();
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -15,6 +15,7 @@
 use async_channel::Sender;
 use async_std::net;
 use async_std::task;
+use corianderway_steer::ConnectionChart;
 use corianderway_steer::RequestId;
 
 use crate::edge::body_memory::BodyMemory;
@@ -44,12 +45,15 @@
     pub ids: RequestIds,
     /// The memory budget for bodies.
     pub body_memory: BodyMemory,
+    /// The chart of each connection.
+    pub chart: ConnectionChart,
     // The number of requests that are being read, decided or answered.
     active: Arc<AtomicUsize>,
+    behind: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
 }
 
-/// Counts a request as active, from its first byte until its answer is written.
+/// Counts a request until it is dropped, at the latest when its answer is written.
 #[derive(Debug)]
 pub struct RequestGuard<'a>(&'a AtomicUsize);
 
@@ -94,13 +98,16 @@
         shared: SharedState,
         body_memory: BodyMemory,
         stopping: Arc<AtomicBool>,
+        chart: ConnectionChart,
     ) -> Self {
         Self {
             decisions,
             limits: shared.limits,
             active: shared.active,
+            behind: shared.behind,
             body_memory,
             stopping,
+            chart,
             ids: RequestIds::after(0),
             connections: shared.connections,
         }
@@ -112,6 +119,13 @@
         RequestGuard(&self.active)
     }
 
+    /// Counts a request as read behind an open one of its connection until the guard is
+    /// dropped.
+    pub fn begin_behind(&self) -> RequestGuard<'_> {
+        self.behind.fetch_add(1, Ordering::AcqRel);
+        RequestGuard(&self.behind)
+    }
+
     /// Returns true once a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -1,68 +1,52 @@
 //! A connection of a caller.
 //!
-//! Requests are served one after the other. Each is read whole, passed to the
-//! decision duty, and answered with the reply. A request that can't be read is
-//! refused as not run, and its connection is closed.
+//! Each request is read whole, passed to the decision duty, and answered with the reply.
+//! While one is open, further ones are read ahead; [`Pipeline`] decides which run beside each
+//! other, and keeps the order of the answers. A request that can't be read is refused as not
+//! run, and its connection is closed.
 
+use std::collections::VecDeque;
+use std::future::Future;
 use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
-use async_h1::server;
+use async_channel::Receiver;
 use async_std::future;
 use async_std::net::TcpStream;
-use corianderway_platform::front::RequestHead;
+use async_std::task;
+use corianderway_steer::CallerRequest;
 use corianderway_steer::Event;
+use corianderway_steer::ExchangeKind;
+use corianderway_steer::Pipeline;
+use corianderway_steer::PipelineAction;
+use corianderway_steer::PipelineEvent;
 use corianderway_steer::Reason;
 use corianderway_steer::Refusal;
 use corianderway_steer::RequestId;
-use corianderway_wire::head::HeadError;
 use futures_lite::future::FutureExt as _;
-use futures_lite::AsyncReadExt as _;
-use futures_lite::AsyncWriteExt as _;
-use http_types::headers::HeaderValue;
-use http_types::Method;
-use http_types::Response;
-use http_types::StatusCode;
-use serde_json::json;
-
-use crate::edge::body;
-use crate::edge::body::BodyError;
-use crate::edge::body_memory::Reservation;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+
 use crate::edge::callers::Context;
+use crate::edge::callers::RequestGuard;
+use crate::edge::incoming;
+use crate::edge::incoming::Incoming;
+use crate::edge::incoming::Request;
+use crate::edge::incoming::Unreadable;
+use crate::edge::outgoing;
 use crate::edge::rings::Input;
 use crate::edge::rings::Reply;
-use crate::message_reader;
-use crate::message_reader::HeadFailure;
-
-/// The maximum time for receiving a request's body. The caller's own limit and the
-/// route's timeout hold for it as well.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// The timeout for writing an answer.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// The timeout for reading what a refused caller still sends.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The status for a request that arrived too slowly; nothing ran.
-const TOO_SLOW: u16 = 408;
-
-/// The status for a body that is too large.
-const TOO_LARGE: u16 = 413;
-
-/// The status for a body that does not fit into memory at present.
-const UNAVAILABLE: u16 = 503;
 
 /// The retry delay given to a caller whose request found the ring to the
 /// decision duty full.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// The mean retry delay given to a caller whose request's body did not fit into memory. It is
-/// spread, so that callers don't come back at once.
-const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(600);
-
-/// The interim response to a request with `Expect: 100-continue`.
-const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// The interval at which a connection with unread bytes is checked for its end, which can't
+/// be read before them.
+const HANG_UP_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Whether a connection stays open for another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +55,64 @@
     Close,
 }
 
+/// The reading of a request while others are open; owns the bytes that were read ahead.
+type Reading<'a> = Pin<Box<dyn Future<Output = (Vec<u8>, Incoming<'a>)> + 'a>>;
+
+/// What has been read of the next request.
+enum Stage<'a> {
+    Nothing,
+    Some(Reading<'a>),
+    Head(Request<'a>),
+}
+
+/// What a connection with open requests waited for.
+enum Woken<'a> {
+    /// The reply to the first request; `None` at process end.
+    Replied(Option<Reply>),
+    /// There are bytes of a further request.
+    Bytes,
+    /// A further request was read, and these bytes beyond it.
+    Read(Vec<u8>, Incoming<'a>),
+    /// The caller has left.
+    Left,
+}
+
+/// A request that is not answered yet.
+struct Queued<'a> {
+    id: RequestId,
+    trace: Arc<str>,
+    bodiless: bool,
+    // Present until the request begins.
+    request: Option<Request<'a>>,
+    // Present from then on.
+    replies: Option<Receiver<Reply>>,
+    answer: Option<Answer>,
+    // Present while the request is not passed on; its guard moves here afterwards.
+    active: Option<RequestGuard<'a>>,
+    #[expect(dead_code, reason = "held for its drop")]
+    behind: Option<RequestGuard<'a>>,
+}
+
+/// What is written for a request.
+enum Answer {
+    Reply(Reply),
+    Unreadable(Unreadable),
+}
+
+struct Connection<'a> {
+    stream: &'a TcpStream,
+    ctx: &'a Context,
+    pipeline: Pipeline,
+    actions: VecDeque<PipelineAction>,
+    // In the order of the pipeline's queue.
+    queue: VecDeque<Queued<'a>>,
+    ahead: Vec<u8>,
+    stage: Stage<'a>,
+    // Whether the caller has sent bytes behind a request before its answer, so that closing
+    // may find some unread.
+    pipelines: bool,
+}
+
 /// Serves requests until the connection is closed.
 pub async fn serve(stream: &TcpStream, ctx: &Context) {
     // Otherwise Nagle's algorithm delays small answers until earlier data is
@@ -78,221 +120,323 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let mut ahead = Vec::new();
-    while serve_one(stream, ctx, &mut ahead).await == Next::Keep {}
+    let mut connection = Connection {
+        stream,
+        ctx,
+        pipeline: Pipeline::new(&ctx.chart),
+        actions: VecDeque::new(),
+        queue: VecDeque::new(),
+        ahead: Vec::new(),
+        stage: Stage::Nothing,
+        pipelines: false,
+    };
+    while connection.advance().await == Next::Keep {}
 }
 
-// Serves one request. `ahead` holds bytes that were read beyond the previous
-// request.
-async fn serve_one(stream: &TcpStream, ctx: &Context, ahead: &mut Vec<u8>) -> Next {
-    let limits = ctx.limits.get();
-    if ahead.is_empty() && !has_bytes(stream, limits.idle_timeout).await {
-        return Next::Close;
+impl<'a> Connection<'a> {
+    async fn advance(&mut self) -> Next {
+        if self.queue.is_empty() {
+            let incoming = self.read_first().await;
+            return self.receive(incoming).await;
+        }
+        match self.wait().await {
+            Woken::Replied(Some(reply)) => {
+                self.note_stop();
+                self.keep_reply(0, reply);
+                self.perform().await
+            }
+            Woken::Bytes => {
+                self.pipelines = true;
+                self.stage = Stage::Some(self.read_behind());
+                Next::Keep
+            }
+            Woken::Read(ahead, incoming) => {
+                self.ahead = ahead;
+                self.stage = Stage::Nothing;
+                self.receive(incoming).await
+            }
+            Woken::Replied(None) | Woken::Left => self.leave().await,
+        }
     }
-    let _active = ctx.begin_request();
-    let read = message_reader::read_head_within(stream, ahead, limits.head_bytes);
-    let head = match future::timeout(limits.head_timeout, read).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(HeadFailure::Refused(error))) => return refuse_head(stream, &error).await,
-        Ok(Err(HeadFailure::Closed)) => return Next::Close,
-        Err(_elapsed) => return refuse(stream, TOO_SLOW, "head-late").await,
-    };
-    let mut asked = match RequestHead::read(&head, ctx.ids.next()) {
-        Ok(asked) => asked,
-        Err(error) => return refuse_head(stream, &error).await,
-    };
-    if asked.expects_continue && ahead.is_empty() && write(stream, CONTINUE_RESPONSE).await.is_err()
-    {
-        return Next::Close;
+
+    // Reads the next request while no other is open.
+    async fn read_first(&mut self) -> Incoming<'a> {
+        match std::mem::replace(&mut self.stage, Stage::Nothing) {
+            Stage::Nothing => {
+                let idle = self.ctx.limits.get().idle_timeout;
+                if self.ahead.is_empty() && !has_bytes(self.stream, idle).await {
+                    return Incoming::Ended;
+                }
+                incoming::read(self.stream, self.ctx, &mut self.ahead, true).await
+            }
+            Stage::Some(reading) => {
+                let (ahead, incoming) = reading.await;
+                self.ahead = ahead;
+                incoming
+            }
+            Stage::Head(request) => {
+                incoming::read_body(self.stream, self.ctx, &mut self.ahead, request).await
+            }
+        }
+    }
+
+    // Reads the next request behind open ones.
+    fn read_behind(&mut self) -> Reading<'a> {
+        let (stream, ctx) = (self.stream, self.ctx);
+        let mut ahead = std::mem::take(&mut self.ahead);
+        Box::pin(async move {
+            let incoming = incoming::read(stream, ctx, &mut ahead, false).await;
+            (ahead, incoming)
+        })
     }
-    let mut reservation = ctx.body_memory.reservation();
-    let max_bytes = limits.body_bytes;
-    let read = body::read(stream, ahead, asked.framing, max_bytes, &mut reservation);
-    let (host, path) = (&asked.query.host, &asked.query.path);
-    let allowed = [asked.query.time_limit, ctx.limits.route_timeout(host, path)];
-    let timeout = allowed.into_iter().flatten().fold(BODY_TIMEOUT, Ord::min);
-    match future::timeout(timeout, read).await {
-        Ok(Ok(body)) => asked.set_body(body),
-        Ok(Err(BodyError::Cut)) => return Next::Close,
-        Ok(Err(BodyError::TooLarge)) => return refuse(stream, TOO_LARGE, "body-large").await,
-        Ok(Err(BodyError::NoMemory)) => {
-            let detail = "the request was not read whole";
-            let delay = MEMORY_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>());
-            let refusal = (UNAVAILABLE, "no-room", detail);
-            return refuse_and_close(stream, refusal, Some(delay)).await;
+
+    // Waits for the first request's reply, and for what the caller does meanwhile.
+    async fn wait(&mut self) -> Woken<'a> {
+        let replies = self.queue.front().and_then(|first| first.replies.as_ref());
+        let replied = async {
+            match replies {
+                Some(replies) => Woken::Replied(replies.recv().await.ok()),
+                None => std::future::pending().await,
+            }
+        };
+        let (stream, stage) = (self.stream, &mut self.stage);
+        let pipelines = &mut self.pipelines;
+        let (reads, has_ahead) = (self.pipeline.may_read(), !self.ahead.is_empty());
+        let heard = async {
+            match stage {
+                Stage::Some(reading) => {
+                    let (ahead, incoming) = reading.await;
+                    Woken::Read(ahead, incoming)
+                }
+                Stage::Nothing if reads && has_ahead => Woken::Bytes,
+                Stage::Nothing if reads => {
+                    if has_byte(stream).await {
+                        Woken::Bytes
+                    } else {
+                        Woken::Left
+                    }
+                }
+                Stage::Nothing | Stage::Head(_) => {
+                    while has_byte(stream).await && !has_hung_up(stream) {
+                        *pipelines = true;
+                        task::sleep(HANG_UP_INTERVAL).await;
+                    }
+                    Woken::Left
+                }
+            }
+        };
+        replied.or(heard).await
+    }
+
+    async fn receive(&mut self, incoming: Incoming<'a>) -> Next {
+        self.note_stop();
+        self.collect_replies();
+        let behind = (!self.queue.is_empty()).then(|| self.ctx.begin_behind());
+        let (event, queued) = match incoming {
+            Incoming::Request(request) => {
+                let event = PipelineEvent::Read {
+                    id: request.head.query.id,
+                    kind: request.kind,
+                    bytes: request.bytes(),
+                    closes: request.head.closes,
+                };
+                (event, Queued::of(request, behind))
+            }
+            Incoming::Unreadable(unreadable, active) => {
+                let id = self.ctx.ids.next();
+                let event = PipelineEvent::Read {
+                    id,
+                    kind: ExchangeKind::Unreadable,
+                    bytes: 0,
+                    closes: true,
+                };
+                self.pipelines = true;
+                (event, Queued::unreadable(id, unreadable, active, behind))
+            }
+            Incoming::Paused(request) => {
+                self.stage = Stage::Head(request);
+                return self.perform().await;
+            }
+            Incoming::Ended => return self.leave().await,
+        };
+        if self.pipeline.is_open() {
+            self.queue.push_back(queued);
+            self.pipeline.step(event, &mut self.actions);
         }
-        Ok(Err(BodyError::Malformed)) => {
-            let detail = "chunks";
-            return refuse_head(stream, &HeadError::Malformed { detail }).await;
+        self.perform().await
+    }
+
+    // Performs the actions of the pipeline until there are none left.
+    async fn perform(&mut self) -> Next {
+        while let Some(action) = self.actions.pop_front() {
+            match action {
+                PipelineAction::Begin(id) => self.begin(id),
+                PipelineAction::Write { close, .. } => {
+                    let Some(first) = self.queue.pop_front() else {
+                        continue;
+                    };
+                    if first.write(self.stream, close).await.is_err() {
+                        return self.leave().await;
+                    }
+                    if close && self.pipelines {
+                        outgoing::drain_input(self.stream).await;
+                    }
+                    let written = PipelineEvent::Written;
+                    self.pipeline.step(written, &mut self.actions);
+                }
+                PipelineAction::Drop(id) => self.queue.retain(|queued| queued.id != id),
+                PipelineAction::Cancel(id) => report_disconnect(self.ctx, id).await,
+                PipelineAction::Close => return Next::Close,
+            }
         }
-        Err(_elapsed) => return refuse(stream, TOO_SLOW, "body-late").await,
+        Next::Keep
     }
-    handle(stream, ctx, asked, reservation).await
-}
 
-// Sends a request to the decision duty and writes the reply.
-async fn handle(
-    stream: &TcpStream,
-    ctx: &Context,
-    asked: RequestHead,
-    reservation: Reservation,
-) -> Next {
-    let (sender, replies) = async_channel::bounded(1);
-    let id = asked.query.id;
-    let (bodiless, closes) = (asked.bodiless, asked.closes);
-    let trace = asked.outbound.trace().clone();
-    let input = Input::Request(asked.query, (asked.outbound, reservation), sender);
-    let reply = if ctx.decisions.try_send(input).is_err() {
-        Some(Reply::Refuse(
-            Refusal::not_run(Reason::Overloaded).with_retry_after(BUSY_RETRY_DELAY),
-        ))
-    } else {
-        let reply = async { replies.recv().await.ok() };
-        let disconnected = async {
-            wait_for_disconnect(stream).await;
-            None
+    fn begin(&mut self, id: RequestId) {
+        let Some(at) = self.queue.iter().position(|queued| queued.id == id) else {
+            return;
         };
-        reply.or(disconnected).await
-    };
-    let Some(reply) = reply else {
-        report_disconnect(ctx, id).await;
-        return Next::Close;
-    };
-    let close = closes || ctx.is_stopping();
-    let written = match reply {
-        Reply::Answer(answer) => {
-            let bytes = answer.head.write(&answer.body, bodiless, close);
-            write(stream, &bytes).await
-        }
-        Reply::Refuse(refusal) => {
-            let method = if bodiless { Method::Head } else { Method::Get };
-            let response = refusal_response(&refusal, &trace);
-            respond(stream, response, method, close).await
+        if let Err(refusal) = self.queue[at].pass_on(self.ctx) {
+            self.keep_reply(at, Reply::Refuse(refusal));
         }
-        Reply::Instances(..) => Ok(()),
-    };
-    match written {
-        Ok(()) if !close => Next::Keep,
-        Ok(()) | Err(_) => Next::Close,
     }
-}
 
-async fn report_disconnect(ctx: &Context, id: RequestId) {
-    // Fails only at process end, since the decision duty ends last.
-    drop(
-        ctx.decisions
-            .send(Input::Event(Event::CallerGone(id)))
-            .await,
-    );
-}
+    // Keeps the reply to a request until its turn.
+    fn keep_reply(&mut self, at: usize, reply: Reply) {
+        let Some(queued) = self.queue.get_mut(at) else {
+            return;
+        };
+        let bytes = match &reply {
+            Reply::Answer(answer) => answer.head.start.len() + answer.body.len(),
+            Reply::Refuse(_) | Reply::Instances(..) => 0,
+        };
+        queued.answer = Some(Answer::Reply(reply));
+        let event = PipelineEvent::Answered {
+            id: queued.id,
+            bytes,
+        };
+        self.pipeline.step(event, &mut self.actions);
+    }
 
-// Waits until the caller closes its end of the connection.
-async fn wait_for_disconnect(stream: &TcpStream) {
-    let mut byte = [0];
-    let peeked = stream.peek(&mut byte).await;
-    if !matches!(peeked, Ok(0) | Err(_)) {
-        // Further bytes belong to the next request, so the caller still waits.
-        std::future::pending::<()>().await;
+    // Keeps the replies to all requests but the first, so that their size is known.
+    fn collect_replies(&mut self) {
+        for at in 1..self.queue.len() {
+            let queued = &self.queue[at];
+            let replies = queued.replies.as_ref().filter(|_| queued.answer.is_none());
+            if let Some(reply) = replies.and_then(|replies| replies.try_recv().ok()) {
+                self.keep_reply(at, reply);
+            }
+        }
     }
-}
 
-// Builds the response for a refusal, which says whether the request may have run
-// and when to retry.
-fn refusal_response(refusal: &Refusal, trace: &str) -> Response {
-    let status = StatusCode::try_from(refusal.status());
-    let mut response = Response::new(status.unwrap_or(StatusCode::ServiceUnavailable));
-    // An id that is no valid value for the library, such as one beyond ASCII, is left out.
-    if let Ok(id) = HeaderValue::from_bytes(trace.as_bytes().to_vec()) {
-        response.insert_header("request-id", id);
+    fn note_stop(&mut self) {
+        if self.ctx.is_stopping() {
+            let stopped = PipelineEvent::Stopped;
+            self.pipeline.step(stopped, &mut self.actions);
+        }
     }
-    if let Some(after) = refusal.retry_after {
-        response.insert_header("retry-after", seconds(after));
+
+    async fn leave(&mut self) -> Next {
+        self.pipeline.step(PipelineEvent::Left, &mut self.actions);
+        while let Some(action) = self.actions.pop_front() {
+            if let PipelineAction::Cancel(id) = action {
+                report_disconnect(self.ctx, id).await;
+            }
+        }
+        Next::Close
     }
-    response.insert_header("content-type", "application/json");
-    let ran = if refusal.may_have_run {
-        "may-have-run"
-    } else {
-        "not-run"
-    };
-    let body = json!({ "code": refusal.reason.as_str(), "ran": ran, "request": trace });
-    response.set_body(body.to_string());
-    response
 }
 
-// Writes a delay in seconds, with a fraction.
-fn seconds(delay: Duration) -> String {
-    format!("{:.3}", delay.as_secs_f64())
-}
+impl<'a> Queued<'a> {
+    fn of(request: Request<'a>, behind: Option<RequestGuard<'a>>) -> Self {
+        Self {
+            id: request.head.query.id,
+            trace: Arc::clone(request.head.outbound.trace()),
+            bodiless: request.head.bodiless,
+            request: Some(request),
+            replies: None,
+            answer: None,
+            active: None,
+            behind,
+        }
+    }
 
-async fn respond(
-    stream: &TcpStream,
-    mut response: Response,
-    method: Method,
-    close: bool,
-) -> io::Result<()> {
-    if close {
-        response.insert_header("connection", "close");
+    fn unreadable(
+        id: RequestId,
+        unreadable: Unreadable,
+        active: RequestGuard<'a>,
+        behind: Option<RequestGuard<'a>>,
+    ) -> Self {
+        Self {
+            id,
+            trace: Arc::default(),
+            bodiless: false,
+            request: None,
+            replies: None,
+            answer: Some(Answer::Unreadable(unreadable)),
+            active: Some(active),
+            behind,
+        }
     }
-    let mut bytes = Vec::new();
-    let mut encoder = server::Encoder::new(response, method);
-    encoder.read_to_end(&mut bytes).await?;
-    write(stream, &bytes).await
-}
 
-async fn write(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<()> {
-    let written = future::timeout(WRITE_TIMEOUT, stream.write_all(bytes)).await;
-    written.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
-}
+    // Sends the request to the decision duty, with the time that is left.
+    fn pass_on(&mut self, ctx: &Context) -> Result<(), Refusal> {
+        let Some(request) = self.request.take() else {
+            return Ok(());
+        };
+        let (sender, replies) = async_channel::bounded(1);
+        let time_limit = request.time_left();
+        let query = CallerRequest {
+            time_limit,
+            ..request.head.query
+        };
+        self.active = Some(request.active);
+        let body = (request.head.outbound, request.reservation);
+        let input = Input::Request(query, body, sender);
+        self.replies = Some(replies);
+        ctx.decisions.try_send(input).map_err(|_full| {
+            Refusal::not_run(Reason::Overloaded).with_retry_after(BUSY_RETRY_DELAY)
+        })
+    }
 
-// Waits for the first byte of a request; returns false if the connection ends or
-// stays idle too long.
-async fn has_bytes(stream: &TcpStream, idle: Duration) -> bool {
-    let mut byte = [0];
-    let peeked = future::timeout(idle, stream.peek(&mut byte)).await;
-    matches!(peeked, Ok(Ok(count)) if count > 0)
+    async fn write(&self, stream: &TcpStream, close: bool) -> io::Result<()> {
+        match &self.answer {
+            Some(Answer::Reply(reply)) => {
+                let request = (&*self.trace, self.bodiless);
+                outgoing::write_reply(stream, reply, request, close).await
+            }
+            Some(Answer::Unreadable(unreadable)) => {
+                outgoing::write_unreadable(stream, unreadable).await
+            }
+            None => Ok(()),
+        }
+    }
 }
 
-async fn refuse_head(stream: &TcpStream, error: &HeadError) -> Next {
-    let detail = error.to_string();
-    refuse_and_close(stream, (error.status(), "bad-head", &detail), None).await
+async fn report_disconnect(ctx: &Context, id: RequestId) {
+    // Fails only at process end, since the decision duty ends last.
+    drop(
+        ctx.decisions
+            .send(Input::Event(Event::CallerGone(id)))
+            .await,
+    );
 }
 
-async fn refuse(stream: &TcpStream, status: u16, code: &str) -> Next {
-    let refusal = (status, code, "the request was not read whole");
-    refuse_and_close(stream, refusal, None).await
+// Returns whether the caller has closed its end of the connection, also behind unread bytes.
+fn has_hung_up(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    // Fails if a signal interrupts it; the next check tells.
+    let ready = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+    ready.is_ok_and(|count| count > 0)
 }
 
-// Refuses a request that was not read whole, with a status, a code and a detail, and closes
-// the connection.
-async fn refuse_and_close(
-    stream: &TcpStream,
-    (status, code, detail): (u16, &str, &str),
-    retry_after: Option<Duration>,
-) -> Next {
-    let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadRequest);
-    let mut response = Response::new(status);
-    response.insert_header("content-type", "application/json");
-    if let Some(after) = retry_after {
-        response.insert_header("retry-after", seconds(after));
-    }
-    let body = json!({ "code": code, "ran": "not-run", "detail": detail });
-    response.set_body(body.to_string());
-    // The connection is closed even if the caller has already disconnected.
-    drop(respond(stream, response, Method::Get, true).await);
-    drain_input(stream).await;
-    Next::Close
+// Waits for a byte; returns false if the connection ends.
+async fn has_byte(stream: &TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]).await, Ok(count) if count > 0)
 }
 
-// Reads and discards what the caller still sends. Closing with unread input would
-// reset the connection, and the caller might lose the refusal.
-async fn drain_input(stream: &TcpStream) {
-    // The connection is closed afterwards, so an error makes no difference.
-    drop(stream.shutdown(std::net::Shutdown::Write));
-    let rest = async {
-        let mut bytes = [0; 4_096];
-        let mut source = stream;
-        while matches!(source.read(&mut bytes).await, Ok(count) if count > 0) {}
-    };
-    // The connection is closed afterwards, also on a timeout.
-    let _ = future::timeout(DRAIN_TIMEOUT, rest).await;
+// Waits for the first byte of a request; returns false if the connection ends or
+// stays idle too long.
+async fn has_bytes(stream: &TcpStream, idle: Duration) -> bool {
+    matches!(future::timeout(idle, has_byte(stream)).await, Ok(true))
 }
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -49,6 +49,9 @@
     /// The number of requests that are being read from callers, decided, or
     /// answered.
     pub active: Arc<AtomicUsize>,
+    /// The number of requests that were read behind an open one of their connection and are
+    /// not answered.
+    pub behind: Arc<AtomicUsize>,
     /// The number of requests whose head and body the decision duty holds.
     pub held: Arc<AtomicUsize>,
     /// The number of requests that wait for room at a backend server.
--- a/crates/daemon/src/edge/limits.rs
+++ b/crates/daemon/src/edge/limits.rs
@@ -1,10 +1,11 @@
-//! The limits on callers' requests, set by the decision duty and read by the
+//! The limits on callers' requests and the terms of routes, set by the decision duty and read by the
 //! callers duty.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use corianderway_model::Replay;
 use corianderway_steer::CallerLimits;
 use corianderway_steer::Plan;
 
@@ -12,6 +13,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct SharedLimits(Arc<ArcSwapOption<Plan>>);
 
+/// What a route sets for reading its requests.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTerms {
+    /// The maximum time to the final answer.
+    pub timeout: Option<Duration>,
+    /// Whether a request may run more than once.
+    pub replay: Replay,
+}
+
 impl SharedLimits {
     /// Replaces the configuration.
     pub fn set(&self, plan: &Arc<Plan>) {
@@ -28,10 +38,13 @@
         plan.map_or_else(CallerLimits::default, |plan| plan.callers())
     }
 
-    /// Returns the maximum time to the final answer on the route of a request, if the
-    /// route sets one.
-    pub fn route_timeout(&self, host: &str, path: &str) -> Option<Duration> {
+    /// Returns what the route of a request sets; `None` if the route is not known.
+    pub fn route(&self, host: &str, path: &str) -> Option<RouteTerms> {
         let plan = self.0.load();
-        plan.as_ref()?.route(host, path)?.timeout
+        let route = plan.as_ref()?.route(host, path)?;
+        Some(RouteTerms {
+            timeout: route.timeout,
+            replay: route.replay,
+        })
     }
 }
--- a/crates/daemon/src/edge/metrics.rs
+++ b/crates/daemon/src/edge/metrics.rs
@@ -60,6 +60,7 @@
         };
         gauge("corianderway_held_requests", &shared.held);
         gauge("corianderway_waiting_requests", &shared.waiting);
+        gauge("corianderway_pipelined_requests", &shared.behind);
         gauge("corianderway_caller_connections", &shared.connections);
         gauge("corianderway_body_bytes", bodies.reserved());
         let latency = |name: &'static str, description: &'static str| {
