--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -62,7 +62,7 @@
 enum Stage<'a> {
     Nothing,
     Some(Reading<'a>),
-    Head(Request<'a>),
+    Head(Box<Request<'a>>),
 }
 
 /// What a connection with open requests waited for.
@@ -175,7 +175,7 @@
                 incoming
             }
             Stage::Head(request) => {
-                incoming::read_body(self.stream, self.ctx, &mut self.ahead, request).await
+                incoming::read_body(self.stream, self.ctx, &mut self.ahead, *request).await
             }
         }
     }
@@ -254,7 +254,7 @@
                 (event, Queued::unreadable(id, unreadable, active, behind))
             }
             Incoming::Paused(request) => {
-                self.stage = Stage::Head(request);
+                self.stage = Stage::Head(Box::new(request));
                 return self.perform().await;
             }
             Incoming::Ended => return self.leave().await,
--- a/crates/daemon/src/edge/incoming.rs
+++ b/crates/daemon/src/edge/incoming.rs
@@ -8,6 +8,7 @@
 use corianderway_model::Replay;
 use corianderway_platform::front::RequestHead;
 use corianderway_steer::ExchangeKind;
+use corianderway_wire::head::Framing;
 use corianderway_wire::head::HeadError;
 
 use crate::edge::body;
@@ -62,8 +63,8 @@
     pub reservation: Reservation,
     /// What may be done with it while others are ahead of it.
     pub kind: ExchangeKind,
-    // When its head was complete.
-    arrived: Instant,
+    // When its head was complete; `None` if it begins at that moment.
+    arrived: Option<Instant>,
     // The maximum time to the answer, if the caller or the route sets one.
     allowed: Option<Duration>,
     head_bytes: usize,
@@ -93,7 +94,7 @@
     /// Returns the time that is left until the answer is due, if the caller or the route
     /// limits it.
     pub fn time_left(&self) -> Option<Duration> {
-        let waited = self.arrived.elapsed();
+        let waited = self.arrived.map_or(Duration::ZERO, |at| at.elapsed());
         self.allowed.map(|allowed| allowed.saturating_sub(waited))
     }
 }
@@ -127,10 +128,11 @@
         Some(Replay::Idempotent) => ExchangeKind::Idempotent,
         Some(Replay::Once | Replay::Deduplicated) | None => ExchangeKind::Once,
     };
+    let begins = is_first && head.framing == Framing::Length(0);
     let request = Request {
         kind,
         reservation: ctx.body_memory.reservation(),
-        arrived: Instant::now(),
+        arrived: (!begins).then(Instant::now),
         allowed: allowed.into_iter().flatten().min(),
         head_bytes: bytes.len(),
         head,
