--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -89,6 +89,17 @@
     });
 }
 
+// Asserts that the instance soon notes that the callers of this many running requests left.
+fn assert_leaves(fleet: &Fleet, running: usize) {
+    let noticed = until("the leaves", LEAVE_NOTICE, || {
+        let lines = fleet.instance.process.lines();
+        let left = lines.iter().filter(|line| line.contains("event=left"));
+        (left.count() == running).then_some(())
+    });
+    let lines = fleet.instance.process.lines();
+    assert!(noticed.is_ok(), "{running}: {}", lines.join("\n"));
+}
+
 #[test]
 fn idempotent_requests_run_beside_each_other_and_are_answered_in_order() {
     let fleet = Fleet::with_servers(4, work);
@@ -175,13 +186,7 @@
         caller.send(&sent.collect::<String>());
         wait_for_arrivals(&fleet, running);
         drop(caller);
-        let noticed = until("the departures", LEAVE_NOTICE, || {
-            let lines = fleet.instance.process.lines();
-            let left = lines.iter().filter(|line| line.contains("event=left"));
-            (left.count() == running).then_some(())
-        });
-        let lines = fleet.instance.process.lines();
-        assert!(noticed.is_ok(), "{requests}: {}", lines.join("\n"));
+        assert_leaves(&fleet, running);
         assert_eq!(fleet.endpoint.heard().len(), running);
     }
 }
@@ -193,6 +198,7 @@
     caller.send(&(get("/read/1", "r-0", "") + &get("/read/2", "r-1", "")));
     wait_for_arrivals(&fleet, 2);
     caller.0.shutdown(Shutdown::Write).unwrap();
+    assert_leaves(&fleet, 2);
     assert!(caller.ends());
 }
 
@@ -256,3 +262,22 @@
     caller.send("body");
     assert_eq!(caller.read(), (200, "b-1".to_owned(), false));
 }
+
+// Guards against a request that is given its whole time anew after it waited behind others.
+#[test]
+fn the_time_of_a_request_counts_from_its_own_arrival() {
+    let fleet = Fleet::with_servers(4, work);
+    let mut caller = Caller::connect(&fleet);
+    let allowed = Duration::from_millis(700);
+    let deadline = format!("Deadline-Ms: {}\r\n", allowed.as_millis());
+    caller.send(&(get("/once/1", "o-0", "") + &get("/read/now", "r-1", &deadline)));
+    assert_eq!(caller.read().1, "o-0");
+    assert_eq!(caller.read().1, "r-1");
+    let left = fleet.until("the log line", || {
+        let lines = fleet.instance.request_lines("r-1");
+        let sent = lines.iter().find(|line| line.contains("event=sent"))?;
+        sent.rsplit_once("left_ms=")?.1.trim().parse().ok()
+    });
+    let left = Duration::from_millis(left);
+    assert!(left <= allowed - WORK, "{left:?}");
+}
