The soak's callers pipeline at times

Change: with probability 0.2 a caller sends one to three idempotent requests behind one that it sends whole. One whose answer doesn't come after the others counts as left: what was behind the last answer may not have been read. Draws of earlier plays stay, as the new ones have their own random numbers.

--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -59,6 +59,11 @@
 /// The range of the time after which a caller leaves, in milliseconds.
 const LEAVE_AFTER_MS: std::ops::Range<u64> = 0..400;
 
+/// The probability that a caller sends further idempotent requests behind one that it sends
+/// whole, and their number.
+const PIPELINE_PROBABILITY: f64 = 0.2;
+const FOLLOWERS: std::ops::RangeInclusive<usize> = 1..=3;
+
 /// The number of affinity keys.
 const AFFINITY_KEYS: u32 = 40;
 
@@ -100,6 +105,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     // How requests are sent has random numbers of its own, so that what is sent stays.
     let mut habits = SmallRng::seed_from_u64(!seed);
+    let mut pipelines = SmallRng::seed_from_u64(seed.rotate_left(u64::BITS / 2));
     let mut open: Option<(usize, u32, Client)> = None;
     let mut count = 0;
     while !shared.stopped.load(Ordering::Acquire) {
@@ -115,23 +121,33 @@
         };
         count += 1;
         let id = format!("c{caller}-{count}");
-        let (call, kept) = send_request(shared, (&mut rng, &mut habits), client, &id, is_limited);
+        let followers = if pipelines.random_bool(PIPELINE_PROBABILITY) {
+            pipelines.random_range(FOLLOWERS)
+        } else {
+            0
+        };
+        let draws = (&mut rng, &mut habits);
+        let (calls, kept) = send_requests(shared, draws, client, &id, is_limited, followers);
         let (node, run) = (*node, *run);
-        shared.record(Call { node, run, ..call });
+        for call in calls {
+            shared.record(Call { node, run, ..call });
+        }
         if !kept {
             open = None;
         }
     }
 }
 
-// Sends one request; returns it and whether the connection stays open.
-fn send_request(
+// Sends one request, and this many others behind it if it is sent whole; returns them and
+// whether the connection stays open.
+fn send_requests(
     shared: &Shared,
     (rng, habits): (&mut SmallRng, &mut SmallRng),
     client: &mut Client,
     id: &str,
     is_limited: bool,
-) -> (Call, bool) {
+    followers: usize,
+) -> (Vec<Call>, bool) {
     let kind = match (is_limited, rng.random_range(0..4)) {
         (true, _) => Kind::Limited,
         (false, 0) => Kind::Write,
@@ -179,8 +195,11 @@
     let leaves = habits.random_bool(LEAVE_PROBABILITY);
     let sent = Instant::now();
     let timeout_set = client.set_read_timeout(READ_TIMEOUT).is_ok();
+    let followers = if pieces == 1 && !leaves { followers } else { 0 };
+    let followers = (1..=followers).map(|number| follower(&format!("{id}-{number}"), is_limited));
+    let followers: Vec<_> = followers.collect();
     // A response may come although the request wasn't taken as a whole.
-    drop(send_pieces(client, &request, pieces, habits));
+    drop(send_pieces(client, &request, pieces, &followers, habits));
     let (end, closes) = if leaves {
         thread::sleep(Duration::from_millis(habits.random_range(LEAVE_AFTER_MS)));
         (End::Left, true)
@@ -200,7 +219,52 @@
         ended: Instant::now(),
         end,
     };
-    (call, !closes)
+    let (mut calls, mut closes) = (vec![call], closes);
+    for (id, kind, request) in followers {
+        // What was sent behind the last response may not have been read.
+        let mut end = End::Left;
+        if !closes {
+            let reply = client.read(&request.method).ok();
+            closes = reply.as_ref().is_none_or(self::closes);
+            end = reply.map_or(End::Left, response_end);
+        }
+        let key = follower_key(is_limited).to_owned();
+        calls.push(Call {
+            id,
+            kind,
+            key,
+            node: 0,
+            run: 0,
+            is_hurried: false,
+            sent,
+            ended: Instant::now(),
+            end,
+        });
+    }
+    (calls, !closes)
+}
+
+// Makes an idempotent request that is sent behind another one.
+fn follower(id: &str, is_limited: bool) -> (String, Kind, Request) {
+    let (kind, path) = if is_limited {
+        (Kind::Limited, "/limited/1")
+    } else {
+        (Kind::Read, "/read/1")
+    };
+    let request = Request::new("GET", path)
+        .host(node::HOST)
+        .header("Request-Id", id)
+        .header("Key", follower_key(is_limited))
+        .header("Deadline-Ms", DEADLINE_MS);
+    (id.to_owned(), kind, request)
+}
+
+fn follower_key(is_limited: bool) -> &'static str {
+    if is_limited {
+        LIMITED_KEY
+    } else {
+        UNLIMITED_KEY
+    }
 }
 
 // Bodies of all magnitudes are equally frequent.
@@ -210,15 +274,20 @@
 }
 
 // Sends the head, then each part of the body after a pause. A body in one piece is sent
-// with the head, and others in chunks if the request says so.
+// with the head and with the followers, and others in chunks if the request says so.
 fn send_pieces(
     client: &mut Client,
     request: &Request,
     pieces: usize,
+    followers: &[(String, Kind, Request)],
     rng: &mut SmallRng,
 ) -> Result<(), Error> {
     if pieces == 1 {
-        return client.write(&request.bytes());
+        let mut bytes = request.bytes();
+        for (_, _, follower) in followers {
+            bytes.extend(follower.bytes());
+        }
+        return client.write(&bytes);
     }
     let bytes = request.bytes();
     let (head, body) = bytes.split_at(bytes.len() - request.body.len());
