--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -10,9 +10,11 @@
 use std::time::Instant;
 
 use async_std::task;
+use corianderway_model::Revision;
 use corianderway_platform::store;
 use corianderway_platform::store::Call;
 use corianderway_steer::CheckAnswer;
+use corianderway_steer::Event;
 use corianderway_steer::InputKind;
 use corianderway_steer::Remedy;
 use corianderway_steer::Revisions;
@@ -25,6 +27,7 @@
 use crate::edge::store::log_event;
 use crate::edge::store::log_silence;
 use crate::edge::store::send_call;
+use crate::edge::store::send_event;
 use crate::edge::store::Context;
 use crate::edge::store::OK;
 use crate::edge::store::PROBE_TIMEOUT;
@@ -38,6 +41,9 @@
         let begun = Instant::now();
         let answer = check(ctx, input).await;
         log_check(ctx, input, answer, begun.elapsed());
+        if answer == CheckAnswer::Missed {
+            send_event(ctx, Event::CheckMissed).await;
+        }
         let kind = store_kind(input);
         match checks.answer(input, answer) {
             // Between two watches none waits, and the next one brings the changes.
@@ -63,17 +69,19 @@
 async fn check(ctx: &Context, input: InputKind) -> CheckAnswer {
     let kind = store_kind(input);
     let known = ctx.copy.borrow().of(kind).revision;
-    let call = Call::check(kind, known.unwrap_or(0));
-    let Some(reply) = send_call(&ctx.client, &call, PROBE_TIMEOUT).await else {
+    let call = Call::check(kind, known.unwrap_or_default());
+    let Some(reply) = send_call(ctx, &call, PROBE_TIMEOUT).await else {
         return CheckAnswer::Missed;
     };
     // Any other status is an answer as well: what waits is not affected by it.
-    let told = (reply.status == OK).then(|| store::parse_changes(&reply.body).ok());
-    let (has_changes, revision) = told
-        .flatten()
-        .map_or((false, 0), |told| (!told.changes.is_empty(), told.revision));
+    let told = (reply.status == OK).then(|| store::parse_changes(&reply.body, reply.era).ok());
+    let (has_changes, revision) = told.flatten().map_or((false, Revision::default()), |told| {
+        (!told.changes.is_empty(), told.revision)
+    });
     let is_unchanged = ctx.copy.borrow().of(kind).revision == known;
-    let news = has_changes && known.is_some() && is_unchanged;
+    // A revision that was given out again tells nothing of what changed since the known one.
+    let is_same_era = known.is_some_and(|known| known.era == reply.era);
+    let news = has_changes && is_same_era && is_unchanged;
     CheckAnswer::Told { revision, news }
 }
 
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -46,7 +46,8 @@
                 .with("busy", format!("{busy:.2}"));
             out.push(Action::Log(note));
         }
-        self.outage.advance(now, OutageSignal::Tick);
+        self.advance_outage(now, OutageSignal::Tick);
+        self.settle_lists(now, out);
         self.advance_source(now, SourceSignal::Tick, out);
         self.fleet.tick(now);
         let named = self.named(now).into_iter().map(neighbour).collect();
@@ -93,6 +94,8 @@
             .collect();
         for (service, open) in running {
             self.moves.set_old_inflight(&service, open);
+            let overdue = self.overdue(now, &service);
+            self.moves.set_overdue(&service, &overdue);
         }
         let is_leader = self.members.is_leader(now, self.follows_store());
         // While no instance reaches the store, one of them still decides on
@@ -102,7 +105,10 @@
         self.log_transitions(transitions, out);
         if is_leader {
             self.log_moves(now, out);
-            for (order, progress) in self.moves.unreported(now, REPORT_INTERVAL) {
+            for (order, progress) in self
+                .moves
+                .unreported(now, REPORT_INTERVAL, self.known.era())
+            {
                 let service = order.service.clone();
                 out.push(Action::RecordProgress {
                     service,
