Usage reports as a duty of one instance at a time

Change: crates/duties decides on lease, counts and reports, with the charts duty-lease and duty-report; the decision core counts attempts as they are sent and takes back those that did not run; the thread duties performs the calls. It exists only where the settings ask for the report. No run with the platform yet.

--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -6,6 +6,7 @@
 use async_h1::client;
 use async_std::future;
 use async_std::net::TcpStream;
+use http_types::Headers;
 use http_types::Method;
 use http_types::Request;
 use http_types::Url;
@@ -33,6 +34,7 @@
     pub status: u16,
     /// The body.
     pub body: Vec<u8>,
+    headers: Headers,
 }
 
 /// A call that ended without a complete response.
@@ -59,6 +61,26 @@
         headers: &[(&str, String)],
         body: Option<String>,
         timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        self.call_if(method, path, headers, body, timeout, || true)
+            .await
+    }
+
+    /// Makes one call on a new connection if it is still permitted once that is open; gives
+    /// it up and resets the connection after `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call is not permitted, or no complete response is received
+    /// within `timeout`.
+    pub async fn call_if(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, String)],
+        body: Option<String>,
+        timeout: Duration,
+        permitted: impl Fn() -> bool,
     ) -> Result<Reply, CallError> {
         let nothing_sent = true;
         let connected = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.0)).await;
@@ -69,6 +91,9 @@
             return Err(CallError { nothing_sent });
         };
         enable_keepalive(&stream);
+        if !permitted() {
+            return Err(CallError { nothing_sent });
+        }
         let nothing_sent = false;
         let replied = future::timeout(timeout, exchange(stream, request)).await;
         replied.ok().flatten().ok_or(CallError { nothing_sent })
@@ -107,6 +132,11 @@
 }
 
 impl Reply {
+    /// Returns the value of a header, the last one if it occurs more than once.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(|values| values.last().as_str())
+    }
+
     /// Parses the body as JSON; returns nothing if it doesn't match `T`.
     pub fn json<T: DeserializeOwned>(&self) -> Option<T> {
         serde_json::from_slice(&self.body).ok()
@@ -122,5 +152,6 @@
     is_complete.then(|| Reply {
         status: response.status().into(),
         body,
+        headers: AsRef::<Headers>::as_ref(&response).clone(),
     })
 }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -13,10 +13,30 @@
     since_epoch.map_or(0, |span| span.as_millis() as u64)
 }
 
+/// Returns the time since the machine started, suspension included.
+///
+/// # Panics
+///
+/// Panics if the system has no such clock, which Linux always has.
+pub fn boot() -> Time {
+    let mut time = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    #[expect(
+        unsafe_code,
+        reason = "the standard library's clock does not count suspension"
+    )]
+    // SAFETY: the pointer is to a value that lives through the call.
+    let status = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &raw mut time) };
+    assert_eq!(status, 0, "the clock is always there");
+    Time::from_nanos(time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64)
+}
+
 /// A monotonic clock that starts with the process.
 ///
-/// It continues while the process is suspended, so an instance that resumes sees
-/// that its leases have expired.
+/// It continues while the process is stopped, so an instance that resumes sees that its
+/// leases have expired. It stands still while the machine is suspended; [`boot`] does not.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -85,6 +85,12 @@
         /// The chart's error.
         source: corianderway_steer::ChartError,
     },
+    /// A state chart of the duties is invalid.
+    #[snafu(display("{source}"))]
+    Duty {
+        /// The chart's error.
+        source: corianderway_duties::ChartError,
+    },
     /// The instance name is invalid.
     #[snafu(display("instance: {source}"))]
     Name {
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod copy;
 mod decisions;
+mod duties;
 mod exchange;
 mod frame;
 mod heartbeat;
@@ -46,6 +47,7 @@
 use snafu::ResultExt as _;
 
 use crate::clock::Clock;
+use crate::daemon::DutySnafu;
 use crate::daemon::ListenSnafu;
 use crate::daemon::LoggerSnafu;
 use crate::daemon::MetricsSnafu;
@@ -58,8 +60,10 @@
 use crate::edge::decisions::DecisionDuty;
 use crate::edge::decisions::Outputs;
 use crate::edge::decisions::SharedState;
+use crate::edge::duties::Rings;
 use crate::edge::http_ports::HttpPort;
 use crate::edge::metrics::Instruments;
+use crate::edge::peers::Recipients;
 use crate::edge::signals::SignalHandler;
 use crate::logs;
 use crate::logs::Log;
@@ -119,6 +123,9 @@
     let body_memory = BodyMemory::for_process(settings.memory_bytes);
     let (instruments, scrape) = Instruments::new(&shared, &body_memory).context(MetricsSnafu)?;
 
+    let (duty_inputs, duty_rx) = async_channel::bounded(rings::DUTY_INPUTS);
+    let duty_ring = settings.usage.as_ref().map(|_| duty_inputs.clone());
+
     let steer = Steer::new(
         settings.member.clone(),
         settings.bounds.clone(),
@@ -129,8 +136,9 @@
     let outputs = Outputs {
         servers: to_servers,
         store: commands,
-        peers: messages,
-        samples,
+        peers: messages.clone(),
+        samples: samples.clone(),
+        duties: duty_ring.clone(),
     };
     let decision_duty = DecisionDuty::new(steer, clock, outputs, shared.clone(), log.clone());
     let signals = SignalHandler::new(
@@ -152,6 +160,22 @@
         servers::run(server_rx, clock, bodies, ring);
     })
     .context(ThreadSnafu)?;
+    if let Some(usage) = settings.usage.clone() {
+        let duty = duties::start(&settings, &usage).context(DutySnafu)?;
+        let rings = Rings {
+            inputs: duty_rx,
+            answers: duty_inputs,
+            peers: messages,
+            samples,
+            token: Arc::clone(&shared.duty_token),
+            log: log.clone(),
+        };
+        let settings = settings.clone();
+        duty::spawn("duties", move || {
+            duties::run(&settings, &usage, duty, clock, rings);
+        })
+        .context(ThreadSnafu)?;
+    }
     let (ring, store_log) = (decisions.clone(), log.clone());
     duty::spawn("store", move || {
         store::run(
@@ -165,8 +189,14 @@
     })
     .context(ThreadSnafu)?;
     let (ring, peer_log) = (decisions.clone(), log.clone());
-    duty::spawn("peers", move || peers::run(socket, queued, ring, peer_log))
-        .context(ThreadSnafu)?;
+    let recipients = Recipients {
+        decisions: ring,
+        duties: duty_ring,
+    };
+    duty::spawn("peers", move || {
+        peers::run(socket, queued, recipients, peer_log);
+    })
+    .context(ThreadSnafu)?;
     let (ring, http_shared) = (decisions.clone(), shared.clone());
     let make = move || http_ports::Context::new(ring, http_shared, scrape);
     duty::spawn("doors", move || http_ports::run(ports, make)).context(ThreadSnafu)?;
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -7,6 +7,7 @@
 //! body of each request, from its arrival until the action that ends it.
 
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -30,6 +31,7 @@
 use crate::edge::limits::SharedLimits;
 use crate::edge::recent::Recent;
 use crate::edge::rings::Answer;
+use crate::edge::rings::DutyInput;
 use crate::edge::rings::Input;
 use crate::edge::rings::Job;
 use crate::edge::rings::PeerMessage;
@@ -55,6 +57,8 @@
     pub waiting: Arc<AtomicUsize>,
     /// The number of open connections from callers.
     pub connections: Arc<AtomicUsize>,
+    /// The fencing token of the duty that this instance holds, or 0.
+    pub duty_token: Arc<AtomicU64>,
     /// The limits on callers' requests.
     pub limits: SharedLimits,
 }
@@ -70,6 +74,8 @@
     pub peers: Sender<PeerMessage>,
     /// To the metrics duty.
     pub samples: Sender<Note>,
+    /// To the duties thread, if there are duties.
+    pub duties: Option<Sender<DutyInput>>,
 }
 
 /// The state of the decision duty.
@@ -168,7 +174,12 @@
                 }
                 self.step(Event::AttemptEnded { id, outcome });
             }
-            Input::Event(event) => self.step(event),
+            Input::Event(event) => {
+                if let Event::Members(members) = &event {
+                    self.send_to_duties(DutyInput::Members(members.clone()));
+                }
+                self.step(event);
+            }
             Input::Note(note) => self.publish_note(note),
             Input::Explain(trace, answer) => {
                 // Fails if the operator's connection has been closed.
@@ -279,6 +290,7 @@
             Action::Reread => self.send_to_store(StoreCommand::Reread),
             Action::Follow(source) => self.send_to_store(StoreCommand::Follow(source)),
             Action::Probe => self.send_to_store(StoreCommand::Probe),
+            Action::CountAttempts(counts) => self.send_to_duties(DutyInput::Counted(counts)),
             Action::Log(note) => self.publish_note(note),
         }
     }
@@ -299,6 +311,16 @@
         }
     }
 
+    fn send_to_duties(&self, input: DutyInput) {
+        let Some(duties) = &self.outputs.duties else {
+            return;
+        };
+        if duties.try_send(input).is_err() {
+            let line = LogLine::new("duty-input-dropped").with("why", "ring-full");
+            self.log.put(Level::Warn, line);
+        }
+    }
+
     fn publish_note(&mut self, note: Note) {
         let line = line(&note);
         self.recent.record(&note, &line);
--- a/crates/daemon/src/edge/metrics.rs
+++ b/crates/daemon/src/edge/metrics.rs
@@ -61,6 +61,14 @@
         gauge("corianderway_held_requests", &shared.held);
         gauge("corianderway_waiting_requests", &shared.waiting);
         gauge("corianderway_caller_connections", &shared.connections);
+        let token = Arc::clone(&shared.duty_token);
+        let observe = move |observer: &dyn AsyncInstrument<u64>| {
+            observer.observe(token.load(Ordering::Acquire), &[]);
+        };
+        meter
+            .u64_observable_gauge("corianderway_duty_token")
+            .with_callback(observe)
+            .build();
         gauge("corianderway_body_bytes", bodies.reserved());
         let latency = |name: &'static str, description: &'static str| {
             let histogram = meter.f64_histogram(name).with_description(description);
--- a/crates/daemon/src/edge/peers.rs
+++ b/crates/daemon/src/edge/peers.rs
@@ -15,6 +15,7 @@
 use corianderway_wire::log_line::LogLine;
 use log::Level;
 
+use crate::edge::rings::DutyInput;
 use crate::edge::rings::Input;
 use crate::edge::rings::PeerMessage;
 use crate::logs::Log;
@@ -25,13 +26,22 @@
 /// The delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The rings to which messages are passed on.
+#[derive(Debug)]
+pub struct Recipients {
+    /// To the decision duty.
+    pub decisions: Sender<Input>,
+    /// To the duties thread, if there are duties.
+    pub duties: Option<Sender<DutyInput>>,
+}
+
 /// Runs until the decision duty has ended.
-pub fn run(socket: UdpSocket, messages: Receiver<PeerMessage>, decisions: Sender<Input>, log: Log) {
+pub fn run(socket: UdpSocket, messages: Receiver<PeerMessage>, recipients: Recipients, log: Log) {
     task::block_on(async move {
         let socket = std::rc::Rc::new(net::UdpSocket::from(socket));
         let receiving = std::rc::Rc::clone(&socket);
         let receive_log = log.clone();
-        task::spawn_local(async move { receive(&receiving, decisions, receive_log).await });
+        task::spawn_local(async move { receive(&receiving, recipients, receive_log).await });
         while let Ok((to, message)) = messages.recv().await {
             let mut bytes = Vec::new();
             if let Err(error) = ciborium::into_writer(&message, &mut bytes) {
@@ -45,7 +55,7 @@
     });
 }
 
-async fn receive(socket: &net::UdpSocket, decisions: Sender<Input>, log: Log) {
+async fn receive(socket: &net::UdpSocket, recipients: Recipients, log: Log) {
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((count, from)) = socket.recv_from(&mut bytes).await else {
@@ -53,9 +63,15 @@
             continue;
         };
         match ciborium::from_reader::<Message, _>(&bytes[..count]) {
+            Ok(Message::Duty(message)) => {
+                if let Some(duties) = &recipients.duties {
+                    // Dropped if the ring is full; the next message supersedes it.
+                    drop(duties.try_send(DutyInput::Message(message)));
+                }
+            }
             Ok(message) => {
                 let input = Input::Event(Event::Message(message));
-                if decisions.send(input).await.is_err() {
+                if recipients.decisions.send(input).await.is_err() {
                     return;
                 }
             }
--- a/crates/daemon/src/edge/rings.rs
+++ b/crates/daemon/src/edge/rings.rs
@@ -13,6 +13,7 @@
 use corianderway_model::Time;
 use corianderway_platform::front::Outbound;
 use corianderway_platform::front::ResponseHead;
+use corianderway_steer::AttemptCount;
 use corianderway_steer::CallerRequest;
 use corianderway_steer::Event;
 use corianderway_steer::Member;
@@ -43,6 +44,25 @@
 /// dropped; the next one supersedes it.
 pub const PEER_MESSAGES: usize = 2_048;
 
+/// The capacity of the ring to the duties thread. If it is full, counts are dropped and
+/// logged, and messages are dropped; answers to calls wait.
+pub const DUTY_INPUTS: usize = 1_024;
+
+/// A message to the duties thread.
+#[derive(Debug)]
+pub enum DutyInput {
+    /// Attempts that were sent, or did not run.
+    Counted(Vec<AttemptCount>),
+    /// The complete list of instances.
+    Members(Vec<Member>),
+    /// A message from another instance.
+    Message(corianderway_duties::Message),
+    /// The answer to a store call, with the number of the call.
+    Stored(u64, corianderway_duties::Event),
+    /// The answer to a report.
+    Reported(corianderway_duties::Event),
+}
+
 /// A message to the decision duty.
 #[derive(Debug)]
 pub enum Input {
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -73,6 +73,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             chosen: None,
+            sent: Time::ZERO,
             attempt: None,
             outcome: None,
             answered: false,
--- a/crates/steer/src/bounds.rs
+++ b/crates/steer/src/bounds.rs
@@ -26,6 +26,8 @@
     /// The maximum change, from one [`SHIFT_INTERVAL`] to the next, in the fraction of a
     /// region's requests that are sent to another region.
     pub shift_most: f64,
+    /// Whether attempts are counted for reports on the client accounts' usage.
+    pub count_attempts: bool,
 }
 
 /// The interval over which the fractions of shifted requests are compared.
@@ -43,6 +45,7 @@
             canary_extra: 50.0,
             advice_most: Duration::from_secs(5),
             shift_most: 0.15,
+            count_attempts: false,
         }
     }
 }
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -44,6 +44,9 @@
     /// The relay's reply to a request for a token.
     #[serde(rename = "l")]
     TokenReply(TokenReply),
+    /// A message about a duty of one instance, which this package doesn't decide on.
+    #[serde(rename = "u")]
+    Duty(corianderway_duties::Message),
 }
 
 /// A request for one token of a client account, for one caller's request.
--- a/crates/steer/src/dispatch.rs
+++ b/crates/steer/src/dispatch.rs
@@ -89,6 +89,7 @@
             once: !open.is_idempotent(),
         });
         open.attempt = Some(attempt);
+        self.count_sent(now, open);
         None
     }
 
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -22,6 +22,7 @@
 use crate::refusal::Refusal;
 use crate::revisions::Revisions;
 use crate::source::Source;
+use crate::usage::AttemptCount;
 
 /// The number of a request within one run of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -270,6 +271,8 @@
     Reread,
     /// Remove the entry of a lost instance from the store.
     RemoveEntry(Member),
+    /// Count attempts for the usage reports.
+    CountAttempts(Vec<AttemptCount>),
     /// Write a log line.
     Log(Note),
 }
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -58,6 +58,7 @@
             }
             Message::TokenRequest(request) => self.answer_token_request(now, &request, out),
             Message::TokenReply(reply) => self.apply_token_reply(now, &reply, out),
+            Message::Duty(_) => (),
         }
     }
 
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -136,6 +136,8 @@
     pub(crate) possible_runs: u32,
     /// The next attempt and the address for it, until it is sent.
     pub(crate) chosen: Option<(Attempt, SocketAddr)>,
+    /// When the latest attempt was sent.
+    pub(crate) sent: Time,
     /// The attempt in flight.
     pub(crate) attempt: Option<Attempt>,
     /// The outcome of the last attempt.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -56,6 +56,7 @@
 use crate::source::SourceSelector;
 use crate::source::SOURCE_CHART;
 use crate::tokens::Loans;
+use crate::usage::Usage;
 use crate::version_move::Transition;
 use crate::waiting::WaitingQueues;
 use crate::weighted::WeightedRoundRobin;
@@ -106,6 +107,7 @@
     // When the relay last failed to answer a request for a token.
     pub(crate) last_unanswered: Time,
     pub(crate) workload: Workload,
+    pub(crate) usage: Usage,
     // The load that all callers offer, from the latest summaries.
     pub(crate) offered_loads: OfferedLoads,
     pub(crate) round_robin: WeightedRoundRobin,
@@ -188,6 +190,7 @@
             loans: Loans::default(),
             last_unanswered: Time::ZERO,
             workload: Workload::default(),
+            usage: Usage::default(),
             offered_loads: OfferedLoads::default(),
             round_robin: WeightedRoundRobin::default(),
             shifts: Shifts::new(bounds.shift_most),
--- a/crates/steer/src/sweep.rs
+++ b/crates/steer/src/sweep.rs
@@ -37,6 +37,7 @@
             return;
         }
         let step = self.shifts.max_share_in(now, now.since(self.last_sweep));
+        self.pass_usage(out);
         self.record_pace(now, out);
         self.last_sweep = now;
         for (service, away, busy) in self.fleet.place_owners(&self.offered_loads, step) {
