--- a/crates/duties/src/duty.rs
+++ b/crates/duties/src/duty.rs
@@ -33,7 +33,11 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(1_100);
 
 /// How long a holder whose questions are not answered keeps the duty.
-const ISOLATION_TIME: Duration = Duration::from_millis(3_000);
+const ISOLATION_TIME: Duration = Duration::from_secs(3);
+
+/// The difference from the fleet's wall clock, in milliseconds, that is taken for messages on
+/// their way.
+const MAX_WALL_ERROR_MS: i64 = 300;
 
 /// The maximum number of counts in one message, which must fit into a datagram.
 const MAX_TOLD_ENTRIES: usize = 300;
@@ -49,6 +53,8 @@
     told: Option<Time>,
     // The latest window of which it knows that its report may be sent.
     maybe_sent: u64,
+    // Its wall clock's difference from this instance's, in milliseconds, as it last told.
+    ahead_ms: i64,
 }
 
 /// The state of the duty at one instance.
@@ -64,6 +70,8 @@
     rank: u32,
     began: Time,
     asked: Time,
+    // The difference of the fleet's wall clock from this instance's, in milliseconds.
+    ahead_ms: i64,
     // The window in which this run began.
     first_window: Option<u64>,
 }
@@ -85,6 +93,7 @@
             rank: u32::MAX,
             began: now,
             asked: now,
+            ahead_ms: 0,
             first_window: None,
             source,
             me,
@@ -98,19 +107,23 @@
 
     /// Applies one event and appends the resulting actions to `out`.
     pub fn step(&mut self, at: Moment, event: Event, out: &mut Vec<Action>) {
+        let own_ms = at.wall_ms;
+        let wall_ms = own_ms.saturating_add_signed(self.ahead_ms);
+        let at = Moment { wall_ms, ..at };
         let window = self.reports.window(at.wall_ms);
         self.first_window.get_or_insert(window);
         match event {
             Event::Counted(attempts) => {
                 for attempt in attempts {
-                    let window = self.reports.window(attempt.sent_ms);
+                    let sent_ms = attempt.sent_ms.saturating_add_signed(self.ahead_ms);
+                    let window = self.reports.window(sent_ms);
                     self.book
                         .count(&self.source, window, attempt.account, attempt.change);
                 }
             }
             Event::Peers(peers) => self.set_peers(peers),
-            Event::Message(Message::Ask(ask)) => self.answer(at, ask, out),
-            Event::Message(Message::Told(told)) => self.collect(at, told),
+            Event::Message(Message::Ask(ask)) => self.answer(at, own_ms, ask, out),
+            Event::Message(Message::Told(told)) => self.collect(at, own_ms, told),
             Event::Read(found) => {
                 self.lease.find(at.now, found);
                 self.advance(at, Signal::Read, out);
@@ -169,12 +182,11 @@
         for peer in peers.into_iter().filter(|peer| peer.id != self.me.id) {
             let known = self.peers.remove(&peer.id);
             let known = known.filter(|known| known.peer.run == peer.run);
-            let (told, maybe_sent) =
-                known.map_or((None, 0), |known| (known.told, known.maybe_sent));
             let neighbor = Neighbor {
                 peer: peer.clone(),
-                told,
-                maybe_sent,
+                told: known.as_ref().and_then(|known| known.told),
+                maybe_sent: known.as_ref().map_or(0, |known| known.maybe_sent),
+                ahead_ms: known.map_or(0, |known| known.ahead_ms),
             };
             rows.insert(peer.id, neighbor);
         }
@@ -187,9 +199,10 @@
     }
 
     // Answers the question of the holder.
-    fn answer(&mut self, at: Moment, ask: Ask, out: &mut Vec<Action>) {
+    fn answer(&mut self, at: Moment, own_ms: u64, ask: Ask, out: &mut Vec<Action>) {
         self.reports.learn(ask.settled, ask.maybe_sent);
         if self.lease.hear(at.now, ask.token, ask.version) {
+            self.ahead_ms = significant(ask.wall_ms.wrapping_sub(own_ms) as i64);
             self.advance(at, Signal::Heard, out);
         }
         let after = if ask.run == self.me.run { ask.after } else { 0 };
@@ -201,12 +214,13 @@
             through,
             more: through < self.book.through(&self.source),
             maybe_sent: self.reports.maybe_sent(),
+            wall_ms: own_ms,
         };
         out.push(Action::Tell(ask.reply, Message::Told(told)));
     }
 
     // Applies the answer to a question.
-    fn collect(&mut self, at: Moment, told: Told) {
+    fn collect(&mut self, at: Moment, own_ms: u64, told: Told) {
         self.reports.learn(0, told.maybe_sent);
         let source = (told.from.clone(), told.run);
         let settled = self.reports.settled();
@@ -216,10 +230,18 @@
         if let Some(row) = self.peers.get_mut(&told.from) {
             row.peer.run = told.run;
             row.maybe_sent = told.maybe_sent;
+            row.ahead_ms = told.wall_ms.wrapping_sub(own_ms) as i64;
             if !told.more {
                 row.told = Some(at.now);
             }
         }
+        // Most clocks are right, whether or not this one is.
+        let mut ahead: Vec<i64> = self.peers.iter().map(|row| row.1.ahead_ms).collect();
+        ahead.push(0);
+        ahead.sort_unstable();
+        if self.lease.is_held() {
+            self.ahead_ms = significant(ahead[ahead.len() / 2]);
+        }
     }
 
     fn advance(&mut self, at: Moment, signal: Signal, out: &mut Vec<Action>) {
@@ -307,6 +329,7 @@
                 version: self.lease.version(),
                 settled: self.reports.settled(),
                 maybe_sent: self.reports.maybe_sent(),
+                wall_ms: at.wall_ms,
                 run: peer.run,
                 after: self.book.through(&(id.clone(), peer.run)),
             };
@@ -402,3 +425,12 @@
     values.sort_unstable();
     values.get(values.len() / 2).copied().unwrap_or(alone)
 }
+
+// Returns a clock's difference unless it is no more than messages take.
+fn significant(ahead_ms: i64) -> i64 {
+    if ahead_ms.saturating_abs() > MAX_WALL_ERROR_MS {
+        ahead_ms
+    } else {
+        0
+    }
+}
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -33,6 +33,9 @@
 /// The maximum rank that delays.
 const MAX_RANK: u32 = 12;
 
+/// The fraction of the lease for which its holder may act: a call may be on its way meanwhile.
+const ACT_FRACTION: f64 = 5.0 / 6.0;
+
 /// The minimum time between two writes of the holder.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -322,7 +325,7 @@
     }
 
     fn end(&self, tenure: &Tenure) -> Time {
-        tenure.renewed + (self.length - self.length / 6)
+        tenure.renewed + self.length.mul_f64(ACT_FRACTION)
     }
 
     fn holds(&self, now: Time, guard: Guard, around: Surroundings) -> bool {
--- a/crates/duties/src/message.rs
+++ b/crates/duties/src/message.rs
@@ -41,6 +41,9 @@
     /// The latest window whose report may have been sent.
     #[serde(rename = "m")]
     pub maybe_sent: u64,
+    /// The wall clock of the fleet, in milliseconds since the Unix epoch.
+    #[serde(rename = "c")]
+    pub wall_ms: u64,
     /// The run of the instance that is asked, as far as the holder knows.
     #[serde(rename = "r")]
     pub run: u64,
@@ -70,6 +73,9 @@
     /// The latest window whose report may have been sent, by any holder.
     #[serde(rename = "m")]
     pub maybe_sent: u64,
+    /// Its own wall clock, in milliseconds since the Unix epoch.
+    #[serde(rename = "c")]
+    pub wall_ms: u64,
 }
 
 /// Another instance, as the store lists it.
--- a/crates/duties/tests/one.rs
+++ b/crates/duties/tests/one.rs
@@ -110,6 +110,27 @@
     }
 }
 
+#[test]
+fn a_clock_that_is_stepped_moves_few_counts() {
+    for stepped in 0..5 {
+        let mut world = World::new(7, Trouble::None);
+        world.run(0, 17_000);
+        world.step_clock(stepped, 2_000);
+        world.run(0, 60_000);
+        for window in (EPOCH_MS + 20_000) / WINDOW_MS..(EPOCH_MS + 50_000) / WINDOW_MS {
+            let truth = world.truth.iter().filter(|row| row.0 .0 == window);
+            let truth = truth.map(|row| *row.1 as f64).sum::<f64>();
+            let call = world.seen.iter().find(|call| call.report.window == window);
+            let told: u64 = call.unwrap().report.counts.iter().map(|row| row.1).sum();
+            let off = (told as f64 / truth - 1.0).abs();
+            assert!(
+                off < 0.05,
+                "instance {stepped}, window {window}: off by {off}"
+            );
+        }
+    }
+}
+
 #[test]
 fn faults_bring_no_second_holder_and_lose_no_window() {
     let missed = check(Trouble::Faults);
