--- a/crates/steer/tests/rig/cluster.rs
+++ b/crates/steer/tests/rig/cluster.rs
@@ -243,7 +243,10 @@
                             self.relays
                                 .insert(summary.domain.clone(), summary.from.clone());
                         }
-                        Message::Summary(_) | Message::Digest(_) | Message::TokenReply(_) => (),
+                        Message::Summary(_)
+                        | Message::Digest(_)
+                        | Message::TokenReply(_)
+                        | Message::Duty(_) => (),
                     }
                     let (slow, turns) = &self.slow;
                     let far = self.members.iter().position(|m| m.entry.peers == to);
