--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -125,7 +125,8 @@
         ctx,
         pipeline: Pipeline::new(&ctx.chart),
         actions: VecDeque::new(),
-        queue: VecDeque::new(),
+        // Most callers have one request open at a time.
+        queue: VecDeque::with_capacity(1),
         ahead: Vec::new(),
         stage: Stage::Nothing,
         pipelines: false,
