--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -23,6 +23,7 @@
 use crate::refusal::Refusal;
 use crate::revisions::Revisions;
 use crate::source::Source;
+use crate::usage::AttemptCount;
 
 /// The number of a request within one run of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -290,6 +291,8 @@
     Reread,
     /// Remove the entry of a lost instance from the store.
     RemoveEntry(Member),
+    /// Count attempts for the usage reports.
+    CountAttempts(Vec<AttemptCount>),
     /// Write a log line.
     Log(Note),
 }
