--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -61,6 +61,26 @@
         headers: &[(&str, String)],
         body: Option<String>,
         timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        self.call_if(method, path, headers, body, timeout, || true)
+            .await
+    }
+
+    /// Makes one call on a new connection if it is still permitted once that is open; gives
+    /// it up and resets the connection after `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call is not permitted, or no complete response is received
+    /// within `timeout`.
+    pub async fn call_if(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, String)],
+        body: Option<String>,
+        timeout: Duration,
+        permitted: impl Fn() -> bool,
     ) -> Result<Reply, CallError> {
         let nothing_sent = true;
         let connected = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.0)).await;
@@ -71,6 +91,9 @@
             return Err(CallError { nothing_sent });
         };
         enable_keepalive(&stream);
+        if !permitted() {
+            return Err(CallError { nothing_sent });
+        }
         let nothing_sent = false;
         let replied = future::timeout(timeout, exchange(stream, request)).await;
         replied.ok().flatten().ok_or(CallError { nothing_sent })
