--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -67,7 +67,7 @@
     }
 
     /// Makes one call on a new connection if it is still permitted once that is open; gives
-    /// it up and resets the connection after `timeout`.
+    /// it up after `timeout`.
     ///
     /// # Errors
     ///
--- a/crates/duties/tests/one.rs
+++ b/crates/duties/tests/one.rs
@@ -115,7 +115,7 @@
     for stepped in 0..5 {
         let mut world = World::new(7, Trouble::None);
         world.run(0, 17_000);
-        world.step_clock(stepped, 2_000);
+        world.step_clock(stepped, 4_000);
         world.run(0, 60_000);
         for window in (EPOCH_MS + 20_000) / WINDOW_MS..(EPOCH_MS + 50_000) / WINDOW_MS {
             let truth = world.truth.iter().filter(|row| row.0 .0 == window);
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -194,8 +194,7 @@
         } = attempt;
         let ended = self.fleet.end(now, &server, open.query.id);
         let (took, expected) = ended.unwrap_or((0.0, 1.0));
-        let outcome = open.take_outcome();
-        self.count_outcome(open, outcome);
+        let outcome = self.take_outcome(open);
         let object = open.query.object.filter(|_| open.route.sticky);
         let target_latency = millis(open.route.target_latency);
         let name_hash = hash::short(server.as_str());
--- a/crates/steer/src/usage.rs
+++ b/crates/steer/src/usage.rs
@@ -35,11 +35,14 @@
         self.count_usage(open, 1);
     }
 
-    /// Takes an attempt back whose outcome shows that it did not run.
-    pub(crate) fn count_outcome(&mut self, open: &OpenRequest, outcome: Outcome) {
+    /// Takes the outcome of the attempt that ends, and takes the attempt back if it did not
+    /// run.
+    pub(crate) fn take_outcome(&mut self, open: &mut OpenRequest) -> Outcome {
+        let outcome = open.take_outcome();
         if !outcome.may_have_run() {
             self.count_usage(open, -1);
         }
+        outcome
     }
 
     /// Passes the changes on.
