--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -15,10 +15,12 @@
 mod frame;
 mod heartbeat;
 mod http_ports;
+mod incoming;
 mod learnt;
 mod limits;
 mod metrics;
 mod notifier;
+mod outgoing;
 mod peers;
 mod publish;
 mod recent;
@@ -40,6 +42,7 @@
 use std::sync::Arc;
 
 use corianderway_platform::settings::Settings;
+use corianderway_steer::ConnectionChart;
 use corianderway_steer::Steer;
 use corianderway_steer::StoreCheck;
 use corianderway_wire::log_line::LogLine;
@@ -67,6 +70,7 @@
 use crate::edge::signals::SignalHandler;
 use crate::logs;
 use crate::logs::Log;
+use crate::prioritized::Prioritized;
 
 /// The port for metrics and explanations; exporters of the Prometheus text
 /// format commonly use it.
@@ -97,22 +101,16 @@
 fn start(file: &str, settings: Settings, log: &Log) -> Result<usize, StartError> {
     let entry = &settings.member.entry;
     let callers = listen("front", entry.callers)?;
-    let admin = SocketAddr::new(entry.callers.ip(), METRICS_PORT);
-    let ports = vec![
-        (HttpPort::Ready, listen("ready", settings.ready)?),
-        (
-            HttpPort::Directory,
-            listen("directory", settings.directory)?,
-        ),
-        (HttpPort::Admin, listen("metrics", admin)?),
-    ];
+    let ports = open_ports(&settings)?;
     let replica_listener = listen("control", settings.member.replica)?;
     let addr = entry.peers;
     let field = "port_range";
     let socket = UdpSocket::bind(addr).context(ListenSnafu { field, addr })?;
 
     let clock = Clock::start();
-    let (decisions, inputs) = async_channel::bounded(rings::DECISIONS);
+    let (decisions, ordinary) = async_channel::bounded(rings::DECISIONS);
+    let (urgent_decisions, urgent) = async_channel::bounded(rings::URGENT_DECISIONS);
+    let inputs = Prioritized::new(urgent, ordinary);
     let (to_servers, server_rx) = async_channel::bounded(rings::SERVER_COMMANDS);
     let (commands, command_rx) = async_channel::bounded(rings::STORE_COMMANDS);
     let (messages, queued) = async_channel::bounded(rings::PEER_MESSAGES);
@@ -133,6 +131,7 @@
     );
     let steer = steer.context(SteerSnafu)?;
     let checks = StoreCheck::new().context(SteerSnafu)?;
+    let chart = ConnectionChart::load().context(SteerSnafu)?;
     let outputs = Outputs {
         servers: to_servers,
         store: commands,
@@ -169,7 +168,7 @@
         log: log.clone(),
     };
     start_duties(&settings, clock, rings)?;
-    let (ring, store_log) = (decisions.clone(), log.clone());
+    let (ring, store_log) = (urgent_decisions, log.clone());
     duty::spawn("store", move || {
         store::run(
             settings,
@@ -193,7 +192,7 @@
     let (ring, http_shared) = (decisions.clone(), shared.clone());
     let make = move || http_ports::Context::new(ring, http_shared, scrape);
     duty::spawn("doors", move || http_ports::run(ports, make)).context(ThreadSnafu)?;
-    let make = move || callers::Context::new(decisions, shared, body_memory, stopping);
+    let make = move || callers::Context::new(decisions, shared, body_memory, stopping, chart);
     duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
 
     let unfinished = signals.wait_for_stop();
@@ -218,6 +217,19 @@
     Ok(())
 }
 
+// Opens the ports that answer the platform, callers' lookups and operators.
+fn open_ports(settings: &Settings) -> Result<Vec<(HttpPort, TcpListener)>, StartError> {
+    let admin = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
+    Ok(vec![
+        (HttpPort::Ready, listen("ready", settings.ready)?),
+        (
+            HttpPort::Directory,
+            listen("directory", settings.directory)?,
+        ),
+        (HttpPort::Admin, listen("metrics", admin)?),
+    ])
+}
+
 fn start_log(settings: &Settings) -> Result<Log, StartError> {
     logs::start(LOG_LEVEL).context(LoggerSnafu)?;
     let (log, lines) = Log::ring();
--- a/crates/daemon/src/edge/duties.rs
+++ b/crates/daemon/src/edge/duties.rs
@@ -30,6 +30,7 @@
 use corianderway_platform::duties;
 use corianderway_platform::settings::Settings;
 use corianderway_platform::settings::UsageSettings;
+use corianderway_platform::store;
 use corianderway_platform::store::Call;
 use corianderway_steer::AttemptCount;
 use corianderway_steer::Member;
@@ -241,7 +242,7 @@
     let Some(reply) = call_store(ctx, &duties::read()).await else {
         return Event::ReadFailed;
     };
-    let era = duties::parse_era(reply.header(duties::ERA_HEADER));
+    let era = duties::parse_era(reply.header(store::ERA_HEADER));
     match reply.status {
         OK => duties::parse(&reply.body, era).map_or(Event::ReadFailed, Event::Read),
         NOT_FOUND => Event::Read(Found {
@@ -259,7 +260,7 @@
     let Some(reply) = call_store(ctx, &call).await else {
         return Event::WriteFailed;
     };
-    let era = duties::parse_era(reply.header(duties::ERA_HEADER));
+    let era = duties::parse_era(reply.header(store::ERA_HEADER));
     let found = duties::parse(&reply.body, era);
     match (reply.status, found) {
         (OK | CREATED, Ok(found)) => Event::Written(found.version),
--- a/crates/daemon/src/edge/metrics.rs
+++ b/crates/daemon/src/edge/metrics.rs
@@ -24,8 +24,8 @@
 
 /// The keys of notes that become labels; the configuration bounds the number of
 /// their values.
-const LABELS: [&str; 7] = [
-    "route", "service", "account", "reason", "status", "from", "to",
+const LABELS: [&str; 8] = [
+    "route", "service", "account", "reason", "status", "from", "to", "fault",
 ];
 
 /// The instruments of one process.
@@ -60,6 +60,7 @@
         };
         gauge("corianderway_held_requests", &shared.held);
         gauge("corianderway_waiting_requests", &shared.waiting);
+        gauge("corianderway_pipelined_requests", &shared.behind);
         gauge("corianderway_caller_connections", &shared.connections);
         let token = Arc::clone(&shared.duty_token);
         let observe = move |observer: &dyn AsyncInstrument<u64>| {
