--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -101,15 +101,7 @@
 fn start(file: &str, settings: Settings, log: &Log) -> Result<usize, StartError> {
     let entry = &settings.member.entry;
     let callers = listen("front", entry.callers)?;
-    let admin = SocketAddr::new(entry.callers.ip(), METRICS_PORT);
-    let ports = vec![
-        (HttpPort::Ready, listen("ready", settings.ready)?),
-        (
-            HttpPort::Directory,
-            listen("directory", settings.directory)?,
-        ),
-        (HttpPort::Admin, listen("metrics", admin)?),
-    ];
+    let ports = open_ports(&settings)?;
     let replica_listener = listen("control", settings.member.replica)?;
     let addr = entry.peers;
     let field = "port_range";
@@ -167,22 +159,15 @@
         servers::run(server_rx, clock, bodies, ring);
     })
     .context(ThreadSnafu)?;
-    if let Some(usage) = settings.usage.clone() {
-        let duty = duties::start(&settings, &usage).context(DutySnafu)?;
-        let rings = Rings {
-            inputs: duty_rx,
-            answers: duty_inputs,
-            peers: messages,
-            samples,
-            token: Arc::clone(&shared.duty_token),
-            log: log.clone(),
-        };
-        let settings = settings.clone();
-        duty::spawn("duties", move || {
-            duties::run(&settings, &usage, duty, clock, rings);
-        })
-        .context(ThreadSnafu)?;
-    }
+    let rings = Rings {
+        inputs: duty_rx,
+        answers: duty_inputs,
+        peers: messages,
+        samples,
+        token: Arc::clone(&shared.duty_token),
+        log: log.clone(),
+    };
+    start_duties(&settings, clock, rings)?;
     let (ring, store_log) = (urgent_decisions, log.clone());
     duty::spawn("store", move || {
         store::run(
@@ -217,6 +202,34 @@
     Ok(unfinished)
 }
 
+// Starts the thread of the duties that one instance performs at a time, if the settings ask
+// for any.
+fn start_duties(settings: &Settings, clock: Clock, rings: Rings) -> Result<(), StartError> {
+    let Some(usage) = settings.usage.clone() else {
+        return Ok(());
+    };
+    let duty = duties::start(settings, &usage).context(DutySnafu)?;
+    let settings = settings.clone();
+    duty::spawn("duties", move || {
+        duties::run(&settings, &usage, duty, clock, rings);
+    })
+    .context(ThreadSnafu)?;
+    Ok(())
+}
+
+// Opens the ports that answer the platform, callers' lookups and operators.
+fn open_ports(settings: &Settings) -> Result<Vec<(HttpPort, TcpListener)>, StartError> {
+    let admin = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
+    Ok(vec![
+        (HttpPort::Ready, listen("ready", settings.ready)?),
+        (
+            HttpPort::Directory,
+            listen("directory", settings.directory)?,
+        ),
+        (HttpPort::Admin, listen("metrics", admin)?),
+    ])
+}
+
 fn start_log(settings: &Settings) -> Result<Log, StartError> {
     logs::start(LOG_LEVEL).context(LoggerSnafu)?;
     let (log, lines) = Log::ring();
