duties: an instance corrects a step of its own clock at once

Change: a step shows against the clock that only rises, and is taken out of the difference before anything is told.

--- a/crates/duties/src/duty.rs
+++ b/crates/duties/src/duty.rs
@@ -70,6 +70,8 @@
     rank: u32,
     began: Time,
     asked: Time,
+    // The time of the latest event.
+    latest: Option<Moment>,
     // The difference of the fleet's wall clock from this instance's, in milliseconds.
     ahead_ms: i64,
     // The window in which this run began.
@@ -93,6 +95,7 @@
             rank: u32::MAX,
             began: now,
             asked: now,
+            latest: None,
             ahead_ms: 0,
             first_window: None,
             source,
@@ -108,6 +111,7 @@
     /// Applies one event and appends the resulting actions to `out`.
     pub fn step(&mut self, at: Moment, event: Event, out: &mut Vec<Action>) {
         let own_ms = at.wall_ms;
+        self.note_step(at);
         let wall_ms = own_ms.saturating_add_signed(self.ahead_ms);
         let at = Moment { wall_ms, ..at };
         let window = self.reports.window(at.wall_ms);
@@ -177,6 +181,15 @@
         }
     }
 
+    // Corrects a step of this instance's wall clock, before others learn of it.
+    fn note_step(&mut self, at: Moment) {
+        if let Some(latest) = self.latest.replace(at) {
+            let passed = at.now.since(latest.now).as_millis() as u64;
+            let expected = latest.wall_ms.wrapping_add(passed);
+            self.ahead_ms -= significant(at.wall_ms.wrapping_sub(expected) as i64);
+        }
+    }
+
     fn set_peers(&mut self, peers: Vec<Peer>) {
         let mut rows = SortedMap::default();
         for peer in peers.into_iter().filter(|peer| peer.id != self.me.id) {
