--- a/crates/daemon/tests/garbled.rs
+++ b/crates/daemon/tests/garbled.rs
@@ -401,11 +401,15 @@
         assert!(reply.text().contains("may-have-run"), "{kind}");
         // At once: 504 would tell that the route's time was over.
         assert!(took < ROUTE_TIMEOUT, "{kind}: {took:?}");
-        let lines = fleet.instance.process.lines();
-        let is_logged = |line: &String| {
-            line.contains("event=exchange") && line.contains(&id) && !line.contains("fault=-")
-        };
-        assert!(lines.iter().any(is_logged), "{kind}: no reason in the log");
+        // The log is written after the answer.
+        fleet.until("the reason in the log", || {
+            let request = format!("request={id} ");
+            let lines = fleet.instance.process.lines();
+            let mut lines = lines.iter().filter(|line| line.contains(&request));
+            let is_reason =
+                |line: &String| line.contains("event=exchange") && !line.contains("fault=-");
+            lines.any(is_reason).then_some(())
+        });
     }
     fleet.until("all connections to be closed", || {
         (fleet.endpoint.open() == 0).then_some(())
