steer: trial of a line that orders waiting requests by worth (not finished)

Requests that wait are ordered by the worth lost for each slot-second and wait by the measured rate of starts; servers that turn requests away although they report room lose the ownership of objects.

--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -60,7 +60,7 @@
         let allowed = query.time_limit.unwrap_or(DEFAULT_TIMEOUT);
         let timeout = route.timeout.map_or(allowed, |limit| limit.min(allowed));
         let service = self.round_robin.next(&route.name, &route.targets);
-        let open = OpenRequest {
+        let mut open = OpenRequest {
             service,
             state: State::Received,
             received: now,
@@ -69,6 +69,7 @@
                 .map_or(now + timeout, |end| end.min(now + timeout)),
             wait_until: None,
             full_cause: None,
+            returned: false,
             token_requests: 0,
             tried: Vec::new(),
             possible_runs: 0,
@@ -81,6 +82,7 @@
             route,
             account,
         };
+        open.returned = self.recognise(now, &open);
         let signal = if needs_token {
             Signal::TokenNeeded
         } else {
@@ -93,6 +95,10 @@
     /// its service.
     pub(crate) fn count_admitted(&mut self, now: Time, open: &OpenRequest) {
         self.budget(&open.service).record_attempt(now);
+        // A caller that comes back offers the same work once.
+        if open.returned {
+            return;
+        }
         let target_latency = millis(open.route.target_latency);
         let service_times = &self.fleet.service_times;
         let work = service_times.expected(&open.route.name, target_latency, Warmth::Known);
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use corianderway_model::Time;
+use rand::Rng as _;
 
 use crate::choice::FullCause;
 use crate::event::Action;
@@ -29,9 +30,6 @@
 use crate::service_time::Warmth;
 use crate::steer::Steer;
 
-/// Time for which a server that reported itself full receives no requests.
-const FULL_BACKOFF: Duration = Duration::from_millis(40);
-
 /// Factor over the typical time from which an answer counts as slow.
 const SLOW_FACTOR: f64 = 1.5;
 
@@ -39,6 +37,10 @@
 /// requests may wait at a backend server.
 const TOLERATED_WAIT_SHARE: f64 = 0.4;
 
+/// Least retry delay, as a share of the target latency, of a request that a server turned away
+/// although it had room.
+const ROOM_RETRY_SHARE: f64 = 0.03;
+
 /// Lowest HTTP status that counts as a failure of the backend server.
 const ERROR_STATUS: u16 = 500;
 
@@ -145,7 +147,17 @@
         if permitted && (unsent || self.budget(&service).try_take(now)) {
             return true;
         }
-        let delay = (!ran && open.possible_runs == 0).then(|| Self::retry_after(open));
+        let not_run = !ran && open.possible_runs == 0;
+        let has_room = matches!(outcome, Outcome::Full { load: Some(load) } if load.has_room());
+        let delay = not_run.then(|| {
+            if has_room {
+                // Another server has room at once, and the answer can still be in time.
+                let spread = 1.0 + self.rng.random::<f64>();
+                open.route.target_latency.mul_f64(ROOM_RETRY_SHARE * spread)
+            } else {
+                self.retry_after(now, open)
+            }
+        });
         let refusal = open.refusal_for(reason);
         open.refusal = Some(delay.map_or(refusal, |delay| refusal.with_retry_after(delay)));
         false
@@ -169,8 +181,14 @@
             Effect::Cancel => out.push(Action::Cancel(open.query.id)),
             Effect::EndAttempt => self.end_attempt(now, open, out),
             Effect::Deliver => self.deliver(now, open, out),
-            Effect::Refuse => self.refuse(now, open, out),
-            Effect::Release => out.push(Action::Release(open.query.id)),
+            Effect::Refuse => {
+                self.queues.remove(&open.service, open.query.id);
+                self.refuse(now, open, out);
+            }
+            Effect::Release => {
+                self.queues.remove(&open.service, open.query.id);
+                out.push(Action::Release(open.query.id));
+            }
             Effect::LogDeparture => {
                 let held = now.since(open.received).as_millis();
                 let note = self.note(Severity::Routine, "left", open);
@@ -240,7 +258,7 @@
             }
             Outcome::Full { load } => {
                 self.fleet.record_load(now, &server, load, tolerated);
-                self.fleet.mark_full(now, &server, FULL_BACKOFF);
+                self.fleet.turned_away(now, &server, load);
             }
             Outcome::Misdirected => self.fleet.mark_misdirected(now, &server),
             Outcome::Unreachable => {
@@ -305,7 +323,7 @@
         out.push(Action::Deliver(open.query.id));
     }
 
-    fn refuse(&self, now: Time, open: &OpenRequest, out: &mut Vec<Action>) {
+    fn refuse(&mut self, now: Time, open: &OpenRequest, out: &mut Vec<Action>) {
         // A backend server's failure answer tells the caller more than a
         // refusal.
         if open.answered {
@@ -316,7 +334,7 @@
         // The reason may have been set before the attempt ended.
         refusal.may_have_run |= open.possible_runs > 0;
         let refusal = if refusal.status() == 503 && refusal.retry_after.is_none() {
-            refusal.with_retry_after(Self::retry_after(open))
+            refusal.with_retry_after(self.retry_after(now, open))
         } else {
             refusal
         };
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -42,6 +42,14 @@
 /// the state of an object that another server has cached.
 const IDLE_SHARE: f64 = 0.5;
 
+/// By how much a server's share of sends that it turns away although it has room may exceed
+/// the mean of its service's servers. If all do so alike, it makes no difference.
+const MAX_TURNED_AWAY_EXCESS: f64 = 0.3;
+
+/// Share of its slots up to which a server runs requests that can only be late, so that those
+/// of other instances that can be in time find a free one.
+const DEFERRED_SHARE: f64 = 0.75;
+
 /// Factor on the service time at a cold server.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -66,6 +74,8 @@
     pub(crate) placement: &'a Placement,
     pub(crate) time_left: Duration,
     pub(crate) region_rule: RegionRule,
+    /// Whether the request may take only room that others leave idle.
+    pub(crate) deferred: bool,
     /// A random number from 0 to 1.
     pub(crate) draw: f64,
 }
@@ -205,7 +215,12 @@
             .filter(|server| self.is_available(now, server))
             .collect();
         let object = criteria.object;
-        let owner = object.and_then(|o| criteria.placement.owner(&willing, o, self.region()));
+        // The objects of servers that turn away more than others have other owners meanwhile.
+        let turned_away = willing.iter().map(|server| server.turned_away(now));
+        let usual = turned_away.sum::<f64>() / willing.len().max(1) as f64;
+        let mut accepting = willing.clone();
+        accepting.retain(|server| server.turned_away(now) < usual + MAX_TURNED_AWAY_EXCESS);
+        let owner = object.and_then(|o| criteria.placement.owner(&accepting, o, self.region()));
         let target_latency = millis(criteria.route.target_latency);
         let choices = available
             .iter()
@@ -222,6 +237,9 @@
         retain_choices(&mut choices, &mut cause, FullCause::NotCached, |choice| {
             choice.warmth != Warmth::Unknown || choice.is_idle()
         });
+        retain_choices(&mut choices, &mut cause, FullCause::LongWait, |choice| {
+            !criteria.deferred || choice.occupancy < choice.slots * DEFERRED_SHARE
+        });
         let best = choices.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
         let best = best.ok_or(Blocked::Full(cause))?;
         let max_wait = (target_latency - best.work).max(target_latency * ACCEPTED_WAIT_SHARE);
@@ -333,8 +351,9 @@
             .service_times
             .typical(&criteria.route.name, target_latency, warmth);
         let typical = comparable.then_some(typical);
-        let penalty = server.failure_rate() * target_latency + server.overdue(now) + load_penalty
-            - owner_benefit;
+        let refusing = server.failure_rate() + server.turned_away(now);
+        let penalty =
+            refusing * target_latency + server.overdue(now) + load_penalty - owner_benefit;
         Choice {
             server: backend.id.clone(),
             warmth,
--- a/crates/steer/src/dispatch.rs
+++ b/crates/steer/src/dispatch.rs
@@ -36,10 +36,13 @@
                 open.refusal = Some(refusal.with_retry_after(delay));
                 return Signal::Refused;
             }
-            Err(blocked) => return on_blocked(now, open, blocked),
+            Err(blocked) => {
+                let may_wait = open.tried.is_empty() || self.may_wait_again(now, open);
+                return on_blocked(now, open, blocked, may_wait);
+            }
         };
         let Some(server) = self.fleet.server(&choice.server) else {
-            return on_blocked(now, open, Blocked::NoServer);
+            return on_blocked(now, open, Blocked::NoServer, false);
         };
         let addr = server.listed.backend.addr;
         let attempt = Attempt {
@@ -63,6 +66,7 @@
         let Some((attempt, addr)) = open.chosen.take() else {
             return Some(Signal::Failed);
         };
+        self.queues.start(now, &open.service, open.query.id);
         let (id, choice, version) = (open.query.id, &attempt.choice, &attempt.version);
         self.shifts.count(now, choice.remote);
         self.moves.record_sent(&open.service, version);
@@ -97,7 +101,13 @@
         let fleet = &self.fleet;
         let cached = |version: &_| object.map(|o| fleet.has_object(&open.service, version, o));
         let draw = self.rng.random();
-        let version_filter = self.moves.version_filter(now, &open.service, draw, cached);
+        // One that waits is drawn once, or the version that has room would get it in the end,
+        // whatever its share.
+        let version_filter = if self.queues.waits(&open.service, open.query.id) {
+            self.moves.later_filter(now, &open.service, draw)
+        } else {
+            self.moves.version_filter(now, &open.service, draw, cached)
+        };
         let first = self.choose_within(now, open, &version_filter);
         let fallback = self.moves.fallback(now, &open.service, &version_filter);
         match (first, fallback) {
@@ -127,6 +137,7 @@
             placement: self.fleet.placement(&open.service),
             time_left: open.time_left(now),
             region_rule,
+            deferred: self.queues.is_deferred(now, &open.service, open.query.id),
             draw: self.rng.random(),
         };
         self.fleet.choose(now, &criteria)
@@ -135,7 +146,7 @@
 
 // Returns the event that follows when no backend server is chosen, and sets the
 // wait or the refusal.
-fn on_blocked(now: Time, open: &mut OpenRequest, blocked: Blocked) -> Signal {
+fn on_blocked(now: Time, open: &mut OpenRequest, blocked: Blocked, may_wait: bool) -> Signal {
     let reason = match blocked {
         Blocked::Building(span) => {
             // Waiting for the state gives a faster answer than building it at
@@ -147,7 +158,7 @@
         }
         Blocked::Full(cause) => {
             open.full_cause = Some(cause);
-            if open.tried.is_empty() {
+            if may_wait {
                 return Signal::Full;
             }
             Reason::Overloaded
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -97,6 +97,13 @@
     pub slots: u32,
 }
 
+impl Load {
+    /// Returns whether a slot is free.
+    pub(crate) const fn has_room(self) -> bool {
+        self.running < self.slots && self.waiting == 0
+    }
+}
+
 /// What a backend server says of itself with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerNotice {
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -52,6 +52,9 @@
 /// Maximum number of instances that share a cold server.
 const MAX_COLD_SHARERS: f64 = 3.0;
 
+/// Time for which a server that reported itself full receives no requests.
+const FULL_BACKOFF: Duration = Duration::from_millis(40);
+
 /// Initial window of a server in another region, before it has reported its
 /// load.
 const REMOTE_WINDOW: f64 = 2.0;
@@ -389,10 +392,22 @@
         self.signal(now, id, Signal::Failed, "failures");
     }
 
-    /// Records that a server had no room.
-    pub(crate) fn mark_full(&mut self, now: Time, id: &ServerId, span: Duration) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.mark_full(now, span);
+    /// Returns the number of this instance's requests at the servers of a service.
+    pub(crate) fn running(&self, service: &Service) -> usize {
+        let servers = self.servers_of(service).iter();
+        let servers = servers.filter_map(|id| self.server(id));
+        servers.map(|server| server.active() as usize).sum()
+    }
+
+    /// Records that a server turned a request away, with the load that it reported.
+    pub(crate) fn turned_away(&mut self, now: Time, id: &ServerId, load: Option<Load>) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if load.is_some_and(Load::has_room) {
+            server.record_turned_away(now, true);
+        } else {
+            server.mark_full(now, FULL_BACKOFF);
             server.shrink_window(now);
         }
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -79,6 +79,7 @@
 mod server;
 mod service_time;
 mod shift;
+mod shortage;
 mod source;
 mod steer;
 mod stop;
--- a/crates/steer/src/moves.rs
+++ b/crates/steer/src/moves.rs
@@ -127,6 +127,23 @@
         }
     }
 
+    /// Returns the versions for a request that was drawn before and found no room: while the
+    /// target is only sampled, the others.
+    pub(crate) fn later_filter(
+        &mut self,
+        now: Time,
+        service: &Service,
+        draw: u64,
+    ) -> VersionFilter {
+        match self.by_service.get(service) {
+            Some(row) if row.phase == Phase::Canary => {
+                let target = row.order.target.clone();
+                self.other_versions(now, service, Some(target))
+            }
+            Some(_) | None => self.version_filter(now, service, draw, |_| None),
+        }
+    }
+
     // All versions that are not excluded, without the target.
     fn other_versions(
         &self,
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -128,6 +128,8 @@
     pub(crate) wait_until: Option<Time>,
     /// Why no backend server had room at the last choice.
     pub(crate) full_cause: Option<FullCause>,
+    /// Whether its caller comes back when a refusal told it to.
+    pub(crate) returned: bool,
     /// Number of times that a token was requested.
     pub(crate) token_requests: u32,
     /// The backend servers that the request was sent to.
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -65,6 +65,12 @@
 /// effect.
 const WINDOW_SHRINK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Weight of a new send in the moving average of those that were turned away.
+const TURNED_AWAY_GAIN: f64 = 0.3;
+
+/// Time in which that average halves unless new sends confirm it.
+const TURNED_AWAY_HALF_LIFE: Duration = Duration::from_secs(4);
+
 /// Share of its window with which a server returns from a pause that it asked for.
 const RETURN_SHARE: f64 = 0.25;
 
@@ -171,6 +177,9 @@
     ejections: u32,
     ejected_until: Time,
     full_until: Time,
+    // The moving average of sends that were turned away although the server had room, and
+    // when it was updated.
+    turned_away: (Time, f64),
     // End of the pause that the server asked for.
     paused_until: Time,
     // When the server said that it leaves.
@@ -198,6 +207,7 @@
             ejections: 0,
             ejected_until: now,
             full_until: now,
+            turned_away: (now, 0.0),
             paused_until: now,
             resigned: None,
             listed,
@@ -326,6 +336,7 @@
     /// time.
     pub(crate) fn record_answer(&mut self, now: Time, ratio: f64, failed: bool) {
         self.connect_failures = 0;
+        self.record_turned_away(now, false);
         self.failure_rate += (f64::from(u8::from(failed)) - self.failure_rate) * FAILURE_RATE_GAIN;
         let slowdown = self.mean_ratio(now);
         self.slowdown = (now, slowdown + (ratio - slowdown) * SLOWDOWN_GAIN);
@@ -342,6 +353,23 @@
         self.full_until = now + span;
     }
 
+    /// Records whether the server turned a request away although it had room.
+    pub(crate) fn record_turned_away(&mut self, now: Time, turned_away: bool) {
+        let share = self.turned_away(now);
+        let sample = f64::from(u8::from(turned_away));
+        self.turned_away = (now, share + (sample - share) * TURNED_AWAY_GAIN);
+    }
+
+    /// Returns the share of recent sends that were turned away although the server had room.
+    pub(crate) fn turned_away(&self, now: Time) -> f64 {
+        let (at, share) = self.turned_away;
+        if share <= 0.0 {
+            return 0.0;
+        }
+        let half_lives = now.since(at).as_secs_f64() / TURNED_AWAY_HALF_LIFE.as_secs_f64();
+        share * 0.5_f64.powf(half_lives)
+    }
+
     /// Records that an answer says that the server leaves.
     pub(crate) fn resign(&mut self, now: Time) {
         self.resigned.get_or_insert(now);
--- /dev/null
+++ b/crates/steer/src/shortage.rs
@@ -0,0 +1,497 @@
+//! Which requests wait when a service has too little room, for how long, and in which
+//! order they start.
+//!
+//! A [`Line`] measures how fast its requests start. A request waits while that leaves time
+//! for its work; the one whose delay loses most worth for each slot-second starts first.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use corianderway_model::Account;
+use corianderway_model::Priority;
+use corianderway_model::SortedMap;
+use corianderway_model::Time;
+
+use crate::event::RequestId;
+
+/// Maximum number of requests that wait for one service.
+const MAX_WAITING: usize = 256;
+
+/// Maximum wait without an expectation of a start, as a share of the route's target
+/// latency. A request that would wait longer is better retried at another instance.
+const BLIND_WAIT_SHARE: f64 = 0.125;
+
+/// Retry delay where no rate of starts is known, as a share of the route's target latency.
+const RETRY_SHARE: f64 = 0.25;
+
+/// Maximum retry delay, as a share of the time left: callers honour no longer one.
+const MAX_RETRY_SHARE: f64 = 0.3;
+
+/// By how much a retry delay exceeds the expected time at the most, as a share of it.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Time limit from which on a request may wait by expectation, in target latencies.
+const PATIENT_LIMIT: u32 = 4;
+
+/// Factor on the expected wait that must fit into the time left.
+const WAIT_MARGIN: f64 = 2.0;
+
+/// Worth of a late answer, as a share of the worth of one within the target latency.
+const LATE_WORTH: f64 = 0.2;
+
+/// Factor on the worth from one priority to the next higher one.
+const RANK_FACTOR: f64 = 2.0;
+
+/// Factor on the expected work that must fit into the target latency: work takes longer
+/// beside a queue, and an answer just after the objective has lost most of its worth.
+const IN_TIME_MARGIN: f64 = 1.25;
+
+/// Requests that may wait at once to find out whether late ones start.
+const MAX_TRIALS: usize = 8;
+
+/// Time without trials after one that failed; each further one doubles it.
+const TRIAL_PAUSE: Duration = Duration::from_secs(2);
+
+/// Largest number of doublings.
+const MAX_TRIAL_DOUBLINGS: u32 = 3;
+
+/// Each so many starts one goes to the request that has waited longest, of those that can be
+/// in time and are not of the highest priority if there are any.
+const STARTS_PER_OLDEST: u64 = 5;
+
+/// Requests by which an account may be served ahead of its share.
+const MAX_LEAD_REQUESTS: f64 = 2.0;
+
+/// Time in which the weight of a start in a rate falls to 37%.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+/// Share of the ends of running requests that are taken for starts of waiting ones until
+/// those are measured. Other instances take the room of the rest.
+const ENDS_SHARE: f64 = 0.5;
+
+/// Weight of recent starts from which on a rate is known.
+const MIN_STARTS: f64 = 0.5;
+
+/// Maximum number of callers that are expected to come back.
+const MAX_RETURNS: usize = 512;
+
+/// How long after its delay a caller that comes back is recognised.
+const RETURN_WINDOW: Duration = Duration::from_secs(1);
+
+/// A request that waits for room.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub(crate) id: RequestId,
+    pub(crate) account: Account,
+    /// The account's rate, in requests per second.
+    pub(crate) weight: f64,
+    pub(crate) priority: Priority,
+    /// When it began to wait.
+    pub(crate) since: Time,
+    pub(crate) received: Time,
+    pub(crate) target: Duration,
+    pub(crate) deadline: Time,
+    /// Expected time at a server.
+    pub(crate) work: Duration,
+    /// Requests of the service that run for this instance.
+    pub(crate) running: usize,
+    /// Whether its caller was told to come back and did.
+    pub(crate) returned: bool,
+}
+
+/// Whether a request can still be answered within the target latency.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    InTime,
+    Late,
+}
+
+/// Why a request waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hold {
+    /// For an eighth of its objective, without an expectation.
+    Blind,
+    /// It is expected to start.
+    Expected,
+    /// To find out whether late requests start.
+    Trial,
+}
+
+/// What happens to a request that finds no room.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Verdict {
+    /// It waits until then at the latest.
+    Wait(Time),
+    /// It can't start in time.
+    Refuse,
+}
+
+/// The rate of recent starts.
+#[derive(Clone, Copy, Debug, Default)]
+struct StartRate {
+    weight: f64,
+    updated: Time,
+}
+
+/// A caller that was told to come back.
+#[derive(Clone, Debug)]
+struct Return {
+    due: Time,
+    signature: u64,
+    account: Account,
+}
+
+/// The requests of one service that wait for room at an instance.
+#[derive(Debug, Default)]
+pub(crate) struct Line {
+    claims: Vec<Claim>,
+    holds: SortedMap<RequestId, Hold>,
+    // Slot time that accounts have had, over their rates; sorted by account.
+    shares: SortedMap<Account, f64>,
+    // The share below which no account counts, so that room that nobody else wanted is
+    // forgotten.
+    floor: f64,
+    in_time: StartRate,
+    late: StartRate,
+    // Until when nothing is tried, and the number of trials in a row that failed.
+    trial_pause: (Time, u32),
+    starts: u64,
+    returns: Vec<Return>,
+}
+
+impl Claim {
+    // Returns the latest start for an answer within the target latency.
+    fn latest(&self, kind: Kind) -> Time {
+        let (end, work) = match kind {
+            Kind::InTime => {
+                let end = self.deadline.min(self.received + self.target);
+                (end, self.work.mul_f64(IN_TIME_MARGIN))
+            }
+            Kind::Late => (self.deadline, self.work),
+        };
+        Time::ZERO + end.since(Time::ZERO).saturating_sub(work)
+    }
+
+    fn kind(&self, now: Time) -> Kind {
+        if now <= self.latest(Kind::InTime) {
+            Kind::InTime
+        } else {
+            Kind::Late
+        }
+    }
+
+    // Returns the time in which as many requests start as the running ones make room for.
+    fn time_by_ends(&self, count: usize) -> Option<Duration> {
+        let ends = self.running as f64 * ENDS_SHARE;
+        (ends > 0.0).then(|| self.work.mul_f64(count as f64 / ends))
+    }
+
+    fn blind_until(&self) -> Time {
+        self.since + self.target.mul_f64(BLIND_WAIT_SHARE)
+    }
+
+    /// Returns whether the time limit leaves room to wait.
+    pub(crate) fn is_patient(&self) -> bool {
+        self.deadline.since(self.received) >= self.target * PATIENT_LIMIT
+    }
+
+    // Returns the worth that a start now saves for each slot-second.
+    //
+    // A caller that has come back does not come again, so it counts as in time.
+    fn worth_rate(&self, now: Time) -> f64 {
+        let worth = match self.kind(now) {
+            Kind::InTime => 1.0,
+            Kind::Late if self.returned => 1.0,
+            Kind::Late if now <= self.latest(Kind::Late) => LATE_WORTH,
+            Kind::Late => 0.0,
+        };
+        let rank = match self.priority {
+            Priority::Urgent => RANK_FACTOR,
+            Priority::Normal => 1.0,
+            Priority::Deferrable => RANK_FACTOR.recip(),
+        };
+        worth * rank / self.work.as_secs_f64().max(0.001)
+    }
+}
+
+impl StartRate {
+    fn weight(&self, now: Time) -> f64 {
+        let passed = now.since(self.updated).as_secs_f64() / RATE_SPAN.as_secs_f64();
+        self.weight * (-passed).exp()
+    }
+
+    fn record(&mut self, now: Time) {
+        *self = Self {
+            weight: self.weight(now) + 1.0,
+            updated: now,
+        };
+    }
+
+    // Returns the time in which `count` requests start.
+    fn time_for(&self, now: Time, count: usize) -> Option<Duration> {
+        let weight = self.weight(now);
+        (weight >= MIN_STARTS).then(|| RATE_SPAN.mul_f64(count as f64 / weight))
+    }
+}
+
+impl Line {
+    /// Returns the number of waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns since when a request waits.
+    pub(crate) fn since(&self, id: RequestId) -> Option<Time> {
+        let claim = self.claims.iter().find(|claim| claim.id == id)?;
+        Some(claim.since)
+    }
+
+    /// Decides on a request that finds no room. One that waits already is judged again.
+    pub(crate) fn judge(&mut self, now: Time, claim: &Claim) -> Verdict {
+        let held = self.holds.get(&claim.id).copied();
+        let (verdict, hold) = self.verdict(now, claim, held);
+        match verdict {
+            Verdict::Wait(_) => {
+                if held.is_none() {
+                    self.claims.push(claim.clone());
+                }
+                self.holds.insert(claim.id, hold);
+            }
+            Verdict::Refuse => {
+                if held == Some(Hold::Trial) {
+                    self.fail_trial(now);
+                }
+                self.remove(claim.id);
+            }
+        }
+        verdict
+    }
+
+    /// Removes and returns the request that costs least to refuse, if too many wait.
+    pub(crate) fn displaced(&mut self, now: Time) -> Option<RequestId> {
+        if self.claims.len() <= MAX_WAITING {
+            return None;
+        }
+        let last = *self.order(now).last()?;
+        self.remove(last);
+        Some(last)
+    }
+
+    /// Returns the waiting requests, the next to start first.
+    pub(crate) fn order(&self, now: Time) -> Vec<RequestId> {
+        let least = self.least_share();
+        let rows = self.claims.iter().map(|claim| {
+            let last = claim.latest(claim.kind(now));
+            let ties = (Reverse(claim.returned), last, claim.id);
+            (self.is_ahead(claim, least), claim.worth_rate(now), ties)
+        });
+        let mut rows: Vec<_> = rows.collect();
+        rows.sort_by(|a, b| {
+            (a.0.cmp(&b.0))
+                .then(b.1.total_cmp(&a.1))
+                .then(a.2.cmp(&b.2))
+        });
+        let mut ids: Vec<RequestId> = rows.iter().map(|row| row.2 .2).collect();
+        if (self.starts + 1) % STARTS_PER_OLDEST == 0 {
+            let highest = self.claims.iter().map(|claim| claim.priority).min();
+            let is_highest = |claim: &Claim| Some(claim.priority) == highest;
+            let is_late = |claim: &Claim| claim.kind(now) == Kind::Late;
+            let key = |claim: &&Claim| (is_late(claim), is_highest(claim), claim.since);
+            let oldest = self.claims.iter().min_by_key(key);
+            let at = oldest.and_then(|oldest| ids.iter().position(|id| *id == oldest.id));
+            ids[..at.map_or(0, |at| at + 1)].rotate_right(usize::from(at.is_some()));
+        }
+        ids
+    }
+
+    /// Returns whether a waiting request may take only room that others leave idle: it is late,
+    /// and its caller may still come back.
+    pub(crate) fn is_deferred(&self, now: Time, id: RequestId) -> bool {
+        let claim = self.claims.iter().find(|claim| claim.id == id);
+        claim.is_some_and(|claim| {
+            claim.is_patient() && !claim.returned && claim.kind(now) == Kind::Late
+        })
+    }
+
+    /// Records that a request was sent to a server.
+    pub(crate) fn start(&mut self, now: Time, id: RequestId) {
+        let Some(at) = self.claims.iter().position(|claim| claim.id == id) else {
+            return;
+        };
+        self.floor = self.least_share();
+        let claim = self.claims.swap_remove(at);
+        self.holds.remove(&id);
+        self.starts += 1;
+        match claim.kind(now) {
+            Kind::InTime => self.in_time.record(now),
+            Kind::Late => {
+                self.late.record(now);
+                self.trial_pause = (now, 0);
+            }
+        }
+        let share = self.share(&claim.account) + claim.work.as_secs_f64() / claim.weight;
+        self.shares.insert(claim.account, share);
+        let floor = self.floor;
+        self.shares.retain(|_, share| *share > floor);
+    }
+
+    /// Removes a request that no longer waits.
+    pub(crate) fn remove(&mut self, id: RequestId) {
+        if self.holds.remove(&id).is_some() {
+            self.claims.retain(|claim| claim.id != id);
+        }
+    }
+
+    /// Returns when the caller of a refused request should come back, and expects it then.
+    ///
+    /// `draw`, from 0 to 1, spreads the returns. Those that were told earlier are ahead.
+    pub(crate) fn retry_after(
+        &mut self,
+        now: Time,
+        claim: &Claim,
+        signature: u64,
+        draw: f64,
+    ) -> Duration {
+        let blind = claim.target.mul_f64(RETRY_SHARE);
+        if !claim.is_patient() {
+            return blind;
+        }
+        self.returns.retain(|told| now < told.due + RETURN_WINDOW);
+        let due = self.returns.iter().filter(|told| now < told.due).count();
+        let mut starts = self.in_time;
+        starts.weight = starts.weight(now) + self.late.weight(now);
+        starts.updated = now;
+        let expected = starts.time_for(now, self.claims.len() + due + 1);
+        let most = claim.deadline.since(now).mul_f64(MAX_RETRY_SHARE);
+        let spread = 1.0 + draw * RETRY_SPREAD;
+        let delay = expected.unwrap_or(blind).max(blind).mul_f64(spread);
+        // The cap is spread too, or all that reach it would come back at once.
+        let delay = delay.min(most.mul_f64(spread / (1.0 + RETRY_SPREAD)));
+        if self.returns.len() < MAX_RETURNS {
+            self.returns.push(Return {
+                due: now + delay,
+                signature,
+                account: claim.account.clone(),
+            });
+        }
+        delay
+    }
+
+    /// Returns whether a request comes back when it was told to; it does so only once.
+    pub(crate) fn recognise(&mut self, now: Time, signature: u64, account: &Account) -> bool {
+        let at = self.returns.iter().position(|told| {
+            told.signature == signature
+                && told.account == *account
+                && told.due <= now
+                && now < told.due + RETURN_WINDOW
+        });
+        at.map(|at| self.returns.swap_remove(at)).is_some()
+    }
+
+    /// Returns the state of the line, for the log.
+    pub(crate) fn explain(&self, now: Time) -> String {
+        format!(
+            "waiting:{}/in-time:{:.1}/late:{:.1}/returns:{}",
+            self.claims.len(),
+            self.in_time.weight(now),
+            self.late.weight(now),
+            self.returns.len(),
+        )
+    }
+
+    fn verdict(&self, now: Time, claim: &Claim, held: Option<Hold>) -> (Verdict, Hold) {
+        let blind = claim.blind_until();
+        let wait_blindly = match now < blind {
+            true => (Verdict::Wait(blind), Hold::Blind),
+            false => (Verdict::Refuse, Hold::Blind),
+        };
+        if !claim.is_patient() {
+            return wait_blindly;
+        }
+        // One that was expected to start keeps its place while it still can.
+        let margin = match held {
+            Some(Hold::Expected) => 1.0,
+            Some(Hold::Blind | Hold::Trial) | None => WAIT_MARGIN,
+        };
+        let ahead = self.ahead(now, claim);
+        let mut until = None;
+        if claim.kind(now) == Kind::InTime {
+            let measured = self.in_time.time_for(now, ahead + 1);
+            let expected = measured.or_else(|| claim.time_by_ends(ahead + 1));
+            let latest = claim.latest(Kind::InTime);
+            until = expected.and_then(|span| fitting(now, span.mul_f64(margin), latest));
+        }
+        let late = self.late.time_for(now, ahead + 1);
+        let latest = claim.latest(Kind::Late);
+        let until =
+            until.or_else(|| late.and_then(|span| fitting(now, span.mul_f64(margin), latest)));
+        if let Some(until) = until {
+            return (Verdict::Wait(until.max(blind)), Hold::Expected);
+        }
+        // It could not even start in half of the expected time.
+        if late.is_some_and(|span| now + span.mul_f64(0.5) > latest) {
+            return (Verdict::Refuse, Hold::Blind);
+        }
+        let trial_end = (claim.since + claim.target).min(latest);
+        if self.may_try(now, held) && now < trial_end {
+            return (Verdict::Wait(trial_end), Hold::Trial);
+        }
+        wait_blindly
+    }
+
+    // Returns whether the request may wait to find out whether late ones start.
+    fn may_try(&self, now: Time, held: Option<Hold>) -> bool {
+        if held == Some(Hold::Trial) {
+            return true;
+        }
+        let paused = now < self.trial_pause.0;
+        let trials = self.holds.iter().filter(|row| *row.1 == Hold::Trial);
+        !paused && trials.count() < MAX_TRIALS
+    }
+
+    // Several that began together fail as one.
+    fn fail_trial(&mut self, now: Time) {
+        let (until, failures) = self.trial_pause;
+        if now >= until {
+            let span = TRIAL_PAUSE * 2_u32.pow(failures.min(MAX_TRIAL_DOUBLINGS));
+            self.trial_pause = (now + span, failures + 1);
+        }
+    }
+
+    // Returns the number of requests that start before this one.
+    fn ahead(&self, now: Time, claim: &Claim) -> usize {
+        let least = self.least_share();
+        let own = (self.is_ahead(claim, least), claim.worth_rate(now));
+        let last = claim.latest(claim.kind(now));
+        let before = |other: &&Claim| {
+            let theirs = (self.is_ahead(other, least), other.worth_rate(now));
+            let earlier = other.latest(other.kind(now)) < last;
+            other.id != claim.id
+                && (theirs.0 < own.0
+                    || (theirs.0 == own.0 && (theirs.1 > own.1 || (theirs.1 >= own.1 && earlier))))
+        };
+        self.claims.iter().filter(before).count()
+    }
+
+    // Returns whether the account has been served much more than the others that wait.
+    fn is_ahead(&self, claim: &Claim, least: f64) -> bool {
+        let lead = self.share(&claim.account) - least;
+        lead > MAX_LEAD_REQUESTS * claim.work.as_secs_f64() / claim.weight
+    }
+
+    fn share(&self, account: &Account) -> f64 {
+        let share = self.shares.get(account).copied();
+        share.map_or(self.floor, |share| share.max(self.floor))
+    }
+
+    // Returns the smallest share of an account that waits.
+    fn least_share(&self) -> f64 {
+        let shares = self.claims.iter().map(|claim| self.share(&claim.account));
+        shares.reduce(f64::min).unwrap_or(self.floor)
+    }
+}
+
+// Returns the end of the span if it is no later than `latest`.
+fn fitting(now: Time, span: Duration, latest: Time) -> Option<Time> {
+    (now + span <= latest).then_some(now + span)
+}
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -1,119 +1,235 @@
-//! The queues of requests that wait for room, one for each service.
+//! The requests that wait for room, in one line for each service. The verdicts are those of
+//! [`shortage`](crate::shortage).
 
 use std::time::Duration;
 
-use corianderway_limits::FairQueue;
-use corianderway_limits::QueuedRequest;
+use corianderway_model::Priority;
 use corianderway_model::Service;
 use corianderway_model::SortedMap;
 use corianderway_model::Time;
+use rand::Rng as _;
 
 use crate::event::Action;
 use crate::event::RequestId;
+use crate::note::Severity;
 use crate::refusal::Reason;
+use crate::refusal::Refusal;
 use crate::request::OpenRequest;
 use crate::request::Signal;
 use crate::request::State;
+use crate::server::millis;
+use crate::service_time::Warmth;
+use crate::shortage::Claim;
+use crate::shortage::Line;
+use crate::shortage::Verdict;
 use crate::steer::Steer;
 
-/// Maximum number of requests that wait for one service.
-const MAX_WAITING: usize = 256;
-
-/// Maximum wait, as a share of the route's target latency. A request that would wait
-/// longer is better retried at another instance.
-const MAX_WAIT_SHARE: f64 = 0.125;
-
 /// Maximum number of a service's requests that are retried at once.
-const MAX_RETRIED_AT_ONCE: usize = 64;
+const MAX_RETRIED_AT_ONCE: usize = 32;
+
+/// Requests in a row that find no room after which the others aren't retried until the next
+/// sweep.
+const MAX_FAILED_IN_ROW: usize = 4;
 
 /// Weight of requests without a client account, in requests per second.
 const NO_ACCOUNT_WEIGHT: f64 = 100.0;
 
-/// Name under which requests without a client account queue.
+/// Name under which requests without a client account wait.
 const NO_ACCOUNT: &str = "-";
 
-/// The queues, by service.
+/// The lines, by service.
 #[derive(Debug, Default)]
-pub(crate) struct WaitingQueues(SortedMap<Service, FairQueue<RequestId>>);
+pub(crate) struct WaitingQueues(SortedMap<Service, Line>);
 
 impl WaitingQueues {
-    /// Returns the number of queued requests.
+    /// Returns the number of waiting requests.
     pub(crate) fn len(&self) -> usize {
         self.0.iter().map(|row| row.1.len()).sum()
     }
+
+    /// Records that a request was sent to a server.
+    pub(crate) fn start(&mut self, now: Time, service: &Service, id: RequestId) {
+        if let Some(line) = self.0.get_mut(service) {
+            line.start(now, id);
+        }
+    }
+
+    /// Removes a request that has ended.
+    pub(crate) fn remove(&mut self, service: &Service, id: RequestId) {
+        if let Some(line) = self.0.get_mut(service) {
+            line.remove(id);
+        }
+    }
+
+    /// Returns whether a request may take only room that others leave idle.
+    pub(crate) fn is_deferred(&self, now: Time, service: &Service, id: RequestId) -> bool {
+        let line = self.0.get(service);
+        line.is_some_and(|line| line.is_deferred(now, id))
+    }
+
+    /// Returns whether a request waits.
+    pub(crate) fn waits(&self, service: &Service, id: RequestId) -> bool {
+        let line = self.0.get(service);
+        line.is_some_and(|line| line.since(id).is_some())
+    }
+
+    fn line(&mut self, service: &Service) -> &mut Line {
+        self.0.get_or_insert_with(service.clone(), Line::default)
+    }
 }
 
 impl Steer {
-    /// Queues a request until a backend server has room. Returns the event that follows at
-    /// once if the queue has no place for it.
+    /// Lets a request wait until a backend server has room. Returns the event that follows at
+    /// once if it can't start in time.
     pub(crate) fn enqueue(
         &mut self,
         now: Time,
         open: &mut OpenRequest,
         out: &mut Vec<Action>,
     ) -> Option<Signal> {
-        let span = open.route.target_latency.mul_f64(MAX_WAIT_SHARE);
-        let until = *open.wait_until.get_or_insert(now + span);
-        let account = open.account.as_ref().map(|terms| terms.account.clone());
-        let account = account.or_else(|| NO_ACCOUNT.try_into().ok())?;
-        let rate = open.account.as_ref().and_then(|terms| terms.rate);
-        let waiting = QueuedRequest {
-            account,
-            weight: rate.unwrap_or(NO_ACCOUNT_WEIGHT).max(1.0),
-            priority: open.priority(),
-            deadline: until,
-            item: open.query.id,
+        let held = open.wait_until.filter(|until| now < *until);
+        if held.is_some() && self.queues.waits(&open.service, open.query.id) {
+            return None;
+        }
+        let claim = self.claim(now, open)?;
+        let line = self.queues.line(&open.service);
+        let is_new = line.since(claim.id).is_none();
+        let Verdict::Wait(until) = line.judge(now, &claim) else {
+            open.refusal = Some(self.refuse_for_room(now, open));
+            return Some(Signal::Refused);
         };
-        let queue = self
-            .queues
-            .0
-            .get_or_insert_with(open.service.clone(), || FairQueue::new(MAX_WAITING));
-        // Requests whose wait is over must not take the places of others.
-        queue.expire(now, &mut Vec::new());
-        let dropped = queue.push(waiting)?;
-        if dropped == open.query.id {
-            open.refusal = Some(open.refusal_for(Reason::Overloaded));
+        let displaced = line.displaced(now);
+        let state = line.explain(now);
+        open.wait_until = open.wait_until.max(Some(until));
+        if is_new {
+            let note = self
+                .note(Severity::Routine, "waits", open)
+                .with("rank", rank_name(claim.priority))
+                .with("returned", claim.returned)
+                .with("work_ms", claim.work.as_millis())
+                .with("until_ms", until.since(now).as_millis())
+                .with("line", state);
+            out.push(Action::Log(note));
+        }
+        let displaced = displaced?;
+        if displaced == open.query.id {
+            open.refusal = Some(self.refuse_for_room(now, open));
             return Some(Signal::Refused);
         }
-        if let Some(mut other) = self.requests.remove(&dropped) {
-            other.refusal = Some(other.refusal_for(Reason::Overloaded));
+        if let Some(mut other) = self.requests.remove(&displaced) {
+            out.push(Action::Log(self.note(
+                Severity::Notable,
+                "displaced",
+                &other,
+            )));
+            other.refusal = Some(self.refuse_for_room(now, &other));
             self.advance(now, other, Signal::Refused, out);
         }
         None
     }
 
+    // Returns what a request claims of the room of its service.
+    fn claim(&self, now: Time, open: &OpenRequest) -> Option<Claim> {
+        let terms = open.account.as_ref();
+        let account = terms.map(|terms| terms.account.clone());
+        let target = open.route.target_latency;
+        let work =
+            self.fleet
+                .service_times
+                .expected(&open.route.name, millis(target), Warmth::Known);
+        let line = self.queues.0.get(&open.service);
+        Some(Claim {
+            id: open.query.id,
+            account: account.or_else(|| NO_ACCOUNT.try_into().ok())?,
+            weight: terms
+                .and_then(|terms| terms.rate)
+                .unwrap_or(NO_ACCOUNT_WEIGHT)
+                .max(1.0),
+            priority: open.priority(),
+            since: line
+                .and_then(|line| line.since(open.query.id))
+                .unwrap_or(now),
+            received: open.received,
+            target,
+            deadline: open.deadline,
+            work: Duration::from_secs_f64(work / 1_000.0),
+            running: self.fleet.running(&open.service),
+            returned: open.returned,
+        })
+    }
+
+    /// Returns whether a request may wait although it has been sent to a server before.
+    pub(crate) fn may_wait_again(&self, now: Time, open: &OpenRequest) -> bool {
+        open.possible_runs == 0
+            && self
+                .claim(now, open)
+                .is_some_and(|claim| claim.is_patient())
+    }
+
+    /// Creates the refusal of a request that gets no room.
+    pub(crate) fn refuse_for_room(&mut self, now: Time, open: &OpenRequest) -> Refusal {
+        let refusal = open.refusal_for(Reason::Overloaded);
+        let delay = self.retry_after(now, open);
+        if refusal.may_have_run {
+            return refusal;
+        }
+        refusal.with_retry_after(delay)
+    }
+
+    /// Returns the retry delay for a request that found no room.
+    pub(crate) fn retry_after(&mut self, now: Time, open: &OpenRequest) -> Duration {
+        let draw = self.rng.random();
+        let Some(claim) = self.claim(now, open) else {
+            return Duration::ZERO;
+        };
+        let line = self.queues.line(&open.service);
+        line.retry_after(now, &claim, open.query.signature, draw)
+    }
+
+    /// Returns whether a request comes back when its caller was told to.
+    pub(crate) fn recognise(&mut self, now: Time, open: &OpenRequest) -> bool {
+        let account = open.account.as_ref().map(|terms| terms.account.clone());
+        let account = account.or_else(|| NO_ACCOUNT.try_into().ok());
+        let line = self.queues.0.get_mut(&open.service);
+        let known = line.zip(account);
+        known.is_some_and(|(line, account)| line.recognise(now, open.query.signature, &account))
+    }
+
     /// Retries the waiting requests of all services.
     pub(crate) fn retry_all_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
         let services: Vec<Service> = self.queues.0.iter().map(|row| row.0.clone()).collect();
         for service in services {
-            self.retry_waiting(now, &service, out);
+            self.retry_line(now, &service, MAX_RETRIED_AT_ONCE, out);
         }
     }
 
     /// Retries the waiting requests of a service.
     ///
-    /// A request that still finds no room doesn't block the others, which may
+    /// A request that still finds no room doesn't block the next ones, which may
     /// concern other objects.
     pub(crate) fn retry_waiting(&mut self, now: Time, service: &Service, out: &mut Vec<Action>) {
-        let Some(queue) = self.queues.0.get_mut(service) else {
+        self.retry_line(now, service, MAX_FAILED_IN_ROW, out);
+    }
+
+    fn retry_line(&mut self, now: Time, service: &Service, most: usize, out: &mut Vec<Action>) {
+        let Some(line) = self.queues.0.get(service) else {
             return;
         };
-        // The requests themselves end by their own time.
-        queue.expire(now, &mut Vec::new());
-        let mut next = Vec::new();
-        while next.len() < MAX_RETRIED_AT_ONCE {
-            match queue.pop(now) {
-                Some(id) => next.push(id),
-                None => break,
-            }
-        }
-        for id in next {
-            let waits = self.requests.get(&id).map(|open| open.state);
-            if waits == Some(State::Waiting) {
-                if let Some(open) = self.requests.remove(&id) {
-                    self.advance(now, open, Signal::RoomFreed, out);
-                }
+        let mut failed = 0;
+        for id in line.order(now).into_iter().take(MAX_RETRIED_AT_ONCE) {
+            if failed >= most {
+                return;
             }
+            let Some(open) = self.requests.remove(&id) else {
+                continue;
+            };
+            self.advance(now, open, Signal::RoomFreed, out);
+            let state = self.requests.get(&id).map(|open| open.state);
+            failed = if state == Some(State::Sent) {
+                0
+            } else {
+                failed + 1
+            };
         }
     }
 
@@ -129,10 +245,14 @@
             let Some(mut open) = self.requests.remove(&id) else {
                 continue;
             };
+            if open.state == State::Waiting && self.keeps_place(now, &mut open) {
+                self.requests.insert(id, open);
+                continue;
+            }
             let refusal = match open.state {
                 State::Asking if open.may_ask(now) => None,
                 State::Asking if now < open.deadline => Some(self.give_up_asking(now, &open)),
-                State::Waiting => Some(open.refusal_for(Reason::Overloaded)),
+                State::Waiting => Some(self.refuse_for_room(now, &open)),
                 State::Received
                 | State::Asking
                 | State::Choosing
@@ -145,8 +265,28 @@
         }
     }
 
-    /// Returns the retry delay for a request that found no room.
-    pub(crate) fn retry_after(open: &OpenRequest) -> Duration {
-        open.route.target_latency.mul_f64(2.0 * MAX_WAIT_SHARE)
+    // Extends the wait of a request that can't be in time any more if it may still be late.
+    fn keeps_place(&mut self, now: Time, open: &mut OpenRequest) -> bool {
+        if now >= open.deadline {
+            return false;
+        }
+        let Some(claim) = self.claim(now, open) else {
+            return false;
+        };
+        match self.queues.line(&open.service).judge(now, &claim) {
+            Verdict::Wait(until) if until > now => {
+                open.wait_until = Some(until);
+                true
+            }
+            Verdict::Wait(_) | Verdict::Refuse => false,
+        }
+    }
+}
+
+fn rank_name(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Urgent => "urgent",
+        Priority::Normal => "normal",
+        Priority::Deferrable => "deferrable",
     }
 }
