--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -70,6 +70,7 @@
             wait_until: None,
             full_cause: None,
             returned: false,
+            turned_away: 0,
             token_requests: 0,
             tried: Vec::new(),
             possible_runs: 0,
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -12,6 +12,7 @@
 
 use crate::choice::FullCause;
 use crate::event::Action;
+use crate::event::Load;
 use crate::event::Outcome;
 use crate::event::RequestId;
 use crate::evidence::RequestResult;
@@ -135,7 +136,7 @@
         };
         let safe = !ran || open.is_idempotent();
         let quarantined = self.crashes.is_quarantined(open.query.signature);
-        let attempts = open.tried.len() as u32;
+        let attempts = open.tried.len() as u32 + open.turned_away;
         // An attempt that failed to connect doesn't use the retry budget, and
         // may exceed the route's attempts up to twice their number.
         let unsent = outcome == Outcome::Unreachable;
@@ -257,6 +258,9 @@
                 }
             }
             Outcome::Full { load } => {
+                if load.is_some_and(Load::has_room) && open.tried.pop().is_some() {
+                    open.turned_away += 1;
+                }
                 self.fleet.record_load(now, &server, load, tolerated);
                 self.fleet.turned_away(now, &server, load);
             }
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -48,7 +48,7 @@
 
 /// Share of its slots up to which a server runs requests that can only be late, so that those
 /// of other instances that can be in time find a free one.
-const DEFERRED_SHARE: f64 = 0.75;
+const DEFERRED_SHARE: f64 = 0.5;
 
 /// Factor on the service time at a cold server.
 const COLD_FACTOR: f64 = 2.0;
@@ -74,6 +74,8 @@
     pub(crate) placement: &'a Placement,
     pub(crate) time_left: Duration,
     pub(crate) region_rule: RegionRule,
+    /// Time left to the objective, if the request may wait beyond it.
+    pub(crate) objective_left: Option<Duration>,
     /// Whether the request may take only room that others leave idle.
     pub(crate) deferred: bool,
     /// A random number from 0 to 1.
@@ -234,8 +236,15 @@
         retain_choices(&mut choices, &mut cause, FullCause::ShiftLimit, |choice| {
             !(local_only && choice.remote)
         });
+        // A run that first builds the state of an object takes several times the room and drops
+        // other objects. One that is late for it anyway waits for the owner.
+        let owner_serves = accepting
+            .iter()
+            .any(|server| owner == Some(server.hash) && server.state == State::Serving);
+        let objective_left = criteria.objective_left.filter(|_| owner_serves);
         retain_choices(&mut choices, &mut cause, FullCause::NotCached, |choice| {
-            choice.warmth != Warmth::Unknown || choice.is_idle()
+            let too_late = objective_left.is_some_and(|left| choice.work > millis(left));
+            choice.warmth != Warmth::Unknown || (choice.is_idle() && !too_late)
         });
         retain_choices(&mut choices, &mut cause, FullCause::LongWait, |choice| {
             !criteria.deferred || choice.occupancy < choice.slots * DEFERRED_SHARE
--- a/crates/steer/src/dispatch.rs
+++ b/crates/steer/src/dispatch.rs
@@ -137,6 +137,7 @@
             placement: self.fleet.placement(&open.service),
             time_left: open.time_left(now),
             region_rule,
+            objective_left: self.objective_left(now, open),
             deferred: self.queues.is_deferred(now, &open.service, open.query.id),
             draw: self.rng.random(),
         };
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -134,6 +134,8 @@
     pub(crate) token_requests: u32,
     /// The backend servers that the request was sent to.
     pub(crate) tried: Vec<ServerId>,
+    /// Attempts that a server turned away although it had room; it may be tried again.
+    pub(crate) turned_away: u32,
     /// Number of attempts that may have run.
     pub(crate) possible_runs: u32,
     /// The next attempt and the address for it, until it is sent.
--- a/crates/steer/src/shortage.rs
+++ b/crates/steer/src/shortage.rs
@@ -42,6 +42,10 @@
 /// Factor on the worth from one priority to the next higher one.
 const RANK_FACTOR: f64 = 2.0;
 
+/// Maximum wait by the expectation to be in time, as a share of the target latency: the work
+/// may take longer than expected.
+const MAX_IN_TIME_WAIT_SHARE: f64 = 0.25;
+
 /// Factor on the expected work that must fit into the target latency: work takes longer
 /// beside a queue, and an answer just after the objective has lost most of its worth.
 const IN_TIME_MARGIN: f64 = 1.25;
@@ -190,9 +194,8 @@
         self.since + self.target.mul_f64(BLIND_WAIT_SHARE)
     }
 
-    /// Returns whether the time limit leaves room to wait.
-    pub(crate) fn is_patient(&self) -> bool {
-        self.deadline.since(self.received) >= self.target * PATIENT_LIMIT
+    fn is_patient(&self) -> bool {
+        is_patient(self.deadline.since(self.received), self.target)
     }
 
     // Returns the worth that a start now saves for each slot-second.
@@ -418,7 +421,8 @@
         if claim.kind(now) == Kind::InTime {
             let measured = self.in_time.time_for(now, ahead + 1);
             let expected = measured.or_else(|| claim.time_by_ends(ahead + 1));
-            let latest = claim.latest(Kind::InTime);
+            let most = claim.since + claim.target.mul_f64(MAX_IN_TIME_WAIT_SHARE);
+            let latest = claim.latest(Kind::InTime).min(most);
             until = expected.and_then(|span| fitting(now, span.mul_f64(margin), latest));
         }
         let late = self.late.time_for(now, ahead + 1);
@@ -491,6 +495,11 @@
     }
 }
 
+/// Returns whether a time limit leaves room to wait beyond the target latency.
+pub(crate) fn is_patient(limit: Duration, target: Duration) -> bool {
+    limit >= target * PATIENT_LIMIT
+}
+
 // Returns the end of the span if it is no later than `latest`.
 fn fitting(now: Time, span: Duration, latest: Time) -> Option<Time> {
     (now + span <= latest).then_some(now + span)
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -19,6 +19,7 @@
 use crate::request::State;
 use crate::server::millis;
 use crate::service_time::Warmth;
+use crate::shortage;
 use crate::shortage::Claim;
 use crate::shortage::Line;
 use crate::shortage::Verdict;
@@ -160,10 +161,16 @@
 
     /// Returns whether a request may wait although it has been sent to a server before.
     pub(crate) fn may_wait_again(&self, now: Time, open: &OpenRequest) -> bool {
-        open.possible_runs == 0
-            && self
-                .claim(now, open)
-                .is_some_and(|claim| claim.is_patient())
+        open.possible_runs == 0 && self.objective_left(now, open).is_some()
+    }
+
+    /// Returns the time left to the objective of a request that may wait beyond it.
+    pub(crate) fn objective_left(&self, now: Time, open: &OpenRequest) -> Option<Duration> {
+        let is_patient = shortage::is_patient(
+            open.deadline.since(open.received),
+            open.route.target_latency,
+        );
+        is_patient.then(|| (open.received + open.route.target_latency).since(now))
     }
 
     /// Creates the refusal of a request that gets no room.
