steer: trial; what a waiting request will need depends on whether its state is prepared

A request that waits an eighth is drawn again at each choice, as before: the moves of versions count on that under shortage (exposure.rs was red without). One that waits longer is drawn once.

--- a/crates/steer/src/dispatch.rs
+++ b/crates/steer/src/dispatch.rs
@@ -101,9 +101,10 @@
         let fleet = &self.fleet;
         let cached = |version: &_| object.map(|o| fleet.has_object(&open.service, version, o));
         let draw = self.rng.random();
-        // One that waits is drawn once, or the version that has room would get it in the end,
-        // whatever its share.
-        let version_filter = if self.queues.waits(&open.service, open.query.id) {
+        // One that waits long is drawn once, or the version that has room would get it in the
+        // end, whatever its share.
+        let waits = self.queues.waits(&open.service, open.query.id);
+        let version_filter = if waits && self.objective_left(now, open).is_some() {
             self.moves.later_filter(now, &open.service, draw)
         } else {
             self.moves.version_filter(now, &open.service, draw, cached)
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -392,6 +392,12 @@
         self.signal(now, id, Signal::Failed, "failures");
     }
 
+    /// Returns whether this instance knows a server that has the state of the object.
+    pub(crate) fn is_prepared(&self, service: &Service, object: u64) -> bool {
+        let mut servers = self.servers_of(service).iter();
+        servers.any(|id| self.server(id).is_some_and(|s| s.has_object(object)))
+    }
+
     /// Returns the number of this instance's requests at the servers of a service.
     pub(crate) fn running(&self, service: &Service) -> usize {
         let servers = self.servers_of(service).iter();
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -26,7 +26,7 @@
 use crate::steer::Steer;
 
 /// Maximum number of a service's requests that are retried at once.
-const MAX_RETRIED_AT_ONCE: usize = 32;
+const MAX_RETRIED_AT_ONCE: usize = 64;
 
 /// Requests in a row that find no room after which the others aren't retried until the next
 /// sweep.
@@ -134,10 +134,15 @@
         let terms = open.account.as_ref();
         let account = terms.map(|terms| terms.account.clone());
         let target = open.route.target_latency;
-        let work =
-            self.fleet
-                .service_times
-                .expected(&open.route.name, millis(target), Warmth::Known);
+        let object = open.query.object.filter(|_| open.route.sticky);
+        let prepared = object.is_none_or(|object| self.fleet.is_prepared(&open.service, object));
+        let warmth = if prepared {
+            Warmth::Known
+        } else {
+            Warmth::Likely
+        };
+        let service_times = &self.fleet.service_times;
+        let work = service_times.expected(&open.route.name, millis(target), warmth);
         let line = self.queues.0.get(&open.service);
         Some(Claim {
             id: open.query.id,
@@ -230,12 +235,13 @@
             let Some(open) = self.requests.remove(&id) else {
                 continue;
             };
+            // Those that wait an eighth are few.
+            let is_patient = self.objective_left(now, &open).is_some();
             self.advance(now, open, Signal::RoomFreed, out);
             let state = self.requests.get(&id).map(|open| open.state);
-            failed = if state == Some(State::Sent) {
-                0
-            } else {
-                failed + 1
+            failed = match state {
+                Some(State::Sent) => 0,
+                _ => failed + usize::from(is_patient),
             };
         }
     }
