--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -28,9 +28,12 @@
 /// Maximum number of a service's requests that are retried at once.
 const MAX_RETRIED_AT_ONCE: usize = 64;
 
+/// The same at a sweep, of those in a row that find no room.
+const MAX_FAILED_AT_SWEEP: usize = 16;
+
 /// Requests in a row that find no room after which the others aren't retried until the next
 /// sweep.
-const MAX_FAILED_IN_ROW: usize = 4;
+const MAX_FAILED_IN_ROW: usize = 2;
 
 /// Weight of requests without a client account, in requests per second.
 const NO_ACCOUNT_WEIGHT: f64 = 100.0;
@@ -211,7 +214,7 @@
     pub(crate) fn retry_all_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
         let services: Vec<Service> = self.queues.0.iter().map(|row| row.0.clone()).collect();
         for service in services {
-            self.retry_line(now, &service, MAX_RETRIED_AT_ONCE, out);
+            self.retry_line(now, &service, MAX_FAILED_AT_SWEEP, out);
         }
     }
 
