--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -50,9 +50,6 @@
 /// of other instances that can be in time find a free one.
 const DEFERRED_SHARE: f64 = 0.5;
 
-/// Utilization of a region by its callers up to which the owners of objects will have room.
-const SUFFICIENT_UTILIZATION: f64 = 0.85;
-
 /// Factor on the service time at a cold server.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -240,14 +237,11 @@
             !(local_only && choice.remote)
         });
         // A run that first builds the state of an object takes several times the room and drops
-        // other objects. One that is late for it anyway waits for the owner, unless the region
-        // has too few slots for its callers: then servers of other regions are used.
+        // other objects. One that is late for it anyway waits for the owner.
         let owner_serves = accepting
             .iter()
             .any(|server| owner == Some(server.hash) && server.state == State::Serving);
-        let utilization = criteria.placement.utilization(self.region());
-        let may_wait = owner_serves && utilization < SUFFICIENT_UTILIZATION;
-        let objective_left = criteria.objective_left.filter(|_| may_wait);
+        let objective_left = criteria.objective_left.filter(|_| owner_serves);
         retain_choices(&mut choices, &mut cause, FullCause::NotCached, |choice| {
             let too_late = objective_left.is_some_and(|left| choice.work > millis(left));
             choice.warmth != Warmth::Unknown || (choice.is_idle() && !too_late)
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -398,6 +398,11 @@
         servers.any(|id| self.server(id).is_some_and(|s| s.has_object(object)))
     }
 
+    /// Returns the utilization of the region's servers of a service by its own callers.
+    pub(crate) fn utilization(&self, service: &Service) -> f64 {
+        self.placement(service).utilization(self.region())
+    }
+
     /// Returns the number of this instance's requests at the servers of a service.
     pub(crate) fn running(&self, service: &Service) -> usize {
         let servers = self.servers_of(service).iter();
--- a/crates/steer/src/shortage.rs
+++ b/crates/steer/src/shortage.rs
@@ -33,6 +33,10 @@
 /// Time limit from which on a request may wait by expectation, in target latencies.
 const PATIENT_LIMIT: u32 = 4;
 
+/// Utilization of a region up to which its shortages pass. Beyond it those that wait long take
+/// the room of later ones that could be in time.
+const PASSING_UTILIZATION: f64 = 0.85;
+
 /// Factor on the expected wait that must fit into the time left.
 const WAIT_MARGIN: f64 = 2.0;
 
@@ -99,6 +103,8 @@
     pub(crate) work: Duration,
     /// Requests of the service that run for this instance.
     pub(crate) running: usize,
+    /// Whether it may wait beyond an eighth of its objective.
+    pub(crate) patient: bool,
     /// Whether its caller was told to come back and did.
     pub(crate) returned: bool,
 }
@@ -194,10 +200,6 @@
         self.since + self.target.mul_f64(BLIND_WAIT_SHARE)
     }
 
-    fn is_patient(&self) -> bool {
-        is_patient(self.deadline.since(self.received), self.target)
-    }
-
     // Returns the worth that a start now saves for each slot-second.
     //
     // A caller that has come back does not come again, so it counts as in time.
@@ -311,9 +313,7 @@
     /// and its caller may still come back.
     pub(crate) fn is_deferred(&self, now: Time, id: RequestId) -> bool {
         let claim = self.claims.iter().find(|claim| claim.id == id);
-        claim.is_some_and(|claim| {
-            claim.is_patient() && !claim.returned && claim.kind(now) == Kind::Late
-        })
+        claim.is_some_and(|claim| claim.patient && !claim.returned && claim.kind(now) == Kind::Late)
     }
 
     /// Records that a request was sent to a server.
@@ -356,7 +356,7 @@
         draw: f64,
     ) -> Duration {
         let blind = claim.target.mul_f64(RETRY_SHARE);
-        if !claim.is_patient() {
+        if !claim.patient {
             return blind;
         }
         self.returns.retain(|told| now < told.due + RETURN_WINDOW);
@@ -408,7 +408,7 @@
             true => (Verdict::Wait(blind), Hold::Blind),
             false => (Verdict::Refuse, Hold::Blind),
         };
-        if !claim.is_patient() {
+        if !claim.patient {
             return wait_blindly;
         }
         // One that was expected to start keeps its place while it still can.
@@ -495,9 +495,10 @@
     }
 }
 
-/// Returns whether a time limit leaves room to wait beyond the target latency.
-pub(crate) fn is_patient(limit: Duration, target: Duration) -> bool {
-    limit >= target * PATIENT_LIMIT
+/// Returns whether a time limit leaves room to wait beyond the target latency, in a region that
+/// is utilized by its callers to this share.
+pub(crate) fn is_patient(limit: Duration, target: Duration, utilization: f64) -> bool {
+    limit >= target * PATIENT_LIMIT && utilization < PASSING_UTILIZATION
 }
 
 // Returns the end of the span if it is no later than `latest`.
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -163,6 +163,7 @@
             deadline: open.deadline,
             work: Duration::from_secs_f64(work / 1_000.0),
             running: self.fleet.running(&open.service),
+            patient: self.objective_left(now, open).is_some(),
             returned: open.returned,
         })
     }
@@ -177,6 +178,7 @@
         let is_patient = shortage::is_patient(
             open.deadline.since(open.received),
             open.route.target_latency,
+            self.fleet.utilization(&open.service),
         );
         is_patient.then(|| (open.received + open.route.target_latency).since(now))
     }
