--- a/crates/cli/src/chart.rs
+++ b/crates/cli/src/chart.rs
@@ -13,10 +13,11 @@
 use crate::output::Output;
 
 /// The charts that instances interpret, sorted by name.
-const CHARTS: [(&str, &str); 18] = [
+const CHARTS: [(&str, &str); 19] = [
     ("claim", corianderway_control::CLAIM_CHART),
     ("drain", corianderway_rollout::DRAIN_CHART),
     ("edge-check", corianderway_steer::CHECK_CHART),
+    ("edge-claim", corianderway_steer::CLAIM_CHART),
     ("edge-move", corianderway_steer::MOVE_CHART),
     ("edge-pace", corianderway_steer::PACE_CHART),
     ("edge-relay", corianderway_steer::RELAY_CHART),
--- a/crates/steer/src/shortage.rs
+++ b/crates/steer/src/shortage.rs
@@ -8,19 +8,22 @@
 use std::time::Duration;
 
 use corianderway_model::Account;
-use corianderway_model::Priority;
 use corianderway_model::SortedMap;
 use corianderway_model::Time;
 
+use crate::claim::Claim;
+use crate::claim::ClaimChart;
+use crate::claim::Effect;
+use crate::claim::Guard;
+use crate::claim::Kind;
+use crate::claim::Signal;
+use crate::claim::StartRate;
+use crate::claim::State;
 use crate::event::RequestId;
 
 /// Maximum number of requests that wait for one service.
 const MAX_WAITING: usize = 256;
 
-/// Maximum wait without an expectation of a start, as a share of the route's target
-/// latency. A request that would wait longer is better retried at another instance.
-const BLIND_WAIT_SHARE: f64 = 0.125;
-
 /// Retry delay where no rate of starts is known, as a share of the route's target latency.
 const RETRY_SHARE: f64 = 0.25;
 
@@ -40,20 +43,10 @@
 /// Factor on the expected wait that must fit into the time left.
 const WAIT_MARGIN: f64 = 2.0;
 
-/// Worth of a late answer, as a share of the worth of one within the target latency.
-const LATE_WORTH: f64 = 0.2;
-
-/// Factor on the worth from one priority to the next higher one.
-const RANK_FACTOR: f64 = 2.0;
-
 /// Maximum wait by the expectation to be in time, as a share of the target latency: the work
 /// may take longer than expected.
 const MAX_IN_TIME_WAIT_SHARE: f64 = 0.25;
 
-/// Factor on the expected work that must fit into the target latency: work takes longer
-/// beside a queue, and an answer just after the objective has lost most of its worth.
-const IN_TIME_MARGIN: f64 = 1.25;
-
 /// Requests that may wait at once to find out whether late ones start.
 const MAX_TRIALS: usize = 8;
 
@@ -70,63 +63,12 @@
 /// Requests by which an account may be served ahead of its share.
 const MAX_LEAD_REQUESTS: f64 = 2.0;
 
-/// Time in which the weight of a start in a rate falls to 37%.
-const RATE_SPAN: Duration = Duration::from_secs(1);
-
-/// Share of the ends of running requests that are taken for starts of waiting ones until
-/// those are measured. Other instances take the room of the rest.
-const ENDS_SHARE: f64 = 0.5;
-
-/// Weight of recent starts from which on a rate is known.
-const MIN_STARTS: f64 = 0.5;
-
 /// Maximum number of callers that are expected to come back.
 const MAX_RETURNS: usize = 512;
 
 /// How long after its delay a caller that comes back is recognised.
 const RETURN_WINDOW: Duration = Duration::from_secs(1);
 
-/// A request that waits for room.
-#[derive(Clone, Debug)]
-pub(crate) struct Claim {
-    pub(crate) id: RequestId,
-    pub(crate) account: Account,
-    /// The account's rate, in requests per second.
-    pub(crate) weight: f64,
-    pub(crate) priority: Priority,
-    /// When it began to wait.
-    pub(crate) since: Time,
-    pub(crate) received: Time,
-    pub(crate) target: Duration,
-    pub(crate) deadline: Time,
-    /// Expected time at a server.
-    pub(crate) work: Duration,
-    /// Requests of the service that run for this instance.
-    pub(crate) running: usize,
-    /// Whether it may wait beyond an eighth of its objective.
-    pub(crate) patient: bool,
-    /// Whether its caller was told to come back and did.
-    pub(crate) returned: bool,
-}
-
-/// Whether a request can still be answered within the target latency.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    InTime,
-    Late,
-}
-
-/// Why a request waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Hold {
-    /// For an eighth of its objective, without an expectation.
-    Blind,
-    /// It is expected to start.
-    Expected,
-    /// To find out whether late requests start.
-    Trial,
-}
-
 /// What happens to a request that finds no room.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Verdict {
@@ -136,11 +78,13 @@
     Refuse,
 }
 
-/// The rate of recent starts.
-#[derive(Clone, Copy, Debug, Default)]
-struct StartRate {
-    weight: f64,
-    updated: Time,
+/// When a request is expected to start.
+#[derive(Clone, Copy, Debug)]
+struct Outlook {
+    // The expected start with a margin, if it is early enough.
+    start: Option<Time>,
+    hopeless: bool,
+    trial_end: Time,
 }
 
 /// A caller that was told to come back.
@@ -155,7 +99,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Line {
     claims: Vec<Claim>,
-    holds: SortedMap<RequestId, Hold>,
+    states: SortedMap<RequestId, State>,
     // Slot time that accounts have had, over their rates; sorted by account.
     shares: SortedMap<Account, f64>,
     // The share below which no account counts, so that room that nobody else wanted is
@@ -169,76 +113,6 @@
     returns: Vec<Return>,
 }
 
-impl Claim {
-    // Returns the latest start for an answer within the target latency.
-    fn latest(&self, kind: Kind) -> Time {
-        let (end, work) = match kind {
-            Kind::InTime => {
-                let end = self.deadline.min(self.received + self.target);
-                (end, self.work.mul_f64(IN_TIME_MARGIN))
-            }
-            Kind::Late => (self.deadline, self.work),
-        };
-        Time::ZERO + end.since(Time::ZERO).saturating_sub(work)
-    }
-
-    fn kind(&self, now: Time) -> Kind {
-        if now <= self.latest(Kind::InTime) {
-            Kind::InTime
-        } else {
-            Kind::Late
-        }
-    }
-
-    // Returns the time in which as many requests start as the running ones make room for.
-    fn time_by_ends(&self, count: usize) -> Option<Duration> {
-        let ends = self.running as f64 * ENDS_SHARE;
-        (ends > 0.0).then(|| self.work.mul_f64(count as f64 / ends))
-    }
-
-    fn blind_until(&self) -> Time {
-        self.since + self.target.mul_f64(BLIND_WAIT_SHARE)
-    }
-
-    // Returns the worth that a start now saves for each slot-second.
-    //
-    // A caller that has come back does not come again, so it counts as in time.
-    fn worth_rate(&self, now: Time) -> f64 {
-        let worth = match self.kind(now) {
-            Kind::InTime => 1.0,
-            Kind::Late if self.returned => 1.0,
-            Kind::Late if now <= self.latest(Kind::Late) => LATE_WORTH,
-            Kind::Late => 0.0,
-        };
-        let rank = match self.priority {
-            Priority::Urgent => RANK_FACTOR,
-            Priority::Normal => 1.0,
-            Priority::Deferrable => RANK_FACTOR.recip(),
-        };
-        worth * rank / self.work.as_secs_f64().max(0.001)
-    }
-}
-
-impl StartRate {
-    fn weight(&self, now: Time) -> f64 {
-        let passed = now.since(self.updated).as_secs_f64() / RATE_SPAN.as_secs_f64();
-        self.weight * (-passed).exp()
-    }
-
-    fn record(&mut self, now: Time) {
-        *self = Self {
-            weight: self.weight(now) + 1.0,
-            updated: now,
-        };
-    }
-
-    // Returns the time in which `count` requests start.
-    fn time_for(&self, now: Time, count: usize) -> Option<Duration> {
-        let weight = self.weight(now);
-        (weight >= MIN_STARTS).then(|| RATE_SPAN.mul_f64(count as f64 / weight))
-    }
-}
-
 impl Line {
     /// Returns the number of waiting requests.
     pub(crate) fn len(&self) -> usize {
@@ -252,24 +126,37 @@
     }
 
     /// Decides on a request that finds no room. One that waits already is judged again.
-    pub(crate) fn judge(&mut self, now: Time, claim: &Claim) -> Verdict {
-        let held = self.holds.get(&claim.id).copied();
-        let (verdict, hold) = self.verdict(now, claim, held);
-        match verdict {
-            Verdict::Wait(_) => {
-                if held.is_none() {
-                    self.claims.push(claim.clone());
-                }
-                self.holds.insert(claim.id, hold);
+    pub(crate) fn judge(&mut self, chart: &ClaimChart, now: Time, claim: &Claim) -> Verdict {
+        let known = self.states.get(&claim.id).copied();
+        let state = known.unwrap_or(chart.initial());
+        let outlook = self.outlook(now, claim, state);
+        let blind = claim.blind_until();
+        let step = chart.step(state, Signal::Judged, |guard| match guard {
+            Guard::Fits => outlook.start.is_some(),
+            Guard::Hopeless => outlook.hopeless,
+            Guard::MayTry => claim.may_wait && now < outlook.trial_end && self.may_try(now),
+            Guard::InTrial => now < outlook.trial_end,
+            Guard::IsShort => now < blind,
+        });
+        for effect in step.actions {
+            match effect {
+                Effect::FailTrial => self.fail_trial(now),
             }
-            Verdict::Refuse => {
-                if held == Some(Hold::Trial) {
-                    self.fail_trial(now);
-                }
+        }
+        let until = match step.to {
+            State::Expected => outlook.start.unwrap_or(now).max(blind),
+            State::Trial => outlook.trial_end,
+            State::Blind => blind,
+            State::Refused => {
                 self.remove(claim.id);
+                return Verdict::Refuse;
             }
+        };
+        if known.is_none() {
+            self.claims.push(claim.clone());
         }
-        verdict
+        self.states.insert(claim.id, step.to);
+        Verdict::Wait(until)
     }
 
     /// Removes and returns the request that costs least to refuse, if too many wait.
@@ -313,7 +200,8 @@
     /// and its caller may still come back.
     pub(crate) fn is_deferred(&self, now: Time, id: RequestId) -> bool {
         let claim = self.claims.iter().find(|claim| claim.id == id);
-        claim.is_some_and(|claim| claim.patient && !claim.returned && claim.kind(now) == Kind::Late)
+        claim
+            .is_some_and(|claim| claim.may_wait && !claim.returned && claim.kind(now) == Kind::Late)
     }
 
     /// Records that a request was sent to a server.
@@ -323,7 +211,7 @@
         };
         self.floor = self.least_share();
         let claim = self.claims.swap_remove(at);
-        self.holds.remove(&id);
+        self.states.remove(&id);
         self.starts += 1;
         match claim.kind(now) {
             Kind::InTime => self.in_time.record(now),
@@ -340,7 +228,7 @@
 
     /// Removes a request that no longer waits.
     pub(crate) fn remove(&mut self, id: RequestId) {
-        if self.holds.remove(&id).is_some() {
+        if self.states.remove(&id).is_some() {
             self.claims.retain(|claim| claim.id != id);
         }
     }
@@ -361,9 +249,7 @@
         }
         self.returns.retain(|told| now < told.due + RETURN_WINDOW);
         let due = self.returns.iter().filter(|told| now < told.due).count();
-        let mut starts = self.in_time;
-        starts.weight = starts.weight(now) + self.late.weight(now);
-        starts.updated = now;
+        let starts = self.in_time.plus(self.late, now);
         let expected = starts.time_for(now, self.claims.len() + due + 1);
         let most = claim.deadline.since(now).mul_f64(MAX_RETRY_SHARE);
         let spread = 1.0 + draw * RETRY_SPREAD;
@@ -402,55 +288,41 @@
         )
     }
 
-    fn verdict(&self, now: Time, claim: &Claim, held: Option<Hold>) -> (Verdict, Hold) {
-        let blind = claim.blind_until();
-        let wait_blindly = match now < blind {
-            true => (Verdict::Wait(blind), Hold::Blind),
-            false => (Verdict::Refuse, Hold::Blind),
+    fn outlook(&self, now: Time, claim: &Claim, state: State) -> Outlook {
+        let latest = claim.latest(Kind::Late);
+        let mut outlook = Outlook {
+            start: None,
+            hopeless: false,
+            trial_end: (claim.since + claim.target).min(latest),
         };
-        if !claim.patient {
-            return wait_blindly;
+        if !claim.may_wait {
+            return outlook;
         }
         // One that was expected to start keeps its place while it still can.
-        let margin = match held {
-            Some(Hold::Expected) => 1.0,
-            Some(Hold::Blind | Hold::Trial) | None => WAIT_MARGIN,
+        let margin = match state {
+            State::Expected => 1.0,
+            State::Blind | State::Trial | State::Refused => WAIT_MARGIN,
         };
-        let ahead = self.ahead(now, claim);
-        let mut until = None;
+        let count = self.ahead(now, claim) + 1;
+        let late = self.late.time_for(now, count);
+        outlook.start = late.and_then(|span| fitting(now, span.mul_f64(margin), latest));
+        // It could not even start in half of the expected time.
+        outlook.hopeless = late.is_some_and(|span| now + span.mul_f64(0.5) > latest);
         if claim.kind(now) == Kind::InTime {
-            let measured = self.in_time.time_for(now, ahead + 1);
-            let expected = measured.or_else(|| claim.time_by_ends(ahead + 1));
+            let measured = self.in_time.time_for(now, count);
+            let expected = measured.or_else(|| claim.time_by_ends(count));
             let most = claim.since + claim.target.mul_f64(MAX_IN_TIME_WAIT_SHARE);
             let latest = claim.latest(Kind::InTime).min(most);
-            until = expected.and_then(|span| fitting(now, span.mul_f64(margin), latest));
-        }
-        let late = self.late.time_for(now, ahead + 1);
-        let latest = claim.latest(Kind::Late);
-        let until =
-            until.or_else(|| late.and_then(|span| fitting(now, span.mul_f64(margin), latest)));
-        if let Some(until) = until {
-            return (Verdict::Wait(until.max(blind)), Hold::Expected);
+            let start = expected.and_then(|span| fitting(now, span.mul_f64(margin), latest));
+            outlook.start = start.or(outlook.start);
         }
-        // It could not even start in half of the expected time.
-        if late.is_some_and(|span| now + span.mul_f64(0.5) > latest) {
-            return (Verdict::Refuse, Hold::Blind);
-        }
-        let trial_end = (claim.since + claim.target).min(latest);
-        if self.may_try(now, held) && now < trial_end {
-            return (Verdict::Wait(trial_end), Hold::Trial);
-        }
-        wait_blindly
+        outlook
     }
 
-    // Returns whether the request may wait to find out whether late ones start.
-    fn may_try(&self, now: Time, held: Option<Hold>) -> bool {
-        if held == Some(Hold::Trial) {
-            return true;
-        }
-        let paused = now < self.trial_pause.0;
-        let trials = self.holds.iter().filter(|row| *row.1 == Hold::Trial);
-        !paused && trials.count() < MAX_TRIALS
+    // Returns whether a further request may wait to find out whether late ones start.
+    fn may_try(&self, now: Time) -> bool {
+        let trials = self.states.iter().filter(|row| *row.1 == State::Trial);
+        now >= self.trial_pause.0 && trials.count() < MAX_TRIALS
     }
 
     // Several that began together fail as one.
@@ -495,10 +367,14 @@
     }
 }
 
-/// Returns whether a time limit leaves room to wait beyond the target latency, in a region that
-/// is utilized by its callers to this share.
-pub(crate) fn is_patient(limit: Duration, target: Duration, utilization: f64) -> bool {
-    limit >= target * PATIENT_LIMIT && utilization < PASSING_UTILIZATION
+/// Returns whether a time limit leaves room to wait beyond the target latency.
+pub(crate) fn is_patient(limit: Duration, target: Duration) -> bool {
+    limit >= target * PATIENT_LIMIT
+}
+
+/// Returns whether shortages pass in a region that is utilized by its callers to this share.
+pub(crate) fn is_passing(utilization: f64) -> bool {
+    utilization < PASSING_UTILIZATION
 }
 
 // Returns the end of the span if it is no later than `latest`.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -18,6 +18,7 @@
 
 use crate::advice;
 use crate::bounds::Bounds;
+use crate::claim::CLAIM_CHART;
 use crate::crashes::Crashes;
 use crate::digest::Digest;
 use crate::event::Action;
@@ -169,6 +170,7 @@
         let selector = corianderway_chart::Chart::parse(SOURCE_CHART);
         let pace = corianderway_chart::Chart::parse(PACE_CHART);
         let outage = corianderway_chart::Chart::parse(OUTAGE_CHART);
+        let claims = corianderway_chart::Chart::parse(CLAIM_CHART);
         Ok(Self {
             request_chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
@@ -195,7 +197,7 @@
             pending_failures: PendingFailures::default(),
             budgets: SortedMap::default(),
             requests: SortedMap::default(),
-            queues: WaitingQueues::default(),
+            queues: WaitingQueues::new(claims.context(chart("edge-claim.yaml"))?),
             rng: SmallRng::seed_from_u64(seed),
             stopping: None,
             reach: (Reach::Nothing, Time::ZERO),
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -9,6 +9,8 @@
 use corianderway_model::Time;
 use rand::Rng as _;
 
+use crate::claim::Claim;
+use crate::claim::ClaimChart;
 use crate::event::Action;
 use crate::event::RequestId;
 use crate::note::Severity;
@@ -20,7 +22,6 @@
 use crate::server::millis;
 use crate::service_time::Warmth;
 use crate::shortage;
-use crate::shortage::Claim;
 use crate::shortage::Line;
 use crate::shortage::Verdict;
 use crate::steer::Steer;
@@ -42,43 +43,62 @@
 const NO_ACCOUNT: &str = "-";
 
 /// The lines, by service.
-#[derive(Debug, Default)]
-pub(crate) struct WaitingQueues(SortedMap<Service, Line>);
+#[derive(Debug)]
+pub(crate) struct WaitingQueues {
+    chart: ClaimChart,
+    lines: SortedMap<Service, Line>,
+}
 
 impl WaitingQueues {
+    pub(crate) fn new(chart: ClaimChart) -> Self {
+        Self {
+            chart,
+            lines: SortedMap::default(),
+        }
+    }
+
+    // Decides on a request that finds no room.
+    fn judge(&mut self, now: Time, service: &Service, claim: &Claim) -> Verdict {
+        let line = self
+            .lines
+            .get_or_insert_with(service.clone(), Line::default);
+        line.judge(&self.chart, now, claim)
+    }
+
     /// Returns the number of waiting requests.
     pub(crate) fn len(&self) -> usize {
-        self.0.iter().map(|row| row.1.len()).sum()
+        self.lines.iter().map(|row| row.1.len()).sum()
     }
 
     /// Records that a request was sent to a server.
     pub(crate) fn start(&mut self, now: Time, service: &Service, id: RequestId) {
-        if let Some(line) = self.0.get_mut(service) {
+        if let Some(line) = self.lines.get_mut(service) {
             line.start(now, id);
         }
     }
 
     /// Removes a request that has ended.
     pub(crate) fn remove(&mut self, service: &Service, id: RequestId) {
-        if let Some(line) = self.0.get_mut(service) {
+        if let Some(line) = self.lines.get_mut(service) {
             line.remove(id);
         }
     }
 
     /// Returns whether a request may take only room that others leave idle.
     pub(crate) fn is_deferred(&self, now: Time, service: &Service, id: RequestId) -> bool {
-        let line = self.0.get(service);
+        let line = self.lines.get(service);
         line.is_some_and(|line| line.is_deferred(now, id))
     }
 
     /// Returns whether a request waits.
     pub(crate) fn waits(&self, service: &Service, id: RequestId) -> bool {
-        let line = self.0.get(service);
+        let line = self.lines.get(service);
         line.is_some_and(|line| line.since(id).is_some())
     }
 
     fn line(&mut self, service: &Service) -> &mut Line {
-        self.0.get_or_insert_with(service.clone(), Line::default)
+        self.lines
+            .get_or_insert_with(service.clone(), Line::default)
     }
 }
 
@@ -96,12 +116,12 @@
             return None;
         }
         let claim = self.claim(now, open)?;
-        let line = self.queues.line(&open.service);
-        let is_new = line.since(claim.id).is_none();
-        let Verdict::Wait(until) = line.judge(now, &claim) else {
+        let is_new = !self.queues.waits(&open.service, claim.id);
+        let Verdict::Wait(until) = self.queues.judge(now, &open.service, &claim) else {
             open.refusal = Some(self.refuse_for_room(now, open));
             return Some(Signal::Refused);
         };
+        let line = self.queues.line(&open.service);
         let displaced = line.displaced(now);
         let state = line.explain(now);
         open.wait_until = open.wait_until.max(Some(until));
@@ -146,7 +166,7 @@
         };
         let service_times = &self.fleet.service_times;
         let work = service_times.expected(&open.route.name, millis(target), warmth);
-        let line = self.queues.0.get(&open.service);
+        let line = self.queues.lines.get(&open.service);
         Some(Claim {
             id: open.query.id,
             account: account.or_else(|| NO_ACCOUNT.try_into().ok())?,
@@ -163,7 +183,8 @@
             deadline: open.deadline,
             work: Duration::from_secs_f64(work / 1_000.0),
             running: self.fleet.running(&open.service),
-            patient: self.objective_left(now, open).is_some(),
+            patient: is_patient(open),
+            may_wait: self.objective_left(now, open).is_some(),
             returned: open.returned,
         })
     }
@@ -175,11 +196,8 @@
 
     /// Returns the time left to the objective of a request that may wait beyond it.
     pub(crate) fn objective_left(&self, now: Time, open: &OpenRequest) -> Option<Duration> {
-        let is_patient = shortage::is_patient(
-            open.deadline.since(open.received),
-            open.route.target_latency,
-            self.fleet.utilization(&open.service),
-        );
+        let is_patient =
+            is_patient(open) && shortage::is_passing(self.fleet.utilization(&open.service));
         is_patient.then(|| (open.received + open.route.target_latency).since(now))
     }
 
@@ -207,14 +225,14 @@
     pub(crate) fn recognise(&mut self, now: Time, open: &OpenRequest) -> bool {
         let account = open.account.as_ref().map(|terms| terms.account.clone());
         let account = account.or_else(|| NO_ACCOUNT.try_into().ok());
-        let line = self.queues.0.get_mut(&open.service);
+        let line = self.queues.lines.get_mut(&open.service);
         let known = line.zip(account);
         known.is_some_and(|(line, account)| line.recognise(now, open.query.signature, &account))
     }
 
     /// Retries the waiting requests of all services.
     pub(crate) fn retry_all_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
-        let services: Vec<Service> = self.queues.0.iter().map(|row| row.0.clone()).collect();
+        let services: Vec<Service> = self.queues.lines.iter().map(|row| row.0.clone()).collect();
         for service in services {
             self.retry_line(now, &service, MAX_FAILED_AT_SWEEP, out);
         }
@@ -229,7 +247,7 @@
     }
 
     fn retry_line(&mut self, now: Time, service: &Service, most: usize, out: &mut Vec<Action>) {
-        let Some(line) = self.queues.0.get(service) else {
+        let Some(line) = self.queues.lines.get(service) else {
             return;
         };
         let mut failed = 0;
@@ -291,7 +309,7 @@
         let Some(claim) = self.claim(now, open) else {
             return false;
         };
-        match self.queues.line(&open.service).judge(now, &claim) {
+        match self.queues.judge(now, &open.service, &claim) {
             Verdict::Wait(until) if until > now => {
                 open.wait_until = Some(until);
                 true
@@ -301,6 +319,11 @@
     }
 }
 
+fn is_patient(open: &OpenRequest) -> bool {
+    let limit = open.deadline.since(open.received);
+    shortage::is_patient(limit, open.route.target_latency)
+}
+
 fn rank_name(priority: Priority) -> &'static str {
     match priority {
         Priority::Urgent => "urgent",
