--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -7,10 +7,13 @@
 
 use std::time::Duration;
 
+use corianderway_model::Service;
 use corianderway_model::Time;
+use corianderway_model::Version;
 use rand::Rng as _;
 
 use crate::choice::FullCause;
+use crate::digest::ServerTimes;
 use crate::event::Action;
 use crate::event::Load;
 use crate::event::Outcome;
@@ -69,6 +72,10 @@
             return;
         };
         open.outcome = Some(outcome);
+        if outcome == Outcome::Outdated {
+            // The server got nothing, and may be chosen again.
+            open.tried.pop();
+        }
         let signal = match outcome {
             Outcome::Answered { status, .. } => {
                 open.answered = open.may_deliver(status);
@@ -78,6 +85,7 @@
             | Outcome::Misdirected
             | Outcome::Unreachable
             | Outcome::NotSent
+            | Outcome::Outdated
             | Outcome::Broken
             | Outcome::TimedOut => Signal::Failed,
         };
@@ -128,7 +136,7 @@
             }
             Outcome::Answered { status, .. } if status >= ERROR_STATUS => (true, Reason::Broken),
             Outcome::Answered { .. } => return false,
-            Outcome::Full { .. } => (false, Reason::Overloaded),
+            Outcome::Full { .. } | Outcome::Outdated => (false, Reason::Overloaded),
             Outcome::Misdirected | Outcome::Unreachable => (false, Reason::NoServer),
             Outcome::NotSent => (false, Reason::TimedOut),
             Outcome::Broken => (true, Reason::Broken),
@@ -137,9 +145,9 @@
         let safe = !ran || open.is_idempotent();
         let quarantined = self.crashes.is_quarantined(open.query.signature);
         let attempts = open.tried.len() as u32 + open.turned_away;
-        // An attempt that failed to connect doesn't use the retry budget, and
+        // An attempt that sent nothing doesn't use the retry budget, and
         // may exceed the route's attempts up to twice their number.
-        let unsent = outcome == Outcome::Unreachable;
+        let unsent = matches!(outcome, Outcome::Unreachable | Outcome::Outdated);
         let attempts_left = attempts < open.route.max_attempts
             || (unsent && attempts <= 2 * open.route.max_attempts);
         let has_time = open.time_left(now) > Duration::ZERO && outcome != Outcome::TimedOut;
@@ -233,27 +241,20 @@
                 let failed = status >= ERROR_STATUS;
                 self.fleet.record_load(now, &server, load, tolerated);
                 self.crashes.answered(now, open.query.signature);
-                let ratio = took / expected.max(1.0);
+                // What the speed of the machine explains is no slowness of the server.
+                let stretch = self.fleet.stretch_of_answer(now, choice.stretch, load);
+                let ratio = took / expected.max(1.0) * choice.stretch / stretch;
                 self.fleet.record_answer(now, &server, ratio, failed);
                 self.fleet.record_object(now, &server, object, failed);
                 if choice.wait <= 0.0 && !failed {
-                    let name = &open.route.name;
+                    let (name, took) = (&open.route.name, took / stretch);
                     self.fleet
                         .service_times
                         .record(name, target_latency, choice.warmth, took);
                 }
                 let earlier = self.pending_failures.release(&server);
                 self.count_observations(earlier);
-                let evidence = match (status, choice.typical) {
-                    (GATEWAY_TIMEOUT, typical) => typical.map(|_| RequestResult::Slow),
-                    (ERROR_STATUS.., _) => Some(RequestResult::Failed),
-                    (_, Some(typical)) if took > SLOW_FACTOR * typical.max(1.0) => {
-                        Some(RequestResult::Slow)
-                    }
-                    (_, Some(_)) => Some(RequestResult::OnTime),
-                    (_, None) => Some(RequestResult::Untimed),
-                };
-                if let Some(evidence) = evidence {
+                if let Some(evidence) = result_of(status, choice.typical, took) {
                     self.count(&observation(evidence));
                 }
             }
@@ -271,7 +272,9 @@
                 self.moves.record_unsent(&open.service, &version);
                 self.pending_failures.discard(&server);
             }
-            Outcome::NotSent => self.moves.record_unsent(&open.service, &version),
+            Outcome::NotSent | Outcome::Outdated => {
+                self.moves.record_unsent(&open.service, &version);
+            }
             Outcome::Broken => {
                 self.fleet.record_failure(now, &server, false);
                 self.crashes
@@ -315,6 +318,25 @@
         }
     }
 
+    /// Returns the requests of a service that have taken longer than an answer on time
+    /// and have not been counted, each with its version.
+    pub(crate) fn overdue(&self, now: Time, service: &Service) -> Vec<(Version, ServerTimes)> {
+        let open = self.requests.iter().filter_map(|(id, open)| {
+            let attempt = open.attempt.as_ref().filter(|_| open.service == *service)?;
+            let limit = SLOW_FACTOR * attempt.choice.typical?.max(1.0);
+            let took = self.fleet.server(&attempt.server)?.elapsed(*id, now)?;
+            let hash = hash::short(attempt.server.as_str());
+            (took > limit).then(|| (attempt.version.clone(), ServerTimes::new(hash, true)))
+        });
+        let unanswered = self.pending_failures.slow();
+        let unanswered = unanswered.filter(|row| row.service == *service);
+        let unanswered = unanswered.map(|row| {
+            let timed = ServerTimes::new(row.server_hash, true);
+            (row.version.clone(), timed)
+        });
+        open.chain(unanswered).collect()
+    }
+
     fn count(&mut self, observation: &Observation) {
         let urgent = self.moves.record(observation);
         self.urgent |= urgent;
@@ -373,3 +395,15 @@
             .with("config", self.plan.as_ref().map_or(0, |p| p.version()))
     }
 }
+
+// Returns what an answer is evidence of. `typical` is the usual time of comparable answers, in
+// milliseconds.
+fn result_of(status: u16, typical: Option<f64>, took: f64) -> Option<RequestResult> {
+    match (status, typical) {
+        (GATEWAY_TIMEOUT, typical) => typical.map(|_| RequestResult::Slow),
+        (ERROR_STATUS.., _) => Some(RequestResult::Failed),
+        (_, Some(typical)) if took > SLOW_FACTOR * typical.max(1.0) => Some(RequestResult::Slow),
+        (_, Some(_)) => Some(RequestResult::OnTime),
+        (_, None) => Some(RequestResult::Untimed),
+    }
+}
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use corianderway_model::Account;
+use corianderway_model::Era;
 use corianderway_model::FailureDomain;
 use corianderway_model::Region;
 use corianderway_model::Secret;
@@ -70,6 +71,9 @@
     Unreachable,
     /// The deadline passed before anything was sent.
     NotSent,
+    /// The choice of the backend server was recalled, or became too old, before anything
+    /// was sent.
+    Outdated,
     /// The connection broke or the answer was invalid, after bytes were sent.
     Broken,
     /// No complete answer arrived by the deadline, after bytes were sent.
@@ -81,7 +85,11 @@
     pub const fn may_have_run(self) -> bool {
         match self {
             Self::Answered { .. } | Self::Broken | Self::TimedOut => true,
-            Self::Full { .. } | Self::Misdirected | Self::Unreachable | Self::NotSent => false,
+            Self::Full { .. }
+            | Self::Misdirected
+            | Self::Unreachable
+            | Self::NotSent
+            | Self::Outdated => false,
         }
     }
 }
@@ -95,6 +103,9 @@
     pub waiting: u32,
     /// The maximum number of requests that it runs at once.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual, if it
+    /// says so.
+    pub stretch: Option<u32>,
 }
 
 impl Load {
@@ -177,6 +188,8 @@
     Reach(Reach),
     /// The store no longer answers this instance, or the one whose replica it follows.
     StoreLost,
+    /// The store did not answer one of this instance's checks.
+    CheckMissed,
     /// The instance whose replica is followed is silent or gone. Nothing is known of the
     /// store.
     ReplicaLost,
@@ -184,6 +197,9 @@
     ProbeAnswered,
     /// The store did not answer a probe, or turned it away.
     ProbeFailed,
+    /// The store came back from an older copy and is in this era now. What is known of it
+    /// since may be gone there, and no later event tells of an earlier era.
+    Restored(Era),
     /// Addresses at which other instances may serve their replicas.
     Seeds(Vec<SocketAddr>),
     /// What is known of the store, by kind of input.
@@ -216,9 +232,13 @@
         account: Option<Account>,
         /// The time after which the answer is no longer awaited.
         deadline: Time,
+        /// The time after which nothing may be sent, since the choice of the server is too old.
+        begin_by: Time,
         /// Whether the request must run at most once.
         once: bool,
     },
+    /// End the current attempt of a request as outdated, unless its first byte has been sent.
+    Recall(RequestId),
     /// Check soon whether a backend server still accepts connections.
     CheckServer {
         /// The backend server.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -47,6 +47,7 @@
 use crate::request::OpenRequest;
 use crate::request::RequestChart;
 use crate::request::REQUEST_CHART;
+use crate::restored::UnsettledLists;
 use crate::revisions::InputKind;
 use crate::revisions::Revisions;
 use crate::revisions::INPUTS;
@@ -122,6 +123,10 @@
     // How the store is followed, and since when.
     pub(crate) reach: (Reach, Time),
     pub(crate) outage: Outage,
+    // When the store last did not answer this instance.
+    pub(crate) store_missed: Option<Time>,
+    /// What the store listed since it came back from an older copy, until it has settled.
+    pub(crate) unsettled: Option<UnsettledLists>,
     /// The latest change of each kind that was observed.
     pub(crate) changed: Revisions,
     /// The revisions up to which all changes of each kind are known.
@@ -202,6 +207,8 @@
             stopping: None,
             reach: (Reach::Nothing, Time::ZERO),
             outage: Outage::new(outage.context(chart("edge-store.yaml"))?),
+            store_missed: None,
+            unsettled: None,
             changed: Revisions::default(),
             known: Revisions::default(),
             later_plan: false,
@@ -249,31 +256,26 @@
                 self.retry_all_waiting(now, out);
             }
             Event::Evacuated(domains) => self.apply_evacuations(domains, out),
-            Event::Orders(orders) => {
-                self.mark_arrived(InputKind::Orders);
-                let notes = self.moves.update_orders(now, orders);
-                out.extend(notes.into_iter().map(Action::Log));
-            }
-            Event::Members(members) => {
-                self.mark_arrived(InputKind::Members);
-                self.members.set_listed(now, members);
-                self.update_quotas(now);
-                self.urgent = true;
-            }
+            Event::Orders(orders) => self.apply_orders(now, orders, out),
+            Event::Members(members) => self.apply_members(now, members),
             Event::Reach(reach) => {
                 self.set_reach(now, reach, out);
                 // That nothing is followed is what was decided here; it tells nothing of the
                 // store.
                 if reach != Reach::Nothing {
-                    self.outage.advance(now, OutageSignal::Reached);
+                    self.advance_outage(now, OutageSignal::Reached);
                     self.advance_source(now, SourceSignal::Reached, out);
                 }
             }
             Event::StoreLost => {
                 self.set_reach(now, Reach::Nothing, out);
-                self.outage.advance(now, OutageSignal::Lost);
+                self.record_loss(now);
                 self.advance_source(now, SourceSignal::Failed, out);
             }
+            Event::CheckMissed => {
+                self.store_missed = Some(now);
+                self.urgent = true;
+            }
             Event::ReplicaLost => {
                 self.set_reach(now, Reach::Nothing, out);
                 self.advance_source(now, SourceSignal::Failed, out);
@@ -281,13 +283,15 @@
             Event::ProbeAnswered => self.advance_source(now, SourceSignal::Probed, out),
             // The replica that is followed, if any, still reaches the store.
             Event::ProbeFailed if self.is_detached() => {
-                self.outage.advance(now, OutageSignal::Lost);
+                self.advance_outage(now, OutageSignal::Lost);
             }
             Event::ProbeFailed => (),
+            Event::Restored(era) => self.enter_era(now, era, out),
             Event::Seeds(seeds) => self.seeds = seeds,
             Event::Revisions { changed, known } => {
                 self.changed.merge(&changed);
                 self.known.merge(&known);
+                self.fleet.enter_era(self.known.era());
             }
             Event::Message(message) => self.receive_message(now, message, out),
             Event::Tick => self.sweep(now, out),
@@ -352,7 +356,7 @@
         })
     }
 
-    fn mark_arrived(&mut self, input: InputKind) {
+    pub(crate) fn mark_arrived(&mut self, input: InputKind) {
         self.missing.retain(|missing| *missing != input);
     }
 
@@ -379,16 +383,6 @@
         self.update_quotas(now);
     }
 
-    fn apply_evacuations(&mut self, domains: Vec<FailureDomain>, out: &mut Vec<Action>) {
-        self.mark_arrived(InputKind::Evacuations);
-        if !self.fleet.set_evacuated(&domains) {
-            return;
-        }
-        let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
-        let note = Note::new(Severity::Notable, "evacuations").with("domains", names.join(","));
-        out.push(Action::Log(note));
-    }
-
     pub(crate) fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Action>) {
         let (from, since) = self.reach;
         if from != reach {
@@ -474,6 +468,7 @@
         for change in self.fleet.take_changes() {
             if matches!(change.to, State::Leaving | State::Resigned) {
                 self.pending_failures.discard(&change.server);
+                self.recall(&change.server, out);
             }
             let note = Note::new(Severity::Notable, "server")
                 .with("server", &change.server)
--- a/crates/steer/tests/shortage.rs
+++ b/crates/steer/tests/shortage.rs
@@ -156,6 +156,7 @@
                         running: held.min(SLOTS) as u32,
                         waiting: held.saturating_sub(SLOTS) as u32,
                         slots: SLOTS as u32,
+                        stretch: None,
                     });
                     let outcome = Outcome::Answered { status: 200, load };
                     Event::AttemptEnded { id, outcome }
@@ -329,6 +330,7 @@
         running: 1,
         waiting: 0,
         slots: SLOTS as u32,
+        stretch: None,
     });
     let mut turned = 0;
     for object in 0..200 {
@@ -355,6 +357,7 @@
             running,
             waiting: 0,
             slots: SLOTS as u32,
+            stretch: None,
         })
     };
     let id = rig.request("/bids/1", Some(5));
