steer: callers of a lasting shortage come back as soon as before

The test of long delays is replaced by one of what such a caller needs, a return within the slack of its objective.

--- a/crates/steer/src/claim.rs
+++ b/crates/steer/src/claim.rs
@@ -98,8 +98,6 @@
     pub(crate) work: Duration,
     /// Requests of the service that run for this instance.
     pub(crate) running: usize,
-    /// Whether its time limit lies well beyond its objective.
-    pub(crate) patient: bool,
     /// Whether it may wait beyond an eighth of its objective.
     pub(crate) may_wait: bool,
     /// Whether its caller was told to come back and did.
--- a/crates/steer/src/shortage.rs
+++ b/crates/steer/src/shortage.rs
@@ -4,6 +4,7 @@
 //! A [`Line`] measures how fast its requests start. A request waits while that leaves time
 //! for its work; the one whose delay loses most worth for each slot-second starts first.
 
+use std::cmp::Ordering;
 use std::cmp::Reverse;
 use std::time::Duration;
 
@@ -184,7 +185,7 @@
                 .then(a.2.cmp(&b.2))
         });
         let mut ids: Vec<RequestId> = rows.iter().map(|row| row.2 .2).collect();
-        if (self.starts + 1) % STARTS_PER_OLDEST == 0 {
+        if (self.starts + 1).is_multiple_of(STARTS_PER_OLDEST) {
             let highest = self.claims.iter().map(|claim| claim.priority).min();
             let is_highest = |claim: &Claim| Some(claim.priority) == highest;
             let is_late = |claim: &Claim| claim.kind(now) == Kind::Late;
@@ -244,7 +245,8 @@
         draw: f64,
     ) -> Duration {
         let blind = claim.target.mul_f64(RETRY_SHARE);
-        if !claim.patient {
+        // Where a shortage lasts, a later return is no better and can't be in time.
+        if !claim.may_wait {
             return blind;
         }
         self.returns.retain(|told| now < told.due + RETURN_WINDOW);
@@ -340,11 +342,10 @@
         let own = (self.is_ahead(claim, least), claim.worth_rate(now));
         let last = claim.latest(claim.kind(now));
         let before = |other: &&Claim| {
-            let theirs = (self.is_ahead(other, least), other.worth_rate(now));
-            let earlier = other.latest(other.kind(now)) < last;
-            other.id != claim.id
-                && (theirs.0 < own.0
-                    || (theirs.0 == own.0 && (theirs.1 > own.1 || (theirs.1 >= own.1 && earlier))))
+            let order = self.is_ahead(other, least).cmp(&own.0);
+            let order = order.then(own.1.total_cmp(&other.worth_rate(now)));
+            let order = order.then(other.latest(other.kind(now)).cmp(&last));
+            other.id != claim.id && order == Ordering::Less
         };
         self.claims.iter().filter(before).count()
     }
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -183,7 +183,6 @@
             deadline: open.deadline,
             work: Duration::from_secs_f64(work / 1_000.0),
             running: self.fleet.running(&open.service),
-            patient: is_patient(open),
             may_wait: self.objective_left(now, open).is_some(),
             returned: open.returned,
         })
