--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -77,6 +77,10 @@
 
 /// The state of one instance, sent once a second and after important changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a field of the message"
+)]
 pub struct Digest {
     /// The instance.
     #[serde(rename = "i")]
@@ -99,12 +103,15 @@
     /// Whether the instance does not keep up with its work.
     #[serde(rename = "l", default)]
     pub late: bool,
+    /// Whether the store recently did not answer one of the instance's own calls.
+    #[serde(rename = "o", default)]
+    pub doubts_store: bool,
     /// Always 0: instances of earlier builds require the field, which held one
     /// revision for all kinds.
     #[serde(rename = "v")]
     pub legacy_revision: u64,
     /// The latest change of each kind of input that the instance has observed.
-    #[serde(rename = "u", default)]
+    #[serde(flatten)]
     pub changed: Revisions,
     /// Requests per second that the instance receives, with and without a
     /// client account.
@@ -150,7 +157,7 @@
     #[serde(rename = "v")]
     pub legacy_revision: u64,
     /// The latest change of each kind of input that one of the instances has observed.
-    #[serde(rename = "u", default)]
+    #[serde(flatten)]
     pub changed: Revisions,
     /// Requests per second that the instances receive together.
     #[serde(rename = "q")]
@@ -186,6 +193,9 @@
 /// The flag of an instance that does not keep up with its work.
 const FLAG_LATE: u8 = 8;
 
+/// The flag of an instance that the store recently did not answer.
+const FLAG_DOUBTS: u8 = 16;
+
 /// The report on one version move, by one instance or merged over a failure
 /// domain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -262,7 +272,8 @@
         let flags = flag(digest.ready && !leaves, FLAG_SERVING)
             | flag(digest.reaches_store, FLAG_STORE)
             | flag(leaves, FLAG_LEAVING)
-            | flag(digest.late, FLAG_LATE);
+            | flag(digest.late, FLAG_LATE)
+            | flag(digest.doubts_store, FLAG_DOUBTS);
         Self(hash, digest.sequence, flags)
     }
 
@@ -291,6 +302,11 @@
         self.2 & FLAG_LATE != 0
     }
 
+    /// Returns whether the store recently did not answer the instance.
+    pub fn doubts_store(self) -> bool {
+        self.2 & FLAG_DOUBTS != 0
+    }
+
     /// Returns whether the instance is stopping.
     pub fn is_leaving(self) -> bool {
         self.2 & FLAG_LEAVING != 0
--- a/crates/steer/tests/faults.rs
+++ b/crates/steer/tests/faults.rs
@@ -139,6 +139,7 @@
             running: self.rng.random_range(0..5),
             waiting: self.rng.random_range(0..3),
             slots: 4,
+            stretch: None,
         });
         let outcome = match self.rng.random_range(0..10) {
             0..4 => Outcome::Answered { status: 200, load },
@@ -152,7 +153,9 @@
         if let Some(observed) = self.observed.get_mut(&id) {
             observed.sent = false;
             match outcome {
-                Outcome::Unreachable | Outcome::NotSent => observed.attempts -= 1,
+                Outcome::Unreachable | Outcome::NotSent | Outcome::Outdated => {
+                    observed.attempts -= 1;
+                }
                 Outcome::Full { .. } | Outcome::Misdirected => (),
                 Outcome::Answered { .. } | Outcome::Broken | Outcome::TimedOut => {
                     observed.may_have_run = true;
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -107,6 +107,7 @@
         running: 4,
         waiting: 9,
         slots: 4,
+        stretch: None,
     };
     let mut owner = None;
     for _ in 0..12 {
@@ -188,7 +189,7 @@
     listed.truncate(1);
     let mut again = listed.remove(0);
     again.started_ms -= 500;
-    again.revision += 1;
+    again.revision = again.revision.next();
     rig.step(Event::Servers(vec![ServerChange::Put(again)]));
     rig.pass(Duration::from_secs(4));
     let id = rig.request("/bids/1", Some(5));
