--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -10,6 +10,9 @@
         /// Runs on the platform; its settings file is the one given, or the one that
         /// the environment names.
         optional --platform
+        /// On the platform: lets requests wait for room beyond an eighth of their objective,
+        /// where the shortage can pass.
+        optional --long-waits
         /// Checks the settings file and ends.
         optional --check
         /// Prints the version and ends.
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -10,12 +10,10 @@
 use corianderway_model::Service;
 use corianderway_model::Time;
 use corianderway_model::Version;
-use rand::Rng as _;
 
 use crate::choice::FullCause;
 use crate::digest::ServerTimes;
 use crate::event::Action;
-use crate::event::Load;
 use crate::event::Outcome;
 use crate::event::RequestId;
 use crate::evidence::RequestResult;
@@ -34,6 +32,9 @@
 use crate::service_time::Warmth;
 use crate::steer::Steer;
 
+/// Time for which a server that reported itself full receives no requests.
+const FULL_BACKOFF: Duration = Duration::from_millis(40);
+
 /// Factor over the typical time from which an answer counts as slow.
 const SLOW_FACTOR: f64 = 1.5;
 
@@ -41,10 +42,6 @@
 /// requests may wait at a backend server.
 const TOLERATED_WAIT_SHARE: f64 = 0.4;
 
-/// Least retry delay, as a share of the target latency, of a request that a server turned away
-/// although it had room.
-const ROOM_RETRY_SHARE: f64 = 0.03;
-
 /// Lowest HTTP status that counts as a failure of the backend server.
 const ERROR_STATUS: u16 = 500;
 
@@ -144,7 +141,7 @@
         };
         let safe = !ran || open.is_idempotent();
         let quarantined = self.crashes.is_quarantined(open.query.signature);
-        let attempts = open.tried.len() as u32 + open.turned_away;
+        let attempts = open.tried.len() as u32;
         // An attempt that sent nothing doesn't use the retry budget, and
         // may exceed the route's attempts up to twice their number.
         let unsent = matches!(outcome, Outcome::Unreachable | Outcome::Outdated);
@@ -157,16 +154,7 @@
             return true;
         }
         let not_run = !ran && open.possible_runs == 0;
-        let has_room = matches!(outcome, Outcome::Full { load: Some(load) } if load.has_room());
-        let delay = not_run.then(|| {
-            if has_room {
-                // Another server has room at once, and the answer can still be in time.
-                let spread = 1.0 + self.rng.random::<f64>();
-                open.route.target_latency.mul_f64(ROOM_RETRY_SHARE * spread)
-            } else {
-                self.retry_after(now, open)
-            }
-        });
+        let delay = not_run.then(|| self.retry_after(now, open));
         let refusal = open.refusal_for(reason);
         open.refusal = Some(delay.map_or(refusal, |delay| refusal.with_retry_after(delay)));
         false
@@ -221,7 +209,7 @@
         } = attempt;
         let ended = self.fleet.end(now, &server, open.query.id);
         let (took, expected) = ended.unwrap_or((0.0, 1.0));
-        let outcome = open.take_outcome();
+        let outcome = self.take_outcome(open);
         let object = open.query.object.filter(|_| open.route.sticky);
         let target_latency = millis(open.route.target_latency);
         let name_hash = hash::short(server.as_str());
@@ -259,11 +247,8 @@
                 }
             }
             Outcome::Full { load } => {
-                if load.is_some_and(Load::has_room) && open.tried.pop().is_some() {
-                    open.turned_away += 1;
-                }
                 self.fleet.record_load(now, &server, load, tolerated);
-                self.fleet.turned_away(now, &server, load);
+                self.fleet.mark_full(now, &server, FULL_BACKOFF);
             }
             Outcome::Misdirected => self.fleet.mark_misdirected(now, &server),
             Outcome::Unreachable => {
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -42,10 +42,6 @@
 /// the state of an object that another server has cached.
 const IDLE_SHARE: f64 = 0.5;
 
-/// By how much a server's share of sends that it turns away although it has room may exceed
-/// the mean of its service's servers. If all do so alike, it makes no difference.
-const MAX_TURNED_AWAY_EXCESS: f64 = 0.3;
-
 /// Share of its slots up to which a server runs requests that can only be late, so that those
 /// of other instances that can be in time find a free one.
 const DEFERRED_SHARE: f64 = 0.5;
@@ -220,12 +216,7 @@
             .filter(|server| self.is_available(now, server))
             .collect();
         let object = criteria.object;
-        // The objects of servers that turn away more than others have other owners meanwhile.
-        let turned_away = willing.iter().map(|server| server.turned_away(now));
-        let usual = turned_away.sum::<f64>() / willing.len().max(1) as f64;
-        let mut accepting = willing.clone();
-        accepting.retain(|server| server.turned_away(now) < usual + MAX_TURNED_AWAY_EXCESS);
-        let owner = object.and_then(|o| criteria.placement.owner(&accepting, o, self.region()));
+        let owner = object.and_then(|o| criteria.placement.owner(&willing, o, self.region()));
         let target_latency = millis(criteria.route.target_latency);
         let choices = available
             .iter()
@@ -241,7 +232,7 @@
         });
         // A run that first builds the state of an object takes several times the room and drops
         // other objects. One that is late for it anyway waits for the owner.
-        let owner_serves = accepting
+        let owner_serves = willing
             .iter()
             .any(|server| owner == Some(server.hash) && server.state == State::Serving);
         let objective_left = criteria.objective_left.filter(|_| owner_serves);
@@ -364,9 +355,8 @@
             .service_times
             .typical(&criteria.route.name, target_latency, warmth);
         let typical = comparable.then_some(typical);
-        let refusing = server.failure_rate() + server.turned_away(now);
-        let penalty =
-            refusing * target_latency + server.overdue(now) + load_penalty - owner_benefit;
+        let penalty = server.failure_rate() * target_latency + server.overdue(now) + load_penalty
+            - owner_benefit;
         Choice {
             server: backend.id.clone(),
             warmth,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -23,6 +23,7 @@
 use crate::refusal::Refusal;
 use crate::revisions::Revisions;
 use crate::source::Source;
+use crate::usage::AttemptCount;
 
 /// The number of a request within one run of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -108,13 +109,6 @@
     pub stretch: Option<u32>,
 }
 
-impl Load {
-    /// Returns whether a slot is free.
-    pub(crate) const fn has_room(self) -> bool {
-        self.running < self.slots && self.waiting == 0
-    }
-}
-
 /// What a backend server says of itself with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerNotice {
@@ -297,6 +291,8 @@
     Reread,
     /// Remove the entry of a lost instance from the store.
     RemoveEntry(Member),
+    /// Count attempts for the usage reports.
+    CountAttempts(Vec<AttemptCount>),
     /// Write a log line.
     Log(Note),
 }
--- a/crates/steer/src/room.rs
+++ b/crates/steer/src/room.rs
@@ -6,12 +6,8 @@
 use corianderway_model::Service;
 use corianderway_model::Time;
 
-use crate::event::Load;
 use crate::fleet::Fleet;
 
-/// Time for which a server that reported itself full receives no requests.
-const FULL_BACKOFF: Duration = Duration::from_millis(40);
-
 impl Fleet {
     /// Returns whether this instance knows a server that has the state of the object.
     pub(crate) fn is_prepared(&self, service: &Service, object: u64) -> bool {
@@ -31,15 +27,10 @@
         servers.map(|server| server.active() as usize).sum()
     }
 
-    /// Records that a server turned a request away, with the load that it reported.
-    pub(crate) fn turned_away(&mut self, now: Time, id: &ServerId, load: Option<Load>) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        if load.is_some_and(Load::has_room) {
-            server.record_turned_away(now, true);
-        } else {
-            server.mark_full(now, FULL_BACKOFF);
+    /// Records that a server had no room.
+    pub(crate) fn mark_full(&mut self, now: Time, id: &ServerId, span: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.mark_full(now, span);
             server.shrink_window(now);
         }
     }
--- a/crates/steer/src/waiting.rs
+++ b/crates/steer/src/waiting.rs
@@ -195,8 +195,9 @@
 
     /// Returns the time left to the objective of a request that may wait beyond it.
     pub(crate) fn objective_left(&self, now: Time, open: &OpenRequest) -> Option<Duration> {
-        let is_patient =
-            is_patient(open) && shortage::is_passing(self.fleet.utilization(&open.service));
+        let is_patient = self.bounds.long_waits
+            && is_patient(open)
+            && shortage::is_passing(self.fleet.utilization(&open.service));
         is_patient.then(|| (open.received + open.route.target_latency).since(now))
     }
 
