--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -58,7 +58,7 @@
         return ExitCode::SUCCESS;
     }
     if args.platform {
-        return run_on_platform(args.settings, args.check);
+        return run_on_platform(args.settings, args.check, args.long_waits);
     }
     let Some(file) = args.settings else {
         eprintln!("error: no settings; give --settings FILE or --platform");
@@ -75,13 +75,13 @@
     daemon::run(&settings).unwrap_or_else(|error| fail(&error, EXIT_START))
 }
 
-fn run_on_platform(file: Option<PathBuf>, check: bool) -> ExitCode {
+fn run_on_platform(file: Option<PathBuf>, check: bool, long_waits: bool) -> ExitCode {
     let given = file.map(|file| file.to_string_lossy().into_owned());
     let Some(file) = given.or_else(|| std::env::var(SETTINGS_PATH_VAR).ok()) else {
         eprintln!("error: no settings; set {SETTINGS_PATH_VAR} to the path of the settings file");
         return ExitCode::from(EXIT_USAGE);
     };
-    let settings = match PlatformSettings::load(&file, rand::random()) {
+    let mut settings = match PlatformSettings::load(&file, rand::random()) {
         Ok(settings) => settings,
         Err(error) => return fail(&error, EXIT_USAGE),
     };
@@ -89,6 +89,7 @@
         println!("{file}: ok");
         return ExitCode::SUCCESS;
     }
+    settings.bounds.long_waits = long_waits;
     edge::run(&file, settings).unwrap_or_else(|error| fail(&error, EXIT_START))
 }
 
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -153,7 +153,8 @@
         if permitted && (unsent || self.budget(&service).try_take(now)) {
             return true;
         }
-        let delay = (!ran && open.possible_runs == 0).then(|| Self::retry_after(open));
+        let not_run = !ran && open.possible_runs == 0;
+        let delay = not_run.then(|| self.retry_after(now, open));
         let refusal = open.refusal_for(reason);
         open.refusal = Some(delay.map_or(refusal, |delay| refusal.with_retry_after(delay)));
         false
@@ -177,8 +178,14 @@
             Effect::Cancel => out.push(Action::Cancel(open.query.id)),
             Effect::EndAttempt => self.end_attempt(now, open, out),
             Effect::Deliver => self.deliver(now, open, out),
-            Effect::Refuse => self.refuse(now, open, out),
-            Effect::Release => out.push(Action::Release(open.query.id)),
+            Effect::Refuse => {
+                self.queues.remove(&open.service, open.query.id);
+                self.refuse(now, open, out);
+            }
+            Effect::Release => {
+                self.queues.remove(&open.service, open.query.id);
+                out.push(Action::Release(open.query.id));
+            }
             Effect::LogDeparture => {
                 let held = now.since(open.received).as_millis();
                 let note = self.note(Severity::Routine, "left", open);
@@ -327,7 +334,7 @@
         out.push(Action::Deliver(open.query.id));
     }
 
-    fn refuse(&self, now: Time, open: &OpenRequest, out: &mut Vec<Action>) {
+    fn refuse(&mut self, now: Time, open: &OpenRequest, out: &mut Vec<Action>) {
         // A backend server's failure answer tells the caller more than a
         // refusal.
         if open.answered {
@@ -338,7 +345,7 @@
         // The reason may have been set before the attempt ended.
         refusal.may_have_run |= open.possible_runs > 0;
         let refusal = if refusal.status() == 503 && refusal.retry_after.is_none() {
-            refusal.with_retry_after(Self::retry_after(open))
+            refusal.with_retry_after(self.retry_after(now, open))
         } else {
             refusal
         };
--- a/crates/steer/src/bounds.rs
+++ b/crates/steer/src/bounds.rs
@@ -28,6 +28,9 @@
     pub shift_most: f64,
     /// Whether attempts are counted for reports on the client accounts' usage.
     pub count_attempts: bool,
+    /// Whether requests may wait for room beyond an eighth of their objective, where the
+    /// shortage can pass.
+    pub long_waits: bool,
 }
 
 /// The interval over which the fractions of shifted requests are compared.
@@ -46,6 +49,7 @@
             advice_most: Duration::from_secs(5),
             shift_most: 0.15,
             count_attempts: false,
+            long_waits: false,
         }
     }
 }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -85,7 +85,7 @@
 pub(crate) struct Fleet {
     this_instance: Neighbour,
     chart: ServerChart,
-    servers: SortedMap<ServerId, Server>,
+    pub(crate) servers: SortedMap<ServerId, Server>,
     services: SortedMap<Service, Vec<ServerId>>,
     terms: SortedMap<Service, ServiceTerms>,
     placements: SortedMap<Service, Placement>,
@@ -420,14 +420,6 @@
         self.signal(now, id, Signal::Failed, "failures");
     }
 
-    /// Records that a server had no room.
-    pub(crate) fn mark_full(&mut self, now: Time, id: &ServerId, span: Duration) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.mark_full(now, span);
-            server.shrink_window(now);
-        }
-    }
-
     /// Applies what a start of a server says with an answer.
     pub(crate) fn apply_notice(
         &mut self,
