--- a/crates/daemon/src/prioritized.rs
+++ b/crates/daemon/src/prioritized.rs
@@ -23,7 +23,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if one of the rings is closed and nothing else is to be received.
+    /// Returns an error if the urgent ring is closed and empty, or if the ordinary one is and
+    /// the urgent one is empty.
     pub async fn next(&self) -> Result<T, RecvError> {
         if let Ok(input) = self.urgent.try_recv() {
             return Ok(input);
--- a/crates/steer/src/machine_speed.rs
+++ b/crates/steer/src/machine_speed.rs
@@ -8,8 +8,7 @@
 
 use corianderway_model::Time;
 
-/// The upper limits of the ages for which the remaining part is learnt; older statements count
-/// as the last one.
+/// The upper limits of the ages for each of which the remaining part is learnt.
 const AGE_LIMITS: [Duration; 5] = [
     Duration::from_millis(100),
     Duration::from_millis(200),
