Review case 8: a planned stop breaks off filings at work (LOST)

Shows that with grace_s 10 an instance takes filings until 5 s after the SIGTERM and gives those that are at work at 9.5 s an answer of its own, 504, though they were sent later than 3 s after the SIGTERM and had time left.

Command: review/8/run.sh.

--- a/review/standin-2/stop.rs
+++ b/review/standin-2/stop.rs
@@ -28,7 +28,7 @@
 /// One filing in four takes long.
 fn work(number: u64) -> Duration {
     let is_long = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 62 == 0;
-    Duration::from_millis(if is_long { 7_000 } else { 1_500 })
+    Duration::from_millis(if is_long { 7_000 } else { 1_000 })
 }
 
 pub fn play(case: &Case) -> Verdict {
@@ -79,7 +79,7 @@
         .collect();
     instance::start_all(&instances);
     thread::sleep(Duration::from_secs(3));
-    let places: Vec<_> = (0..48).map(|at| zones[at % 3]).collect();
+    let places: Vec<_> = (0..64).map(|at| zones[at % 3]).collect();
     let group = Clients::start(record, &instances, &places, |number| Habit {
         method: "POST",
         prefix: "/transfers/",
