--- a/crates/daemon/src/edge/watch.rs
+++ b/crates/daemon/src/edge/watch.rs
@@ -4,6 +4,7 @@
 //! published to the decision duty.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
@@ -12,6 +13,8 @@
 use corianderway_platform::store::Call;
 use corianderway_platform::store::Consistency;
 use corianderway_platform::store::Kind;
+use corianderway_platform::store::Object;
+use corianderway_platform::store::Page;
 use futures_lite::future::FutureExt as _;
 
 use crate::edge::learnt::Origin;
@@ -47,6 +50,9 @@
 /// 2.5 s after which a draining server must get no new requests.
 const MAX_GATHER_DELAY: Duration = Duration::from_millis(500);
 
+/// The maximum number of pages of a list, so that listing ends whatever the store answers.
+const MAX_PAGES: usize = 1_024;
+
 /// Why a kind could not be listed or watched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum FetchError {
@@ -141,18 +147,17 @@
 ///
 /// # Errors
 ///
-/// Fails if the store doesn't answer, a page can't be decoded, or the store was silent
-/// meanwhile.
+/// Fails if the store doesn't answer, a page can't be decoded, the pages have no end, or the
+/// store was silent meanwhile.
 pub(super) async fn list(
     ctx: &Rc<Context>,
     kind: Kind,
     reading: Consistency,
 ) -> Result<(), FetchError> {
-    let mut objects = Vec::new();
-    let mut after = None;
+    let mut pages = ListedPages::default();
     let mut revision: Option<Revision> = None;
     loop {
-        let call = Call::list(kind, after.as_deref(), reading);
+        let call = Call::list(kind, pages.after.as_deref(), reading);
         let reply = send_checked(ctx, kind, &call, ANSWER_TIMEOUT).await?;
         if revision.is_some_and(|first| first.era != reply.era) {
             return Err(FetchError::Outdated);
@@ -162,18 +167,47 @@
         for error in &page.malformed {
             log_event(ctx, "object-unread", kind, error);
         }
-        objects.extend(page.objects);
         // The first page's revision counts, so that the watch reports what
         // changed while later pages were read.
         let first = *revision.get_or_insert(page.revision);
-        if page.next.is_none() {
-            let changes = ctx.replace(kind, Origin::List, objects, first);
+        if pages.add(page)? {
+            let changes = ctx.replace(kind, Origin::List, pages.objects, first);
             // Published also if empty: the decisions then know that nothing is
             // listed.
             publish(ctx, kind, &changes).await;
             return Ok(());
         }
-        after = page.next;
+    }
+}
+
+/// The pages of a list that were read so far.
+#[derive(Debug, Default)]
+struct ListedPages {
+    objects: Vec<Object>,
+    // The name after which the next page begins.
+    after: Option<Arc<str>>,
+    // The names after which the pages so far began, sorted.
+    begun: Vec<Arc<str>>,
+}
+
+impl ListedPages {
+    // Adds a page. Returns true if it is the last one, and fails if the list is endless.
+    fn add(&mut self, page: Page) -> Result<bool, FetchError> {
+        self.objects.extend(page.objects);
+        let Some(next) = page.next else {
+            return Ok(true);
+        };
+        let Err(at) = self.begun.binary_search(&next) else {
+            let why = format!("a page after {next:?} was listed already");
+            return Err(FetchError::Unanswered(why));
+        };
+        if self.begun.len() == MAX_PAGES {
+            let why = format!("more than {MAX_PAGES} pages");
+            return Err(FetchError::Unanswered(why));
+        }
+        self.begun.insert(at, Arc::clone(&next));
+        self.after = Some(next);
+        Ok(false)
     }
 }
 
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -317,6 +317,12 @@
 async fn respond(mut request: Request, addr: SocketAddr, store: &Store) -> Response {
     let body: Value = request.body_json().await.unwrap_or(Value::Null);
     let url = request.url().clone();
+    if [url.path(), url.query().unwrap_or_default()]
+        .into_iter()
+        .any(has_bad_escape)
+    {
+        return status(400);
+    }
     let query = |name: &str| {
         let mut pairs = url.query_pairs();
         pairs.find(|(n, _)| n == name).map(|(_, v)| v.into_owned())
@@ -363,6 +369,15 @@
     }
 }
 
+// Returns whether a percent sign is not followed by two hexadecimal digits.
+fn has_bad_escape(text: &str) -> bool {
+    let mut rests = text.split('%').skip(1);
+    rests.any(|rest| {
+        let digits = rest.as_bytes().iter().take(2);
+        digits.filter(|byte| byte.is_ascii_hexdigit()).count() < 2
+    })
+}
+
 fn list(store: &Store, kind: &str, after: Option<&str>) -> Response {
     let shared = store.lock();
     let of_kind = shared.objects.iter().filter(|(key, _)| key.0 == kind);
