edge: refuse answers without the request's id, and unsigned successes

Cause: an answer without Request-Id was refused only on a connection on which something had been answered before, and nothing looked whether a success bears the endpoint's Server-Stamp.

The new test an_answer_without_id_or_signature_is_not_passed_on failed with the former edge/exchange.rs (status 200 "starting", expected 502) and passes now; the other 6 tests of garbled.rs and the 5 of grace.rs pass.

Why it works: endpoints echo the id of each request and sign each success, so bytes without them are no answer on any connection. The attempt counts as broken: it is repeated elsewhere if it may run twice, and ends with 502 otherwise. A 503 with Not-Run and a 421 without the id no longer prove that a request has not run.

tests/grace.rs: its stand-in signs its success, as endpoints do; what is asserted is unchanged.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -405,7 +405,18 @@
             continue;
         }
         progress.status.set(Some(head.status));
-        if other || (named.is_none() && (!is_new || skipped_late)) {
+        if other {
+            return None;
+        }
+        // Servers echo the id. Only the answer to a request without one bears none, which is
+        // the first on its connection.
+        let is_first = is_new && !skipped_late && job.outbound.trace().is_empty();
+        if named.is_none() && !is_first {
+            progress.fault.set(Some("no request id"));
+            return None;
+        }
+        if head.unsigned {
+            progress.fault.set(Some("success without a signature"));
             return None;
         }
         let server_keeps = head.keep_alive.unwrap_or(DEFAULT_KEEP_TIME + KEEP_MARGIN);
--- a/crates/daemon/tests/garbled.rs
+++ b/crates/daemon/tests/garbled.rs
@@ -416,6 +416,60 @@
     });
 }
 
+// Bytes with the form of an answer that no backend server sends for the request.
+fn strangers(heard: &ReceivedRequest) -> Vec<(&'static str, String)> {
+    let id = format!("Request-Id: {}\r\n", heard.id);
+    let with = |status: &str, headers: &str| {
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 8\r\n\r\nstarting")
+    };
+    vec![
+        ("neither id nor signature", with("200 OK", "")),
+        ("no id", with("200 OK", "Server-Stamp: s\r\n")),
+        ("no signature", with("200 OK", &id)),
+        ("201 without signature", with("201 Created", &id)),
+        ("500 without id", with("500 Odd", "")),
+        ("503 without id", with("503 Odd", "Not-Run: 1\r\n")),
+        ("421 without id", with("421 Odd", "Instance-Id: i-9\r\n")),
+        (
+            "body until the end",
+            "HTTP/1.1 200 OK\r\n\r\nstarting".to_owned(),
+        ),
+    ]
+}
+
+// Guards against what a program sends in place of a backend server that isn't up yet: callers
+// got it as the success of their requests (MIXED), if it was the first answer on a connection.
+#[test]
+fn an_answer_without_id_or_signature_is_not_passed_on() {
+    for (kind, _) in strangers(&ReceivedRequest::default()) {
+        let script = move |heard: &ReceivedRequest| {
+            let bytes = strangers(heard).into_iter().find(|row| row.0 == kind);
+            let bytes = bytes.expect("a kind").1.into_bytes();
+            vec![Step::Write(bytes), Step::Close]
+        };
+        let fleet = Fleet::start(script);
+        let reply = fleet.ask("/once/0", "o-1").expect("an answer");
+        assert_eq!(reply.status, 502, "{kind}: {}", reply.text());
+        assert!(reply.text().contains("may-have-run"), "{kind}");
+        drop(fleet);
+        // A request that may run twice is sent to another server.
+        let sound = Scripted::start(|heard| vec![Step::Write(complete_answer(heard))]);
+        let fleet = Fleet::start_beside(Some(&sound), script);
+        let mut number = 0;
+        fleet.until("a request at the odd server", || {
+            number += 1;
+            let reply = fleet.ask("/again/0", &format!("a-{number}"))?;
+            let text = reply.text();
+            assert_eq!(
+                (reply.status, &*text),
+                (200, "answer to /again/0"),
+                "{kind}"
+            );
+            (!fleet.endpoint.heard().is_empty()).then_some(())
+        });
+    }
+}
+
 #[test]
 fn a_request_that_got_no_answer_is_sent_to_another_server_if_it_may_run_twice() {
     for kind in ["status 000", "status 101", "status 600", "no head at all"] {
--- a/crates/daemon/tests/grace.rs
+++ b/crates/daemon/tests/grace.rs
@@ -209,7 +209,8 @@
 fn a_stop_waits_for_a_caller_that_still_reads() {
     let endpoint = Scripted::start(|heard: &ReceivedRequest| {
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: s\r\n\
+             Content-Length: {LARGE_BODY_BYTES}\r\n\r\n",
             heard.id
         );
         let body = vec![b'x'; LARGE_BODY_BYTES];
--- a/crates/standins/src/estate/scripted.rs
+++ b/crates/standins/src/estate/scripted.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// A received request; only [`Step::Read`] reads its body.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReceivedRequest {
     /// The index of the connection, from zero.
     pub connection: usize,
