steer: servers of a readmitted failure domain count as cold

Cause: the end of an evacuation changed nothing for the domain's servers, though they may have become cold in it and report that only later.

Why it works: whoever became cold before the take-back is warm again a cold period after it, whenever an instance learns of it.

--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -255,10 +255,22 @@
 
     /// Sets the failure domains that receive no requests. Returns false if they
     /// are unchanged.
-    pub(crate) fn set_evacuated(&mut self, domains: &[FailureDomain]) -> bool {
-        let changed = self.evacuated != domains;
-        self.evacuated = domains.to_vec();
-        changed
+    ///
+    /// The servers of a domain that receives requests again count as cold: they may have
+    /// become so during the evacuation, and report it only later.
+    pub(crate) fn set_evacuated(&mut self, now: Time, domains: &[FailureDomain]) -> bool {
+        if self.evacuated == domains {
+            return false;
+        }
+        let before = std::mem::replace(&mut self.evacuated, domains.to_vec());
+        let is_readmitted = |domain| before.contains(domain) && !domains.contains(domain);
+        let readmitted = self.servers.iter().filter_map(|(id, server)| {
+            is_readmitted(&server.listed.backend.domain).then(|| id.clone())
+        });
+        for id in readmitted.collect::<Vec<_>>() {
+            self.signal(now, &id, Signal::Readmitted, "evacuation-ended");
+        }
+        true
     }
 
     /// Returns the failure domains that receive no requests.
--- a/crates/steer/src/restored.rs
+++ b/crates/steer/src/restored.rs
@@ -47,6 +47,7 @@
     /// Applies the list of evacuated failure domains.
     pub(crate) fn apply_evacuations(
         &mut self,
+        now: Time,
         mut domains: Vec<FailureDomain>,
         out: &mut Vec<Action>,
     ) {
@@ -58,7 +59,7 @@
             let kept: Vec<FailureDomain> = kept.cloned().collect();
             domains.extend(kept);
         }
-        if !self.fleet.set_evacuated(&domains) {
+        if !self.fleet.set_evacuated(now, &domains) {
             return;
         }
         let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
@@ -103,7 +104,7 @@
         let note = Note::new(Severity::Notable, "store-settled").with("era", self.known.era());
         out.push(Action::Log(note));
         if let Some(domains) = lists.evacuated {
-            self.apply_evacuations(domains, out);
+            self.apply_evacuations(now, domains, out);
         }
         if let Some(orders) = lists.orders {
             self.apply_orders(now, orders, out);
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -93,6 +93,8 @@
 pub(crate) enum Signal {
     /// The server reports that it is cold.
     ReportedCold,
+    /// The evacuation of the server's failure domain has ended.
+    Readmitted,
     /// The server's entry is listed again, or its address or presence has
     /// changed.
     Listed,
@@ -128,6 +130,8 @@
     /// Begins a cold period. Until the server answers, one more failed connection attempt
     /// ejects it again.
     BeginCold,
+    /// Begins a cold period, since the server's last report may be older than its last one.
+    AssumeCold,
     /// Resets the counts of failed connection attempts and of ejections.
     ClearFailures,
 }
@@ -211,7 +215,7 @@
     /// Applies an event to the chart.
     ///
     /// `dispensable` says whether the service's other servers suffice without
-    /// this one; `cold` is the length of the cold period after an ejection.
+    /// this one; `cold` is the length of a cold period that the server hasn't reported.
     pub(crate) fn advance(
         &mut self,
         chart: &ServerChart,
@@ -241,6 +245,7 @@
                     self.connect_failures = CONNECT_FAILURES_TO_EJECT - 1;
                     self.failure_rate = MAX_FAILURE_RATE / 2.0;
                 }
+                Effect::AssumeCold => self.cold_until = self.cold_until.max(now + cold),
                 Effect::ClearFailures => {
                     self.connect_failures = 0;
                     self.ejections = 0;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -258,7 +258,7 @@
                 }
                 self.retry_all_waiting(now, out);
             }
-            Event::Evacuated(domains) => self.apply_evacuations(domains, out),
+            Event::Evacuated(domains) => self.apply_evacuations(now, domains, out),
             Event::Orders(orders) => self.apply_orders(now, orders, out),
             Event::Members(members) => self.apply_members(now, members),
             Event::Reach(reach) => {
