--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -415,7 +415,7 @@
             progress.fault.set(Some("no request id"));
             return None;
         }
-        if head.unsigned {
+        if head.is_unsigned_success() {
             progress.fault.set(Some("success without a signature"));
             return None;
         }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -264,10 +264,10 @@
         }
         let before = std::mem::replace(&mut self.evacuated, domains.to_vec());
         let is_readmitted = |domain| before.contains(domain) && !domains.contains(domain);
-        let readmitted = self.servers.iter().filter_map(|(id, server)| {
-            is_readmitted(&server.listed.backend.domain).then(|| id.clone())
-        });
-        for id in readmitted.collect::<Vec<_>>() {
+        let servers = self.servers.iter();
+        let readmitted = servers.filter(|row| is_readmitted(&row.1.listed.backend.domain));
+        let readmitted: Vec<ServerId> = readmitted.map(|row| row.0.clone()).collect();
+        for id in readmitted {
             self.signal(now, &id, Signal::Readmitted, "evacuation-ended");
         }
         true
