edge: an address in use at the start doesn't end the process

Processes ended by themselves at their start (FAULT). Reproduced: of three instances at one address, with ports of their own for all that the settings name, two ended with exit 1, "metrics: ...:9464: Address already in use". An instance that starts while its predecessor ends did the same.

Cause: each address, that of the metrics included, had to be free at the moment of the start.

Whether this is what the users saw isn't known: they kept no logs.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -18,6 +18,7 @@
 mod incoming;
 mod learnt;
 mod limits;
+mod listeners;
 mod metrics;
 mod notifier;
 mod outgoing;
@@ -34,8 +35,6 @@
 mod writes;
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -51,7 +50,6 @@
 
 use crate::clock::Clock;
 use crate::daemon::DutySnafu;
-use crate::daemon::ListenSnafu;
 use crate::daemon::LoggerSnafu;
 use crate::daemon::MetricsSnafu;
 use crate::daemon::StartError;
@@ -64,7 +62,7 @@
 use crate::edge::decisions::Outputs;
 use crate::edge::decisions::SharedState;
 use crate::edge::duties::Rings;
-use crate::edge::http_ports::HttpPort;
+use crate::edge::listeners::Listeners;
 use crate::edge::metrics::Instruments;
 use crate::edge::peers::Recipients;
 use crate::edge::signals::SignalHandler;
@@ -99,13 +97,13 @@
 // Starts all duties and waits for the end of the planned stop; returns the
 // number of requests that were still open.
 fn start(file: &str, settings: Settings, log: &Log) -> Result<usize, StartError> {
-    let entry = &settings.member.entry;
-    let callers = listen("front", entry.callers)?;
-    let ports = open_ports(&settings)?;
-    let replica_listener = listen("control", settings.member.replica)?;
-    let addr = entry.peers;
-    let field = "port_range";
-    let socket = UdpSocket::bind(addr).context(ListenSnafu { field, addr })?;
+    let Listeners {
+        callers,
+        ports,
+        replica,
+        peers: socket,
+    } = Listeners::bind(&settings, log)?;
+    let metrics_addr = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
 
     let clock = Clock::start();
     let (decisions, ordinary) = async_channel::bounded(rings::DECISIONS);
@@ -170,14 +168,7 @@
     start_duties(&settings, clock, rings)?;
     let (ring, store_log) = (urgent_decisions, log.clone());
     duty::spawn("store", move || {
-        store::run(
-            settings,
-            checks,
-            replica_listener,
-            command_rx,
-            ring,
-            store_log,
-        );
+        store::run(settings, checks, replica, command_rx, ring, store_log);
     })
     .context(ThreadSnafu)?;
     let (ring, peer_log) = (decisions.clone(), log.clone());
@@ -190,8 +181,10 @@
     })
     .context(ThreadSnafu)?;
     let (ring, http_shared) = (decisions.clone(), shared.clone());
-    let make = move || http_ports::Context::new(ring, http_shared, scrape);
-    duty::spawn("doors", move || http_ports::run(ports, make)).context(ThreadSnafu)?;
+    let http_log = log.clone();
+    let make = move || http_ports::Context::new(ring, http_shared, scrape, http_log);
+    duty::spawn("doors", move || http_ports::run(ports, metrics_addr, make))
+        .context(ThreadSnafu)?;
     let make = move || callers::Context::new(decisions, shared, body_memory, stopping, chart);
     duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
 
@@ -217,19 +210,6 @@
     Ok(())
 }
 
-// Opens the ports that answer the platform, callers' lookups and operators.
-fn open_ports(settings: &Settings) -> Result<Vec<(HttpPort, TcpListener)>, StartError> {
-    let admin = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
-    Ok(vec![
-        (HttpPort::Ready, listen("ready", settings.ready)?),
-        (
-            HttpPort::Directory,
-            listen("directory", settings.directory)?,
-        ),
-        (HttpPort::Admin, listen("metrics", admin)?),
-    ])
-}
-
 fn start_log(settings: &Settings) -> Result<Log, StartError> {
     logs::start(LOG_LEVEL).context(LoggerSnafu)?;
     let (log, lines) = Log::ring();
@@ -252,7 +232,3 @@
     log.put(Level::Info, line);
     Ok(log)
 }
-
-fn listen(field: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(addr).context(ListenSnafu { field, addr })
-}
--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -1,8 +1,10 @@
 //! The doors duty: serves readiness, the directory, metrics and explanations over
 //! HTTP, on a port each (metrics and explanations share one).
 //!
-//! The directory tells callers which instances to use.
+//! The directory tells callers which instances to use. Metrics and explanations serve only
+//! operators, so their port may be in use by another process.
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -15,15 +17,18 @@
 use async_std::net;
 use async_std::task;
 use corianderway_platform::directory;
+use corianderway_wire::log_line::LogLine;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use log::Level;
 
 use crate::edge::callers::RequestIds;
 use crate::edge::callers::MAX_CONNECTIONS;
 use crate::edge::decisions::SharedState;
 use crate::edge::rings::Input;
 use crate::edge::rings::Reply;
+use crate::logs::Log;
 use crate::metrics::Scrape;
 
 /// The timeout for an answer of the decision duty.
@@ -33,6 +38,9 @@
 /// descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The interval at which the port for metrics is tried again while it is in use.
+const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The start of the ids of directory requests, far above those of callers'
 /// requests.
 const DIRECTORY_ID_START: u64 = 1 << 62;
@@ -55,25 +63,31 @@
     shared: SharedState,
     scrape: Scrape,
     ids: RequestIds,
+    log: Log,
 }
 
 impl Context {
     /// Creates the state.
-    pub fn new(decisions: Sender<Input>, shared: SharedState, scrape: Scrape) -> Self {
+    pub fn new(decisions: Sender<Input>, shared: SharedState, scrape: Scrape, log: Log) -> Self {
         Self {
             decisions,
             shared,
             scrape,
             ids: RequestIds::after(DIRECTORY_ID_START),
+            log,
         }
     }
 }
 
-/// Serves all ports until the process ends.
-pub fn run(ports: Vec<(HttpPort, TcpListener)>, make: impl FnOnce() -> Context) {
+/// Serves all ports, and metrics at `metrics` once that can be bound, until the process ends.
+pub fn run(
+    ports: Vec<(HttpPort, TcpListener)>,
+    metrics: SocketAddr,
+    make: impl FnOnce() -> Context,
+) {
     task::block_on(async move {
         let ctx = Rc::new(make());
-        let mut tasks = Vec::new();
+        let mut tasks = vec![task::spawn_local(serve_metrics(metrics, Rc::clone(&ctx)))];
         for (port, listener) in ports {
             tasks.push(task::spawn_local(serve(port, listener, Rc::clone(&ctx))));
         }
@@ -83,6 +97,25 @@
     });
 }
 
+async fn serve_metrics(addr: SocketAddr, ctx: Rc<Context>) {
+    let mut is_logged = false;
+    let listener = loop {
+        match TcpListener::bind(addr) {
+            Ok(listener) => break listener,
+            Err(error) => {
+                if !std::mem::replace(&mut is_logged, true) {
+                    let line = LogLine::new("metrics-taken").with("addr", addr);
+                    ctx.log.put(Level::Warn, line.with("why", error));
+                }
+                task::sleep(METRICS_RETRY_INTERVAL).await;
+            }
+        }
+    };
+    let line = LogLine::new("metrics-open").with("addr", addr);
+    ctx.log.put(Level::Info, line);
+    serve(HttpPort::Admin, listener, ctx).await;
+}
+
 async fn serve(port: HttpPort, listener: TcpListener, ctx: Rc<Context>) {
     let listener = net::TcpListener::from(listener);
     loop {
--- a/crates/standins/src/harness/process.rs
+++ b/crates/standins/src/harness/process.rs
@@ -165,6 +165,15 @@
         self.signal(libc::SIGTERM)
     }
 
+    /// Tells the process that its settings have changed (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system call fails.
+    pub fn hang_up(&mut self) -> Result<(), Error> {
+        self.signal(libc::SIGHUP)
+    }
+
     /// Returns the exit status if the process has ended.
     ///
     /// # Errors
