edge: register for signals before anything else

Cause: the handler was registered after the sockets and rings were set up; until then the signal's default action ends the process.

Why it works: signals are kept from the registration on, which precedes the reading of the settings, and are handled once the instance runs. A stop that is asked for while an address is awaited ends the process with success.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -70,6 +70,8 @@
 use crate::logs::Log;
 use crate::prioritized::Prioritized;
 
+pub use crate::edge::signals::ArrivedSignals;
+
 /// The port for metrics and explanations; exporters of the Prometheus text
 /// format commonly use it.
 const METRICS_PORT: u16 = 9_464;
@@ -79,14 +81,18 @@
 
 /// Runs an instance on the platform until its planned stop has ended.
 ///
-/// The exit code is [`EXIT_REQUESTS_CUT`] if requests were still open at that time.
+/// `signals` may hold some that arrived before. The exit code is [`EXIT_REQUESTS_CUT`] if requests were still open at that time.
 ///
 /// # Errors
 ///
 /// Fails if a listener can't be bound or a duty can't be started.
-pub fn run(file: &str, settings: Settings) -> Result<ExitCode, StartError> {
+pub fn run(
+    file: &str,
+    settings: Settings,
+    signals: ArrivedSignals,
+) -> Result<ExitCode, StartError> {
     let log = start_log(&settings)?;
-    let unfinished = start(file, settings, &log)?;
+    let unfinished = start(file, settings, signals, &log)?;
     Ok(if unfinished == 0 {
         ExitCode::SUCCESS
     } else {
@@ -96,13 +102,21 @@
 
 // Starts all duties and waits for the end of the planned stop; returns the
 // number of requests that were still open.
-fn start(file: &str, settings: Settings, log: &Log) -> Result<usize, StartError> {
+fn start(
+    file: &str,
+    settings: Settings,
+    signals: ArrivedSignals,
+    log: &Log,
+) -> Result<usize, StartError> {
+    let Some(listeners) = Listeners::bind(&settings, &signals, log)? else {
+        return Ok(0);
+    };
     let Listeners {
         callers,
         ports,
         replica,
         peers: socket,
-    } = Listeners::bind(&settings, log)?;
+    } = listeners;
     let metrics_addr = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
 
     let clock = Clock::start();
@@ -139,6 +153,7 @@
     };
     let decision_duty = DecisionDuty::new(steer, clock, outputs, shared.clone(), log.clone());
     let signals = SignalHandler::new(
+        signals,
         file,
         settings.clone(),
         Arc::clone(&stopping),
@@ -146,7 +161,6 @@
         decisions.clone(),
         log.clone(),
     );
-    let signals = signals.context(ThreadSnafu)?;
 
     let finished = Arc::clone(&done);
     let decider = duty::spawn("decisions", move || decision_duty.run(&inputs, &finished));
--- a/crates/daemon/src/edge/listeners.rs
+++ b/crates/daemon/src/edge/listeners.rs
@@ -20,6 +20,7 @@
 use crate::daemon::ListenSnafu;
 use crate::daemon::StartError;
 use crate::edge::http_ports::HttpPort;
+use crate::edge::signals::ArrivedSignals;
 use crate::logs::Log;
 
 /// The interval at which binding is tried again.
@@ -42,18 +43,22 @@
 }
 
 impl Listeners {
-    /// Binds all sockets.
+    /// Binds all sockets; returns `None` if a signal asks the process to stop first.
     ///
     /// # Errors
     ///
     /// Fails if an address is still in use after the grace, or can't be bound for another
     /// reason.
-    pub(super) fn bind(settings: &Settings, log: &Log) -> Result<Self, StartError> {
+    pub(super) fn bind(
+        settings: &Settings,
+        signals: &ArrivedSignals,
+        log: &Log,
+    ) -> Result<Option<Self>, StartError> {
         let end = Instant::now() + settings.bounds.grace + RETRY_MARGIN;
         let mut is_logged = false;
         loop {
             let error = match Self::try_bind(settings) {
-                Ok(listeners) => return Ok(listeners),
+                Ok(listeners) => return Ok(Some(listeners)),
                 Err(error) if is_transient(&error) && Instant::now() < end => error,
                 Err(error) => return Err(error),
             };
@@ -61,6 +66,9 @@
                 let line = LogLine::new("address-taken").with("why", error);
                 log.put(Level::Warn, line);
             }
+            if signals.is_stop() {
+                return Ok(None);
+            }
             thread::sleep(RETRY_INTERVAL);
         }
     }
--- a/crates/daemon/src/edge/signals.rs
+++ b/crates/daemon/src/edge/signals.rs
@@ -19,6 +19,7 @@
 use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
+use signal_hook::flag;
 use signal_hook::iterator::Signals;
 
 use crate::edge::decisions::SharedState;
@@ -35,10 +36,39 @@
 /// The interval at which the open requests are checked during a stop.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The signals that have arrived since the registration.
+#[derive(Debug)]
+pub struct ArrivedSignals {
+    signals: Signals,
+    // Whether one of them asks the process to stop.
+    stop: Arc<AtomicBool>,
+}
+
+impl ArrivedSignals {
+    /// Registers for the signals. Before that the default action of each ends the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system rejects the registration.
+    pub fn register() -> io::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        for signal in [SIGTERM, SIGINT] {
+            flag::register(signal, Arc::clone(&stop))?;
+        }
+        let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+        Ok(Self { signals, stop })
+    }
+
+    /// Returns whether the process was asked to stop.
+    pub fn is_stop(&self) -> bool {
+        self.stop.load(Ordering::Acquire)
+    }
+}
+
 /// Handles signals on the main thread.
 #[derive(Debug)]
 pub struct SignalHandler {
-    signals: Signals,
+    signals: ArrivedSignals,
     file: String,
     settings: Settings,
     stopping: Arc<AtomicBool>,
@@ -48,28 +78,25 @@
 }
 
 impl SignalHandler {
-    /// Registers for the signals.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the system rejects the registration.
+    /// Creates the handler, which handles the signals that have arrived first.
     pub fn new(
+        signals: ArrivedSignals,
         file: &str,
         settings: Settings,
         stopping: Arc<AtomicBool>,
         shared: SharedState,
         decisions: Sender<Input>,
         log: Log,
-    ) -> io::Result<Self> {
-        Ok(Self {
-            signals: Signals::new([SIGTERM, SIGINT, SIGHUP])?,
+    ) -> Self {
+        Self {
+            signals,
             file: file.to_owned(),
             settings,
             stopping,
             shared,
             decisions,
             log,
-        })
+        }
     }
 
     /// Waits for the signal of a planned stop, then until every request is
@@ -77,7 +104,7 @@
     /// the number of requests that are still open.
     pub fn wait_for_stop(mut self) -> usize {
         // The signal iterator never ends.
-        while let Some(SIGHUP) = self.signals.forever().next() {
+        while let Some(SIGHUP) = self.signals.signals.forever().next() {
             self.reload();
         }
         let grace = self.settings.bounds.grace;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -38,6 +38,7 @@
 use corianderway_wire::settings::Settings;
 
 use crate::args::Corianderwayd;
+use crate::edge::ArrivedSignals;
 
 /// The exit code for invalid arguments or settings.
 const EXIT_USAGE: u8 = 2;
@@ -81,6 +82,11 @@
         eprintln!("error: no settings; set {SETTINGS_PATH_VAR} to the path of the settings file");
         return ExitCode::from(EXIT_USAGE);
     };
+    // Registered before the settings are read, since their next change is signalled.
+    let signals = match ArrivedSignals::register() {
+        Ok(signals) => signals,
+        Err(error) => return fail(&error, EXIT_START),
+    };
     let mut settings = match PlatformSettings::load(&file, rand::random()) {
         Ok(settings) => settings,
         Err(error) => return fail(&error, EXIT_USAGE),
@@ -90,7 +96,7 @@
         return ExitCode::SUCCESS;
     }
     settings.bounds.long_waits = long_waits;
-    edge::run(&file, settings).unwrap_or_else(|error| fail(&error, EXIT_START))
+    edge::run(&file, settings, signals).unwrap_or_else(|error| fail(&error, EXIT_START))
 }
 
 fn fail(error: &dyn std::error::Error, code: u8) -> ExitCode {
--- a/crates/daemon/tests/taken_addresses.rs
+++ b/crates/daemon/tests/taken_addresses.rs
@@ -5,6 +5,7 @@
 use std::net::UdpSocket;
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use corianderway_standins::estate::node;
 use corianderway_standins::estate::Node;
@@ -141,3 +142,40 @@
     assert_eq!(status.code(), Some(1));
     await_line(&process, "error: ready: ");
 }
+
+#[test]
+fn an_instance_that_waits_for_an_address_stops_when_it_is_asked_to() {
+    let store = store();
+    let site = Site::new("north", "a", store.addr);
+    let _taken = TcpListener::bind(SocketAddr::new(site.ip, node::READY_PORT)).unwrap();
+    let mut process = start(&site, 0);
+    await_line(&process, "event=address-taken");
+    // A change of the settings doesn't end it.
+    process.hang_up().unwrap();
+    let begun = Instant::now();
+    process.terminate().unwrap();
+    let status = process.wait(WAIT_TIMEOUT).unwrap();
+    assert!(status.success(), "{status}");
+    assert!(begun.elapsed() < Duration::from_secs(1), "{status}");
+}
+
+// Guards against an instance that ends since its settings change while it starts.
+#[test]
+fn a_change_of_the_settings_during_the_start_does_not_end_the_process() {
+    let store = store();
+    let site = Site::new("north", "a", store.addr);
+    let taken = TcpListener::bind(SocketAddr::new(site.ip, node::READY_PORT)).unwrap();
+    let mut process = start(&site, 0);
+    await_line(&process, "event=start ");
+    for _ in 0..3 {
+        process.hang_up().unwrap();
+    }
+    await_line(&process, "event=address-taken");
+    drop(taken);
+    let instance = Node { process, site };
+    until("readiness", WAIT_TIMEOUT, || {
+        instance.is_ready().then_some(())
+    })
+    .unwrap_or_else(|error| panic!("{error}\n{}", instance.process.lines().join("\n")));
+    await_line(&instance.process, "event=reload ");
+}
