edge: an entry that can't be read ends what it replaces

Cause: an entry that can't be decoded was left out, so the decisions kept what they had under its name; an instance that follows a copy gets removal and new entry as one change. An entry overwritten in place stayed in use at all instances.

Why it works: ServerChange::Unusable tells of an entry that names no server, with its revision, and the server known from an earlier one leaves. An instance writes its own entry again if it is overwritten.

--- a/crates/daemon/src/edge/publish.rs
+++ b/crates/daemon/src/edge/publish.rs
@@ -1,7 +1,8 @@
 //! Publishes changes in the copy of the store to the decision duty.
 //!
 //! Objects of the store are decoded into the types of the decision core. An
-//! object that can't be decoded is logged and left out.
+//! object that can't be decoded is logged and not used, and neither is what was listed under
+//! its name before. Only a configuration stays in force until another one can be decoded.
 
 use std::rc::Rc;
 
@@ -23,8 +24,8 @@
 
 /// Sends the changes in the copy of a kind to the decision duty as events.
 ///
-/// An instance whose own entry was removed registers again, and so does one whose entry may be
-/// missing in an older copy of the store.
+/// An instance whose own entry was removed or overwritten registers again, and so does one whose
+/// entry may be missing in an older copy of the store.
 pub(super) async fn publish(ctx: &Rc<Context>, kind: Kind, changes: &[Change]) {
     match kind {
         Kind::Configuration => {
@@ -44,8 +45,13 @@
             let members = decode(ctx, kind, objects::parse_member);
             send_event(ctx, Event::Members(members)).await;
             let me = ctx.me.entry.id.as_str();
-            let is_own = |change: &Change| matches!(change, Change::Removed(name) if **name == *me);
-            if changes.iter().any(is_own) | ctx.begin_registration() {
+            let is_lost = |change: &Change| match change {
+                Change::Removed(name) => **name == *me,
+                Change::Put(object) => {
+                    *object.name == *me && objects::parse_member(object).is_err()
+                }
+            };
+            if changes.iter().any(is_lost) | ctx.begin_registration() {
                 task::spawn_local(writes::register(Rc::clone(ctx)));
             }
         }
@@ -74,7 +80,12 @@
         match change {
             Change::Put(object) => match objects::parse_server(object, &ctx.regions) {
                 Ok(listed) => decoded.push(ServerChange::Put(listed)),
-                Err(error) => log_undecodable(ctx, Kind::Servers, object, &error),
+                Err(error) => {
+                    log_undecodable(ctx, Kind::Servers, object, &error);
+                    let id = ServerId::try_from(&*object.name).ok();
+                    let revision = object.revision;
+                    decoded.extend(id.map(|id| ServerChange::Unusable { id, revision }));
+                }
             },
             // An object whose name is no server id was never accepted.
             Change::Removed(name) => {
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -301,6 +301,13 @@
             match change {
                 ServerChange::Put(listed) => started.extend(self.put(now, listed)),
                 ServerChange::Removed(id) => self.remove(now, &id, unsettled),
+                ServerChange::Unusable { id, revision } => {
+                    let known = self.servers.get(&id).map(|server| server.listed.revision);
+                    if known.is_some_and(|known| known < revision) {
+                        // It was overwritten, so it didn't expire.
+                        self.remove(now, &id, false);
+                    }
+                }
             }
         }
         self.index();
--- a/crates/steer/src/listing.rs
+++ b/crates/steer/src/listing.rs
@@ -122,4 +122,12 @@
     Put(ServerEntry),
     /// The entry was removed.
     Removed(ServerId),
+    /// There is an entry under this name which names no server to use, as another writer may
+    /// leave it. Whatever was listed under the name at an earlier revision is no longer there.
+    Unusable {
+        /// The name.
+        id: ServerId,
+        /// The store's revision of the entry.
+        revision: Revision,
+    },
 }
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -255,6 +255,34 @@
     assert_eq!(rig.sent(id), None);
 }
 
+// Guards against requests to a server whose entry another writer has overwritten (DRAIN).
+#[test]
+fn a_server_whose_entry_becomes_unusable_gets_no_requests() {
+    let mut rig = Rig::bare(rig::member("entry-1", "north", "north-a"));
+    let mut listed = rig::server("bids-1", "bids", "north", "north-a");
+    listed.revision = rig::first(5);
+    rig.settle(rig::plan(1, rig::routes(), None), vec![listed.clone()]);
+    let overwrite = |number| ServerChange::Unusable {
+        id: listed.backend.id.clone(),
+        revision: rig::first(number),
+    };
+    // What was known before the entry doesn't count against it.
+    rig.step(Event::Servers(vec![overwrite(4)]));
+    let id = rig.request("/bids/1", Some(1));
+    assert!(rig.sent(id).is_some());
+    rig.end(id, answered(200));
+    rig.step(Event::Servers(vec![overwrite(6)]));
+    let id = rig.request("/bids/1", Some(1));
+    assert_eq!(rig.refused(id).expect("a refusal").status(), 503);
+    // The next report of the server brings it back.
+    let mut again = listed.clone();
+    again.revision = rig::first(7);
+    again.report_sequence += 1;
+    rig.step(Event::Servers(vec![ServerChange::Put(again)]));
+    let id = rig.request("/bids/1", Some(1));
+    assert!(rig.sent(id).is_some());
+}
+
 #[test]
 fn an_evacuated_domain_gets_no_requests_until_it_is_restored() {
     let mut rig = Rig::new();
