edge: the margin of the exit shrinks with the grace

With a grace of 1 s a request that was open when the stop began got no answer: the process exited 0.75 s after the signal, its last answers were due at 0.875 s.

Evidence: a_request_that_outlasts_a_stop_is_answered, now with a grace of 1 s too, failed before ("none" in place of 504) and passes. At 4 s and more nothing changes.

--- a/crates/daemon/src/edge/signals.rs
+++ b/crates/daemon/src/edge/signals.rs
@@ -33,6 +33,10 @@
 /// How long before the end of the grace the process exits in any case.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
+/// The maximum of that margin as a fraction of the grace: half of what the decisions keep for
+/// writing the last answers.
+const EXIT_MARGIN_FRACTION: f64 = 0.0625;
+
 /// The interval at which the open requests are checked during a stop.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -116,7 +120,8 @@
         // The decision duty still runs, so sending succeeds.
         drop(self.decisions.send_blocking(Input::Event(Event::Stop)));
         let min_stay = grace.mul_f64(MIN_STAY_FRACTION);
-        let longest = grace.saturating_sub(EXIT_MARGIN);
+        let exit_margin = EXIT_MARGIN.min(grace.mul_f64(EXIT_MARGIN_FRACTION));
+        let longest = grace.saturating_sub(exit_margin);
         loop {
             let open = self.shared.open.load(Ordering::Acquire);
             let open = open.max(self.shared.active.load(Ordering::Acquire));
