steer: instances pass on all crashes that they know

Cause: an instance told others only of crashes that it had observed itself. Once the observers had restarted, an instance that started learnt of none.

Why it works: digests and summaries carry what is known, bounded to 8 requests, 6 starts each, with the age of the latest crash, which decides when it is forgotten on every instance.

--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -3,14 +3,20 @@
 //! A connection that breaks during a request counts as a crash of the server by
 //! the request's signature if the server accepts no connections soon after it,
 //! or is listed again with a later start. Each start of a server counts as a
-//! server of its own. Crashes are shared with other instances. A signature with
-//! several crashes is quarantined; an answer to it clears them.
+//! server of its own. A signature with several crashes is quarantined; an answer
+//! to it clears them.
+//!
+//! Instances tell each other of all crashes that they know, with their age, so
+//! that an instance that starts learns of them, and so that they are forgotten
+//! everywhere at about the same time, however often they are passed on.
 
 use std::time::Duration;
 
 use corianderway_model::SortedMap;
 use corianderway_model::Time;
 
+use crate::digest::KnownCrashes;
+
 /// Number of crashes from which on a signature is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
@@ -35,9 +41,13 @@
 /// Maximum number of signatures; beyond it the oldest is dropped.
 const MAX_SIGNATURES: usize = 512;
 
-/// Maximum number of signatures in a digest.
+/// Maximum number of signatures in a message.
 const MAX_REPORTED: usize = 8;
 
+/// Maximum number of starts that a message tells of one signature. Any of them
+/// may be known already, so it exceeds the number that leads to quarantine.
+const MAX_REPORTED_STARTS: usize = 2 * QUARANTINE_CRASHES;
+
 /// The crashes of backend servers by request signature.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
@@ -66,7 +76,9 @@
 /// The starts of servers that requests with one signature crashed.
 #[derive(Debug)]
 struct SignatureCrashes {
-    updated: Time,
+    // When the latest crash is forgotten. The crash itself may have happened before
+    // the origin of this process's clock.
+    expires: Time,
     // Hashes of crashed starts, as observed by this instance and as reported by
     // others.
     observed: Vec<u32>,
@@ -108,7 +120,9 @@
             .partition::<Vec<_>, _>(crashed);
         self.broken = rest;
         for row in &crashed {
-            self.record(now, row.signature, row.to.start, |row| &mut row.observed);
+            self.record(now, CRASH_TTL, row.signature, row.to.start, |row| {
+                &mut row.observed
+            });
         }
         !crashed.is_empty()
     }
@@ -136,55 +150,108 @@
     pub(crate) fn report(&self) -> Vec<(u64, Vec<u32>)> {
         let observed = self.rows.iter().filter(|(_, row)| !row.observed.is_empty());
         let mut rows: Vec<_> = observed.collect();
-        rows.sort_by_key(|(_, row)| std::cmp::Reverse(row.updated));
+        rows.sort_by_key(|(_, row)| std::cmp::Reverse(row.expires));
         let latest = rows.into_iter().take(MAX_REPORTED);
         latest.map(|(s, row)| (*s, row.observed.clone())).collect()
     }
 
-    /// Adds crashes that other instances report.
-    pub(crate) fn merge(&mut self, now: Time, reported: &[(u64, Vec<u32>)]) {
-        for (signature, servers) in reported {
-            for start in servers {
-                self.record(now, *signature, *start, |row| &mut row.reported);
+    /// Returns the latest crashes that are known, for messages.
+    pub(crate) fn known(&self, now: Time) -> Vec<KnownCrashes> {
+        let known = self.rows.iter().map(|(signature, row)| {
+            let starts = row.observed.iter().chain(&row.reported);
+            KnownCrashes {
+                signature: *signature,
+                age_s: CRASH_TTL.saturating_sub(row.expires.since(now)).as_secs() as u32 + 1,
+                starts: starts.copied().collect(),
+            }
+        });
+        merge_known(known)
+    }
+
+    /// Adds crashes that other instances observed, and those that they know.
+    ///
+    /// Earlier builds tell only the former, whose age is unknown.
+    pub(crate) fn merge(
+        &mut self,
+        now: Time,
+        observed: &[(u64, Vec<u32>)],
+        known: &[KnownCrashes],
+    ) {
+        for row in known {
+            let left = CRASH_TTL.saturating_sub(Duration::from_secs(u64::from(row.age_s)));
+            for start in row.starts.iter().filter(|_| !left.is_zero()) {
+                self.record(now, left, row.signature, *start, |row| &mut row.reported);
+            }
+        }
+        let is_aged = |signature: &u64| known.iter().any(|row| row.signature == *signature);
+        for (signature, starts) in observed.iter().filter(|row| !is_aged(&row.0)) {
+            for start in starts {
+                self.record(now, CRASH_TTL, *signature, *start, |row| &mut row.reported);
             }
         }
     }
 
     /// Drops crashes and broken connections that are too old.
     pub(crate) fn expire(&mut self, now: Time) {
-        self.rows
-            .retain(|_, row| now.since(row.updated) < CRASH_TTL);
+        self.rows.retain(|_, row| now < row.expires);
         self.broken.retain(|row| now.since(row.at) < RESTART_WINDOW);
     }
 
+    // Records a crash that is forgotten after `left`.
     fn record(
         &mut self,
         now: Time,
+        left: Duration,
         signature: u64,
         start: u32,
         list: impl Fn(&mut SignatureCrashes) -> &mut Vec<u32>,
     ) {
+        let expires = now + left;
         let row = self
             .rows
             .get_or_insert_with(signature, || SignatureCrashes {
-                updated: now,
+                expires,
                 observed: Vec::new(),
                 reported: Vec::new(),
                 answered: None,
             });
-        if row.answered.is_some_and(|at| now.since(at) < CLEARED_TTL) {
+        let is_cleared = |answered: Time| {
+            // The crash happened before the answer, or an attempt that began before it.
+            expires <= answered + CRASH_TTL || now.since(answered) < CLEARED_TTL
+        };
+        if row.answered.is_some_and(is_cleared) {
             return;
         }
         let list = list(row);
         if !list.contains(&start) {
             list.push(start);
-            row.updated = now;
+            row.expires = row.expires.max(expires);
         }
         if self.rows.len() > MAX_SIGNATURES {
-            let oldest = self.rows.iter().min_by_key(|row| row.1.updated);
+            let oldest = self.rows.iter().min_by_key(|row| row.1.expires);
             if let Some(oldest) = oldest.map(|row| *row.0) {
                 self.rows.remove(&oldest);
             }
         }
     }
 }
+
+/// Merges what is known of crashes, up to the size of a message; the latest ones are kept.
+pub(crate) fn merge_known(rows: impl Iterator<Item = KnownCrashes>) -> Vec<KnownCrashes> {
+    let mut merged: SortedMap<u64, KnownCrashes> = SortedMap::default();
+    for row in rows.filter(|row| !row.starts.is_empty()) {
+        let known = merged.get_or_insert_with(row.signature, || KnownCrashes {
+            starts: Vec::new(),
+            ..row
+        });
+        known.age_s = known.age_s.min(row.age_s);
+        known.starts.extend(row.starts);
+        known.starts.sort_unstable();
+        known.starts.dedup();
+        known.starts.truncate(MAX_REPORTED_STARTS);
+    }
+    let mut merged: Vec<_> = merged.iter().map(|row| row.1.clone()).collect();
+    merged.sort_by_key(|row| row.age_s);
+    merged.truncate(MAX_REPORTED);
+    merged
+}
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -29,6 +29,20 @@
 /// those servers.
 pub type CrashSignatures = Vec<(u64, Vec<u32>)>;
 
+/// The crashes that are known of one request, whoever observed them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownCrashes {
+    /// The signature of the request.
+    #[serde(rename = "g")]
+    pub signature: u64,
+    /// The time since the latest crash, in whole seconds, rounded up.
+    #[serde(rename = "a")]
+    pub age_s: u32,
+    /// The hashes of the starts of the servers.
+    #[serde(rename = "s")]
+    pub starts: Vec<u32>,
+}
+
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -129,9 +143,12 @@
     /// The reports on version moves.
     #[serde(rename = "m")]
     pub moves: Vec<MoveReport>,
-    /// Requests that crashed backend servers.
+    /// Requests that crashed backend servers, as observed by the instance itself.
     #[serde(rename = "c")]
     pub crashes: CrashSignatures,
+    /// What the instance knows of such requests, so that it outlives those who observed it.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub known_crashes: Vec<KnownCrashes>,
 }
 
 /// The merged state of a failure domain, sent by its relay twice a second and
@@ -174,9 +191,12 @@
     /// The merged reports on version moves.
     #[serde(rename = "m")]
     pub moves: Vec<MoveReport>,
-    /// Requests that crashed backend servers.
+    /// Requests that crashed backend servers, as observed in the domain.
     #[serde(rename = "c")]
     pub crashes: CrashSignatures,
+    /// What the instances of the domain know of such requests, merged.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub known_crashes: Vec<KnownCrashes>,
 }
 
 /// The status of an instance: the hash of its name, the sequence number of its
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -92,7 +92,8 @@
         if !self.members.apply_summary(now, Arc::clone(&summary)) {
             return false;
         }
-        self.crashes.merge(now, &summary.crashes);
+        self.crashes
+            .merge(now, &summary.crashes, &summary.known_crashes);
         if self.members.miss_store(now) {
             self.advance_outage(now, OutageSignal::OthersDoubt);
         }
@@ -249,6 +250,7 @@
             workloads: self.workload.report(now),
             moves: self.moves.reports(now),
             crashes: self.crashes.report(),
+            known_crashes: self.crashes.known(now),
         });
         self.relay.store_digest(now, Arc::clone(&digest));
         for to in self.members.digest_recipients(now) {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -107,6 +107,7 @@
 pub use crate::digest::Demands;
 pub use crate::digest::Digest;
 pub use crate::digest::InstanceStatus;
+pub use crate::digest::KnownCrashes;
 pub use crate::digest::Message;
 pub use crate::digest::MoveReport;
 pub use crate::digest::ServerTimes;
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -14,6 +14,7 @@
 use corianderway_model::Time;
 use serde::Deserialize;
 
+use crate::crashes::merge_known;
 use crate::digest::CrashSignatures;
 use crate::digest::Demands;
 use crate::digest::Digest;
@@ -196,6 +197,7 @@
             workloads: Workloads::new(),
             moves: me.moves.clone(),
             crashes: CrashSignatures::new(),
+            known_crashes: Vec::new(),
         };
         let mut demands: SortedMap<u32, f32> = SortedMap::default();
         let mut workloads: SortedMap<u32, f32> = SortedMap::default();
@@ -227,6 +229,8 @@
             servers.dedup();
             summary.crashes.push((*signature, servers.clone()));
         }
+        let known = self.digests.iter().flat_map(|row| &row.1 .1.known_crashes);
+        summary.known_crashes = merge_known(known.cloned());
         summary
     }
 }
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -258,6 +258,7 @@
         workloads: Vec::new(),
         moves: vec![report],
         crashes: Vec::new(),
+        known_crashes: Vec::new(),
     };
     rig.step(Event::Message(Message::Summary(Arc::new(summary))));
     let logged_ms = rig
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -418,6 +418,7 @@
         workloads: vec![(hash, work)],
         moves: Vec::new(),
         crashes: Vec::new(),
+        known_crashes: Vec::new(),
     })))
 }
 
--- a/crates/steer/tests/rig/cluster.rs
+++ b/crates/steer/tests/rig/cluster.rs
@@ -95,22 +95,35 @@
 
     /// Restarts all instances.
     pub fn restart(&mut self, now: Time, plan: impl Fn() -> Plan) {
-        let start = |me: &Member| {
-            let mut rig = Rig::bare(me.clone());
-            rig.now = now;
-            rig.step(Event::Plan(Arc::new(plan())));
-            let put = super::servers().into_iter().map(ServerChange::Put);
-            rig.step(Event::Servers(put.collect()));
-            rig.step(Event::Orders(Vec::new()));
-            rig.step(Event::Evacuated(Vec::new()));
-            rig.step(Event::Members(self.members.clone()));
-            rig
-        };
+        let start = |me: &Member| self.started(me, now, plan());
         self.rigs = self.members.iter().map(start).collect();
         self.sources = vec![Source::Nothing; self.members.len()];
         self.waiting = vec![None; self.members.len()];
     }
 
+    /// Restarts one instance, which writes its new entry.
+    pub fn restart_one(&mut self, number: usize, now: Time, plan: Plan) {
+        self.members[number].run += 1;
+        self.rigs[number] = self.started(&self.members[number], now, plan);
+        self.sources[number] = Source::Nothing;
+        self.waiting[number] = None;
+        for other in 0..self.members.len() {
+            self.step(other, Event::Members(self.members.clone()));
+        }
+    }
+
+    fn started(&self, me: &Member, now: Time, plan: Plan) -> Rig {
+        let mut rig = Rig::bare(me.clone());
+        rig.now = now;
+        rig.step(Event::Plan(Arc::new(plan)));
+        let put = super::servers().into_iter().map(ServerChange::Put);
+        rig.step(Event::Servers(put.collect()));
+        rig.step(Event::Orders(Vec::new()));
+        rig.step(Event::Evacuated(Vec::new()));
+        rig.step(Event::Members(self.members.clone()));
+        rig
+    }
+
     /// Sets the clock, delivers the messages of the previous turn, and sends a tick to
     /// every instance.
     pub fn turn(&mut self, now: Time) {
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -135,6 +135,7 @@
         workloads: Vec::new(),
         moves: Vec::new(),
         crashes: Vec::new(),
+        known_crashes: Vec::new(),
     })))
 }
 
--- a/crates/steer/tests/sound_versions.rs
+++ b/crates/steer/tests/sound_versions.rs
@@ -103,6 +103,7 @@
         workloads: Vec::new(),
         moves: vec![report],
         crashes: Vec::new(),
+        known_crashes: Vec::new(),
     };
     Event::Message(Message::Summary(Arc::new(summary)))
 }
