--- a/crates/standins/src/estate.rs
+++ b/crates/standins/src/estate.rs
@@ -23,3 +23,4 @@
 pub use crate::estate::scripted::Step;
 pub use crate::estate::store::Store;
 pub use crate::estate::store::UndoneWrites;
+pub(crate) use crate::estate::store::PAGE_OBJECTS;
--- a/crates/standins/src/estate/endpoint.rs
+++ b/crates/standins/src/estate/endpoint.rs
@@ -44,6 +44,9 @@
     /// Rejects and runs requests in turn, and sends a second copy of each answer ahead of
     /// the next answer on the connection.
     Repeating,
+    /// Runs each request and answers with a success that bears neither its id nor a
+    /// signature, like a program of another kind.
+    Stranger,
     /// Holds requests in a queue until their time has nearly passed, then rejects and runs
     /// them in turn.
     Queued,
--- a/crates/standins/src/estate/exchange.rs
+++ b/crates/standins/src/estate/exchange.rs
@@ -125,7 +125,9 @@
             },
             Mode::Full => reject,
             Mode::Repeating | Mode::Queued if turn.is_multiple_of(2) => reject,
-            Mode::Healthy | Mode::Leaving | Mode::Repeating | Mode::Queued => run(200, delay),
+            Mode::Healthy | Mode::Leaving | Mode::Repeating | Mode::Queued | Mode::Stranger => {
+                run(200, delay)
+            }
             Mode::Pausing(pause) => Self::Reject { pause },
             Mode::Unanswered => Self::Keep,
         }
@@ -230,6 +232,9 @@
     }
 
     fn result(&self, head: &Head, status: u16, mode: Mode, by: &str) -> Vec<u8> {
+        if mode == Mode::Stranger {
+            return response(status, &[], "starting");
+        }
         let load = format!("1,0,{}", self.endpoint.lock().slots);
         let id = head.header("request-id").unwrap_or_default();
         let mut headers = vec![
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -30,7 +30,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The maximum number of objects in one page of a list.
-const PAGE_OBJECTS: usize = 3;
+pub(crate) const PAGE_OBJECTS: usize = 3;
 
 /// A write of an operator or an endpoint that a return to an older copy has undone.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -75,6 +75,12 @@
 const RESTORED_CHANCE: f64 = 0.25;
 const COPY_AGE_MS: std::ops::Range<u64> = 200..5_000;
 
+/// The mean time between two faults by foreign programs, in milliseconds.
+const FOREIGN_GAP_MS: u64 = 1_500;
+
+/// What the names of another writer's entries hold.
+pub(super) const ODD_PARTS: [&str; 6] = ["&", "+", "#", "%zz", "%26", " "];
+
 /// The number of slots that endpoints state, one a run; requests wait when there are few.
 const SLOTS: [u32; 3] = [2, 4, 8];
 
@@ -112,6 +118,11 @@
     RotateKey,
     /// A failure domain is evacuated, so it gets no requests.
     Evacuate(usize, Duration),
+    /// Entries of another writer fill a page of each list, under names that hold one of
+    /// [`ODD_PARTS`].
+    ForeignEntries(usize, Duration),
+    /// Another writer overwrites the entry of an endpoint, which then writes it again.
+    Overwrite(usize, Duration),
 }
 
 /// A fault of an instance's process, or its planned stop.
@@ -178,6 +189,7 @@
     steps.extend(misleading(seed, span));
     steps.extend(pauses(seed, span, instances));
     steps.extend(restored(seed, span));
+    steps.extend(foreign(seed, span));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -246,6 +258,26 @@
     })
 }
 
+// Generates the faults by foreign programs, with random numbers of their own.
+fn foreign(seed: u64, span: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed.rotate_left(32));
+    let mut at = Duration::from_secs(2);
+    let mut steps = Vec::new();
+    while at < span {
+        let endpoint = rng.random_range(0..ENDPOINT_COUNT);
+        let odd = rng.random_range(0..ODD_PARTS.len());
+        let lasts = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        let fault = match rng.random_range(0..3) {
+            0 => Fault::ForeignEntries(odd, lasts),
+            1 => Fault::Overwrite(endpoint, lasts),
+            _ => Fault::Endpoint(endpoint, Mode::Stranger, lasts),
+        };
+        steps.push(Step { at, fault });
+        at += Duration::from_millis(rng.random_range(0..2 * FOREIGN_GAP_MS));
+    }
+    steps
+}
+
 /// Returns the number of slots that the endpoints of a run state.
 pub(super) fn slots(seed: u64) -> u32 {
     let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
@@ -297,6 +329,7 @@
         Fault::EndpointLink(at, kind, span) => Fault::EndpointLink(endpoint(at), kind, span),
         Fault::Endpoint(at, mode, span) => Fault::Endpoint(endpoint(at), mode, span),
         Fault::Drain(at, span) => Fault::Drain(endpoint(at), span),
+        Fault::Overwrite(at, span) => Fault::Overwrite(endpoint(at), span),
         Fault::Resign(at, span) => Fault::Resign(endpoint(at), span),
         Fault::ReuseAddress(at) => Fault::ReuseAddress(endpoint(at)),
         Fault::ResetCallers(at) => Fault::ResetCallers(node(at)),
@@ -305,7 +338,8 @@
         | Fault::Compact
         | Fault::MoveRoute
         | Fault::RotateKey
-        | Fault::Evacuate(..)) => same,
+        | Fault::Evacuate(..)
+        | Fault::ForeignEntries(..)) => same,
     }
 }
 
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -131,6 +131,7 @@
     Replace(usize),
     EndpointReady(usize),
     EndEvacuation(usize),
+    RemoveForeign(usize),
     Restore(Duration),
     WriteAgain,
 }
@@ -318,6 +319,16 @@
                 self.store.put("evacuations", DOMAINS[at].0, &json!({}));
                 self.schedule(now + span, Recovery::EndEvacuation(at));
             }
+            Fault::ForeignEntries(odd, span) => {
+                self.write_foreign(odd);
+                self.schedule(now + span, Recovery::RemoveForeign(odd));
+            }
+            Fault::Overwrite(at, span) => {
+                let id = self.state.endpoints[at].endpoint.id();
+                self.store.put("servers", &id, &json!({ "status": {} }));
+                self.record_change(Change::EndpointLeaving(id));
+                self.schedule(now + span, Recovery::EndpointReady(at));
+            }
         }
     }
 
@@ -354,6 +365,7 @@
                     self.record_change(Change::EndpointReady(id));
                 }
                 Recovery::EndEvacuation(at) => self.store.remove("evacuations", DOMAINS[at].0),
+                Recovery::RemoveForeign(odd) => self.remove_foreign(odd),
                 Recovery::Restore(age) => {
                     self.state.undone = self.store.restore(age);
                     self.schedule(now + WRITING_AGAIN, Recovery::WriteAgain);
--- a/crates/standins/src/soak/world/listing.rs
+++ b/crates/standins/src/soak/world/listing.rs
@@ -7,7 +7,9 @@
 use serde_json::Value;
 
 use crate::estate::node;
+use crate::estate::PAGE_OBJECTS;
 use crate::soak::history::Change;
+use crate::soak::plan::ODD_PARTS;
 use crate::soak::world::World;
 use crate::soak::world::LIMITED_ACCOUNT;
 use crate::soak::world::LIMITED_BURST;
@@ -17,7 +19,32 @@
 use crate::soak::world::ROUTE_TIMEOUT;
 use crate::soak::world::UNLIMITED_KEY;
 
+/// The kinds of objects that another writer may leave entries of.
+const FOREIGN_KINDS: [&str; 4] = ["servers", "rollouts", "evacuations", "instances"];
+
+// Returns the kinds and names of another writer's entries, which fill the first page of a list.
+fn foreign(odd: usize) -> impl Iterator<Item = (&'static str, String)> {
+    let names = move |kind| {
+        let name = move |number| (kind, format!("0{}{number}", ODD_PARTS[odd]));
+        (0..PAGE_OBJECTS).map(name)
+    };
+    FOREIGN_KINDS.into_iter().flat_map(names)
+}
+
 impl World {
+    pub(super) fn write_foreign(&self, odd: usize) {
+        for (kind, name) in foreign(odd) {
+            self.store
+                .put(kind, &name, &json!("left by another writer"));
+        }
+    }
+
+    pub(super) fn remove_foreign(&self, odd: usize) {
+        for (kind, name) in foreign(odd) {
+            self.store.remove(kind, &name);
+        }
+    }
+
     // Another endpoint takes over the address; requests for the removed one must not run
     // on it.
     pub(super) fn reuse_address(&mut self, at: usize) {
