edge: wording of signals and metrics

A doc comment is wrapped, the check for a requested stop says what it checks, and the function that serves metrics says what it does first. No change of behaviour.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -81,7 +81,8 @@
 
 /// Runs an instance on the platform until its planned stop has ended.
 ///
-/// `signals` may hold some that arrived before. The exit code is [`EXIT_REQUESTS_CUT`] if requests were still open at that time.
+/// Signals that have arrived since the registration are handled. The exit code is
+/// [`EXIT_REQUESTS_CUT`] if requests were still open at the end.
 ///
 /// # Errors
 ///
--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -97,6 +97,7 @@
     });
 }
 
+// Binds the port for metrics once it is free, and serves it.
 async fn serve_metrics(addr: SocketAddr, ctx: Rc<Context>) {
     let mut is_logged = false;
     let listener = loop {
--- a/crates/daemon/src/edge/listeners.rs
+++ b/crates/daemon/src/edge/listeners.rs
@@ -66,7 +66,7 @@
                 let line = LogLine::new("address-taken").with("why", error);
                 log.put(Level::Warn, line);
             }
-            if signals.is_stop() {
+            if signals.is_stop_requested() {
                 return Ok(None);
             }
             thread::sleep(RETRY_INTERVAL);
--- a/crates/daemon/src/edge/signals.rs
+++ b/crates/daemon/src/edge/signals.rs
@@ -64,7 +64,7 @@
     }
 
     /// Returns whether the process was asked to stop.
-    pub fn is_stop(&self) -> bool {
+    pub fn is_stop_requested(&self) -> bool {
         self.stop.load(Ordering::Acquire)
     }
 }
