tests: the count of events is awaited

Cause: a thread of its own counts events in batches, and the test read the metrics at once. With that thread held up by 1.5 s the former test fails in the same line, 1 of 1. The test now waits for the count with the deadline of its other conditions; what has to be there is unchanged.

--- a/crates/daemon/tests/estate.rs
+++ b/crates/daemon/tests/estate.rs
@@ -55,8 +55,12 @@
         "{}",
         explained.text()
     );
-    let metrics = get(instance, node::ADMIN_PORT, "/metrics", &[]).unwrap();
-    assert!(metrics.text().contains("corianderway_events"));
+    // The thread that counts events may be later than the answer.
+    fleet.until("the count of events", || {
+        let metrics = get(instance, node::ADMIN_PORT, "/metrics", &[])?;
+        let is_counted = metrics.text().contains("corianderway_events");
+        is_counted.then_some(())
+    });
 }
 
 // Guards against a key that stays valid on an instance which the store rejects:
