--- a/crates/daemon/tests/scripted_fleet/mod.rs
+++ b/crates/daemon/tests/scripted_fleet/mod.rs
@@ -125,11 +125,14 @@
     }
 }
 
-/// Writes a response; each of the headers ends with a line break.
+/// Writes a response; each of the headers ends with a line break. A success is signed, as by
+/// every backend server.
 pub fn response(status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
     let length = body.len();
+    let is_signed = headers.contains("Server-Stamp") || !(200..300).contains(&status);
+    let stamp = if is_signed { "" } else { "Server-Stamp: s\r\n" };
     format!(
-        "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+        "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{stamp}{headers}Content-Length: {length}\r\n\r\n{body}"
     )
     .into_bytes()
 }
