steer, edge: log lines of a start, and of suspected requests

Adds listening, uninformed (each second, with the missing inputs), informed and first-answer, each with the time since the start of the process, and suspect with the signature, its crashes, whether it is quarantined and by what that changed. Refusals of quarantined requests name the signature.

--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -118,6 +118,7 @@
         replica,
         peers: socket,
     } = listeners;
+    log.put(Level::Info, LogLine::new("listening"));
     let metrics_addr = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
 
     let clock = Clock::start();
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -166,6 +166,9 @@
             .with("status", refusal.status())
             .with("host", &query.host)
             .with("config", self.plan.as_ref().map_or(0, |p| p.version()));
+        if refusal.reason == Reason::Quarantined {
+            note = note.with("signature", format!("{:016x}", query.signature));
+        }
         let plan = self.plan.as_ref();
         let key = query.key.as_ref();
         let holder = plan.and_then(|plan| plan.key_account(key?));
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -327,10 +327,11 @@
         self.urgent |= urgent;
     }
 
-    fn deliver(&self, now: Time, open: &OpenRequest, out: &mut Vec<Action>) {
+    fn deliver(&mut self, now: Time, open: &OpenRequest, out: &mut Vec<Action>) {
         let held = now.since(open.received).as_millis();
         let note = self.note(Severity::Routine, "delivered", open);
         out.push(Action::Log(note.with("held_ms", held)));
+        out.extend(self.startup.served(now).map(Action::Log));
         out.push(Action::Deliver(open.query.id));
     }
 
--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -54,6 +54,25 @@
     rows: SortedMap<u64, SignatureCrashes>,
     // Broken connections of servers that may have crashed, the oldest first.
     broken: Vec<BrokenConnection>,
+    // The changes since they were last taken.
+    changes: Vec<CrashChange>,
+}
+
+/// Who observed a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Witness {
+    Here,
+    Other,
+}
+
+/// A change of what is known of one signature, for the log.
+#[derive(Debug)]
+pub(crate) struct CrashChange {
+    pub(crate) signature: u64,
+    /// The number of known crashes.
+    pub(crate) crashes: usize,
+    pub(crate) quarantined: bool,
+    pub(crate) why: &'static str,
 }
 
 /// A start of a backend server.
@@ -100,7 +119,7 @@
     /// Records a failed attempt to connect: recent broken connections to the
     /// server count as crashes. Returns whether there were any.
     pub(crate) fn unreachable(&mut self, now: Time, server: u32) -> bool {
-        self.confirm(now, |row| {
+        self.confirm(now, "unreachable", |row| {
             row.to.server == server && now.since(row.at) < CRASH_WINDOW
         })
     }
@@ -108,21 +127,27 @@
     /// Records that a start of a server was listed: recent broken connections to
     /// an earlier one count as crashes. Returns whether there were any.
     pub(crate) fn started(&mut self, now: Time, start: Incarnation) -> bool {
-        self.confirm(now, |row| {
+        self.confirm(now, "started-again", |row| {
             row.to.server == start.server && row.to.start != start.start
         })
     }
 
     // Counts the broken connections for which `crashed` is true as crashes.
-    fn confirm(&mut self, now: Time, crashed: impl Fn(&BrokenConnection) -> bool) -> bool {
+    fn confirm(
+        &mut self,
+        now: Time,
+        why: &'static str,
+        crashed: impl Fn(&BrokenConnection) -> bool,
+    ) -> bool {
         let (crashed, rest) = std::mem::take(&mut self.broken)
             .into_iter()
             .partition::<Vec<_>, _>(crashed);
         self.broken = rest;
         for row in &crashed {
-            self.record(now, CRASH_TTL, row.signature, row.to.start, |row| {
-                &mut row.observed
-            });
+            let start = row.to.start;
+            if self.record(now, CRASH_TTL, row.signature, start, Witness::Here) {
+                self.note_change(row.signature, why);
+            }
         }
         !crashed.is_empty()
     }
@@ -131,21 +156,43 @@
     pub(crate) fn answered(&mut self, now: Time, signature: u64) {
         if let Some(row) = self.rows.get_mut(&signature) {
             row.answered = Some(now);
+            let had_crashes = !row.observed.is_empty() || !row.reported.is_empty();
             row.observed.clear();
             row.reported.clear();
+            if had_crashes {
+                self.note_change(signature, "answered");
+            }
         }
         self.broken.retain(|row| row.signature != signature);
     }
 
     /// Returns whether requests with the signature are quarantined.
     pub(crate) fn is_quarantined(&self, signature: u64) -> bool {
-        let row = self.rows.get(&signature);
-        row.is_some_and(|row| {
+        self.count(signature) >= QUARANTINE_CRASHES
+    }
+
+    /// Returns the changes since the last call.
+    pub(crate) fn take_changes(&mut self) -> Vec<CrashChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    // Returns the number of known crashes of a signature.
+    fn count(&self, signature: u64) -> usize {
+        self.rows.get(&signature).map_or(0, |row| {
             let reported = row.reported.iter().filter(|s| !row.observed.contains(s));
-            row.observed.len() + reported.count() >= QUARANTINE_CRASHES
+            row.observed.len() + reported.count()
         })
     }
 
+    fn note_change(&mut self, signature: u64, why: &'static str) {
+        self.changes.push(CrashChange {
+            signature,
+            crashes: self.count(signature),
+            quarantined: self.is_quarantined(signature),
+            why,
+        });
+    }
+
     /// Returns the latest crashes observed by this instance, for the digest.
     pub(crate) fn report(&self) -> Vec<(u64, Vec<u32>)> {
         let observed = self.rows.iter().filter(|(_, row)| !row.observed.is_empty());
@@ -180,13 +227,13 @@
         for row in known {
             let left = CRASH_TTL.saturating_sub(Duration::from_secs(u64::from(row.age_s)));
             for start in row.starts.iter().filter(|_| !left.is_zero()) {
-                self.record(now, left, row.signature, *start, |row| &mut row.reported);
+                self.learn(now, left, row.signature, *start);
             }
         }
         let is_aged = |signature: &u64| known.iter().any(|row| row.signature == *signature);
         for (signature, starts) in observed.iter().filter(|row| !is_aged(&row.0)) {
             for start in starts {
-                self.record(now, CRASH_TTL, *signature, *start, |row| &mut row.reported);
+                self.learn(now, CRASH_TTL, *signature, *start);
             }
         }
     }
@@ -197,15 +244,23 @@
         self.broken.retain(|row| now.since(row.at) < RESTART_WINDOW);
     }
 
-    // Records a crash that is forgotten after `left`.
+    fn learn(&mut self, now: Time, left: Duration, signature: u64, start: u32) {
+        let before = self.count(signature);
+        self.record(now, left, signature, start, Witness::Other);
+        if self.count(signature) > before {
+            self.note_change(signature, "reported");
+        }
+    }
+
+    // Records a crash that is forgotten after `left`; returns whether it was not known.
     fn record(
         &mut self,
         now: Time,
         left: Duration,
         signature: u64,
         start: u32,
-        list: impl Fn(&mut SignatureCrashes) -> &mut Vec<u32>,
-    ) {
+        witness: Witness,
+    ) -> bool {
         let expires = now + left;
         let row = self
             .rows
@@ -220,10 +275,14 @@
             expires <= answered + CRASH_TTL || now.since(answered) < CLEARED_TTL
         };
         if row.answered.is_some_and(is_cleared) {
-            return;
+            return false;
         }
-        let list = list(row);
-        if !list.contains(&start) {
+        let list = match witness {
+            Witness::Here => &mut row.observed,
+            Witness::Other => &mut row.reported,
+        };
+        let is_new = !list.contains(&start);
+        if is_new {
             list.push(start);
             row.expires = row.expires.max(expires);
         }
@@ -233,6 +292,7 @@
                 self.rows.remove(&oldest);
             }
         }
+        is_new
     }
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -87,6 +87,7 @@
 mod shift;
 mod shortage;
 mod source;
+mod startup;
 mod steer;
 mod stop;
 mod store_check;
--- a/crates/steer/src/revisions.rs
+++ b/crates/steer/src/revisions.rs
@@ -23,6 +23,19 @@
     Members,
 }
 
+impl InputKind {
+    /// Returns the name of the kind for logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Plan => "config",
+            Self::Servers => "servers",
+            Self::Orders => "orders",
+            Self::Evacuations => "evacuations",
+            Self::Members => "instances",
+        }
+    }
+}
+
 /// All kinds of input.
 pub(crate) const INPUTS: [InputKind; 5] = [
     InputKind::Plan,
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -50,13 +50,13 @@
 use crate::restored::UnsettledLists;
 use crate::revisions::InputKind;
 use crate::revisions::Revisions;
-use crate::revisions::INPUTS;
 use crate::server::State;
 use crate::server::SERVER_CHART;
 use crate::shift::Shifts;
 use crate::source::Signal as SourceSignal;
 use crate::source::SourceSelector;
 use crate::source::SOURCE_CHART;
+use crate::startup::Startup;
 use crate::tokens::Loans;
 use crate::usage::Usage;
 use crate::version_move::Transition;
@@ -139,8 +139,7 @@
     pub(crate) lagging_since: Option<Time>,
     // When the store was last read again for that reason.
     pub(crate) store_reread: Time,
-    // The inputs that must still arrive before callers are served.
-    missing: Vec<InputKind>,
+    pub(crate) startup: Startup,
     // The number of digests sent in this run.
     pub(crate) digest_count: u64,
     // The latest digest that was sent.
@@ -217,7 +216,7 @@
             later_plan: false,
             lagging_since: None,
             store_reread: Time::ZERO,
-            missing: INPUTS.to_vec(),
+            startup: Startup::new(),
             digest_count: 0,
             last_digest: None,
             last_sweep: Time::ZERO,
@@ -303,6 +302,8 @@
         self.expire_requests(now, out);
         self.send_due(now, out);
         self.log_server_changes(out);
+        self.log_crash_changes(out);
+        out.extend(self.startup.line(now).map(Action::Log));
     }
 
     /// Returns the time at which the next [`Event::Tick`] is due.
@@ -335,7 +336,7 @@
 
     /// Returns whether all inputs that decisions need have arrived.
     pub(crate) fn is_informed(&self) -> bool {
-        self.missing.is_empty()
+        self.startup.is_informed()
     }
 
     /// Returns whether the configuration may be too old to contain a caller's key or
@@ -360,7 +361,7 @@
     }
 
     pub(crate) fn mark_arrived(&mut self, input: InputKind) {
-        self.missing.retain(|missing| *missing != input);
+        self.startup.arrived(input);
     }
 
     fn apply_plan(&mut self, now: Time, plan: Arc<Plan>, out: &mut Vec<Action>) {
@@ -402,7 +403,7 @@
     /// Recomputes this instance's quotas from the demands that are known.
     pub(crate) fn update_quotas(&mut self, now: Time) {
         // Without the list of instances, this one would claim the full rates.
-        if self.missing.contains(&InputKind::Members) {
+        if self.startup.lacks(InputKind::Members) {
             return;
         }
         let lender = self.lender(now);
@@ -467,6 +468,17 @@
         }
     }
 
+    fn log_crash_changes(&mut self, out: &mut Vec<Action>) {
+        for change in self.crashes.take_changes() {
+            let note = Note::new(Severity::Notable, "suspect")
+                .with("signature", format!("{:016x}", change.signature))
+                .with("crashes", change.crashes)
+                .with("quarantined", change.quarantined)
+                .with("why", change.why);
+            out.push(Action::Log(note));
+        }
+    }
+
     fn log_server_changes(&mut self, out: &mut Vec<Action>) {
         for change in self.fleet.take_changes() {
             if matches!(change.to, State::Leaving | State::Resigned) {
