--- a/crates/standins/src/estate/crashing.rs
+++ b/crates/standins/src/estate/crashing.rs
@@ -1,4 +1,5 @@
-//! An endpoint that crashes when it begins to run certain requests, and starts again.
+//! An endpoint that crashes, on its own or when it begins to run certain requests, and starts
+//! again.
 
 use std::io;
 use std::io::Read as _;
@@ -29,6 +30,8 @@
     /// The address on which it accepts requests.
     pub addr: SocketAddr,
     crashes: Arc<AtomicUsize>,
+    // Whether the current run is to end.
+    crash: Arc<AtomicBool>,
 }
 
 impl Crashing {
@@ -42,7 +45,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("the address of a listener");
         let crashes = Arc::new(AtomicUsize::new(0));
-        let endpoint = Self { addr, crashes };
+        let endpoint = Self {
+            addr,
+            crashes,
+            crash: Arc::default(),
+        };
         let served = endpoint.clone();
         thread::spawn(move || {
             let mut listener = Some(listener);
@@ -50,8 +57,9 @@
                 // The port may be in use for a moment after the crash.
                 let bound = listener.take().map_or_else(|| TcpListener::bind(addr), Ok);
                 if let Ok(bound) = bound {
-                    run_until_crash(&bound, fatal);
+                    run_until_crash(&bound, fatal, &served.crash);
                     drop(bound);
+                    served.crash.store(false, Ordering::Release);
                     served.crashes.fetch_add(1, Ordering::AcqRel);
                     thread::sleep(downtime);
                 }
@@ -60,15 +68,19 @@
         endpoint
     }
 
+    /// Ends the current run as a loss of power does.
+    pub fn crash(&self) {
+        self.crash.store(true, Ordering::Release);
+    }
+
     /// Returns how often it has crashed.
     pub fn crashes(&self) -> usize {
         self.crashes.load(Ordering::Acquire)
     }
 }
 
-// Serves requests until one is fatal, then closes all connections.
-fn run_until_crash(listener: &TcpListener, fatal: &'static str) {
-    let crashed = Arc::new(AtomicBool::new(false));
+// Serves requests until a crash, then closes all connections.
+fn run_until_crash(listener: &TcpListener, fatal: &'static str, crashed: &Arc<AtomicBool>) {
     let mut streams = Vec::new();
     listener.set_nonblocking(true).expect("an open listener");
     while !crashed.load(Ordering::Acquire) {
@@ -76,7 +88,7 @@
             thread::sleep(POLL_INTERVAL);
             continue;
         };
-        let crash = Arc::clone(&crashed);
+        let crash = Arc::clone(crashed);
         streams.extend(stream.try_clone());
         // A broken connection affects only its own caller.
         thread::spawn(move || drop(serve(stream, fatal, &crash)));
