steer: end the quarantine of requests that were lost with their servers

Cause: a signature (method, target and body, whoever asks) was quarantined once it had been in flight at three servers that crashed. Only an answer clears it, and a quarantined signature gets none. A common loss of servers has every popular signature in flight at most of them, so that all of them were quarantined within 0.1 s, as the suspect lines tell.

Change: edge-suspect.yaml decides on each signature. Answers before the crashes raise the number that it takes to quarantine it. If the signature was answered before, or its crashes came within 3 s of each other, requests with it are tried again: one at a time, not retried, at most twice in all, 10 s after the latest crash, at one instance before the others by rank. An answer is told to all instances, as a row without crashes, which earlier builds ignore. Rejected callers are told when the next trial is due.

The bound on a request that does crash servers holds: a signature without answers whose crashes come one after the other gets no trial, and the others two, where the platform allows three retries.

--- a/crates/cli/src/chart.rs
+++ b/crates/cli/src/chart.rs
@@ -13,7 +13,7 @@
 use crate::output::Output;
 
 /// The charts that instances interpret, sorted by name.
-const CHARTS: [(&str, &str); 22] = [
+const CHARTS: [(&str, &str); 23] = [
     ("claim", corianderway_control::CLAIM_CHART),
     ("drain", corianderway_rollout::DRAIN_CHART),
     ("duty-lease", corianderway_duties::LEASE_CHART),
@@ -23,6 +23,7 @@
     ("edge-connection", corianderway_steer::CONNECTION_CHART),
     ("edge-move", corianderway_steer::MOVE_CHART),
     ("edge-pace", corianderway_steer::PACE_CHART),
+    ("edge-suspect", corianderway_steer::SUSPECT_CHART),
     ("edge-relay", corianderway_steer::RELAY_CHART),
     ("edge-request", corianderway_steer::REQUEST_CHART),
     ("edge-server", corianderway_steer::SERVER_CHART),
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -9,6 +9,8 @@
 
 use crate::event::Action;
 use crate::event::CallerRequest;
+use crate::hash;
+use crate::listing::Member;
 use crate::note::Note;
 use crate::note::Severity;
 use crate::plan::AccountTerms;
@@ -23,6 +25,7 @@
 use crate::server::millis;
 use crate::service_time::Warmth;
 use crate::steer::Steer;
+use crate::suspect::Verdict;
 
 /// Retry delay of a caller whose instance is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
@@ -39,6 +42,8 @@
     account: Option<Arc<AccountTerms>>,
     // Whether the relay must still lend a token.
     needs_token: bool,
+    // Whether a quarantined request is tried again.
+    is_trial: bool,
 }
 
 impl Steer {
@@ -56,6 +61,7 @@
             route,
             account,
             needs_token,
+            is_trial,
         } = admitted;
         let timeout = time_limit(&query, &route);
         let service = self.round_robin.next(&route.name, &route.targets);
@@ -69,6 +75,7 @@
             wait_until: None,
             full_cause: None,
             returned: false,
+            is_trial,
             token_requests: 0,
             tried: Vec::new(),
             possible_runs: 0,
@@ -83,6 +90,11 @@
             account,
         };
         open.returned = self.recognise(now, &open);
+        if is_trial {
+            let signature = open.query.signature;
+            let rank = self.trial_rank(now, signature);
+            self.crashes.begin_trial(now, signature, rank);
+        }
         let signal = if needs_token {
             Signal::TokenNeeded
         } else {
@@ -115,8 +127,11 @@
             return Err(Refusal::not_run(Reason::Stopping).with_retry_after(STOPPING_RETRY));
         }
         let account = self.check_key(&plan, route, query)?;
-        if self.crashes.is_quarantined(query.signature) {
-            return Err(Refusal::not_run(Reason::Quarantined));
+        let rank = || self.trial_rank(now, query.signature);
+        let verdict = self.crashes.verdict(now, query.signature, rank);
+        if let Verdict::Refuse(wait) = verdict {
+            let refusal = Refusal::not_run(Reason::Quarantined);
+            return Err(wait.map_or(refusal, |wait| refusal.with_retry_after(wait)));
         }
         let check = account.as_ref().map_or(RateCheck::Passed, |terms| {
             self.quotas.admit(now, &terms.account)
@@ -132,9 +147,21 @@
             route: Arc::clone(route),
             account,
             needs_token,
+            is_trial: verdict == Verdict::Try,
         })
     }
 
+    // Returns the number of instances that should try a quarantined request before this one.
+    fn trial_rank(&self, now: Time, signature: u64) -> u32 {
+        let rank = |member: &Member| {
+            let name = hash::of(member.entry.id.as_str().as_bytes());
+            hash::rank(signature, name)
+        };
+        let own = rank(self.members.me());
+        let others = self.members.serving(now);
+        others.filter(|member| rank(member) > own).count() as u32
+    }
+
     fn check_key(
         &self,
         plan: &Plan,
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -111,6 +111,9 @@
         }
         if open.state != State::Done {
             self.requests.insert(open.query.id, open);
+        } else if open.is_trial {
+            let ran = open.possible_runs > 0;
+            self.crashes.end_trial(now, open.query.signature, ran);
         }
     }
 
@@ -228,7 +231,7 @@
             Outcome::Answered { status, load } => {
                 let failed = status >= ERROR_STATUS;
                 self.fleet.record_load(now, &server, load, tolerated);
-                self.crashes.answered(now, open.query.signature);
+                self.urgent |= self.crashes.answered(now, open.query.signature);
                 // What the speed of the machine explains is no slowness of the server.
                 let stretch = self.fleet.stretch_of_answer(now, choice.stretch, load);
                 let ratio = took / expected.max(1.0) * choice.stretch / stretch;
--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -3,10 +3,10 @@
 //! A connection that breaks during a request counts as a crash of the server by
 //! the request's signature if the server accepts no connections soon after it,
 //! or is listed again with a later start. Each start of a server counts as a
-//! server of its own. A signature with several crashes is quarantined; an answer
-//! to it clears them.
+//! server of its own. What follows from the crashes and the answers of a signature is
+//! decided by [`suspect`](crate::suspect).
 //!
-//! Instances tell each other of all crashes that they know, with their age, so
+//! Instances tell each other of all crashes and answers that they know, with their age, so
 //! that an instance that starts learns of them, and so that they are forgotten
 //! everywhere at about the same time, however often they are passed on.
 
@@ -16,16 +16,12 @@
 use corianderway_model::Time;
 
 use crate::digest::KnownCrashes;
-
-/// Number of crashes from which on a signature is quarantined.
-const QUARANTINE_CRASHES: usize = 3;
-
-/// Time after which a crash is forgotten.
-const CRASH_TTL: Duration = Duration::from_mins(10);
-
-/// Time after an answer to a request in which no crash is attributed to its
-/// signature.
-const CLEARED_TTL: Duration = Duration::from_secs(5);
+use crate::suspect;
+use crate::suspect::Suspect;
+use crate::suspect::SuspectChart;
+use crate::suspect::Verdict;
+use crate::suspect::Witness;
+use crate::suspect::CRASH_TTL;
 
 /// Time between a broken connection and a failed attempt to connect within
 /// which the server counts as crashed.
@@ -41,30 +37,31 @@
 /// Maximum number of signatures; beyond it the oldest is dropped.
 const MAX_SIGNATURES: usize = 512;
 
+/// Number of signatures whose answers are counted.
+const ANSWER_SLOTS: usize = 1_024;
+
+/// Time after an answer in which the next one must come to be counted with it.
+const ANSWER_WINDOW: Duration = Duration::from_mins(1);
+
 /// Maximum number of signatures in a message.
 const MAX_REPORTED: usize = 8;
 
 /// Maximum number of starts that a message tells of one signature. Any of them
 /// may be known already, so it exceeds the number that leads to quarantine.
-const MAX_REPORTED_STARTS: usize = 2 * QUARANTINE_CRASHES;
+const MAX_REPORTED_STARTS: usize = 6;
 
 /// The crashes of backend servers by request signature.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Crashes {
-    rows: SortedMap<u64, SignatureCrashes>,
+    chart: SuspectChart,
+    suspects: SortedMap<u64, Suspect>,
+    answers: AnswerCounts,
     // Broken connections of servers that may have crashed, the oldest first.
     broken: Vec<BrokenConnection>,
     // The changes since they were last taken.
     changes: Vec<CrashChange>,
 }
 
-/// Who observed a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Witness {
-    Here,
-    Other,
-}
-
 /// A change of what is known of one signature, for the log.
 #[derive(Debug)]
 pub(crate) struct CrashChange {
@@ -92,21 +89,50 @@
     at: Time,
 }
 
-/// The starts of servers that requests with one signature crashed.
+/// The number of recent answers by signature. Each signature has one slot, which it shares with
+/// others; the one that was answered last has it.
 #[derive(Debug)]
-struct SignatureCrashes {
-    // When the latest crash is forgotten. The crash itself may have happened before
-    // the origin of this process's clock.
-    expires: Time,
-    // Hashes of crashed starts, as observed by this instance and as reported by
-    // others.
-    observed: Vec<u32>,
-    reported: Vec<u32>,
-    // When a request with the signature was last answered.
-    answered: Option<Time>,
+struct AnswerCounts(Vec<Option<AnswerCount>>);
+
+#[derive(Clone, Copy, Debug)]
+struct AnswerCount {
+    signature: u64,
+    count: u32,
+    latest: Time,
+}
+
+impl AnswerCounts {
+    fn record(&mut self, now: Time, signature: u64) {
+        self.0[slot(signature)] = Some(AnswerCount {
+            signature,
+            count: self.of(now, signature).saturating_add(1),
+            latest: now,
+        });
+    }
+
+    fn of(&self, now: Time, signature: u64) -> u32 {
+        let row = self.0[slot(signature)].filter(|row| row.signature == signature);
+        let row = row.filter(|row| now.since(row.latest) < ANSWER_WINDOW);
+        row.map_or(0, |row| row.count)
+    }
+}
+
+fn slot(signature: u64) -> usize {
+    (signature % ANSWER_SLOTS as u64) as usize
 }
 
 impl Crashes {
+    /// Creates the state without suspects.
+    pub(crate) fn new(chart: SuspectChart) -> Self {
+        Self {
+            chart,
+            suspects: SortedMap::default(),
+            answers: AnswerCounts(vec![None; ANSWER_SLOTS]),
+            broken: Vec::new(),
+            changes: Vec::new(),
+        }
+    }
+
     /// Records that a connection broke while it carried a request.
     pub(crate) fn connection_broke(&mut self, now: Time, signature: u64, to: Incarnation) {
         if self.broken.len() == MAX_BROKEN {
@@ -144,31 +170,56 @@
             .partition::<Vec<_>, _>(crashed);
         self.broken = rest;
         for row in &crashed {
-            let start = row.to.start;
-            if self.record(now, CRASH_TTL, row.signature, start, Witness::Here) {
-                self.note_change(row.signature, why);
-            }
+            let age = now.since(row.at);
+            self.record(now, row.signature, age, row.to.start, Witness::Here, why);
         }
         !crashed.is_empty()
     }
 
-    /// Records an answer to a request, which clears its signature.
-    pub(crate) fn answered(&mut self, now: Time, signature: u64) {
-        if let Some(row) = self.rows.get_mut(&signature) {
-            row.answered = Some(now);
-            let had_crashes = !row.observed.is_empty() || !row.reported.is_empty();
-            row.observed.clear();
-            row.reported.clear();
-            if had_crashes {
-                self.note_change(signature, "answered");
-            }
-        }
+    /// Records an answer to a request, which clears its signature. Returns whether crashes were
+    /// known.
+    pub(crate) fn answered(&mut self, now: Time, signature: u64) -> bool {
+        self.answers.record(now, signature);
         self.broken.retain(|row| row.signature != signature);
+        let Some(suspect) = self.suspects.get_mut(&signature) else {
+            return false;
+        };
+        let had_crashes = suspect.record_answer(&self.chart, now, Duration::ZERO);
+        if had_crashes {
+            self.note_change(signature, "answered");
+        }
+        had_crashes
+    }
+
+    /// Decides on a request. `rank` is the number of instances that should try one first.
+    pub(crate) fn verdict(&self, now: Time, signature: u64, rank: impl Fn() -> u32) -> Verdict {
+        let suspect = self.suspects.get(&signature);
+        suspect.map_or(Verdict::Run, |suspect| {
+            let rank = if suspect.is_quarantined() { rank() } else { 0 };
+            suspect.verdict(now, rank)
+        })
+    }
+
+    /// Begins the trial of a quarantined signature, if it is due.
+    pub(crate) fn begin_trial(&mut self, now: Time, signature: u64, rank: u32) {
+        if let Some(suspect) = self.suspects.get_mut(&signature) {
+            suspect.begin_trial(&self.chart, now, rank);
+            self.note_change(signature, "trial");
+        }
+    }
+
+    /// Ends a trial; `ran` says whether the request may have reached a server.
+    pub(crate) fn end_trial(&mut self, now: Time, signature: u64, ran: bool) {
+        if let Some(suspect) = self.suspects.get_mut(&signature) {
+            suspect.end_trial(&self.chart, now, ran);
+            self.note_change(signature, "trial-ended");
+        }
     }
 
     /// Returns whether requests with the signature are quarantined.
     pub(crate) fn is_quarantined(&self, signature: u64) -> bool {
-        self.count(signature) >= QUARANTINE_CRASHES
+        let suspect = self.suspects.get(&signature);
+        suspect.is_some_and(Suspect::is_quarantined)
     }
 
     /// Returns the changes since the last call.
@@ -176,43 +227,19 @@
         std::mem::take(&mut self.changes)
     }
 
-    // Returns the number of known crashes of a signature.
-    fn count(&self, signature: u64) -> usize {
-        self.rows.get(&signature).map_or(0, |row| {
-            let reported = row.reported.iter().filter(|s| !row.observed.contains(s));
-            row.observed.len() + reported.count()
-        })
-    }
-
-    fn note_change(&mut self, signature: u64, why: &'static str) {
-        self.changes.push(CrashChange {
-            signature,
-            crashes: self.count(signature),
-            quarantined: self.is_quarantined(signature),
-            why,
-        });
-    }
-
     /// Returns the latest crashes observed by this instance, for the digest.
     pub(crate) fn report(&self) -> Vec<(u64, Vec<u32>)> {
-        let observed = self.rows.iter().filter(|(_, row)| !row.observed.is_empty());
-        let mut rows: Vec<_> = observed.collect();
+        let suspects = self.suspects.iter();
+        let mut rows: Vec<_> = suspects.filter(|row| !row.1.observed.is_empty()).collect();
         rows.sort_by_key(|(_, row)| std::cmp::Reverse(row.expires));
         let latest = rows.into_iter().take(MAX_REPORTED);
         latest.map(|(s, row)| (*s, row.observed.clone())).collect()
     }
 
-    /// Returns the latest crashes that are known, for messages.
+    /// Returns the latest crashes and answers that are known, for messages.
     pub(crate) fn known(&self, now: Time) -> Vec<KnownCrashes> {
-        let known = self.rows.iter().map(|(signature, row)| {
-            let starts = row.observed.iter().chain(&row.reported);
-            KnownCrashes {
-                signature: *signature,
-                age_s: CRASH_TTL.saturating_sub(row.expires.since(now)).as_secs() as u32 + 1,
-                starts: starts.copied().collect(),
-            }
-        });
-        merge_known(known)
+        let suspects = self.suspects.iter();
+        merge_known(suspects.filter_map(|(signature, row)| row.known(now, *signature)))
     }
 
     /// Adds crashes that other instances observed, and those that they know.
@@ -225,92 +252,122 @@
         known: &[KnownCrashes],
     ) {
         for row in known {
-            let left = CRASH_TTL.saturating_sub(Duration::from_secs(u64::from(row.age_s)));
-            for start in row.starts.iter().filter(|_| !left.is_zero()) {
-                self.learn(now, left, row.signature, *start);
+            let age = Duration::from_secs(u64::from(row.age_s));
+            if row.starts.is_empty() {
+                self.learn_answer(now, row.signature, age);
+                continue;
+            }
+            for start in row.starts.iter().filter(|_| age < CRASH_TTL) {
+                self.record(now, row.signature, age, *start, Witness::Other, "reported");
+            }
+            if let Some(suspect) = self.suspects.get_mut(&row.signature) {
+                suspect.merge(now, row);
             }
         }
         let is_aged = |signature: &u64| known.iter().any(|row| row.signature == *signature);
         for (signature, starts) in observed.iter().filter(|row| !is_aged(&row.0)) {
             for start in starts {
-                self.learn(now, CRASH_TTL, *signature, *start);
+                let age = Duration::ZERO;
+                self.record(now, *signature, age, *start, Witness::Other, "reported");
             }
         }
     }
 
     /// Drops crashes and broken connections that are too old.
     pub(crate) fn expire(&mut self, now: Time) {
-        self.rows.retain(|_, row| now < row.expires);
+        self.suspects.retain(|_, row| now < row.expires);
         self.broken.retain(|row| now.since(row.at) < RESTART_WINDOW);
     }
 
-    fn learn(&mut self, now: Time, left: Duration, signature: u64, start: u32) {
-        let before = self.count(signature);
-        self.record(now, left, signature, start, Witness::Other);
-        if self.count(signature) > before {
-            self.note_change(signature, "reported");
+    fn learn_answer(&mut self, now: Time, signature: u64, age: Duration) {
+        let chart = &self.chart;
+        let suspect = self
+            .suspects
+            .get_or_insert_with(signature, || Suspect::new(chart, now + CRASH_TTL));
+        if suspect.record_answer(chart, now, age) {
+            self.note_change(signature, "answered-elsewhere");
         }
+        self.limit();
     }
 
-    // Records a crash that is forgotten after `left`; returns whether it was not known.
+    // Records a crash of this age, unless an answer followed it or came shortly before.
     fn record(
         &mut self,
         now: Time,
-        left: Duration,
         signature: u64,
+        age: Duration,
         start: u32,
         witness: Witness,
-    ) -> bool {
-        let expires = now + left;
-        let row = self
-            .rows
-            .get_or_insert_with(signature, || SignatureCrashes {
-                expires,
-                observed: Vec::new(),
-                reported: Vec::new(),
-                answered: None,
-            });
-        let is_cleared = |answered: Time| {
-            // The crash happened before the answer, or an attempt that began before it.
-            expires <= answered + CRASH_TTL || now.since(answered) < CLEARED_TTL
-        };
-        if row.answered.is_some_and(is_cleared) {
-            return false;
-        }
-        let list = match witness {
-            Witness::Here => &mut row.observed,
-            Witness::Other => &mut row.reported,
-        };
-        let is_new = !list.contains(&start);
-        if is_new {
-            list.push(start);
-            row.expires = row.expires.max(expires);
+        why: &'static str,
+    ) {
+        let expires = now + CRASH_TTL.saturating_sub(age);
+        let (chart, answers) = (&self.chart, self.answers.of(now, signature));
+        let suspect = self
+            .suspects
+            .get_or_insert_with(signature, || Suspect::new(chart, expires));
+        suspect.record_answers(answers);
+        if suspect.record_crash(chart, now, start, expires, witness) {
+            self.note_change(signature, why);
         }
-        if self.rows.len() > MAX_SIGNATURES {
-            let oldest = self.rows.iter().min_by_key(|row| row.1.expires);
+        self.limit();
+    }
+
+    // Drops the oldest signature if there are too many.
+    fn limit(&mut self) {
+        if self.suspects.len() > MAX_SIGNATURES {
+            let oldest = self.suspects.iter().min_by_key(|row| row.1.expires);
             if let Some(oldest) = oldest.map(|row| *row.0) {
-                self.rows.remove(&oldest);
+                self.suspects.remove(&oldest);
             }
         }
-        is_new
+    }
+
+    fn note_change(&mut self, signature: u64, why: &'static str) {
+        if let Some(suspect) = self.suspects.get(&signature) {
+            self.changes.push(CrashChange {
+                signature,
+                crashes: suspect.crashes(),
+                quarantined: suspect.is_quarantined(),
+                why,
+            });
+        }
     }
 }
 
-/// Merges what is known of crashes, up to the size of a message; the latest ones are kept.
+/// Merges what is known of crashes and answers, up to the size of a message; the latest ones
+/// are kept.
 pub(crate) fn merge_known(rows: impl Iterator<Item = KnownCrashes>) -> Vec<KnownCrashes> {
-    let mut merged: SortedMap<u64, KnownCrashes> = SortedMap::default();
-    for row in rows.filter(|row| !row.starts.is_empty()) {
+    let mut answers: SortedMap<u64, KnownCrashes> = SortedMap::default();
+    let mut crashes: SortedMap<u64, KnownCrashes> = SortedMap::default();
+    for row in rows {
+        let merged = if row.starts.is_empty() {
+            &mut answers
+        } else {
+            &mut crashes
+        };
         let known = merged.get_or_insert_with(row.signature, || KnownCrashes {
             starts: Vec::new(),
             ..row
         });
         known.age_s = known.age_s.min(row.age_s);
+        known.first_age_s = known.first_age_s.max(row.first_age_s);
+        known.trials = known.trials.max(row.trials);
+        known.answers = known.answers.max(row.answers);
         known.starts.extend(row.starts);
         known.starts.sort_unstable();
         known.starts.dedup();
         known.starts.truncate(MAX_REPORTED_STARTS);
     }
-    let mut merged: Vec<_> = merged.iter().map(|row| row.1.clone()).collect();
+    let is_cleared = |row: &KnownCrashes| {
+        let answer = answers.get(&row.signature);
+        answer.is_some_and(|answer| suspect::clears(answer.age_s, row.age_s))
+    };
+    let crashes = crashes.iter().map(|row| row.1);
+    let mut merged: Vec<_> = crashes.filter(|row| !is_cleared(row)).cloned().collect();
+    let is_crash = |row: &&KnownCrashes| merged.iter().any(|c| c.signature == row.signature);
+    let answers = answers.iter().map(|row| row.1);
+    let answers: Vec<_> = answers.filter(|row| !is_crash(row)).cloned().collect();
+    merged.extend(answers);
     merged.sort_by_key(|row| row.age_s);
     merged.truncate(MAX_REPORTED);
     merged
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -29,18 +29,33 @@
 /// those servers.
 pub type CrashSignatures = Vec<(u64, Vec<u32>)>;
 
-/// The crashes that are known of one request, whoever observed them.
+/// The crashes that are known of one request, whoever observed them. Without any it tells of an
+/// answer, which clears the request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownCrashes {
     /// The signature of the request.
     #[serde(rename = "g")]
     pub signature: u64,
-    /// The time since the latest crash, in whole seconds, rounded up.
+    /// The time since the latest crash, or since the answer, in whole seconds, rounded up.
     #[serde(rename = "a")]
     pub age_s: u32,
+    /// The time since the first crash, in whole seconds, rounded down. Earlier builds don't tell
+    /// it; then the crashes count as far apart.
+    #[serde(rename = "f", default = "unknown_age")]
+    pub first_age_s: u32,
     /// The hashes of the starts of the servers.
     #[serde(rename = "s")]
     pub starts: Vec<u32>,
+    /// How often the request was tried again since it is quarantined.
+    #[serde(rename = "t", default)]
+    pub trials: u8,
+    /// The number of answers before the crashes, the largest that an instance counted.
+    #[serde(rename = "n", default)]
+    pub answers: u32,
+}
+
+const fn unknown_age() -> u32 {
+    u32::MAX
 }
 
 /// A message from one instance to another.
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -130,6 +130,8 @@
     pub(crate) full_cause: Option<FullCause>,
     /// Whether its caller comes back when a refusal told it to.
     pub(crate) returned: bool,
+    /// Whether it shows if requests with its signature, which are quarantined, crash servers.
+    pub(crate) is_trial: bool,
     /// Number of times that a token was requested.
     pub(crate) token_requests: u32,
     /// The backend servers that the request was sent to.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -57,6 +57,7 @@
 use crate::source::SourceSelector;
 use crate::source::SOURCE_CHART;
 use crate::startup::Startup;
+use crate::suspect::SUSPECT_CHART;
 use crate::tokens::Loans;
 use crate::usage::Usage;
 use crate::version_move::Transition;
@@ -177,6 +178,7 @@
         let pace = corianderway_chart::Chart::parse(PACE_CHART);
         let outage = corianderway_chart::Chart::parse(OUTAGE_CHART);
         let claims = corianderway_chart::Chart::parse(CLAIM_CHART);
+        let suspects = corianderway_chart::Chart::parse(SUSPECT_CHART);
         Ok(Self {
             request_chart: requests.context(chart("edge-request.yaml"))?,
             plan: None,
@@ -200,7 +202,7 @@
             offered_loads: OfferedLoads::default(),
             round_robin: WeightedRoundRobin::default(),
             shifts: Shifts::new(bounds.shift_most),
-            crashes: Crashes::default(),
+            crashes: Crashes::new(suspects.context(chart("edge-suspect.yaml"))?),
             pending_failures: PendingFailures::default(),
             budgets: SortedMap::default(),
             requests: SortedMap::default(),
