routing: try a request again that was lost with many servers

Crashes within 3 s of each other, three or more, now refuse it for 10 s. Then one runs at a time, as any suspect does; another crash refuses it for ten minutes, an answer clears it.

--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -238,6 +238,24 @@
     assert!(!quarantine.is_refused(7, now));
 }
 
+// Guards against a request that is refused for ten minutes since it was in flight at all
+// servers that were lost together; one that does crash servers is tried once more.
+#[test]
+fn a_request_at_a_common_loss_is_tried_again() {
+    let mut quarantine = Quarantine::new();
+    for server in 0..6 {
+        quarantine.record_crash(crash(server, &[7]), second(1));
+    }
+    assert_eq!(quarantine.admit(7, second(2)), Verdict::Refuse);
+    assert_eq!(quarantine.admit(7, second(12)), Verdict::Run);
+    assert_eq!(quarantine.admit(7, second(12)), Verdict::Wait);
+    let mut cleared = quarantine.clone();
+    cleared.record_completion(7, second(13));
+    assert_eq!(cleared.admit(7, second(13)), Verdict::Run);
+    quarantine.record_crash(crash(6, &[7]), second(13));
+    assert_eq!(quarantine.admit(7, second(500)), Verdict::Refuse);
+}
+
 #[test]
 fn completion_clears_a_suspect_and_ends_its_refusal() {
     let mut quarantine = Quarantine::new();
