soak: lose all instances or all backend servers at once

No run had lost several processes at the same moment, as a loss of power does. Half of the runs now do so up to three times, and the losses overlap with the other faults; backend servers start again under their identities, with a later start and their reports counted anew.

It now asks for the answer of that endpoint itself, which the body names.

--- a/crates/standins/src/soak/guarantees.rs
+++ b/crates/standins/src/soak/guarantees.rs
@@ -220,7 +220,8 @@
     let mut told: BTreeMap<(&str, usize, u32), Instant> = BTreeMap::new();
     for record in history.requests.iter().filter(|record| record.leaving) {
         let call = calls.get(record.id.as_str());
-        if let Some(call) = call.filter(|call| call.is_served()) {
+        // Another endpoint may have served it after this one's answer broke off.
+        if let Some(call) = call.filter(|call| call.is_served_by(&record.endpoint)) {
             let key = (record.endpoint.as_str(), call.node, call.run);
             let first = told.entry(key).or_insert(call.ended);
             *first = call.ended.min(*first);
--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -120,6 +120,16 @@
     }
 }
 
+impl Call {
+    /// Reports whether an endpoint of this identity answered it with status 200.
+    pub(super) fn is_served_by(&self, endpoint: &str) -> bool {
+        let End::Answered { body, .. } = &self.end else {
+            return false;
+        };
+        self.is_served() && body.strip_prefix("answer of ") == Some(endpoint)
+    }
+}
+
 impl History {
     /// Reports whether the link to an endpoint held its answers back or lost them at a time.
     pub(super) fn were_answers_held(&self, endpoint: &str, at: Instant) -> bool {
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -78,6 +78,14 @@
 /// The mean time between two faults by foreign programs, in milliseconds.
 const FOREIGN_GAP_MS: u64 = 1_500;
 
+/// The probability that many processes are lost at once in a run, and the range of the time
+/// for which they are, in milliseconds. It is longer than any pause that an endpoint asked for.
+const LOSS_CHANCE: f64 = 0.5;
+const LOSS_DURATION_MS: std::ops::Range<u64> = 1_100..4_000;
+
+/// The maximum number of losses in a run; they may overlap.
+const MAX_LOSSES: usize = 3;
+
 /// What the names of another writer's entries hold.
 pub(super) const ODD_PARTS: [&str; 6] = ["&", "+", "#", "%zz", "%26", " "];
 
@@ -123,6 +131,19 @@
     ForeignEntries(usize, Duration),
     /// Another writer overwrites the entry of an endpoint, which then writes it again.
     Overwrite(usize, Duration),
+    /// Many processes are lost at the same moment, and start again at another one.
+    Loss(Lost, Duration),
+}
+
+/// The processes that are lost at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// All instances.
+    Instances,
+    /// All endpoints.
+    Endpoints,
+    /// All instances and all endpoints.
+    All,
 }
 
 /// A fault of an instance's process, or its planned stop.
@@ -190,6 +211,7 @@
     steps.extend(pauses(seed, span, instances));
     steps.extend(restored(seed, span));
     steps.extend(foreign(seed, span));
+    steps.extend(losses(seed, span));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -278,6 +300,23 @@
     steps
 }
 
+// Generates the losses of many processes at once, with random numbers of their own.
+fn losses(seed: u64, span: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed.rotate_left(48));
+    if !rng.random_bool(LOSS_CHANCE) {
+        return Vec::new();
+    }
+    let count = rng.random_range(1..=MAX_LOSSES);
+    let step = |_| Step {
+        at: Duration::from_millis(rng.random_range(2_000..(span.as_millis() as u64).max(2_001))),
+        fault: Fault::Loss(
+            choose(&mut rng, &[Lost::Instances, Lost::Endpoints, Lost::All]),
+            Duration::from_millis(rng.random_range(LOSS_DURATION_MS)),
+        ),
+    };
+    (0..count).map(step).collect()
+}
+
 /// Returns the number of slots that the endpoints of a run state.
 pub(super) fn slots(seed: u64) -> u32 {
     let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
@@ -339,7 +378,8 @@
         | Fault::MoveRoute
         | Fault::RotateKey
         | Fault::Evacuate(..)
-        | Fault::ForeignEntries(..)) => same,
+        | Fault::ForeignEntries(..)
+        | Fault::Loss(..)) => same,
     }
 }
 
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -36,6 +36,7 @@
 use crate::soak::plan;
 use crate::soak::plan::Fault;
 use crate::soak::plan::LinkFault;
+use crate::soak::plan::Lost;
 use crate::soak::plan::ProcessFault;
 use crate::soak::plan::DOMAINS;
 use crate::soak::plan::ENDPOINT_COUNT;
@@ -117,6 +118,8 @@
     domain: &'static str,
     seq: u64,
     generation: u32,
+    /// The number of its starts under one identity.
+    starts: u64,
 }
 
 /// The action that ends a fault; the number is an instance, an endpoint or a failure
@@ -132,6 +135,7 @@
     EndpointReady(usize),
     EndEvacuation(usize),
     RemoveForeign(usize),
+    StartEndpoint(usize),
     Restore(Duration),
     WriteAgain,
 }
@@ -164,6 +168,7 @@
                 domain,
                 seq: 1,
                 generation: 0,
+                starts: 1,
             });
         }
         let mut hosts = Vec::new();
@@ -278,13 +283,7 @@
             }
             Fault::Compact => self.store.compact(),
             Fault::EndpointLink(at, link_fault, span) => {
-                self.state.endpoints[at].link.set_link(link_fault.link());
-                self.record_endpoint_fault(at, now, now + span);
-                if link_fault.holds_answers() {
-                    let row = (format!("e{at}-"), now, now + span);
-                    self.shared.history().link_faults.push(row);
-                }
-                self.schedule(now + span, Recovery::EndpointLink(at));
+                self.fault_endpoint_link(at, link_fault, span);
             }
             Fault::Endpoint(at, mode, span) => {
                 self.state.endpoints[at].endpoint.set_mode(mode);
@@ -329,7 +328,34 @@
                 self.record_change(Change::EndpointLeaving(id));
                 self.schedule(now + span, Recovery::EndpointReady(at));
             }
+            Fault::Loss(lost, span) => self.lose(lost, span),
+        }
+    }
+
+    fn lose(&mut self, lost: Lost, span: Duration) {
+        let back = Instant::now() + span;
+        if matches!(lost, Lost::Endpoints | Lost::All) {
+            for at in 0..ENDPOINT_COUNT {
+                self.fault_endpoint_link(at, LinkFault::Severed, span);
+                self.schedule(back, Recovery::StartEndpoint(at));
+            }
+        }
+        if matches!(lost, Lost::Instances | Lost::All) {
+            for at in 0..self.state.hosts.len() {
+                self.kill(at, back);
+            }
+        }
+    }
+
+    fn fault_endpoint_link(&mut self, at: usize, link_fault: LinkFault, span: Duration) {
+        let now = Instant::now();
+        self.state.endpoints[at].link.set_link(link_fault.link());
+        self.record_endpoint_fault(at, now, now + span);
+        if link_fault.holds_answers() {
+            let row = (format!("e{at}-"), now, now + span);
+            self.shared.history().link_faults.push(row);
         }
+        self.schedule(now + span, Recovery::EndpointLink(at));
     }
 
     /// Ends the faults that are due, and restarts stopped instances.
@@ -364,6 +390,9 @@
                     let id = self.write_entry(at, "ready");
                     self.record_change(Change::EndpointReady(id));
                 }
+                // One that said that it leaves doesn't start again under its identity.
+                Recovery::StartEndpoint(at) if self.is_pending(&Recovery::Replace(at)) => (),
+                Recovery::StartEndpoint(at) => self.start_endpoint(at),
                 Recovery::EndEvacuation(at) => self.store.remove("evacuations", DOMAINS[at].0),
                 Recovery::RemoveForeign(odd) => self.remove_foreign(odd),
                 Recovery::Restore(age) => {
--- a/crates/standins/src/soak/world/listing.rs
+++ b/crates/standins/src/soak/world/listing.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use crate::estate::node;
+use crate::estate::Mode;
 use crate::estate::PAGE_OBJECTS;
 use crate::soak::history::Change;
 use crate::soak::plan::ODD_PARTS;
@@ -51,7 +52,7 @@
         let (old, new) = {
             let target = &mut self.state.endpoints[at];
             target.generation += 1;
-            target.seq = 0;
+            (target.seq, target.starts) = (0, 1);
             let old = target.endpoint.id();
             let new = format!("e{at}-{}-{}", target.generation, target.service);
             target.endpoint.set_id(&new);
@@ -65,15 +66,27 @@
         debug_assert_eq!(listed, new, "an endpoint is listed under its identity");
     }
 
+    // An endpoint starts again under its identity and counts its reports anew.
+    pub(super) fn start_endpoint(&mut self, at: usize) {
+        let target = &mut self.state.endpoints[at];
+        target.starts += 1;
+        target.seq = 0;
+        target.endpoint.set_mode(Mode::Healthy);
+        let id = self.write_entry(at, "ready");
+        self.record_change(Change::EndpointReady(id));
+    }
+
     // Writes the store entry of an endpoint and returns its identity.
     pub(super) fn write_entry(&mut self, at: usize, presence: &str) -> String {
         let target = &mut self.state.endpoints[at];
         target.seq += 1;
         let id = target.endpoint.id();
         let (service, domain, seq) = (target.service, target.domain, target.seq);
-        let entry = target
+        let mut entry = target
             .endpoint
             .entry_at(target.link.addr, service, domain, presence, seq);
+        let born = entry["born"].as_u64().unwrap_or_default();
+        entry["born"] = json!(born + target.starts);
         self.store.put("servers", &id, &entry);
         id
     }
