routing: a common loss is what comes within a second, whatever came before

The span counts crashes of the window alone, and two crashes at once are a common loss too. Both new tests failed before (Refuse, now Run).

--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -34,8 +34,8 @@
 // `MIN_CRASHES_SOLE` of them. It is short since that can be a coincidence.
 const SHORT_REFUSAL: Duration = Duration::from_secs(30);
 // The time between crashes up to which they may have one cause that is no request, and how
-// long a request is refused after more than two of them. Then one runs at a time.
-const COMMON_CAUSE_SPAN: Duration = Duration::from_secs(3);
+// long a request is refused after them. Then one runs at a time.
+const COMMON_CAUSE_SPAN: Duration = Duration::from_secs(1);
 const COMMON_CAUSE_REFUSAL: Duration = Duration::from_secs(10);
 // How long a request is refused after more crashes, and how long crashes and
 // clearances are kept.
@@ -259,11 +259,11 @@
         let sole =
             count >= MIN_CRASHES_SOLE && share >= MIN_SHARE_SOLE && self.is_sole_suspect(signature);
         let shared = count >= MIN_CRASHES_SHARED && share >= MIN_SHARE_SHARED;
-        let first = involved().next()?.at;
-        let duration = if count <= MIN_CRASHES_SOLE {
-            SHORT_REFUSAL
-        } else if last.since(first) < COMMON_CAUSE_SPAN {
+        let first = involved().find(in_window)?.at;
+        let duration = if last.since(first) < COMMON_CAUSE_SPAN {
             COMMON_CAUSE_REFUSAL
+        } else if count <= MIN_CRASHES_SOLE {
+            SHORT_REFUSAL
         } else {
             CRASH_TTL
         };
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -313,3 +313,26 @@
     }
     common::check(200, property as fn(Vec<u8>) -> bool);
 }
+
+// Guards against a longer refusal after the loss of two servers than after that of more.
+#[test]
+fn a_request_at_a_common_loss_of_two_servers_is_tried_again() {
+    let mut quarantine = Quarantine::new();
+    for server in 0..2 {
+        quarantine.record_crash(crash(server, &[7]), second(1));
+    }
+    assert_eq!(quarantine.admit(7, second(2)), Verdict::Refuse);
+    assert_eq!(quarantine.admit(7, second(16)), Verdict::Run);
+}
+
+// Guards against a refusal for ten minutes since one server crashed long before a common loss.
+#[test]
+fn an_old_crash_is_no_part_of_a_common_loss() {
+    let mut quarantine = Quarantine::new();
+    quarantine.record_crash(crash(9, &[7]), second(1));
+    for server in 0..6 {
+        quarantine.record_crash(crash(server, &[7]), second(400));
+    }
+    assert_eq!(quarantine.admit(7, second(401)), Verdict::Refuse);
+    assert_eq!(quarantine.admit(7, second(415)), Verdict::Run);
+}
