steer: bound the trials of a quarantined request by what other instances try

The review of the trials showed, each by a test in virtual time that failed:

- with more suspected signatures than a message tells of, the relay told the others' crashes without their age, as earlier builds do.

A trial is told at once, and delays those of others; one that shows nothing is followed by another after 2 s, three in all, as the platform allows. Answers excuse crashes only if these come all at once. The relay passes on crashes without an age only from digests that tell none. A crash a minute after the one before begins a series of its own.

--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -94,6 +94,7 @@
             let signature = open.query.signature;
             let rank = self.trial_rank(now, signature);
             self.crashes.begin_trial(now, signature, rank);
+            self.urgent = true;
         }
         let signal = if needs_token {
             Signal::TokenNeeded
--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -200,7 +200,8 @@
         })
     }
 
-    /// Begins the trial of a quarantined signature, if it is due.
+    /// Begins the trial of a quarantined signature, if it is due. The other instances should
+    /// learn of it without delay.
     pub(crate) fn begin_trial(&mut self, now: Time, signature: u64, rank: u32) {
         if let Some(suspect) = self.suspects.get_mut(&signature) {
             suspect.begin_trial(&self.chart, now, rank);
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -202,6 +202,8 @@
         let mut demands: SortedMap<u32, f32> = SortedMap::default();
         let mut workloads: SortedMap<u32, f32> = SortedMap::default();
         let mut crashes: SortedMap<u64, Vec<u32>> = SortedMap::default();
+        let known = self.digests.iter().flat_map(|row| &row.1 .1.known_crashes);
+        let aged = merge_known(known.cloned());
         for (id, (_, digest)) in self.digests.iter() {
             let hash = hash::short(id.as_str());
             summary.instances.push(InstanceStatus::new(hash, digest));
@@ -213,7 +215,12 @@
             for (service, work) in &digest.workloads {
                 *workloads.get_or_insert_with(*service, || 0.0) += work;
             }
+            // Only earlier builds tell crashes without their age.
+            let is_aged = !digest.known_crashes.is_empty();
             for (signature, servers) in &digest.crashes {
+                if is_aged && !aged.iter().any(|row| row.signature == *signature) {
+                    continue;
+                }
                 let known = crashes.get_or_insert_with(*signature, Vec::new);
                 known.extend_from_slice(servers);
             }
@@ -229,8 +236,7 @@
             servers.dedup();
             summary.crashes.push((*signature, servers.clone()));
         }
-        let known = self.digests.iter().flat_map(|row| &row.1 .1.known_crashes);
-        summary.known_crashes = merge_known(known.cloned());
+        summary.known_crashes = aged;
         summary
     }
 }
@@ -260,7 +266,12 @@
         && known.late == digest.late
         && known.doubts_store == digest.doubts_store
         && known.reaches_store == digest.reaches_store;
+    let trials = |d: &Digest| -> u32 {
+        let trials = d.known_crashes.iter().map(|row| u32::from(row.trials));
+        trials.sum()
+    };
     let regular = known.crashes == digest.crashes
+        && trials(known) >= trials(digest)
         && phases(known) == phases(digest)
         && bad(known) >= bad(digest);
     match (is_unchanged, regular) {
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -1,10 +1,10 @@
 //! Whether requests with one signature run, after some were in flight at backend servers that
 //! crashed.
 //!
-//! Several crashes quarantine the signature, and an answer clears it. A signature that is often
-//! answered needs more crashes. If it was answered before, or its crashes came all at once, they
-//! may have had another cause, such as a loss of power. Then requests with it are tried again,
-//! one at a time and a few times in all.
+//! Several crashes quarantine the signature, and an answer clears it. If the crashes come all at
+//! once, it takes more of them for a signature that was often answered. If it was answered
+//! before, or its crashes came all at once, they may have had another cause, such as a loss of
+//! power. Then requests with it are tried again, one at a time and a few times in all.
 
 use std::time::Duration;
 
@@ -23,12 +23,15 @@
 /// Number of crashes from which on a signature without answers is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Number of answers that raise this number by one.
+/// Number of answers that raise this number by one if the crashes come all at once.
 const ANSWERS_PER_CRASH: u32 = 4;
 
 /// Time from the first to the latest crash up to which they may have one cause.
 const COMMON_CAUSE_SPAN: Duration = Duration::from_secs(3);
 
+/// Time between two crashes after which the later one counts as the first.
+const SERIES_GAP: Duration = Duration::from_mins(1);
+
 /// Time after which a crash is forgotten.
 pub(crate) const CRASH_TTL: Duration = Duration::from_mins(10);
 
@@ -40,18 +43,19 @@
 const ANSWER_TTL: Duration = Duration::from_secs(30);
 
 /// Number of trials of a quarantined signature, by all instances together as far as they hear
-/// of each other. The platform allows three such requests.
-const MAX_TRIALS: u8 = 2;
+/// of each other: as many such requests as the platform allows.
+const MAX_TRIALS: u8 = 3;
 
-/// Time from the latest crash to the first trial, which doubles for the second one. It is
-/// shorter than the platform's time to recover.
+/// Time from the latest crash to a trial; shorter than the platform's time to recover.
 const TRIAL_DELAY: Duration = Duration::from_secs(10);
 
-/// Upper limit of the delay by rank that is added, so that one instance tries first.
-const MAX_RANK_DELAY: Duration = Duration::from_secs(2);
+/// Time from a trial to the next one, if it showed nothing.
+const NEXT_TRIAL_DELAY: Duration = Duration::from_secs(2);
 
-/// The rank whose delay is half of that limit.
-const HALF_DELAY_RANK: u32 = 4;
+/// Delay of a trial for each instance that should try first, and the maximum in all. A trial is
+/// known to the other instances sooner.
+const RANK_DELAY: Duration = Duration::from_millis(500);
+const MAX_RANK_DELAY: Duration = Duration::from_secs(4);
 
 /// Retry delay of a caller while another request is tried.
 const IN_TRIAL_RETRY: Duration = Duration::from_millis(500);
@@ -146,7 +150,7 @@
     // came shortly before.
     immune_until: Option<Time>,
     trials: u8,
-    // When the latest trial ended.
+    // When the latest trial ended, or another instance told of it.
     tried: Option<Time>,
 }
 
@@ -218,7 +222,7 @@
         };
         if !list.contains(&start) {
             list.push(start);
-            if before == 0 {
+            if before == 0 || expires.since(self.expires) >= SERIES_GAP {
                 (self.expires, self.first_expires) = (expires, expires);
             }
             self.expires = self.expires.max(expires);
@@ -238,7 +242,10 @@
         let age = Duration::from_secs(u64::from(known.first_age_s));
         let first_expires = now + CRASH_TTL.saturating_sub(age);
         self.first_expires = self.first_expires.min(first_expires);
-        self.trials = self.trials.max(known.trials);
+        if known.trials > self.trials {
+            self.trials = known.trials;
+            self.tried = Some(now);
+        }
         self.record_answers(known.answers);
     }
 
@@ -284,7 +291,11 @@
 
     // Returns whether the crashes may have had another cause.
     fn is_doubtful(&self) -> bool {
-        self.answers > 0 || self.expires.since(self.first_expires) < COMMON_CAUSE_SPAN
+        self.answers > 0 || self.came_at_once()
+    }
+
+    fn came_at_once(&self) -> bool {
+        self.expires.since(self.first_expires) < COMMON_CAUSE_SPAN
     }
 
     fn crash_age(&self, now: Time) -> Duration {
@@ -296,18 +307,21 @@
         if self.trials >= MAX_TRIALS || !self.is_doubtful() {
             return None;
         }
-        let tried = self.tried.map_or(Duration::MAX, |at| now.since(at));
-        let age = self.crash_age(now).min(tried);
-        let rank_delay = MAX_RANK_DELAY * rank / (rank + HALF_DELAY_RANK);
-        let delay = TRIAL_DELAY * 2_u32.pow(u32::from(self.trials)) + rank_delay;
-        Some(delay.saturating_sub(age))
+        let rank_delay = (RANK_DELAY * rank).min(MAX_RANK_DELAY);
+        let after_crash = (TRIAL_DELAY + rank_delay).saturating_sub(self.crash_age(now));
+        let after_trial = self.tried.map_or(Duration::ZERO, |at| {
+            (NEXT_TRIAL_DELAY + rank_delay).saturating_sub(now.since(at))
+        });
+        Some(after_crash.max(after_trial))
     }
 
     fn advance(&mut self, chart: &SuspectChart, now: Time, signal: Signal, rank: u32, ran: bool) {
         let step = chart.step(self.state, signal, |guard| match guard {
             Guard::EnoughCrashes => {
-                let excused = (self.answers / ANSWERS_PER_CRASH) as usize;
-                self.crashes() >= QUARANTINE_CRASHES + excused
+                let excused = self
+                    .came_at_once()
+                    .then_some(self.answers / ANSWERS_PER_CRASH);
+                self.crashes() >= QUARANTINE_CRASHES + excused.unwrap_or(0) as usize
             }
             Guard::TrialDue => self.trial_wait(now, rank) == Some(Duration::ZERO),
             Guard::NotRun => !ran,
