steer: a source that is never reached counts as failed

Callers: an instance whose command to follow the store or a replica was lost (the ring to the store duty drops commands when it is full), or whose list neither ended nor failed, stayed uninformed for good and refused all requests.

Cause: the chart edge-source left following-store and following-replica only by an event of the source that was followed. Nothing bounded the wait for the first one, so a lost command left a state without a way out (RECOVER).

Evidence: the test failed before, with 0 instead of 1 choices of a source in the 7.5 s after the first; no bound was there at all. A full ring was not produced in real processes.

Now a source that isn't reached within 6 s is left, and a replica excluded, like one that failed. A slow store has time for three pages of 1.5 s, and twice that time is less than the limit of 15 s.

--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -127,6 +127,8 @@
     ) {
         let mut replicas = self.members.replicas(now, &self.seeds);
         replicas.lagging_since = self.lagging_since;
+        let (reach, since) = self.reach;
+        replicas.unreached_since = (reach == Reach::Nothing).then_some(since);
         for command in self.selector.advance(now, signal, &replicas) {
             let source = match command {
                 Command::Probe => {
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -316,6 +316,7 @@
             preceding: preceding.map(|row| row.member.replica).collect(),
             far,
             lagging_since: None,
+            unreached_since: None,
         }
     }
 
--- a/crates/steer/src/source.rs
+++ b/crates/steer/src/source.rs
@@ -54,6 +54,10 @@
 /// instances don't all turn to the store at once.
 const MAX_LAG_DELAY: Duration = Duration::from_millis(750);
 
+/// How long a source may take until the contents are up to date with it: a slow store answers
+/// up to three pages of a list in this time.
+const REACH_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// The state of the chart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -100,6 +104,8 @@
     NearerReplica,
     /// Other instances have observed a change for too long that is not known here.
     Lagging,
+    /// The contents have not been up to date since the source was chosen, for too long.
+    Overdue,
     /// The next probe of the store is due.
     ProbeDue,
     /// The next probe of the store is due, and the replica that is followed is of another
@@ -162,6 +168,8 @@
     pub(crate) far: Vec<SocketAddr>,
     /// Since when other instances have reported a change that is not known here, if they do.
     pub(crate) lagging_since: Option<Time>,
+    /// Since when the contents are up to date with no source, if they are.
+    pub(crate) unreached_since: Option<Time>,
 }
 
 /// The choice of the source that this instance follows.
@@ -174,7 +182,7 @@
     pub(crate) state: State,
     // The replica that is followed, and whether it is of this domain.
     replica: Option<(SocketAddr, bool)>,
-    // When it was chosen.
+    // When the source that is followed was chosen.
     chosen: Time,
     // Replicas that failed or lagged, with the time of that.
     excluded: Vec<(SocketAddr, Time)>,
@@ -225,6 +233,7 @@
                 }
                 Effect::FollowStore => {
                     self.replica = None;
+                    self.chosen = now;
                     commands.push(Command::Follow(Source::Store));
                 }
                 Effect::FollowReplica => {
@@ -265,6 +274,10 @@
                 let since = replicas.lagging_since.map(|at| at.max(self.chosen));
                 since.is_some_and(|at| now.since(at) >= timeout)
             }
+            Guard::Overdue => {
+                let since = replicas.unreached_since.map(|at| at.max(self.chosen));
+                since.is_some_and(|at| now.since(at) >= REACH_TIMEOUT)
+            }
             Guard::ProbeDue => self.is_probe_due(now, replicas),
             Guard::FarProbeDue => is_far && self.is_probe_due(now, replicas),
             Guard::First => replicas.listed && self.usable_preceding(replicas) == 0,
