steer: the window of a server without load reports grows back

Callers: after a server was full for a while, an instance sent it one request at a time until the server started again.

Cause: a rejection or a pause shrinks the window, and only a load report lets it grow. Servers of some services report no load.

Evidence: the test failed before: 5 requests at once before, 1 at each time in the 15 s after the server accepted requests again.

Now an answer without a report lets the window grow, by one for each window of answers, up to what it was at first.

--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -228,6 +228,9 @@
             Outcome::Answered { status, load } => {
                 let failed = status >= ERROR_STATUS;
                 self.fleet.record_load(now, &server, load, tolerated);
+                if load.is_none() && !failed {
+                    self.fleet.record_unreported_load(&server);
+                }
                 self.crashes.answered(now, open.query.signature);
                 // What the speed of the machine explains is no slowness of the server.
                 let stretch = self.fleet.stretch_of_answer(now, choice.stretch, load);
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -418,6 +418,13 @@
         }
     }
 
+    /// Records that a server ran a request and reported no load.
+    pub(crate) fn record_unreported_load(&mut self, id: &ServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.restore_window();
+        }
+    }
+
     /// Records a complete answer of a server.
     pub(crate) fn record_answer(&mut self, now: Time, id: &ServerId, ratio: f64, failed: bool) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -160,8 +160,9 @@
     pub(crate) cold_until: Time,
     /// When this instance may send the next request while the server is cold.
     pub(crate) cold_next: Time,
-    // Maximum number of this instance's requests in flight here.
+    // Maximum number of this instance's requests in flight here, and what it was at first.
     window: f64,
+    first_window: f64,
     window_shrunk: Time,
     requests: Vec<InFlight>,
     // The last reported load: its time, the requests of all instances that ran or waited,
@@ -195,6 +196,7 @@
             cold_until: now + listed.cold_left,
             cold_next: now,
             window,
+            first_window: window,
             window_shrunk: now,
             requests: Vec::new(),
             reported: None,
@@ -306,6 +308,15 @@
         }
     }
 
+    /// Adapts the window to an answer without a load report: it grows back to what it was at
+    /// first, by one for each window of answers, while this instance uses it up.
+    pub(crate) fn restore_window(&mut self) {
+        if f64::from(self.active()) + 2.0 > self.window {
+            let restored = self.window + 1.0 / self.window;
+            self.window = restored.min(self.first_window).max(self.window);
+        }
+    }
+
     /// Records how long work takes on the server's machine. Returns what it said before.
     pub(crate) fn record_stretch(&mut self, stated: Stretch) -> Option<Stretch> {
         self.stretch.replace(stated)
--- a/crates/steer/tests/returns.rs
+++ b/crates/steer/tests/returns.rs
@@ -6,8 +6,10 @@
 
 use corianderway_steer::Action;
 use corianderway_steer::Event;
+use corianderway_steer::Outcome;
 use corianderway_steer::Source;
 
+use crate::rig::answered;
 use crate::rig::Rig;
 
 /// The platform's limit on the time from the return of the machines to service.
@@ -36,3 +38,47 @@
     }
     assert_eq!(again, 1);
 }
+
+// Sends requests all at once and ends those that were sent with an outcome; returns their
+// number.
+fn send_together(rig: &mut Rig, outcome: Outcome) -> usize {
+    let (mut sent, mut waiting) = (Vec::new(), Vec::new());
+    for _ in 0..20 {
+        let id = rig.request("/bids/1", None);
+        if rig.sent(id).is_some() {
+            sent.push(id);
+        } else {
+            waiting.push(id);
+        }
+    }
+    for id in waiting {
+        rig.step(Event::CallerGone(id));
+    }
+    for id in &sent {
+        rig.end(*id, outcome);
+        // The request may wait for room again.
+        rig.step(Event::CallerGone(*id));
+    }
+    rig.pass(Duration::from_millis(300));
+    sent.len()
+}
+
+// Guards against a server that reports no load and gets one request at a time for good, since
+// it was full when all callers returned (RECOVER).
+#[test]
+fn a_server_without_load_reports_gets_as_much_as_before_after_it_was_full() {
+    let mut rig = Rig::bare(rig::member("entry-1", "north", "north-a"));
+    let listed = rig::server("bids-1", "bids", "north", "north-a");
+    rig.settle(rig::plan(1, rig::routes(), None), vec![listed]);
+    let before = send_together(&mut rig, answered(200));
+    let full = Outcome::Full { load: None };
+    let rounds = (0..10).map(|_| send_together(&mut rig, full));
+    let least = rounds.min();
+    assert_eq!((before, least), (5, Some(1)), "before and when full");
+    let end = rig.now + RECOVERY_LIMIT;
+    let mut after = 0;
+    while rig.now < end {
+        after = send_together(&mut rig, answered(200));
+    }
+    assert_eq!(after, before);
+}
