steer: a server that states no start and counts anew has started again

Callers: a server whose entry bears no time of its start, and that started again under its id, was ignored at its new address until its count of reports caught up; one that had said before that it leaves, for longer.

Cause: reports of one start are ordered by their numbers, and without a stated start all starts of a server counted as one. A lower number was taken as a delayed copy, whatever the store's revision.

Evidence: the test failed before: no request was sent to the new address in 4 s (nothing would have changed that but later reports).

Now a later revision with a lower number, where neither report states a start, is a new start. Servers that state theirs are handled as before.

--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -536,9 +536,11 @@
         let known = self.servers.get_mut(&id);
         let (outdated, same) = known.as_ref().map_or((false, false), |server| {
             let known = &server.listed;
-            let same = known.started_ms == listed.started_ms;
-            let outdated = listed.revision < known.revision
-                || (same && listed.report_sequence < known.report_sequence);
+            let recounts = listed.report_sequence < known.report_sequence;
+            let unstated = known.started_ms == 0 && listed.started_ms == 0;
+            // Without the time of its start, a server that counts anew has started again.
+            let same = known.started_ms == listed.started_ms && !(unstated && recounts);
+            let outdated = listed.revision < known.revision || (same && recounts);
             (outdated, same)
         });
         // A delayed copy of an older report is ignored.
@@ -547,6 +549,9 @@
         }
         let start = (!same).then(|| listed.incarnation());
         let start_hash = start.map(|start| start.start);
+        if known.is_some() && listed.started_ms == 0 && !same {
+            self.resigned.retain(|row| Some(row.0) != start_hash);
+        }
         match known {
             Some(server) if same => {
                 let back = server.missing.take().is_some();
--- a/crates/steer/tests/returns.rs
+++ b/crates/steer/tests/returns.rs
@@ -7,6 +7,8 @@
 use corianderway_steer::Action;
 use corianderway_steer::Event;
 use corianderway_steer::Outcome;
+use corianderway_steer::ServerChange;
+use corianderway_steer::ServerNotice;
 use corianderway_steer::Source;
 
 use crate::rig::answered;
@@ -82,3 +84,31 @@
     }
     assert_eq!(after, before);
 }
+
+// Guards against a server that doesn't say when it started and is ignored once it starts again
+// under its id, since it counts its reports anew (RECOVER).
+#[test]
+fn a_server_that_states_no_start_is_used_after_it_started_again_elsewhere() {
+    let mut rig = Rig::bare(rig::member("entry-1", "north", "north-a"));
+    let mut listed = rig::server("bids-1", "bids", "north", "north-a");
+    (listed.started_ms, listed.report_sequence) = (0, 40);
+    rig.settle(rig::plan(1, rig::routes(), None), vec![listed.clone()]);
+    let id = rig.request("/bids/1", Some(1));
+    rig.step(Event::ServerNotice {
+        id,
+        notice: ServerNotice::Leaving,
+    });
+    rig.end(id, answered(200));
+    listed.report_sequence = 1;
+    listed.revision = listed.revision.next();
+    listed.backend.addr = "127.0.0.1:10".parse().unwrap();
+    let addr = listed.backend.addr;
+    rig.step(Event::Servers(vec![ServerChange::Put(listed)]));
+    rig.pass(Duration::from_secs(4));
+    let id = rig.request("/bids/1", Some(1));
+    let sent = rig.out.iter().find_map(|action| match action {
+        Action::Forward { id: of, addr, .. } if *of == id => Some(*addr),
+        _ => None,
+    });
+    assert_eq!(sent, Some(addr));
+}
