steer, edge: log lines of a start name the source and failed entries

The lines of an instance that isn't informed told which inputs it lacks, not what it waits for: a store that doesn't answer, a replica, or lists that are under way. They name the state of the source and what was reached. An entry that the store doesn't take left no line; unenlisted tells the status. No decision changes.

--- a/crates/daemon/src/edge/writes.rs
+++ b/crates/daemon/src/edge/writes.rs
@@ -20,6 +20,7 @@
 use crate::edge::store::log_event;
 use crate::edge::store::send_call;
 use crate::edge::store::send_event;
+use crate::edge::store::Answer;
 use crate::edge::store::Context;
 use crate::edge::store::ANSWER_TIMEOUT;
 use crate::edge::store::CONFLICT;
@@ -69,7 +70,10 @@
                 }
             }
         }
-        Some(_) | None => false,
+        reply => {
+            log_event(ctx, "unenlisted", Kind::Members, &result_of(reply.as_ref()));
+            false
+        }
     }
 }
 
@@ -82,7 +86,16 @@
     let name = ctx.me.entry.id.as_str();
     let call = Call::replace(Kind::Members, name, object.revision, spec);
     let reply = send_call(ctx, &call, ANSWER_TIMEOUT).await;
-    reply.is_some_and(|reply| reply.status == OK)
+    let done = reply.as_ref().is_some_and(|reply| reply.status == OK);
+    if !done {
+        log_event(ctx, "unenlisted", Kind::Members, &result_of(reply.as_ref()));
+    }
+    done
+}
+
+// Describes the answer to a call for the log.
+fn result_of(reply: Option<&Answer>) -> String {
+    reply.map_or("no answer".to_owned(), |r| format!("status {}", r.status))
 }
 
 /// Writes the progress of a version move; the decision duty repeats the command
@@ -96,7 +109,7 @@
     let name = order.service.as_str();
     let call = Call::update_status(Kind::Orders, name, order.revision, &status);
     let reply = send_call(ctx, &call, ANSWER_TIMEOUT).await;
-    let result = reply.map_or("no answer".to_owned(), |r| format!("status {}", r.status));
+    let result = result_of(reply.as_ref());
     let line = LogLine::new("move-reported")
         .with("service", name)
         .with("target", &order.target)
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -303,7 +303,12 @@
         self.send_due(now, out);
         self.log_server_changes(out);
         self.log_crash_changes(out);
-        out.extend(self.startup.line(now).map(Action::Log));
+        if let Some(note) = self.startup.line(now) {
+            let note = note
+                .with("source", format!("{:?}", self.selector.state))
+                .with("reach", format!("{:?}", self.reach.0));
+            out.push(Action::Log(note));
+        }
     }
 
     /// Returns the time at which the next [`Event::Tick`] is due.
