edge: lists that are under way aren't begun anew

Callers: an instance that came back to a slow store, after others, refused all requests for as long as the store was slow (RECOVER). One whose history of the store was gone learnt of no change to backend servers meanwhile.

Cause: two mechanisms that notice a watch that will never be answered also ended lists that were only slow. Another instance that told of later changes made the store be read again every 500 ms, from the first page of each kind; and a check that found changes of a kind ended the list of it. A list that takes longer than the interval never ended.

Now the store is read again only once all lists have ended, and a check ends only a watch. A list that isn't answered still fails by its own timeout, and its source with it. An instance that has not reached the store yet doesn't ask for it to be read again.

--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -46,8 +46,9 @@
         }
         let kind = store_kind(input);
         match checks.answer(input, answer) {
-            // Between two watches none waits, and the next one brings the changes.
-            Some(Remedy::Resend(_)) if ctx.resend[kind as usize].has_subscribers() => {
+            // Between two watches none waits, and the next one, or a list that is under way,
+            // brings the changes.
+            Some(Remedy::Resend(_)) if ctx.awaits_changes(kind) => {
                 log_event(ctx, "watch-deaf", kind, "changes not known yet");
                 ctx.resend[kind as usize].notify();
             }
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -93,7 +93,7 @@
     source: Cell<Source>,
     // Dropping the sender cancels the tasks that follow the source.
     cancel: RefCell<Option<Sender<()>>>,
-    // The kinds that were listed since the source was set.
+    // The kinds that were listed since the source was set, and are not being listed again.
     listed: RefCell<Vec<Kind>>,
     // The store's era; `None` before its first answer.
     era: Cell<Option<Era>>,
@@ -210,6 +210,22 @@
         learnt.record(&self.log, kind, origin, revision, changes.len());
     }
 
+    /// Records that a kind is being listed.
+    pub(super) fn begin_listing(&self, kind: Kind) {
+        self.listed.borrow_mut().retain(|listed| *listed != kind);
+    }
+
+    /// Returns true if a kind was listed since the source was set, and is not being listed
+    /// again.
+    pub(super) fn is_listed(&self, kind: Kind) -> bool {
+        self.listed.borrow().contains(&kind)
+    }
+
+    /// Returns true if a watch of a kind waits.
+    pub(super) fn awaits_changes(&self, kind: Kind) -> bool {
+        self.is_listed(kind) && self.resend[kind as usize].has_subscribers()
+    }
+
     /// Records that a kind was listed; once all are, the copy is up to date with
     /// the store. A list of an earlier era doesn't count.
     pub async fn mark_listed(&self, kind: Kind) {
@@ -290,7 +306,8 @@
 async fn execute(ctx: &Rc<Context>, command: StoreCommand) {
     match command {
         StoreCommand::Follow(source) => follow(ctx, source).await,
-        StoreCommand::Reread if ctx.follows_store() => {
+        // Lists that are under way bring what is not known, and would begin anew.
+        StoreCommand::Reread if ctx.follows_store() && KINDS.iter().all(|k| ctx.is_listed(*k)) => {
             follow(ctx, Source::Store).await;
         }
         StoreCommand::Reread => (),
--- a/crates/daemon/src/edge/watch.rs
+++ b/crates/daemon/src/edge/watch.rs
@@ -70,6 +70,7 @@
 pub(super) async fn follow(ctx: &Rc<Context>, kind: Kind) -> String {
     let mut faults = 0;
     loop {
+        ctx.begin_listing(kind);
         let error = match list(ctx, kind, Consistency::Exact).await {
             Ok(()) => {
                 faults = 0;
--- a/crates/daemon/tests/platform_callers/mod.rs
+++ b/crates/daemon/tests/platform_callers/mod.rs
@@ -39,14 +39,27 @@
 
 /// Runs `trial` while callers ask the instances at these addresses for `path`.
 pub fn beside<T>(instances: &[SocketAddr], path: &str, trial: impl FnOnce(&Counts) -> T) -> T {
+    call_beside(instances, |_| path.to_owned(), trial)
+}
+
+/// Runs `trial` while callers ask the instances at these addresses, each time for another path.
+pub fn beside_each<T>(instances: &[SocketAddr], trial: impl FnOnce(&Counts) -> T) -> T {
+    call_beside(instances, |count| format!("/read/{count}"), trial)
+}
+
+fn call_beside<T>(
+    instances: &[SocketAddr],
+    path: impl Fn(usize) -> String + Sync,
+    trial: impl FnOnce(&Counts) -> T,
+) -> T {
     let counts = Counts::default();
     thread::scope(|scope| {
         for caller in 0..CALLERS {
-            let (counts, addr) = (&counts, instances[caller % instances.len()]);
+            let (counts, path, addr) = (&counts, &path, instances[caller % instances.len()]);
             scope.spawn(move || {
                 while !counts.ended.load(Ordering::Acquire) {
                     let count = counts.asked.fetch_add(1, Ordering::AcqRel);
-                    let request = Request::new("GET", path)
+                    let request = Request::new("GET", &path(count))
                         .host(node::HOST)
                         .header("Key", "k1")
                         .header("Request-Id", format!("r-{caller}-{count}"))
--- /dev/null
+++ b/crates/daemon/tests/returns.rs
@@ -0,0 +1,120 @@
+//! Service after instances and backend servers were lost together, with more that is wrong at
+//! their return.
+
+mod platform_callers;
+mod platform_fleet;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use corianderway_standins::estate::entry;
+use corianderway_standins::estate::node;
+use corianderway_standins::estate::Crashing;
+use corianderway_standins::estate::Node;
+use corianderway_standins::harness::Link;
+use corianderway_standins::harness::Proxy;
+use serde_json::json;
+
+use crate::platform_callers::beside_each;
+use crate::platform_fleet::Fleet;
+
+/// The platform's limit on the time from the return of the machines to service.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+
+/// How long backend servers are down.
+const DOWNTIME: Duration = Duration::from_millis(1_500);
+
+/// How long the store rejects calls once the instances are back.
+const LIMITED_TIME: Duration = Duration::from_secs(3);
+
+/// How long an answer of a slow store is under way; the list of servers takes three answers.
+const ANSWER_DELAY: Duration = Duration::from_millis(200);
+
+/// The span over which requests are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// The share of requests that the platform wants served after the limit.
+const MIN_SERVED_SHARE: f64 = 0.25;
+
+/// The number of requests that show that callers are served before the loss.
+const MIN_SERVED: usize = 100;
+
+const KINDS: [&str; 5] = ["config", "servers", "rollouts", "evacuations", "instances"];
+
+// Guards against instances that keep to what a cached list said at their start, or give up while
+// the store rejects their first calls (RECOVER).
+#[test]
+fn callers_are_served_though_first_lists_are_old_and_the_store_limits_calls() {
+    let mut fleet = Fleet::start_in(&["a", "a", "b"]);
+    fleet.store.remove("servers", "i-1");
+    let servers: Vec<_> = (0..4).map(|_| Crashing::start("/none", DOWNTIME)).collect();
+    let id = |start: u64, number: usize| format!("start-{start}-{number}");
+    let list = |fleet: &Fleet, start: u64| {
+        for (number, server) in servers.iter().enumerate() {
+            let mut listed = entry(server.addr, "s1", "a", "ready", 1);
+            listed["born"] = json!(1_790_000_000_000 + start);
+            fleet.store.put("servers", &id(start, number), &listed);
+        }
+    };
+    list(&fleet, 0);
+    let callers = |instance: &Node| instance.addr(node::CALLERS_PORT);
+    let instances: Vec<SocketAddr> = fleet.instances.iter().map(callers).collect();
+    beside_each(&instances, |counts| {
+        let (calm, _) = counts.during(SPAN);
+        assert!(calm > MIN_SERVED, "{calm} requests served before");
+        for instance in &mut fleet.instances {
+            instance.process.kill().unwrap();
+        }
+        fleet.store.freeze_cached(&KINDS);
+        for (number, server) in servers.iter().enumerate() {
+            server.crash();
+            fleet.store.remove("servers", &id(0, number));
+        }
+        fleet.store.set_limited(true);
+        thread::sleep(DOWNTIME);
+        list(&fleet, 1);
+        for number in 0..instances.len() {
+            fleet.restart(number);
+        }
+        let returned = Instant::now();
+        thread::sleep(LIMITED_TIME);
+        fleet.store.set_limited(false);
+        loop {
+            let (served, asked) = counts.during(SPAN);
+            if served as f64 >= MIN_SERVED_SHARE * asked as f64 {
+                break;
+            }
+            assert!(
+                returned.elapsed() < RECOVERY_LIMIT,
+                "{served} of {asked} requests served\n{}",
+                fleet.logs()
+            );
+        }
+    });
+}
+
+// Guards against lists of a slow store that begin anew before they end, each time that other
+// instances tell of something that isn't listed yet (RECOVER).
+#[test]
+fn an_instance_with_a_slow_store_is_ready_though_others_know_more() {
+    let mut fleet = Fleet::start_in(&["a", "b"]);
+    for number in 2..=7 {
+        let listed = fleet.endpoint.entry("s1", "a", "ready", 1);
+        let id = format!("i-{number}");
+        fleet.store.put("servers", &id, &listed);
+    }
+    let proxy = Proxy::start(fleet.instances[1].site.store).unwrap();
+    proxy.set_link(Link::slow(ANSWER_DELAY));
+    fleet.instances[1].site.store = proxy.addr;
+    fleet.restart(1);
+    let returned = Instant::now();
+    fleet.until("readiness", || fleet.instances[1].is_ready().then_some(()));
+    let span = returned.elapsed();
+    assert!(
+        span < RECOVERY_LIMIT / 2,
+        "{span:?}\n{}",
+        fleet.instances[1].process.lines().join("\n")
+    );
+}
--- a/crates/standins/src/estate/store.rs
+++ b/crates/standins/src/estate/store.rs
@@ -90,6 +90,10 @@
     // The kinds whose arriving watches are never answered, and the address that this
     // concerns if it isn't all.
     deaf: (Vec<String>, Option<SocketAddr>),
+    // Whether calls are beyond the rate, except for cached reads.
+    limited: bool,
+    // The objects of cached reads and their revision, if those are older than the store.
+    cached: Option<(BTreeMap<Key, Value>, u64)>,
     calls: u64,
 }
 
@@ -209,6 +213,21 @@
         self.lock().deaf = (kinds, only);
     }
 
+    /// Sets whether calls are answered with 429, as beyond the rate. Cached reads don't count.
+    pub fn set_limited(&self, limited: bool) {
+        self.lock().limited = limited;
+    }
+
+    /// Answers cached reads from the present contents of these kinds alone, however the store
+    /// changes.
+    pub fn freeze_cached(&self, kinds: &[&str]) {
+        let mut shared = self.lock();
+        let mut objects = shared.objects.clone();
+        objects.retain(|key, _| kinds.contains(&key.0.as_str()));
+        let revision = shared.revision;
+        shared.cached = Some((objects, revision));
+    }
+
     /// Returns the number of requests received so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -332,12 +351,16 @@
     let waits = query("wait_ms").is_some_and(|wait| wait != "0");
     let watched = query("watch").and(parts.first().copied());
     let watched = watched.filter(|_| waits);
+    let is_cached = query("serializable").is_some_and(|value| value == "1");
     let is_lost = {
         let mut shared = store.lock();
         shared.calls += 1;
         if shared.rejected.contains(&addr) {
             return Response::new(StatusCode::ServiceUnavailable);
         }
+        if shared.limited && !is_cached {
+            return Response::new(StatusCode::TooManyRequests);
+        }
         let (kinds, only) = &shared.deaf;
         let is_deaf = watched.is_some_and(|kind| kinds.iter().any(|deaf| deaf == kind));
         let is_silent = shared.silent || shared.silent_at.contains(&addr);
@@ -352,7 +375,7 @@
                 let wait = query("wait_ms").and_then(|text| text.parse().ok());
                 watch(store, kind, from, Duration::from_millis(wait.unwrap_or(0))).await
             }
-            None => list(store, kind, query("after").as_deref()),
+            None => list(store, kind, query("after").as_deref(), is_cached),
         },
         (Method::Post, [kind]) => create(store, kind, &body),
         (Method::Put, [kind, name]) => replace(store, (kind, name), &body, false),
@@ -378,9 +401,11 @@
     })
 }
 
-fn list(store: &Store, kind: &str, after: Option<&str>) -> Response {
+fn list(store: &Store, kind: &str, after: Option<&str>, is_cached: bool) -> Response {
     let shared = store.lock();
-    let of_kind = shared.objects.iter().filter(|(key, _)| key.0 == kind);
+    let cached = shared.cached.as_ref().filter(|_| is_cached);
+    let (objects, revision) = cached.map_or((&shared.objects, shared.revision), |c| (&c.0, c.1));
+    let of_kind = objects.iter().filter(|(key, _)| key.0 == kind);
     let mut items: Vec<&Value> = of_kind
         .filter(|(key, _)| after.is_none_or(|after| key.1.as_str() > after))
         .map(|row| row.1)
@@ -389,7 +414,7 @@
     items.truncate(PAGE_OBJECTS);
     answer(
         200,
-        &json!({ "items": items, "has_more": more, "current_rev": shared.revision }),
+        &json!({ "items": items, "has_more": more, "current_rev": revision }),
     )
 }
 
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -166,7 +166,9 @@
         };
         let since = *self.lagging_since.get_or_insert(now);
         let due = now.since(since.max(self.store_reread)) >= MAX_WATCH_LAG;
-        if due && self.selector.state == SourceState::FollowingStore {
+        // Before, the lists are still under way.
+        let is_reached = self.reach.0 == Reach::Store;
+        if due && is_reached && self.selector.state == SourceState::FollowingStore {
             self.store_reread = now;
             let note = Note::new(Severity::Notable, "watch-deaf")
                 .with("kind", format!("{kind:?}"))
