--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -418,6 +418,13 @@
         }
     }
 
+    /// Records that a server ran a request and reported no load.
+    pub(crate) fn record_unreported_load(&mut self, id: &ServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.restore_window();
+        }
+    }
+
     /// Records a complete answer of a server.
     pub(crate) fn record_answer(&mut self, now: Time, id: &ServerId, ratio: f64, failed: bool) {
         if let Some(server) = self.servers.get_mut(id) {
@@ -529,9 +536,11 @@
         let known = self.servers.get_mut(&id);
         let (outdated, same) = known.as_ref().map_or((false, false), |server| {
             let known = &server.listed;
-            let same = known.started_ms == listed.started_ms;
-            let outdated = listed.revision < known.revision
-                || (same && listed.report_sequence < known.report_sequence);
+            let recounts = listed.report_sequence < known.report_sequence;
+            let unstated = known.started_ms == 0 && listed.started_ms == 0;
+            // Without the time of its start, a server that counts anew has started again.
+            let same = known.started_ms == listed.started_ms && !(unstated && recounts);
+            let outdated = listed.revision < known.revision || (same && recounts);
             (outdated, same)
         });
         // A delayed copy of an older report is ignored.
@@ -540,6 +549,9 @@
         }
         let start = (!same).then(|| listed.incarnation());
         let start_hash = start.map(|start| start.start);
+        if known.is_some() && listed.started_ms == 0 && !same {
+            self.resigned.retain(|row| Some(row.0) != start_hash);
+        }
         match known {
             Some(server) if same => {
                 let back = server.missing.take().is_some();
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -127,6 +127,8 @@
     ) {
         let mut replicas = self.members.replicas(now, &self.seeds);
         replicas.lagging_since = self.lagging_since;
+        let (reach, since) = self.reach;
+        replicas.unreached_since = (reach == Reach::Nothing).then_some(since);
         for command in self.selector.advance(now, signal, &replicas) {
             let source = match command {
                 Command::Probe => {
@@ -164,7 +166,9 @@
         };
         let since = *self.lagging_since.get_or_insert(now);
         let due = now.since(since.max(self.store_reread)) >= MAX_WATCH_LAG;
-        if due && self.selector.state == SourceState::FollowingStore {
+        // Before, the lists are still under way.
+        let is_reached = self.reach.0 == Reach::Store;
+        if due && is_reached && self.selector.state == SourceState::FollowingStore {
             self.store_reread = now;
             let note = Note::new(Severity::Notable, "watch-deaf")
                 .with("kind", format!("{kind:?}"))
