steer: follow seeds until the list of instances is known

The addresses of seeds were used only while no summary of another failure domain was valid. An instance that the store turns away at its start doesn't have the list of instances, so it can't find the instances that a summary names; but instances with the list send it summaries. From the first one on it had neither a seed nor a replica to follow, and asked only the store.

Seeds now count until the instances are listed, too: then the instances that summaries name can be found.

--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -293,7 +293,7 @@
     }
 
     /// Returns the replicas of the store that can be followed. The addresses in `seeds`
-    /// count while no summary is valid.
+    /// count while no summary is valid, or the instances in them aren't listed yet.
     pub(crate) fn replicas(&self, now: Time, seeds: &[SocketAddr]) -> Replicas {
         let me = &self.me.entry;
         let reaching: Vec<&Member> = self
@@ -307,7 +307,7 @@
         let preceding = ranked.take_while(|id| **id != me.id);
         let preceding = preceding.filter_map(|id| self.others.get(id));
         let mut far: Vec<SocketAddr> = far.iter().map(|m| m.replica).collect();
-        if self.summaries(now).next().is_none() {
+        if self.listed.is_none() || self.summaries(now).next().is_none() {
             far.extend(seeds.iter().filter(|addr| **addr != self.me.replica));
         }
         Replicas {
--- a/crates/steer/src/source.rs
+++ b/crates/steer/src/source.rs
@@ -158,7 +158,7 @@
     /// instance follows the store, they should follow it before this one does.
     pub(crate) preceding: Vec<SocketAddr>,
     /// Those of instances in other domains that follow the store, the nearest first. The
-    /// configured addresses are included while no summary is valid.
+    /// configured addresses are included until the instances are listed and a summary is valid.
     pub(crate) far: Vec<SocketAddr>,
     /// Since when other instances have reported a change that is not known here, if they do.
     pub(crate) lagging_since: Option<Time>,
