steer: servers that another answered for, and long lists, have a way out

- A server at whose address another one answered (421) got nothing more while its entry stayed as it was, without end.
- A source that isn't reached within 6 s is left, so a list of many pages at a slow store would have been begun anew again and again.
Each page now counts as progress.
The test holds pages 1.5 s apart, as slow as a call may be.

--- a/crates/daemon/src/edge/watch.rs
+++ b/crates/daemon/src/edge/watch.rs
@@ -15,12 +15,14 @@
 use corianderway_platform::store::Kind;
 use corianderway_platform::store::Object;
 use corianderway_platform::store::Page;
+use corianderway_steer::Event;
 use futures_lite::future::FutureExt as _;
 
 use crate::edge::learnt::Origin;
 use crate::edge::publish::publish;
 use crate::edge::store::log_event;
 use crate::edge::store::send_call;
+use crate::edge::store::send_event;
 use crate::edge::store::Answer;
 use crate::edge::store::Context;
 use crate::edge::store::ANSWER_TIMEOUT;
@@ -178,6 +180,7 @@
             publish(ctx, kind, &changes).await;
             return Ok(());
         }
+        send_event(ctx, Event::PageRead).await;
     }
 }
 
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -191,6 +191,8 @@
     ProbeAnswered,
     /// The store did not answer a probe, or turned it away.
     ProbeFailed,
+    /// A page of a list was read, and others follow.
+    PageRead,
     /// The store came back from an older copy and is in this era now. What is known of it
     /// since may be gone there, and no later event tells of an earlier era.
     Restored(Era),
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -473,7 +473,7 @@
 
     /// Records that another server now has this server's address.
     pub(crate) fn mark_misdirected(&mut self, now: Time, id: &ServerId) {
-        self.signal(now, id, Signal::Withdrawn, "another-at-address");
+        self.signal(now, id, Signal::Misdirected, "another-at-address");
     }
 
     /// Returns the time between this instance's requests to a cold server,
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -100,6 +100,8 @@
     Listed,
     /// The server is draining or its entry is gone.
     Withdrawn,
+    /// Another server answered at its address.
+    Misdirected,
     /// An answer of the server says that it leaves.
     SaidLeaving,
     /// The server answered without a failure.
@@ -127,6 +129,8 @@
 pub(crate) enum Effect {
     /// Begins an ejection.
     BeginEjection,
+    /// Begins an ejection of the maximum length.
+    BeginLongEjection,
     /// Begins a cold period. Until the server answers, one more failed connection attempt
     /// ejects it again.
     BeginCold,
@@ -242,6 +246,7 @@
                     self.ejected_until = now + span;
                     self.ejections += 1;
                 }
+                Effect::BeginLongEjection => self.ejected_until = now + MAX_EJECTION,
                 Effect::BeginCold => {
                     self.cold_until = now + cold;
                     self.connect_failures = CONNECT_FAILURES_TO_EJECT - 1;
--- a/crates/steer/src/source.rs
+++ b/crates/steer/src/source.rs
@@ -54,8 +54,8 @@
 /// instances don't all turn to the store at once.
 const MAX_LAG_DELAY: Duration = Duration::from_millis(750);
 
-/// How long a source may take until the contents are up to date with it: a slow store answers
-/// up to three pages of a list in this time.
+/// How long a source may take until the contents are up to date with it, or for the next page of
+/// a list, whose calls end sooner.
 const REACH_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The state of the chart.
@@ -104,7 +104,8 @@
     NearerReplica,
     /// Other instances have observed a change for too long that is not known here.
     Lagging,
-    /// The contents have not been up to date since the source was chosen, for too long.
+    /// The contents have not been up to date since the source was chosen, and nothing of them
+    /// was read, for too long.
     Overdue,
     /// The next probe of the store is due.
     ProbeDue,
@@ -182,7 +183,7 @@
     pub(crate) state: State,
     // The replica that is followed, and whether it is of this domain.
     replica: Option<(SocketAddr, bool)>,
-    // When the source that is followed was chosen.
+    // When the source that is followed was chosen, or last told a part of its contents.
     chosen: Time,
     // Replicas that failed or lagged, with the time of that.
     excluded: Vec<(SocketAddr, Time)>,
@@ -256,6 +257,11 @@
         commands
     }
 
+    /// Records that the source that is followed has told a part of its contents.
+    pub(crate) fn record_progress(&mut self, now: Time) {
+        self.chosen = now;
+    }
+
     fn holds(&self, now: Time, guard: Guard, replicas: &Replicas) -> bool {
         let is_far = self.replica.is_some_and(|replica| !replica.1);
         let has_near = replicas.near.iter().any(|addr| self.is_usable(addr));
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -290,6 +290,7 @@
                 self.advance_outage(now, OutageSignal::Lost);
             }
             Event::ProbeFailed => (),
+            Event::PageRead => self.selector.record_progress(now),
             Event::Restored(era) => self.enter_era(now, era, out),
             Event::Seeds(seeds) => self.seeds = seeds,
             Event::Revisions { changed, known } => {
--- a/crates/steer/tests/returns.rs
+++ b/crates/steer/tests/returns.rs
@@ -41,6 +41,46 @@
     assert_eq!(again, 1);
 }
 
+// Guards against a long list that is begun anew again and again, since a slow store takes long
+// for all of its pages.
+#[test]
+fn a_source_that_tells_page_after_page_is_not_left() {
+    let mut rig = Rig::bare(rig::member("entry-1", "north", "north-a"));
+    rig.step(Event::Members(Vec::new()));
+    assert_eq!(follows(rig.step(Event::ProbeAnswered)), 1);
+    let end = rig.now + RECOVERY_LIMIT;
+    while rig.now < end {
+        let actions = rig.pass(Duration::from_millis(1_500));
+        let is_probe = |action: &Action| matches!(action, Action::Probe);
+        assert!(!actions.iter().any(is_probe), "{actions:?}");
+        rig.step(Event::PageRead);
+    }
+}
+
+// Guards against servers that get nothing for good, since others answered at their addresses
+// for a moment, while the entries stay as they are (RECOVER).
+#[test]
+fn a_server_at_whose_address_another_answered_is_tried_again() {
+    let mut rig = Rig::new();
+    let end = rig.now + RECOVERY_LIMIT;
+    loop {
+        let id = rig.request("/bids/1", None);
+        if rig.sent(id).is_none() {
+            break;
+        }
+        rig.end(id, Outcome::Misdirected);
+        rig.step(Event::CallerGone(id));
+    }
+    let mut is_sent = false;
+    while rig.now < end && !is_sent {
+        rig.pass(Duration::from_millis(500));
+        let id = rig.request("/bids/1", None);
+        is_sent = rig.sent(id).is_some();
+        rig.step(Event::CallerGone(id));
+    }
+    assert!(is_sent, "no request was sent in {RECOVERY_LIMIT:?}");
+}
+
 // Sends requests all at once and ends those that were sent with an outcome; returns their
 // number.
 fn send_together(rig: &mut Rig, outcome: Outcome) -> usize {
