edge: bound callers' connections by the file descriptors of the process

Callers saw: after all instances were killed and started at once, most requests were refused as overloaded, and some connections got neither an answer nor a close, on a machine whose processes may open few descriptors.

Cause: callers could hold 2,500 connections whatever the limit was. With a lower one they used up all descriptors, so that no connection to a backend server, the store or another instance could be opened; the failed connection counted against the backend server, or showed it as crashed. New connections stayed in the accept queue.

The soft limit is raised to the hard one at the start, and each use of connections has a share of that or of the settings' limit, whichever is lower: callers, backend servers, directory, readiness, metrics, followers of the replica. When seven eighths of the callers' share are in use, answers announce the close of their connection, and a new connection replaces the one that has been idle for longest (1 s at least); if there is none, its request is read, and refused with 503 and a time to come back. Without any room a connection is closed unread. Both let the caller send again also what must not run twice. An attempt waits for room for its connection as long as the choice of the backend server is valid, and a failure for lack of a local resource says nothing of the server. The daemon's own path has the same bound for callers, and the same log lines.

Log: `descriptors` at the start, `connection-rejected` and `accept-failed` (errno) at most once a second, with a count.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -7,7 +7,6 @@
 use async_h1::server;
 use async_h1::server::ServerOptions;
 use async_std::future;
-use async_std::net;
 use async_std::task;
 use corianderway_control::Id;
 use corianderway_control::Kind;
@@ -15,6 +14,8 @@
 use http_types::Response;
 use http_types::StatusCode;
 
+use crate::acceptor::Acceptor;
+use crate::logs::Log;
 use crate::metrics::Scrape;
 use crate::rings::AdminQuery;
 use crate::rings::Input;
@@ -22,18 +23,12 @@
 /// The timeout for an answer of the decision duty.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The delay after a failed accept, such as one without a free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Serves connections until the process ends.
-pub fn run(listener: TcpListener, scrape: Scrape, decisions: Sender<Input>) {
+pub fn run(listener: TcpListener, scrape: Scrape, decisions: Sender<Input>, log: Log) {
     task::block_on(async move {
-        let listener = net::TcpListener::from(listener);
+        let acceptor = Acceptor::new(listener, "metrics", log);
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                task::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
+            let (stream, _) = acceptor.accept().await;
             let (scrape, decisions) = (scrape.clone(), decisions.clone());
             task::spawn_local(async move {
                 let options = ServerOptions::default();
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,27 +1,24 @@
 //! The callers duty: accepts connections of callers and serves each in a task.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_std::net;
+use async_std::net::TcpStream;
 use async_std::task;
 use corianderway_node::RequestId;
 
+use crate::acceptor::Acceptor;
 use crate::clock::Clock;
 use crate::connection;
+use crate::logs::Log;
 use crate::rings::CallerOutputs;
-
-/// The maximum number of open connections of callers; further ones are closed at once.
-const MAX_CONNECTIONS: usize = 4_096;
-
-/// The delay after a failed accept, such as one without a free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+use crate::slots::Slots;
 
 /// The state shared by all connections of callers.
 #[derive(Debug)]
@@ -38,7 +35,8 @@
     pub open_requests: Arc<AtomicU64>,
     /// The prefix of generated request ids, unique to this process.
     pub prefix: Arc<str>,
-    open_connections: Cell<usize>,
+    // Without a free one, a connection is closed at once.
+    slots: Slots,
     last_id: Cell<u64>,
 }
 
@@ -50,6 +48,7 @@
         accept_closed: Arc<AtomicBool>,
         open_requests: Arc<AtomicU64>,
         prefix: Arc<str>,
+        max_connections: usize,
     ) -> Self {
         Self {
             outputs,
@@ -58,7 +57,7 @@
             accept_closed,
             open_requests,
             prefix,
-            open_connections: Cell::new(0),
+            slots: Slots::new(Arc::default(), max_connections),
             last_id: Cell::new(0),
         }
     }
@@ -77,28 +76,28 @@
 }
 
 /// Accepts connections until the process ends.
-pub fn run(listener: TcpListener, make: impl FnOnce() -> CallerContext) {
+pub fn run(listener: TcpListener, log: Log, make: impl FnOnce() -> CallerContext) {
     task::block_on(async move {
-        let listener = net::TcpListener::from(listener);
+        let acceptor = Acceptor::new(listener, "callers", log);
         let ctx = Rc::new(make());
         loop {
-            match listener.accept().await {
-                Ok((stream, client)) => admit(&ctx, stream, client),
-                Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
-            }
+            let (stream, client) = acceptor.accept().await;
+            admit(&ctx, &acceptor, stream, client);
         }
     });
 }
 
-fn admit(ctx: &Rc<CallerContext>, stream: net::TcpStream, client: std::net::SocketAddr) {
-    let open_requests = ctx.open_connections.get();
-    if open_requests >= MAX_CONNECTIONS || ctx.accept_closed.load(Ordering::Acquire) {
+fn admit(ctx: &Rc<CallerContext>, acceptor: &Acceptor, stream: TcpStream, client: SocketAddr) {
+    if ctx.accept_closed.load(Ordering::Acquire) {
         return;
     }
-    ctx.open_connections.set(open_requests + 1);
+    let Some(slot) = ctx.slots.take() else {
+        acceptor.reject(ctx.slots.used());
+        return;
+    };
     let ctx = Rc::clone(ctx);
     task::spawn_local(async move {
         connection::serve(stream, client, &ctx).await;
-        ctx.open_connections.set(ctx.open_connections.get() - 1);
+        drop(slot);
     });
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,6 +24,8 @@
 use crate::callers::CallerContext;
 use crate::clock::Clock;
 use crate::decide::DecisionDuty;
+use crate::descriptors::Descriptors;
+use crate::descriptors::Share;
 use crate::duty;
 use crate::logs;
 use crate::logs::Log;
@@ -136,6 +138,8 @@
     log: Log,
     ready: &str,
 ) -> Result<u64, StartError> {
+    let descriptors = Descriptors::claim(None);
+    log.put(Level::Info, descriptors.log_line());
     let clock = Clock::start();
     let (decisions, inputs) = async_channel::bounded(rings::DECISIONS_CAPACITY);
     let (jobs, job_rx) = async_channel::bounded(rings::JOBS_CAPACITY);
@@ -174,16 +178,23 @@
     let platform = settings.platform;
     let ring = decisions.clone();
     duty::spawn("platform", move || platform::run(platform, cmd_rx, ring)).context(ThreadSnafu)?;
-    let (ring, id) = (decisions.clone(), me.id.clone());
-    duty::spawn("peers", move || peers::run(peers, id, queued, ring)).context(ThreadSnafu)?;
+    let (ring, id, peer_log) = (decisions.clone(), me.id.clone(), log.clone());
+    duty::spawn("peers", move || {
+        peers::run(peers, id, queued, ring, peer_log);
+    })
+    .context(ThreadSnafu)?;
     let ring = decisions.clone();
     duty::spawn("measurements", move || probes::run(probe_rx, ring)).context(ThreadSnafu)?;
-    let ring = decisions.clone();
-    duty::spawn("admin", move || admin::run(metrics, scrape, ring)).context(ThreadSnafu)?;
+    let (ring, admin_log) = (decisions.clone(), log.clone());
+    duty::spawn("admin", move || {
+        admin::run(metrics, scrape, ring, admin_log);
+    })
+    .context(ThreadSnafu)?;
     let requests = CallerOutputs { decisions, jobs };
     let prefix = Arc::from(me.id.as_str());
-    let make = move || CallerContext::new(requests, clock, stopping, closed, open, prefix);
-    duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
+    let max = descriptors.share(Share::Callers);
+    let make = move || CallerContext::new(requests, clock, stopping, closed, open, prefix, max);
+    duty::spawn("callers", move || callers::run(callers, log, make)).context(ThreadSnafu)?;
 
     println!("{ready}");
     let unfinished = stop.wait(settings.grace);
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -56,6 +56,8 @@
 use crate::daemon::SteerSnafu;
 use crate::daemon::ThreadSnafu;
 use crate::daemon::EXIT_REQUESTS_CUT;
+use crate::descriptors::Descriptors;
+use crate::descriptors::Share;
 use crate::duty;
 use crate::edge::body_memory::BodyMemory;
 use crate::edge::decisions::DecisionDuty;
@@ -121,6 +123,8 @@
     log.put(Level::Info, LogLine::new("listening"));
     let metrics_addr = SocketAddr::new(settings.member.entry.callers.ip(), METRICS_PORT);
 
+    let descriptors = Descriptors::claim(settings.max_sockets);
+    log.put(Level::Info, descriptors.log_line());
     let clock = Clock::start();
     let (decisions, ordinary) = async_channel::bounded(rings::DECISIONS);
     let (urgent_decisions, urgent) = async_channel::bounded(rings::URGENT_DECISIONS);
@@ -169,8 +173,9 @@
     let decider = decider.context(ThreadSnafu)?;
     duty::spawn("metrics", move || metrics::run(&sample_rx, &instruments)).context(ThreadSnafu)?;
     let (ring, bodies) = (decisions.clone(), body_memory.clone());
+    let max_connections = descriptors.share(Share::Servers);
     duty::spawn("servers", move || {
-        servers::run(server_rx, clock, bodies, ring);
+        servers::run(server_rx, clock, bodies, max_connections, ring);
     })
     .context(ThreadSnafu)?;
     let rings = Rings {
@@ -183,6 +188,7 @@
     };
     start_duties(&settings, clock, rings)?;
     let (ring, store_log) = (urgent_decisions, log.clone());
+    let replica = (replica, descriptors.share(Share::Replicas));
     duty::spawn("store", move || {
         store::run(settings, checks, replica, command_rx, ring, store_log);
     })
@@ -198,11 +204,13 @@
     .context(ThreadSnafu)?;
     let (ring, http_shared) = (decisions.clone(), shared.clone());
     let http_log = log.clone();
-    let make = move || http_ports::Context::new(ring, http_shared, scrape, http_log);
+    let make = move || http_ports::Context::new(ring, http_shared, scrape, descriptors, http_log);
     duty::spawn("doors", move || http_ports::run(ports, metrics_addr, make))
         .context(ThreadSnafu)?;
-    let make = move || callers::Context::new(decisions, shared, body_memory, stopping, chart);
-    duty::spawn("callers", move || callers::run(callers, make)).context(ThreadSnafu)?;
+    let make =
+        move || callers::Context::new(decisions, shared, descriptors, body_memory, stopping, chart);
+    let caller_log = log.clone();
+    duty::spawn("callers", move || callers::run(callers, caller_log, make)).context(ThreadSnafu)?;
 
     let unfinished = signals.wait_for_stop();
     done.store(true, Ordering::Release);
--- a/crates/daemon/src/edge/backend_connection.rs
+++ b/crates/daemon/src/edge/backend_connection.rs
@@ -9,6 +9,8 @@
 use async_std::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::slots::Slot;
+
 /// The maximum number of answered requests that a connection remembers.
 const MAX_ANSWERED: usize = 32;
 
@@ -19,19 +21,20 @@
     pub stream: TcpStream,
     // Hashes of the ids of the latest answered requests, oldest first.
     answered: VecDeque<u64>,
+    #[expect(dead_code, reason = "held for its drop")]
+    slot: Slot,
 }
 
-impl From<TcpStream> for Connection {
+impl Connection {
     /// Creates a connection on which no request has been answered.
-    fn from(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, slot: Slot) -> Self {
         Self {
             stream,
             answered: VecDeque::new(),
+            slot,
         }
     }
-}
 
-impl Connection {
     /// Returns whether a request with this id was answered on the connection.
     pub fn has_answered(&self, id: &str) -> bool {
         self.answered.contains(&xxh3_64(id.as_bytes()))
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -1,9 +1,12 @@
 //! The callers duty: accepts connections from callers.
 //!
-//! Each connection is served by a task of its own, up to a fixed number of
-//! connections.
+//! Each connection is served by a task of its own. When most slots for connections are in
+//! use, connections are closed after an answer, and a new one replaces the one that has been
+//! idle for longest; if none has, its request is refused as not run. Without any slot left,
+//! a new connection is closed at once.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::AtomicBool;
@@ -11,26 +14,30 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Sender;
-use async_std::net;
+use async_std::net::TcpStream;
 use async_std::task;
+use corianderway_model::SortedMap;
 use corianderway_steer::ConnectionChart;
 use corianderway_steer::RequestId;
 
+use crate::acceptor::Acceptor;
+use crate::descriptors::Descriptors;
 use crate::edge::body_memory::BodyMemory;
 use crate::edge::connection;
 use crate::edge::decisions::SharedState;
 use crate::edge::limits::SharedLimits;
 use crate::edge::rings::Input;
+use crate::logs::Log;
+use crate::slots::Slots;
 
-/// The maximum number of open connections from callers; the bound leaves file
-/// descriptors for connections to backend servers.
-pub const MAX_CONNECTIONS: usize = 2_500;
+/// The slots are divided by this to get those for callers whose requests are refused.
+const REFUSAL_DIVISOR: usize = 8;
 
-/// The delay after a failed accept, which usually means that no file
-/// descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The idle time after which a connection may be replaced by a new one.
+const MIN_IDLE: Duration = Duration::from_secs(1);
 
 /// The state that all connections share.
 #[derive(Debug)]
@@ -50,24 +57,39 @@
     // The number of requests that are being read, decided or answered.
     active: Arc<AtomicUsize>,
     behind: Arc<AtomicUsize>,
-    connections: Arc<AtomicUsize>,
+    slots: Slots,
+    // By the order in which they became idle.
+    idle: RefCell<SortedMap<u64, Idle>>,
+    last_idle: Cell<u64>,
 }
 
-/// Counts a request until it is dropped, at the latest when its answer is written.
+/// A connection without an open request.
 #[derive(Debug)]
-pub struct RequestGuard<'a>(&'a AtomicUsize);
+struct Idle {
+    since: Instant,
+    stream: TcpStream,
+    // Asks its task to close it.
+    close: Sender<()>,
+}
 
-impl Drop for RequestGuard<'_> {
+/// Lists a connection as idle until it is dropped.
+#[derive(Debug)]
+pub struct IdleGuard<'a> {
+    ctx: &'a Context,
+    number: u64,
+}
+
+impl Drop for IdleGuard<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.ctx.idle.borrow_mut().remove(&self.number);
     }
 }
 
-/// Counts a connection as open until it is dropped, also by a panic.
+/// Counts a request until it is dropped, at the latest when its answer is written.
 #[derive(Debug)]
-struct ConnectionGuard(Arc<AtomicUsize>);
+pub struct RequestGuard<'a>(&'a AtomicUsize);
 
-impl Drop for ConnectionGuard {
+impl Drop for RequestGuard<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
@@ -96,11 +118,15 @@
     pub fn new(
         decisions: Sender<Input>,
         shared: SharedState,
+        descriptors: Descriptors,
         body_memory: BodyMemory,
         stopping: Arc<AtomicBool>,
         chart: ConnectionChart,
     ) -> Self {
         Self {
+            slots: shared.caller_slots(descriptors),
+            idle: RefCell::default(),
+            last_idle: Cell::default(),
             decisions,
             limits: shared.limits,
             active: shared.active,
@@ -109,7 +135,6 @@
             stopping,
             chart,
             ids: RequestIds::after(0),
-            connections: shared.connections,
         }
     }
 
@@ -126,6 +151,40 @@
         RequestGuard(&self.behind)
     }
 
+    /// Returns whether most slots for connections are in use, so that connections should turn
+    /// over.
+    pub fn is_crowded(&self) -> bool {
+        let max = self.slots.max();
+        self.slots.used() > max - (max / REFUSAL_DIVISOR).max(1)
+    }
+
+    /// Lists a connection as idle until the guard is dropped; `close` is sent to if a new one
+    /// replaces it.
+    pub fn begin_idle(&self, stream: &TcpStream, close: &Sender<()>) -> IdleGuard<'_> {
+        let number = self.last_idle.get() + 1;
+        self.last_idle.set(number);
+        let idle = Idle {
+            since: Instant::now(),
+            stream: stream.clone(),
+            close: close.clone(),
+        };
+        self.idle.borrow_mut().insert(number, idle);
+        IdleGuard { ctx: self, number }
+    }
+
+    // Closes the connection that has been idle for longest, if it may be; returns whether one
+    // is closed. One with unread bytes has a request.
+    fn close_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let found = idle
+            .iter()
+            .take_while(|(_, idle)| idle.since.elapsed() >= MIN_IDLE)
+            .find(|(_, idle)| !connection::is_readable(&idle.stream))
+            .map(|(number, _)| *number);
+        let closed = found.and_then(|number| idle.remove(&number));
+        closed.is_some_and(|idle| idle.close.try_send(()).is_ok())
+    }
+
     /// Returns true once a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
@@ -133,29 +192,35 @@
 }
 
 /// Accepts connections until the process ends.
-pub fn run(listener: TcpListener, make: impl FnOnce() -> Context) {
+pub fn run(listener: TcpListener, log: Log, make: impl FnOnce() -> Context) {
     task::block_on(async move {
-        let listener = net::TcpListener::from(listener);
+        let acceptor = Acceptor::new(listener, "callers", log);
         let ctx = Rc::new(make());
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => admit(&ctx, stream),
-                Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
-            }
+            let (stream, _) = acceptor.accept().await;
+            admit(&ctx, &acceptor, stream);
         }
     });
 }
 
-// Serves a connection in a task, or closes it at once if too many are open.
-fn admit(ctx: &Rc<Context>, stream: net::TcpStream) {
-    if ctx.connections.load(Ordering::Acquire) >= MAX_CONNECTIONS {
+// Serves a connection or refuses its request in a task, or closes it at once if too many are
+// open.
+fn admit(ctx: &Rc<Context>, acceptor: &Acceptor, stream: TcpStream) {
+    let Some(slot) = ctx.slots.take() else {
+        acceptor.reject(ctx.slots.used());
         return;
+    };
+    let is_served = !ctx.is_crowded() || ctx.close_idle();
+    if !is_served {
+        acceptor.reject(ctx.slots.used());
     }
-    ctx.connections.fetch_add(1, Ordering::AcqRel);
-    let guard = ConnectionGuard(Arc::clone(&ctx.connections));
     let ctx = Rc::clone(ctx);
     task::spawn_local(async move {
-        connection::serve(&stream, &ctx).await;
-        drop(guard);
+        if is_served {
+            connection::serve(&stream, &ctx).await;
+        } else {
+            connection::refuse(&stream, &ctx).await;
+        }
+        drop(slot);
     });
 }
--- a/crates/daemon/src/edge/connection.rs
+++ b/crates/daemon/src/edge/connection.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_std::future;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -39,6 +40,7 @@
 use crate::edge::outgoing;
 use crate::edge::rings::Input;
 use crate::edge::rings::Reply;
+use crate::message_reader;
 
 /// The retry delay given to a caller whose request found the ring to the
 /// decision duty full.
@@ -48,6 +50,9 @@
 /// be read before them.
 const HANG_UP_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The timeout for reading the head of a request that is refused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Whether a connection stays open for another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -111,6 +116,8 @@
     // Whether the caller has sent bytes behind a request before its answer, so that closing
     // may find some unread.
     pipelines: bool,
+    // Asks for the close of the connection while it is idle.
+    close: (Sender<()>, Receiver<()>),
 }
 
 /// Serves requests until the connection is closed.
@@ -130,10 +137,26 @@
         ahead: Vec::new(),
         stage: Stage::Nothing,
         pipelines: false,
+        close: async_channel::bounded(1),
     };
     while connection.advance().await == Next::Keep {}
 }
 
+/// Refuses the first request as not run, since too many connections are open.
+pub async fn refuse(stream: &TcpStream, ctx: &Context) {
+    let mut ahead = Vec::new();
+    let max_bytes = ctx.limits.get().head_bytes;
+    let read = message_reader::read_head_within(stream, &mut ahead, max_bytes);
+    // An answer ahead of its request might be taken for another one's.
+    let Ok(Ok(_)) = future::timeout(REFUSAL_TIMEOUT, read).await else {
+        return;
+    };
+    let refusal = Unreadable::crowded();
+    if outgoing::write_unreadable(stream, &refusal).await.is_ok() {
+        outgoing::drain_input(stream).await;
+    }
+}
+
 impl<'a> Connection<'a> {
     async fn advance(&mut self) -> Next {
         if self.queue.is_empty() {
@@ -165,8 +188,18 @@
         match std::mem::replace(&mut self.stage, Stage::Nothing) {
             Stage::Nothing => {
                 let idle = self.ctx.limits.get().idle_timeout;
-                if self.ahead.is_empty() && !has_bytes(self.stream, idle).await {
-                    return Incoming::Ended;
+                if self.ahead.is_empty() {
+                    let guard = self.ctx.begin_idle(self.stream, &self.close.0);
+                    let closed = async {
+                        // Fails never, since the connection holds a sender.
+                        let _ = self.close.1.recv().await;
+                        false
+                    };
+                    let is_used = closed.or(has_bytes(self.stream, idle)).await;
+                    drop(guard);
+                    if !is_used {
+                        return Incoming::Ended;
+                    }
                 }
                 incoming::read(self.stream, self.ctx, &mut self.ahead, true).await
             }
@@ -331,7 +364,7 @@
     }
 
     fn note_stop(&mut self) {
-        if self.ctx.is_stopping() {
+        if self.ctx.is_stopping() || self.ctx.is_crowded() {
             let stopped = PipelineEvent::Stopped;
             self.pipeline.step(stopped, &mut self.actions);
         }
@@ -431,13 +464,20 @@
     ready.is_ok_and(|count| count > 0)
 }
 
+/// Returns whether bytes of the caller are unread.
+pub fn is_readable(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::IN)];
+    let ready = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+    ready.is_ok_and(|count| count > 0)
+}
+
 // Waits for a byte; returns false if the connection ends.
 async fn has_byte(stream: &TcpStream) -> bool {
     matches!(stream.peek(&mut [0]).await, Ok(count) if count > 0)
 }
 
-// Waits for the first byte of a request; returns false if the connection ends or
-// stays idle too long.
-async fn has_bytes(stream: &TcpStream, idle: Duration) -> bool {
+/// Waits for the first byte of a request; returns false if the connection ends or
+/// stays idle too long.
+pub async fn has_bytes(stream: &TcpStream, idle: Duration) -> bool {
     matches!(future::timeout(idle, has_byte(stream)).await, Ok(true))
 }
--- a/crates/daemon/src/edge/decisions.rs
+++ b/crates/daemon/src/edge/decisions.rs
@@ -28,6 +28,8 @@
 use log::Level;
 
 use crate::clock::Clock;
+use crate::descriptors::Descriptors;
+use crate::descriptors::Share;
 use crate::edge::body_memory::Reservation;
 use crate::edge::limits::SharedLimits;
 use crate::edge::recent::Recent;
@@ -42,6 +44,7 @@
 use crate::logs::Log;
 use crate::park;
 use crate::prioritized::Prioritized;
+use crate::slots::Slots;
 
 /// State that duties share without a ring.
 #[derive(Clone, Debug, Default)]
@@ -68,6 +71,14 @@
     pub limits: SharedLimits,
 }
 
+impl SharedState {
+    /// Returns the slots of callers' connections.
+    pub fn caller_slots(&self, descriptors: Descriptors) -> Slots {
+        let used = Arc::clone(&self.connections);
+        Slots::new(used, descriptors.share(Share::Callers))
+    }
+}
+
 /// The rings to which the decision duty sends.
 #[derive(Debug)]
 pub struct Outputs {
--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -33,6 +33,7 @@
 use futures_lite::AsyncWriteExt as _;
 
 use crate::clock::Clock;
+use crate::descriptors;
 use crate::edge::backend_connection::Connection;
 use crate::edge::body;
 use crate::edge::body_memory::Reservation;
@@ -42,6 +43,8 @@
 use crate::message_reader;
 use crate::message_reader::HeadFailure;
 use crate::pool::Pool;
+use crate::slots::Slot;
+use crate::slots::Slots;
 
 /// The timeout for opening a connection.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -82,6 +85,31 @@
 /// for bodies limits the others.
 const MAX_UNSIZED_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// The connections to backend servers.
+#[derive(Debug)]
+pub struct Connections {
+    /// Those that are idle.
+    pub idle: RefCell<Pool<Connection>>,
+    /// The bound on all of them.
+    pub slots: Slots,
+}
+
+// What an attempt can use.
+enum Room {
+    Idle(Connection),
+    // For a new connection.
+    Slot(Slot),
+}
+
+/// Why a connection can't be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectError {
+    /// A resource of this machine is missing, which says nothing of the backend server.
+    Local,
+    /// The backend server refused, or didn't answer in time.
+    Unreachable,
+}
+
 /// An answered exchange whose connection may be used again.
 struct Reusable {
     connection: Connection,
@@ -156,7 +184,7 @@
 pub async fn run(
     job: Job,
     clock: Clock,
-    pool: Rc<RefCell<Pool<Connection>>>,
+    connections: Rc<Connections>,
     reservation: Reservation,
     decisions: Sender<Input>,
 ) {
@@ -167,7 +195,7 @@
         None
     };
     let progress = Progress::default();
-    let attempt = async { Some(attempt(&job, clock, &pool, reservation, &progress).await) };
+    let attempt = async { Some(attempt(&job, clock, &connections, reservation, &progress).await) };
     // The cancellation is polled first, so that nothing is written after it.
     let ended = cancelled.or(attempt).await;
     let end = end_name(ended.as_ref());
@@ -197,7 +225,7 @@
         // The caller's reservation for the request ends with its answer.
         let unsent = reusable.request.len() - reusable.sent;
         if unsent == 0 || (unsent <= MAX_REST_BYTES && rest.grow_to(unsent)) {
-            reusable.finish(job.addr, &pool).await;
+            reusable.finish(job.addr, &connections).await;
         }
     }
 }
@@ -222,11 +250,11 @@
 async fn attempt(
     job: &Job,
     clock: Clock,
-    pool: &RefCell<Pool<Connection>>,
+    connections: &Connections,
     reservation: Reservation,
     progress: &Progress,
 ) -> Ended {
-    let mut connection = match open(job, clock, pool).await {
+    let mut connection = match open(job, clock, connections).await {
         Ok(opened) => opened,
         Err(outcome) => return outcome.into(),
     };
@@ -285,7 +313,7 @@
     // Sends the rest of the request and returns the connection to the pool. Closes
     // it if that fails: whatever followed an incomplete request would be read as
     // the rest of its body.
-    async fn finish(mut self, addr: SocketAddr, pool: &RefCell<Pool<Connection>>) {
+    async fn finish(mut self, addr: SocketAddr, connections: &Connections) {
         let unsent = self.request.split_off(self.sent);
         // Frees the memory of what was sent.
         self.request = Vec::new();
@@ -296,41 +324,101 @@
                 return;
             }
         }
-        pool.borrow_mut().put_for(addr, self.connection, self.keep);
+        let mut idle = connections.idle.borrow_mut();
+        idle.put_for(addr, self.connection, self.keep);
+        connections.slots.notify();
     }
 }
 
 // Takes a connection from the pool or opens one.
-async fn open(
-    job: &Job,
-    clock: Clock,
-    pool: &RefCell<Pool<Connection>>,
-) -> Result<Connection, Outcome> {
+async fn open(job: &Job, clock: Clock, connections: &Connections) -> Result<Connection, Outcome> {
     let max_idle = if job.once {
         MAX_IDLE_ONCE
     } else {
         Duration::MAX
     };
-    while let Some(connection) = take(pool, job, max_idle) {
-        if is_usable(&connection.stream).await {
-            return Ok(connection);
-        }
-    }
+    let room = match connections.find(job, max_idle).await {
+        Some(room) => room,
+        None => connections.wait(job, clock, max_idle).await?,
+    };
+    let slot = match room {
+        Room::Idle(connection) => return Ok(connection),
+        Room::Slot(slot) => slot,
+    };
     let limit = CONNECT_TIMEOUT.min(clock.until(job.deadline));
-    let stream = connect(job.addr, limit).await;
-    let stream = stream.ok_or(Outcome::Unreachable)?;
+    let stream = connect(job.addr, limit)
+        .await
+        .map_err(|error| match error {
+            ConnectError::Local => Outcome::NotSent,
+            ConnectError::Unreachable => Outcome::Unreachable,
+        })?;
     // Otherwise Nagle's algorithm delays small requests until earlier data is
     // acknowledged.
     stream
         .set_nodelay(true)
         .map_err(|_broken| Outcome::Unreachable)?;
-    Ok(stream.into())
+    Ok(Connection::new(stream, slot))
 }
 
-/// Opens a connection; returns `None` if that fails or times out.
-pub(super) async fn connect(addr: SocketAddr, timeout: Duration) -> Option<TcpStream> {
+/// Opens a connection within a timeout.
+///
+/// # Errors
+///
+/// Fails if a resource is missing here, or if the backend server can't be reached.
+pub(super) async fn connect(
+    addr: SocketAddr,
+    timeout: Duration,
+) -> Result<TcpStream, ConnectError> {
     let connected = future::timeout(timeout, TcpStream::connect(addr)).await;
-    connected.ok()?.ok()
+    match connected {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) if descriptors::is_local(&error) => Err(ConnectError::Local),
+        Ok(Err(_)) | Err(_) => Err(ConnectError::Unreachable),
+    }
+}
+
+impl Connections {
+    /// Takes a slot for a new connection, if there is one; an idle connection makes room.
+    pub(super) fn take_slot(&self) -> Option<Slot> {
+        let free = self.slots.take();
+        free.or_else(|| {
+            let is_closed = self.idle.borrow_mut().close_oldest();
+            is_closed.then(|| self.slots.take()).flatten()
+        })
+    }
+
+    // Finds an idle connection to the job's server, or a slot for a new one.
+    async fn find(&self, job: &Job, max_idle: Duration) -> Option<Room> {
+        while let Some(connection) = take(&self.idle, job, max_idle) {
+            if is_usable(&connection.stream).await {
+                return Some(Room::Idle(connection));
+            }
+        }
+        self.take_slot().map(Room::Slot)
+    }
+
+    // Waits for what `find` finds, until the choice of the backend server is outdated.
+    async fn wait(&self, job: &Job, clock: Clock, max_idle: Duration) -> Result<Room, Outcome> {
+        let left = clock.until(job.deadline);
+        let valid = clock.until(job.begin_by);
+        let found = async {
+            loop {
+                self.slots.changed().await;
+                if let Some(room) = self.find(job, max_idle).await {
+                    return room;
+                }
+            }
+        };
+        match future::timeout(left.min(valid), found).await {
+            Ok(room) => {
+                // What was freed at the same time has woken one attempt only.
+                self.slots.notify();
+                Ok(room)
+            }
+            Err(_elapsed) if valid < left => Err(Outcome::Outdated),
+            Err(_elapsed) => Err(Outcome::NotSent),
+        }
+    }
 }
 
 // A function of its own, so that the borrow ends before the caller awaits.
--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -8,13 +8,13 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_h1::server;
-use async_h1::server::ServerOptions;
+use async_h1::server::ConnectionStatus;
+use async_h1::server::Server;
 use async_std::future;
-use async_std::net;
 use async_std::task;
 use corianderway_platform::directory;
 use corianderway_wire::log_line::LogLine;
@@ -23,20 +23,23 @@
 use http_types::StatusCode;
 use log::Level;
 
+use crate::acceptor::Acceptor;
+use crate::descriptors::Descriptors;
+use crate::descriptors::Share;
 use crate::edge::callers::RequestIds;
-use crate::edge::callers::MAX_CONNECTIONS;
+use crate::edge::connection;
 use crate::edge::decisions::SharedState;
 use crate::edge::rings::Input;
 use crate::edge::rings::Reply;
 use crate::logs::Log;
 use crate::metrics::Scrape;
+use crate::slots::Slots;
 
 /// The timeout for an answer of the decision duty.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The delay after a failed accept, which usually means that no file
-/// descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The timeout for the next request on a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The interval at which the port for metrics is tried again while it is in use.
 const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,17 +65,46 @@
     decisions: Sender<Input>,
     shared: SharedState,
     scrape: Scrape,
+    descriptors: Descriptors,
+    // The slots of callers' requests.
+    callers: Slots,
     ids: RequestIds,
     log: Log,
 }
 
+impl HttpPort {
+    const fn share(self) -> Share {
+        match self {
+            Self::Ready => Share::Readiness,
+            Self::Directory => Share::Directory,
+            Self::Admin => Share::Admin,
+        }
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Directory => "directory",
+            Self::Admin => "metrics",
+        }
+    }
+}
+
 impl Context {
     /// Creates the state.
-    pub fn new(decisions: Sender<Input>, shared: SharedState, scrape: Scrape, log: Log) -> Self {
+    pub fn new(
+        decisions: Sender<Input>,
+        shared: SharedState,
+        scrape: Scrape,
+        descriptors: Descriptors,
+        log: Log,
+    ) -> Self {
         Self {
+            callers: shared.caller_slots(descriptors),
             decisions,
             shared,
             scrape,
+            descriptors,
             ids: RequestIds::after(DIRECTORY_ID_START),
             log,
         }
@@ -118,10 +150,12 @@
 }
 
 async fn serve(port: HttpPort, listener: TcpListener, ctx: Rc<Context>) {
-    let listener = net::TcpListener::from(listener);
+    let acceptor = Acceptor::new(listener, port.as_str(), ctx.log.clone());
+    let slots = Slots::new(Arc::default(), ctx.descriptors.share(port.share()));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            task::sleep(ACCEPT_RETRY_DELAY).await;
+        let (stream, _) = acceptor.accept().await;
+        let Some(slot) = slots.take() else {
+            acceptor.reject(slots.used());
             continue;
         };
         let ctx = Rc::clone(&ctx);
@@ -130,9 +164,14 @@
                 let ctx = Rc::clone(&ctx);
                 async move { Ok(respond(port, &request, &ctx).await) }
             };
-            let options = ServerOptions::default();
-            // A broken connection affects only its own caller.
-            drop(server::accept_with_opts(stream, answer, options).await);
+            let mut server = Server::new(stream.clone(), answer);
+            while connection::has_bytes(&stream, IDLE_TIMEOUT).await {
+                // A broken connection affects only its own caller.
+                let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await else {
+                    break;
+                };
+            }
+            drop(slot);
         });
     }
 }
@@ -142,7 +181,7 @@
     match (port, url.path()) {
         (HttpPort::Ready, directory::READY_PATH) => {
             // An instance that takes no connection is not ready, whatever it knows.
-            let has_room = ctx.shared.connections.load(Ordering::Acquire) < MAX_CONNECTIONS;
+            let has_room = ctx.callers.used() < ctx.callers.max();
             if has_room && ctx.shared.ready.load(Ordering::Acquire) {
                 text(StatusCode::Ok, "text/plain", "ready".to_owned())
             } else {
--- a/crates/daemon/src/edge/incoming.rs
+++ b/crates/daemon/src/edge/incoming.rs
@@ -37,6 +37,10 @@
 /// spread, so that callers don't come back at once.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// The mean retry delay given to a caller for whose connection there is no room, spread like
+/// that for memory.
+const CROWDED_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// The interim response to a request with `Expect: 100-continue`.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -190,6 +194,17 @@
         }
     }
 
+    /// Creates the refusal of a request on a connection for which there is no room.
+    pub fn crowded() -> Self {
+        let delay = CROWDED_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>());
+        Self {
+            status: UNAVAILABLE,
+            code: "crowded",
+            detail: "too many connections are open".to_owned(),
+            retry_after: Some(delay),
+        }
+    }
+
     fn late(code: &'static str) -> Self {
         Self::not_whole(TOO_SLOW, code, None)
     }
--- a/crates/daemon/src/edge/replica_server.rs
+++ b/crates/daemon/src/edge/replica_server.rs
@@ -7,11 +7,11 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_std::future;
-use async_std::net;
 use async_std::net::TcpStream;
 use async_std::task;
 use async_tungstenite::tungstenite::Message;
@@ -23,10 +23,12 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+use crate::acceptor::Acceptor;
 use crate::edge::copy::Update;
 use crate::edge::frame::Frame;
 use crate::edge::frame::KnownRevisions;
 use crate::edge::store::Context;
+use crate::slots::Slots;
 
 /// The timeout of the WebSocket handshake, and of the follower's first message.
 pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -45,22 +47,22 @@
 /// nothing is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The delay after a failed accept, which usually means that no file
-/// descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Accepts followers until the process ends.
-pub(super) async fn serve(listener: TcpListener, ctx: Rc<Context>) {
-    let listener = net::TcpListener::from(listener);
+/// Accepts followers until the process ends, up to `max` at a time.
+pub(super) async fn serve(listener: TcpListener, max: usize, ctx: Rc<Context>) {
+    let acceptor = Acceptor::new(listener, "replica", ctx.log.clone());
+    let slots = Slots::new(Arc::default(), max);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            task::sleep(ACCEPT_RETRY_DELAY).await;
+        let (stream, _) = acceptor.accept().await;
+        // A follower that is turned away looks for another source.
+        let Some(slot) = slots.take() else {
+            acceptor.reject(slots.used());
             continue;
         };
         let ctx = Rc::clone(&ctx);
         // A broken stream affects only its own follower.
         task::spawn_local(async move {
             let _ = serve_stream(stream, &ctx).await;
+            drop(slot);
         });
     }
 }
--- a/crates/daemon/src/edge/servers.rs
+++ b/crates/daemon/src/edge/servers.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -15,12 +16,14 @@
 use corianderway_steer::Event;
 
 use crate::clock::Clock;
-use crate::edge::backend_connection::Connection;
 use crate::edge::body_memory::BodyMemory;
 use crate::edge::exchange;
+use crate::edge::exchange::ConnectError;
+use crate::edge::exchange::Connections;
 use crate::edge::rings::Input;
 use crate::edge::rings::ServerCommand;
 use crate::pool::Pool;
+use crate::slots::Slots;
 
 /// The interval at which expired idle connections are closed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,40 +36,61 @@
     commands: Receiver<ServerCommand>,
     clock: Clock,
     body_memory: BodyMemory,
+    max_connections: usize,
     decisions: Sender<Input>,
 ) {
     task::block_on(async move {
-        let pool = Rc::new(RefCell::new(Pool::default()));
-        task::spawn_local(expire(Rc::clone(&pool)));
+        let connections = Rc::new(Connections {
+            idle: RefCell::new(Pool::default()),
+            slots: Slots::new(Arc::default(), max_connections),
+        });
+        task::spawn_local(expire(Rc::clone(&connections)));
         while let Ok(command) = commands.recv().await {
             let decisions = decisions.clone();
             match command {
                 ServerCommand::Attempt(job) => {
-                    let pool = Rc::clone(&pool);
+                    let connections = Rc::clone(&connections);
                     let reservation = body_memory.reservation();
-                    task::spawn_local(exchange::run(job, clock, pool, reservation, decisions));
+                    task::spawn_local(exchange::run(
+                        job,
+                        clock,
+                        connections,
+                        reservation,
+                        decisions,
+                    ));
                 }
                 ServerCommand::Check(server, addr) => {
-                    task::spawn_local(check(server, addr, decisions));
+                    task::spawn_local(check(server, addr, Rc::clone(&connections), decisions));
                 }
             }
         }
     });
 }
 
-async fn check(server: ServerId, addr: SocketAddr, decisions: Sender<Input>) {
+async fn check(
+    server: ServerId,
+    addr: SocketAddr,
+    connections: Rc<Connections>,
+    decisions: Sender<Input>,
+) {
     task::sleep(CHECK_DELAY).await;
-    let reachable = exchange::connect(addr, exchange::CONNECT_TIMEOUT)
-        .await
-        .is_some();
+    // Without room, a failed attempt shows the same.
+    let Some(_slot) = connections.take_slot() else {
+        return;
+    };
+    let reachable = match exchange::connect(addr, exchange::CONNECT_TIMEOUT).await {
+        Ok(_) => true,
+        Err(ConnectError::Unreachable) => false,
+        Err(ConnectError::Local) => return,
+    };
     let input = Input::Event(Event::ServerChecked { server, reachable });
     // Sending fails only at process end, since the decision duty ends last.
     drop(decisions.send(input).await);
 }
 
-async fn expire(pool: Rc<RefCell<Pool<Connection>>>) {
+async fn expire(connections: Rc<Connections>) {
     loop {
         task::sleep(EXPIRY_INTERVAL).await;
-        pool.borrow_mut().expire();
+        connections.idle.borrow_mut().expire();
     }
 }
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -254,7 +254,7 @@
 pub fn run(
     settings: Settings,
     checks: StoreCheck,
-    listener: TcpListener,
+    (listener, max_followers): (TcpListener, usize),
     commands: Receiver<StoreCommand>,
     decisions: Sender<Input>,
     log: Log,
@@ -279,7 +279,11 @@
             registered: Cell::default(),
         });
         send_event(&ctx, Event::Seeds(settings.seeds)).await;
-        task::spawn_local(replica_server::serve(listener, Rc::clone(&ctx)));
+        task::spawn_local(replica_server::serve(
+            listener,
+            max_followers,
+            Rc::clone(&ctx),
+        ));
         task::spawn_local(writes::register(Rc::clone(&ctx)));
         while let Ok(command) = commands.recv().await {
             execute(&ctx, command).await;
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -28,6 +28,7 @@
 use crate::body;
 use crate::body::Payload;
 use crate::clock::Clock;
+use crate::descriptors;
 use crate::message_reader;
 use crate::message_reader::MessageReader;
 use crate::pool::Pool;
@@ -187,8 +188,10 @@
     }
     let limit = CONNECT_TIMEOUT.min(clock.until(start_by));
     let connected = future::timeout(limit, TcpStream::connect(addr)).await;
-    let Ok(Ok(stream)) = connected else {
-        return Err(AttemptOutcome::Unreachable);
+    let stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if descriptors::is_local(&error) => return Err(AttemptOutcome::NotSent),
+        Ok(Err(_)) | Err(_) => return Err(AttemptOutcome::Unreachable),
     };
     // Otherwise small messages wait for delayed acknowledgements.
     stream
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: accepts requests of callers and steers them to backend servers.
 
+mod acceptor;
 mod admin;
 mod allocator;
 mod args;
@@ -10,6 +11,7 @@
 mod connection;
 mod daemon;
 mod decide;
+mod descriptors;
 mod duty;
 mod edge;
 mod exchange;
@@ -27,6 +29,7 @@
 mod request;
 mod rings;
 mod servers;
+mod slots;
 mod stop;
 mod tee;
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -12,7 +12,6 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_std::future;
-use async_std::net;
 use async_std::net::TcpStream;
 use async_std::task;
 use async_tungstenite::tungstenite::Message as Frame;
@@ -24,6 +23,8 @@
 use corianderway_wire::peer::Envelope;
 use futures_util::StreamExt as _;
 
+use crate::acceptor::Acceptor;
+use crate::logs::Log;
 use crate::rings;
 use crate::rings::Input;
 
@@ -36,9 +37,6 @@
 /// The time without a message after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// The delay after a failed accept, such as one without a free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// The queued messages of each peer, sorted by address.
 type Queues = Rc<RefCell<Vec<Queue>>>;
 
@@ -56,9 +54,11 @@
     me: InstanceId,
     messages: Receiver<(SocketAddr, Message)>,
     decisions: Sender<Input>,
+    log: Log,
 ) {
     task::block_on(async move {
-        task::spawn_local(accept(listener.into(), decisions));
+        let acceptor = Acceptor::new(listener, "peers", log);
+        task::spawn_local(accept(acceptor, decisions));
         let queues = Queues::default();
         while let Ok((to, message)) = messages.recv().await {
             enqueue(&queues, to, message, &me);
@@ -141,14 +141,10 @@
     matches!(future::timeout(SOCKET_TIMEOUT, sent).await, Ok(Ok(())))
 }
 
-async fn accept(listener: net::TcpListener, decisions: Sender<Input>) {
+async fn accept(acceptor: Acceptor, decisions: Sender<Input>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn_local(receive_all(stream, decisions.clone()));
-            }
-            Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
-        }
+        let (stream, _) = acceptor.accept().await;
+        task::spawn_local(receive_all(stream, decisions.clone()));
     }
 }
 
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Closes the connection that has been idle for longest; returns whether there is one.
+    pub fn close_oldest(&mut self) -> bool {
+        let rows = self.servers.iter_mut().filter(|row| !row.1.is_empty());
+        let oldest = rows.min_by_key(|row| row.1[0].since);
+        oldest.map(|row| row.1.remove(0)).is_some()
+    }
+
     /// Closes the connections that have been idle for too long.
     pub fn expire(&mut self) {
         for (_, connections) in &mut self.servers {
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -60,6 +60,19 @@
     /// Starts an instance in each of these failure domains, `a` or `b`, and waits until they
     /// are ready.
     pub fn start_in(domains: &[&str]) -> Self {
+        Self::start_sites(domains, |site| site)
+    }
+
+    /// Starts instances of failure domain `a` that may open this many file descriptors, and
+    /// waits until they are ready.
+    pub fn start_limited(count: usize, descriptors: u32) -> Self {
+        Self::start_sites(&vec!["a"; count], |site| Site {
+            descriptors: Some(descriptors),
+            ..site
+        })
+    }
+
+    fn start_sites(domains: &[&str], adapt: impl Fn(Site) -> Site) -> Self {
         let store = Store::start();
         let endpoint = Endpoint::start("i-1");
         store.put("config", "main", &configuration(1, &["k1", "k2"]));
@@ -67,7 +80,7 @@
         store.put("servers", "other", &json!("left by another writer"));
         let start = |domain: &&str| {
             let site = Site::new("north", domain, store.add_address());
-            Self::start_node(site)
+            Self::start_node(adapt(site))
         };
         let instances = domains.iter().map(start).collect();
         let fleet = Self {
@@ -81,6 +94,16 @@
         fleet
     }
 
+    /// Kills all instances and starts them again, without waiting for readiness.
+    pub fn restart_all(&mut self) {
+        for instance in &mut self.instances {
+            instance.process.kill().unwrap();
+        }
+        for number in 0..self.instances.len() {
+            self.restart(number);
+        }
+    }
+
     /// Kills an instance and starts it again, without waiting for readiness.
     pub fn restart(&mut self, number: usize) {
         let node = &mut self.instances[number];
--- a/crates/standins/src/estate/node.rs
+++ b/crates/standins/src/estate/node.rs
@@ -49,6 +49,8 @@
     pub store: SocketAddr,
     /// The time from SIGTERM to the forced end of a planned stop, in seconds.
     pub grace: u32,
+    /// The maximum number of open file descriptors, if it differs from this process's.
+    pub descriptors: Option<u32>,
 }
 
 /// A running instance.
@@ -79,6 +81,7 @@
             domain: domain.to_owned(),
             store,
             grace: 4,
+            descriptors: None,
         }
     }
 
@@ -115,7 +118,10 @@
         std::fs::write(&file, site.settings(regions)).expect("the settings file can be written");
         let path = file.to_string_lossy();
         let args = ["--platform", "--settings", &path];
-        let process = Process::spawn("corianderwayd", &args)?;
+        let process = match site.descriptors {
+            Some(limit) => Process::spawn_limited("corianderwayd", &args, limit)?,
+            None => Process::spawn("corianderwayd", &args)?,
+        };
         Ok(Self { process, site })
     }
 
--- a/crates/standins/src/harness/process.rs
+++ b/crates/standins/src/harness/process.rs
@@ -64,8 +64,23 @@
     ///
     /// Fails when the program is not built or can't be started.
     pub fn spawn(name: &str, args: &[&str]) -> Result<Self, Error> {
-        let path = find(name)?;
-        let mut command = Command::new(path);
+        Self::spawn_command(name, Command::new(find(name)?), args)
+    }
+
+    /// Starts a program of this workspace with at most this many open file descriptors,
+    /// without waiting for its `ready` line.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program is not built or can't be started.
+    pub fn spawn_limited(name: &str, args: &[&str], descriptors: u32) -> Result<Self, Error> {
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+        command.args(["-c", &script]).arg(find(name)?);
+        Self::spawn_command(name, command, args)
+    }
+
+    fn spawn_command(name: &str, mut command: Command, args: &[&str]) -> Result<Self, Error> {
         command.args(args);
         command.stdin(Stdio::null());
         command.stdout(Stdio::piped());
