edge: an answer without a length is complete only if its connection ended in order

Cause: the kernel reports a reset once. If the write of the upload fails first, it takes the error, and the read behind it finds a plain end, which `Framing::Close` took for the end of the body; the write's error is dropped, since an early answer may be whole although its upload fails. A server process that ends also sends a plain end first, and the reset when more of the upload arrives. The class: an end that isn't proven to be orderly counts as the end of a message.

Now such an answer is complete once the whole request is sent and acknowledged, so that no byte of it can cause a reset any more, and the kernel hasn't given the connection up.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -39,6 +39,7 @@
 use crate::edge::rings::Answer;
 use crate::edge::rings::Input;
 use crate::edge::rings::Job;
+use crate::ending;
 use crate::message_reader;
 use crate::message_reader::HeadFailure;
 use crate::pool::Pool;
@@ -243,7 +244,8 @@
     progress.is_new.set(Some(connection.is_new()));
     progress.length.set(request.len());
     let sending = async {
-        // The write may fail after an early answer, which is read all the same.
+        // The write may fail after an early answer, which is read all the same; `read_answer`
+        // notices a reset.
         drop(send(&connection.stream, &request, &progress.sent).await);
         std::future::pending().await
     };
@@ -419,6 +421,11 @@
             progress.fault.set(Some("success without a signature"));
             return None;
         }
+        let is_sent = || progress.sent.get() == progress.length.get();
+        if head.framing == Framing::Close && !ending::is_orderly(stream, is_sent).await {
+            progress.fault.set(Some("no orderly end"));
+            return None;
+        }
         let server_keeps = head.keep_alive.unwrap_or(DEFAULT_KEEP_TIME + KEEP_MARGIN);
         let keep = server_keeps.saturating_sub(KEEP_MARGIN);
         let reusable =
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,6 +12,7 @@
 mod decide;
 mod duty;
 mod edge;
+mod ending;
 mod exchange;
 mod history;
 mod logs;
--- a/crates/standins/src/estate/scripted.rs
+++ b/crates/standins/src/estate/scripted.rs
@@ -41,6 +41,8 @@
     Repeat(Vec<u8>),
     /// Closes the sending side and waits for the peer to send or close.
     Close,
+    /// Closes the connection, which resets it if bytes of the request are unread.
+    Reset,
 }
 
 /// A running scripted endpoint.
@@ -137,6 +139,7 @@
                         let closed = stream.shutdown(Shutdown::Write);
                         closed.and_then(|()| stream.read(&mut [0]).map(drop))
                     }
+                    Step::Reset => return,
                 };
                 if done.is_err() {
                     return;
