exchange: a streamed answer without a length is complete only after an orderly end

Callers of the product's own interface: a part of an early answer without a length, whose server reset the connection during the upload, ended like a whole body, with the last chunk.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies passed between the callers duty and the servers duty, whole or in chunks.
 
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 
@@ -80,7 +81,9 @@
     Unneeded,
 }
 
-/// Sends a body to a ring in chunks, and its end only if the body is complete.
+/// Sends a body to a ring in chunks, and its end only if the body is complete. A body that ends
+/// with its connection is complete if `is_orderly`, which is polled only then, tells so of that
+/// end.
 ///
 /// # Errors
 ///
@@ -89,6 +92,7 @@
     mut body: impl AsyncRead + Unpin,
     framing: Framing,
     chunks: &Sender<Chunk>,
+    is_orderly: impl Future<Output = bool>,
 ) -> Result<(), PumpError> {
     let mut total = 0;
     loop {
@@ -103,13 +107,16 @@
         let sent = chunks.send(Chunk::Data(bytes)).await;
         sent.map_err(|_closed| PumpError::Unneeded)?;
     }
-    match framing {
-        Framing::Length(length) if total != length => Err(PumpError::Truncated),
-        Framing::Length(_) | Framing::Chunked | Framing::Close => {
-            let sent = chunks.send(Chunk::End).await;
-            sent.map_err(|_closed| PumpError::Unneeded)
-        }
+    let is_complete = match framing {
+        Framing::Length(length) => total == length,
+        Framing::Chunked => true,
+        Framing::Close => is_orderly.await,
+    };
+    if !is_complete {
+        return Err(PumpError::Truncated);
     }
+    let sent = chunks.send(Chunk::End).await;
+    sent.map_err(|_closed| PumpError::Unneeded)
 }
 
 fn truncated() -> io::Error {
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -131,7 +131,9 @@
     let (chunks, chunk_rx) = body::ring();
     // A server may answer before the whole body was sent to it.
     let pump = async move {
-        let pumped = body::pump(body, framing, &chunks).await;
+        // The body of a request doesn't end with its connection.
+        let is_orderly = std::future::ready(false);
+        let pumped = body::pump(body, framing, &chunks, is_orderly).await;
         !matches!(pumped, Err(PumpError::Truncated))
     };
     let call = Call::new(request, client, Payload::Stream(chunk_rx, length), ctx);
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use crate::body;
 use crate::body::Payload;
 use crate::clock::Clock;
+use crate::ending;
 use crate::message_reader;
 use crate::message_reader::MessageReader;
 use crate::pool::Pool;
@@ -121,7 +123,8 @@
     match result.unwrap_or(Err(AttemptOutcome::TimedOut)) {
         Ok(answer) => {
             progress.has_head.set(true);
-            let reusable = deliver(answer, reply)
+            let is_orderly = ending::is_orderly(&stream, || progress.sent.get());
+            let reusable = deliver(answer, reply, is_orderly)
                 .or(async {
                     (&mut sending).await;
                     false
@@ -327,8 +330,13 @@
 }
 
 // Passes the response and its body to the caller's task. Returns whether the
-// connection can be reused, which requires that the response was read completely.
-async fn deliver(answer: ServerResponse, reply: Sender<Result<Response, Failure>>) -> bool {
+// connection can be reused, which requires that the response was read completely. `is_orderly`
+// tells whether the connection of a response without a length ended in order.
+async fn deliver(
+    answer: ServerResponse,
+    reply: Sender<Result<Response, Failure>>,
+    is_orderly: impl Future<Output = bool>,
+) -> bool {
     let mut response = answer.response;
     if answer.framing == Framing::Length(0) {
         return reply.send(Ok(response)).await.is_ok() && answer.reusable;
@@ -339,7 +347,8 @@
     if reply.send(Ok(response)).await.is_err() {
         return false;
     }
-    let forwarded = future::timeout(BODY_TIMEOUT, body::pump(body, answer.framing, &chunks)).await;
+    let pump = body::pump(body, answer.framing, &chunks, is_orderly);
+    let forwarded = future::timeout(BODY_TIMEOUT, pump).await;
     matches!(forwarded, Ok(Ok(()))) && answer.reusable
 }
 
