--- a/crates/daemon/tests/early_resets.rs
+++ b/crates/daemon/tests/early_resets.rs
@@ -3,6 +3,7 @@
 
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use corianderway_standins::estate::entry;
 use corianderway_standins::estate::node;
@@ -82,11 +83,15 @@
     }
 
     fn upload(&self, number: usize) -> Reply {
+        self.post(number, UPLOAD_BYTES)
+    }
+
+    fn post(&self, number: usize, length: usize) -> Reply {
         let request = Request::post(&format!("/once/{number}"))
             .header("Host", node::HOST)
             .header("Request-Id", format!("r-{number}"))
             .header("Deadline-Ms", "4000")
-            .body(vec![b'u'; UPLOAD_BYTES]);
+            .body(vec![b'u'; length]);
         call(self.instance.addr(node::CALLERS_PORT), &request).unwrap()
     }
 
@@ -174,3 +179,19 @@
         assert_eq!(reply.body.len(), PART_BYTES);
     }
 }
+
+// Guards against an answer that waits for an acknowledgement which came with it.
+#[test]
+fn an_answer_without_a_length_to_a_request_that_was_read_is_complete_at_once() {
+    let length = 1_000;
+    let fleet = Fleet::start(move |heard| vec![Step::Read(length), answer(heard, ""), Step::Close]);
+    let begun = Instant::now();
+    for number in 0..UPLOAD_COUNT {
+        let reply = fleet.post(number, length);
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(reply.body.len(), PART_BYTES);
+    }
+    let took = begun.elapsed();
+    println!("{UPLOAD_COUNT} answers in {took:?}");
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
