--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,6 +14,7 @@
 mod descriptors;
 mod duty;
 mod edge;
+mod ending;
 mod exchange;
 mod history;
 mod logs;
