edge: an instance that knows nothing waits longer for a probe

Callers: when instances returned to a store whose answers took 0.8 s, and their first calls were rejected, none of them became ready (RECOVER). They lacked all inputs but the list of instances.

Cause: after a failure only an answered probe lets an instance follow the store again, and a probe waits 0.7 s, half of what a list waits. The first attempt needs no probe, so this shows only after a failed call.

Evidence: the test failed before: neither instance was ready in 20 s, with uninformed lacks=config,servers,orders,evacuations source=Detached each second, 17 s after the store took calls again. Now both are ready in time.

Now an instance that hasn't read the store waits for a probe as long as for a list. One that has read it and serves what it knows judges the store as before, so that others take over as soon.

--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -53,7 +53,7 @@
 /// The timeout for an answer of the store.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The timeout for the answer to a probe.
+/// The timeout for the answer to a check, and to a probe by an instance that has read the store.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The delay before the first retry of a failed call; doubles with each retry.
@@ -379,10 +379,16 @@
     send_event(ctx, event).await;
 }
 
-// Checks whether the store answers.
+// Checks whether the store answers. An instance that knows nothing takes what it can get, so
+// it waits as long as for a list.
 async fn probe(ctx: &Context) {
+    let timeout = if ctx.is_read() {
+        PROBE_TIMEOUT
+    } else {
+        ANSWER_TIMEOUT
+    };
     let call = Call::list(Kind::Evacuations, None, Consistency::Cached);
-    let why = match send_call(ctx, &call, PROBE_TIMEOUT).await {
+    let why = match send_call(ctx, &call, timeout).await {
         Some(reply) if reply.status == OK => {
             send_event(ctx, Event::ProbeAnswered).await;
             return;
--- a/crates/daemon/tests/returns.rs
+++ b/crates/daemon/tests/returns.rs
@@ -100,7 +100,8 @@
 
 // Starts some of two instances, in two failure domains, again, and asserts that they are soon
 // ready although each answer of their store is delayed. The list of servers takes three.
-fn assert_ready_soon(numbers: &[usize], delay: Duration) {
+// The store rejects calls for a time at first.
+fn assert_ready_soon(numbers: &[usize], delay: Duration, limited: Duration) {
     let mut fleet = Fleet::start_in(&["a", "b"]);
     for number in 2..=7 {
         let listed = fleet.endpoint.entry("s1", "a", "ready", 1);
@@ -116,28 +117,39 @@
         instance.site.store = proxy.addr;
         proxies.push(proxy);
     }
+    fleet.store.set_limited(!limited.is_zero());
     for number in numbers {
         fleet.restart(*number);
     }
     let returned = Instant::now();
+    thread::sleep(limited);
+    fleet.store.set_limited(false);
     for number in numbers {
         let instance = &fleet.instances[*number];
         fleet.until("readiness", || instance.is_ready().then_some(()));
     }
     let span = returned.elapsed();
-    assert!(span < RECOVERY_LIMIT / 2, "{span:?}\n{}", fleet.logs());
+    let most = RECOVERY_LIMIT / 2 + limited;
+    assert!(span < most, "{span:?}\n{}", fleet.logs());
 }
 
 // Guards against lists of a slow store that begin anew before they end, each time that other
 // instances tell of something that isn't listed yet (RECOVER).
 #[test]
 fn an_instance_with_a_slow_store_is_ready_though_others_know_more() {
-    assert_ready_soon(&[1], ANSWER_DELAY);
+    assert_ready_soon(&[1], ANSWER_DELAY, Duration::ZERO);
 }
 
 // Guards against a slow store that counts as lost by its checks while its lists are answered
 // (RECOVER).
 #[test]
 fn instances_that_return_together_to_a_slow_store_are_ready() {
-    assert_ready_soon(&[0, 1], LONG_ANSWER_DELAY);
+    assert_ready_soon(&[0, 1], LONG_ANSWER_DELAY, Duration::ZERO);
+}
+
+// Guards against probes of a slow store that never end in time, so that an instance whose first
+// calls failed doesn't follow it again (RECOVER).
+#[test]
+fn instances_whose_first_calls_a_slow_store_rejected_are_ready() {
+    assert_ready_soon(&[0, 1], LONG_ANSWER_DELAY, LIMITED_TIME);
 }
