--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -4,6 +4,7 @@
 pub mod cluster;
 pub mod execution;
 pub mod moving;
+pub mod suspects;
 pub mod views;
 pub mod world;
 
