steer: a trial that reaches no server leaves the number of trials as it was

Callers: a quarantined request was refused for ten minutes after a common loss if its trials came before servers accepted connections again (RECOVER).

Cause: a trial that reached no server was taken off the count, but the largest count of all instances counts, so that the next message, also the instance's own domain's summary, brought it back.

Evidence: five trials that reach no server, in virtual time: not served within a minute before.

Now trials that began and those that reached no server are counted apart. Both only grow, so the largest counts are right in any order of messages, and the difference is what is left. Earlier builds don't send the second count; it is 0 then.

--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -353,6 +353,7 @@
         known.age_s = known.age_s.min(row.age_s);
         known.first_age_s = known.first_age_s.max(row.first_age_s);
         known.trials = known.trials.max(row.trials);
+        known.returned = known.returned.max(row.returned);
         known.answers = known.answers.max(row.answers);
         known.starts.extend(row.starts);
         known.starts.sort_unstable();
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -49,6 +49,9 @@
     /// How often the request was tried again since it is quarantined.
     #[serde(rename = "t", default)]
     pub trials: u8,
+    /// How many of these trials reached no server.
+    #[serde(rename = "u", default)]
+    pub returned: u8,
     /// The number of answers before the crashes, the largest that an instance counted.
     #[serde(rename = "n", default)]
     pub answers: u32,
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -103,7 +103,7 @@
 pub(crate) enum Effect {
     /// Counts a trial.
     CountTrial,
-    /// Takes the count of a trial back.
+    /// Counts a trial that doesn't count, since it reached no server.
     ReturnTrial,
     /// Delays the next trial.
     DelayTrial,
@@ -149,8 +149,11 @@
     // The crashes that are forgotten by then don't count, since an answer followed them or
     // came shortly before.
     immune_until: Option<Time>,
+    // Trials that began, and those that reached no server. Both only grow, so that the largest
+    // of several instances counts.
     trials: u8,
-    // When the latest trial ended, or another instance told of it.
+    returned: u8,
+    // When the latest trial ended, or one of another instance became known.
     tried: Option<Time>,
 }
 
@@ -165,6 +168,7 @@
             answers: 0,
             immune_until: None,
             trials: 0,
+            returned: 0,
             tried: None,
         }
     }
@@ -246,6 +250,7 @@
             self.trials = known.trials;
             self.tried = Some(now);
         }
+        self.returned = self.returned.max(known.returned);
         self.record_answers(known.answers);
     }
 
@@ -285,6 +290,7 @@
             first_age_s: first.as_secs() as u32,
             starts,
             trials: self.trials,
+            returned: self.returned,
             answers: self.answers,
         })
     }
@@ -304,7 +310,7 @@
 
     // Returns the time to the next trial; `None` if there is none.
     fn trial_wait(&self, now: Time, rank: u32) -> Option<Duration> {
-        if self.trials >= MAX_TRIALS || !self.is_doubtful() {
+        if self.trials.saturating_sub(self.returned) >= MAX_TRIALS || !self.is_doubtful() {
             return None;
         }
         let rank_delay = (RANK_DELAY * rank).min(MAX_RANK_DELAY);
@@ -329,13 +335,13 @@
         self.state = step.to;
         for effect in step.actions {
             match effect {
-                Effect::CountTrial => self.trials += 1,
-                Effect::ReturnTrial => self.trials = self.trials.saturating_sub(1),
+                Effect::CountTrial => self.trials = self.trials.saturating_add(1),
+                Effect::ReturnTrial => self.returned = self.returned.saturating_add(1),
                 Effect::DelayTrial => self.tried = Some(now),
                 Effect::ForgetCrashes => {
                     self.observed.clear();
                     self.reported.clear();
-                    (self.trials, self.answers) = (0, 0);
+                    (self.trials, self.returned, self.answers) = (0, 0, 0);
                 }
             }
         }
--- a/crates/steer/tests/rig/suspects.rs
+++ b/crates/steer/tests/rig/suspects.rs
@@ -38,13 +38,14 @@
     super::plan(1, super::routes(), None)
 }
 
-/// How a request that reached a server ends.
+/// How a request that was passed on to a server ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     Answer,
     Crash,
     Departure,
     TimeOut,
+    Refusal,
 }
 
 struct InFlight {
@@ -187,6 +188,7 @@
                 End::Crash => self.end_with_crash(row.number, row.id, &row.server),
                 End::Departure => self.cluster.step(row.number, Event::CallerGone(row.id)),
                 End::TimeOut => self.end(row.number, row.id, Outcome::TimedOut),
+                End::Refusal => self.end(row.number, row.id, Outcome::Unreachable),
             }
         }
         due.len()
@@ -220,30 +222,37 @@
 
     /// Asks all instances until each has served a request; the first requests that reach a
     /// server end in another way. Returns how long it took from now on.
-    pub fn time_to_service(
-        &mut self,
-        signature: u64,
-        mut first_ends: Vec<End>,
-    ) -> Option<Duration> {
-        let lost = self.now;
+    pub fn time_to_service(&mut self, signature: u64, first_ends: Vec<End>) -> Option<Duration> {
+        let begun = self.now;
         let mut served = [false; 6];
-        while self.now.since(lost) < RECOVERY_LIMIT * 4 {
+        self.end_trials(signature, first_ends);
+        while served != [true; 6] && self.now.since(begun) < RECOVERY_LIMIT * 4 {
             for (number, served) in served.iter_mut().enumerate() {
-                if first_ends.is_empty() {
-                    *served |= self.serve(number, signature);
-                } else if self.in_flight.is_empty() {
+                *served |= self.serve(number, signature);
+            }
+            self.pass(ASK_INTERVAL);
+        }
+        (served == [true; 6]).then(|| self.now.since(begun))
+    }
+
+    /// Asks all instances until requests have ended in each of these ways, one at a time, or
+    /// for a minute.
+    pub fn end_trials(&mut self, signature: u64, ends: Vec<End>) {
+        let begun = self.now;
+        let mut ends = ends.into_iter().peekable();
+        while let Some(end) = ends.peek() {
+            for number in 0..self.cluster.members.len() {
+                if self.in_flight.is_empty() {
                     self.begin(number, signature, TIME_LIMIT);
                 }
             }
-            let end = first_ends.first().copied().unwrap_or(End::Answer);
-            if self.finish(end) > 0 {
-                first_ends.remove(0);
+            if self.finish(*end) > 0 {
+                ends.next();
             }
-            if served == [true; 6] {
-                return Some(self.now.since(lost));
+            if self.now.since(begun) >= RECOVERY_LIMIT * 4 {
+                return;
             }
             self.pass(ASK_INTERVAL);
         }
-        None
     }
 }
--- a/crates/steer/tests/trials.rs
+++ b/crates/steer/tests/trials.rs
@@ -147,3 +147,12 @@
     }
     assert_eq!(refused, 0, "requests refused after they were served");
 }
+
+// Guards against trials that count although their server accepted no connection, so that none
+// was left once servers did (RECOVER).
+#[test]
+fn trials_that_reach_no_server_delay_service_little() {
+    let mut trial = Trial::start_with_common_loss();
+    let took = trial.time_to_service(SUSPECT, vec![End::Refusal; 5]);
+    assert!(took.is_some(), "not served within a minute");
+}
