steer: judge the crashes that another instance reports once all of them are known

Callers: after a common loss, instances that had not answered a request themselves refused it for 10 s and more, though the one that had answered it, and observed the crashes, served it (RECOVER).

Cause: the crashes of a message were counted one by one, and the answers that excuse them, and the age of the first, only after the last one. The third crash quarantined the signature; nothing judged it again.

Now crashes, answers and ages are added first, and the signature is judged once. A change of its state is logged also if the number of crashes stays. A row whose crashes were all cleared by an answer no longer brings its trials back (read, not shown by a test).

--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -171,7 +171,9 @@
         self.broken = rest;
         for row in &crashed {
             let age = now.since(row.at);
-            self.record(now, row.signature, age, row.to.start, Witness::Here, why);
+            self.update(now, row.signature, age, why, |suspect, expires| {
+                suspect.add_crash(row.to.start, expires, Witness::Here);
+            });
         }
         !crashed.is_empty()
     }
@@ -256,21 +258,23 @@
             let age = Duration::from_secs(u64::from(row.age_s));
             if row.starts.is_empty() {
                 self.learn_answer(now, row.signature, age);
-                continue;
-            }
-            for start in row.starts.iter().filter(|_| age < CRASH_TTL) {
-                self.record(now, row.signature, age, *start, Witness::Other, "reported");
-            }
-            if let Some(suspect) = self.suspects.get_mut(&row.signature) {
-                suspect.merge(now, row);
+            } else if age < CRASH_TTL {
+                self.learn_crashes(now, row, age);
             }
         }
         let is_aged = |signature: &u64| known.iter().any(|row| row.signature == *signature);
         for (signature, starts) in observed.iter().filter(|row| !is_aged(&row.0)) {
-            for start in starts {
-                let age = Duration::ZERO;
-                self.record(now, *signature, age, *start, Witness::Other, "reported");
-            }
+            self.update(
+                now,
+                *signature,
+                Duration::ZERO,
+                "reported",
+                |suspect, expires| {
+                    for start in starts {
+                        suspect.add_crash(*start, expires, Witness::Other);
+                    }
+                },
+            );
         }
     }
 
@@ -291,23 +295,40 @@
         self.limit();
     }
 
-    // Records a crash of this age, unless an answer followed it or came shortly before.
-    fn record(
+    fn learn_crashes(&mut self, now: Time, row: &KnownCrashes, age: Duration) {
+        self.update(now, row.signature, age, "reported", |suspect, expires| {
+            for start in &row.starts {
+                suspect.add_crash(*start, expires, Witness::Other);
+            }
+            // What preceded an answer that cleared all of them doesn't count any more.
+            if suspect.crashes() > 0 {
+                suspect.merge(now, row);
+            }
+        });
+    }
+
+    // Adds what is known of crashes of this age, then decides on the signature. `add` gets the
+    // time at which they are forgotten.
+    fn update(
         &mut self,
         now: Time,
         signature: u64,
         age: Duration,
-        start: u32,
-        witness: Witness,
         why: &'static str,
+        add: impl FnOnce(&mut Suspect, Time),
     ) {
         let expires = now + CRASH_TTL.saturating_sub(age);
         let (chart, answers) = (&self.chart, self.answers.of(now, signature));
         let suspect = self
             .suspects
             .get_or_insert_with(signature, || Suspect::new(chart, expires));
+        let before = (suspect.crashes(), suspect.is_quarantined());
         suspect.record_answers(answers);
-        if suspect.record_crash(chart, now, start, expires, witness) {
+        add(suspect, expires);
+        if suspect.crashes() > 0 {
+            suspect.judge(chart, now);
+        }
+        if (suspect.crashes(), suspect.is_quarantined()) != before {
             self.note_change(signature, why);
         }
         self.limit();
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -206,34 +206,30 @@
         self.advance(chart, now, Signal::Ended, 0, ran);
     }
 
-    /// Records a crash that is forgotten at `expires`; returns whether it was not known and
-    /// counts.
-    pub(crate) fn record_crash(
-        &mut self,
-        chart: &SuspectChart,
-        now: Time,
-        start: u32,
-        expires: Time,
-        witness: Witness,
-    ) -> bool {
+    /// Adds a crash that is forgotten at `expires`, unless an answer excuses it.
+    pub(crate) fn add_crash(&mut self, start: u32, expires: Time, witness: Witness) {
         if self.immune_until.is_some_and(|until| expires <= until) {
-            return false;
+            return;
         }
-        let before = self.crashes();
+        let is_first = self.crashes() == 0;
         let list = match witness {
             Witness::Here => &mut self.observed,
             Witness::Other => &mut self.reported,
         };
-        if !list.contains(&start) {
-            list.push(start);
-            if before == 0 || expires.since(self.expires) >= SERIES_GAP {
-                (self.expires, self.first_expires) = (expires, expires);
-            }
-            self.expires = self.expires.max(expires);
-            self.first_expires = self.first_expires.min(expires);
+        if list.contains(&start) {
+            return;
+        }
+        list.push(start);
+        if is_first || expires.since(self.expires) >= SERIES_GAP {
+            (self.expires, self.first_expires) = (expires, expires);
         }
+        self.expires = self.expires.max(expires);
+        self.first_expires = self.first_expires.min(expires);
+    }
+
+    /// Decides on the signature after crashes were added.
+    pub(crate) fn judge(&mut self, chart: &SuspectChart, now: Time) {
         self.advance(chart, now, Signal::Crashed, 0, false);
-        self.crashes() > before
     }
 
     /// Records the number of answers that preceded the crashes.
--- a/crates/steer/tests/trials.rs
+++ b/crates/steer/tests/trials.rs
@@ -156,3 +156,25 @@
     let took = trial.time_to_service(SUSPECT, vec![End::Refusal; 5]);
     assert!(took.is_some(), "not served within a minute");
 }
+
+// Guards against crashes that count before the answers that excuse them, at an instance that
+// learns of both from another one (RECOVER).
+#[test]
+fn a_request_that_was_answered_elsewhere_is_not_quarantined_after_a_common_loss() {
+    let mut trial = Trial::calm();
+    for _ in 0..40 {
+        trial.serve(0, SUSPECT);
+        trial.pass(ASK_INTERVAL);
+    }
+    trial.pass(SPREAD * 2);
+    // The others learn of all of them at once.
+    trial.cluster.cut = vec![0];
+    for _ in 0..5 {
+        trial.crash(0, SUSPECT);
+    }
+    trial.pass(RUN_TIME);
+    trial.cluster.cut.clear();
+    trial.pass(SPREAD);
+    let quarantined: Vec<_> = (0..6).filter(|n| trial.is_quarantined(*n)).collect();
+    assert_eq!(quarantined, [], "instances");
+}
