steer: an old crash isn't the first of a later common loss

Callers: a request that had been in flight at one crash a minute or more before a common loss was refused for ten minutes after it (RECOVER).

Cause: a crash after a minute without one begins a new series, but messages of instances that had not learnt of the loss yet brought the age of the old crash back as that of the first, at instances and in what relays merge, so that the crashes didn't look like a common loss, and no trial followed.

Now the age of the first crash is taken over only from the same series.

--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -371,8 +371,15 @@
             starts: Vec::new(),
             ..row
         });
+        // The first crash of an earlier series isn't the first of a later one.
+        known.first_age_s = if suspect::is_earlier_series(row.age_s, known.age_s) {
+            known.first_age_s
+        } else if suspect::is_earlier_series(known.age_s, row.age_s) {
+            row.first_age_s
+        } else {
+            known.first_age_s.max(row.first_age_s)
+        };
         known.age_s = known.age_s.min(row.age_s);
-        known.first_age_s = known.first_age_s.max(row.first_age_s);
         known.trials = known.trials.max(row.trials);
         known.returned = known.returned.max(row.returned);
         known.answers = known.answers.max(row.answers);
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -239,9 +239,12 @@
 
     /// Records what another instance knows beside the crashes and their latest time.
     pub(crate) fn merge(&mut self, now: Time, known: &KnownCrashes) {
-        let age = Duration::from_secs(u64::from(known.first_age_s));
-        let first_expires = now + CRASH_TTL.saturating_sub(age);
-        self.first_expires = self.first_expires.min(first_expires);
+        let age = |age_s: u32| Duration::from_secs(u64::from(age_s));
+        let latest = now + CRASH_TTL.saturating_sub(age(known.age_s));
+        if self.expires.since(latest) < SERIES_GAP {
+            let first = now + CRASH_TTL.saturating_sub(age(known.first_age_s));
+            self.first_expires = self.first_expires.min(first);
+        }
         if known.trials > self.trials {
             self.trials = known.trials;
             self.tried = Some(now);
@@ -344,6 +347,12 @@
     }
 }
 
+/// Returns whether crashes of one age are of an earlier series than those of another, both in
+/// whole seconds.
+pub(crate) fn is_earlier_series(age_s: u32, other_age_s: u32) -> bool {
+    u64::from(age_s) >= u64::from(other_age_s) + SERIES_GAP.as_secs()
+}
+
 /// Returns whether an answer of one age clears a crash of another, both in whole seconds.
 pub(crate) fn clears(answer_age_s: u32, crash_age_s: u32) -> bool {
     u64::from(answer_age_s) <= u64::from(crash_age_s) + CLEARED_TTL.as_secs()
--- a/crates/steer/tests/trials.rs
+++ b/crates/steer/tests/trials.rs
@@ -16,6 +16,9 @@
 /// A span that ends before the first crashes are forgotten.
 const TRIALS_SPAN: Duration = Duration::from_mins(9);
 
+/// The time between two crashes after which they aren't of one series.
+const SERIES_GAP: Duration = Duration::from_mins(1);
+
 /// How long a request runs before it crashes its server, or is answered.
 const RUN_TIME: Duration = Duration::from_secs(1);
 
@@ -178,3 +181,16 @@
     let quarantined: Vec<_> = (0..6).filter(|n| trial.is_quarantined(*n)).collect();
     assert_eq!(quarantined, [], "instances");
 }
+
+// Guards against an old crash that makes those of a later common loss look spread, since other
+// instances have not learnt of the loss yet (RECOVER).
+#[test]
+fn an_old_crash_does_not_prevent_trials_after_a_common_loss() {
+    let mut trial = Trial::calm();
+    trial.crash(0, SUSPECT);
+    trial.pass(SERIES_GAP * 2);
+    trial.lose(SUSPECT);
+    trial.pass(SPREAD);
+    let took = trial.time_to_service(SUSPECT, vec![]);
+    assert!(took.is_some_and(|took| took < RECOVERY_LIMIT), "{took:?}");
+}
