steer: answers don't displace crashes in messages

Callers: an instance that started while eight popular requests were answered that had been in flight at a common loss didn't learn of the quarantine of another one, and let it crash more servers (BUDGET).

Cause: a message has room for eight signatures, the latest first. Each answer to a request with a former crash counts as news of no age, for as long as the request is asked for, also where only another instance's answer had been learnt, so that two instances renewed each other's row without an end.

Evidence: 16 requests lost together and asked for afterwards; a request quarantined meanwhile was no longer quarantined at an instance after its restart.

Now crashes and answers have room of their own, eight signatures each, and an instance that never knew a crash of a signature doesn't pass its answers on.

--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -43,7 +43,7 @@
 /// Time after an answer in which the next one must come to be counted with it.
 const ANSWER_WINDOW: Duration = Duration::from_mins(1);
 
-/// Maximum number of signatures in a message.
+/// Maximum number of signatures with crashes in a message, and of those with answers.
 const MAX_REPORTED: usize = 8;
 
 /// Maximum number of starts that a message tells of one signature. Any of them
@@ -357,7 +357,7 @@
 }
 
 /// Merges what is known of crashes and answers, up to the size of a message; the latest ones
-/// are kept.
+/// of each are kept, so that neither displace the others.
 pub(crate) fn merge_known(rows: impl Iterator<Item = KnownCrashes>) -> Vec<KnownCrashes> {
     let mut answers: SortedMap<u64, KnownCrashes> = SortedMap::default();
     let mut crashes: SortedMap<u64, KnownCrashes> = SortedMap::default();
@@ -393,12 +393,18 @@
         answer.is_some_and(|answer| suspect::clears(answer.age_s, row.age_s))
     };
     let crashes = crashes.iter().map(|row| row.1);
-    let mut merged: Vec<_> = crashes.filter(|row| !is_cleared(row)).cloned().collect();
+    let mut merged = latest(crashes.filter(|row| !is_cleared(row)));
     let is_crash = |row: &&KnownCrashes| merged.iter().any(|c| c.signature == row.signature);
     let answers = answers.iter().map(|row| row.1);
-    let answers: Vec<_> = answers.filter(|row| !is_crash(row)).cloned().collect();
+    let answers = latest(answers.filter(|row| !is_crash(row)));
     merged.extend(answers);
-    merged.sort_by_key(|row| row.age_s);
-    merged.truncate(MAX_REPORTED);
     merged
 }
+
+// Returns the latest rows, up to the number in a message.
+fn latest<'a>(rows: impl Iterator<Item = &'a KnownCrashes>) -> Vec<KnownCrashes> {
+    let mut rows: Vec<_> = rows.cloned().collect();
+    rows.sort_by_key(|row| row.age_s);
+    rows.truncate(MAX_REPORTED);
+    rows
+}
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -144,6 +144,8 @@
     /// Hashes of crashed starts, as observed by this instance and as reported by others.
     pub(crate) observed: Vec<u32>,
     reported: Vec<u32>,
+    // Whether a crash was known once. Only then others need to learn of answers from here.
+    was_suspected: bool,
     // The number of answers before the crashes.
     answers: u32,
     // The crashes that are forgotten by then don't count, since an answer followed them or
@@ -165,6 +167,7 @@
             first_expires: expires,
             observed: Vec::new(),
             reported: Vec::new(),
+            was_suspected: false,
             answers: 0,
             immune_until: None,
             trials: 0,
@@ -220,6 +223,7 @@
             return;
         }
         list.push(start);
+        self.was_suspected = true;
         if is_first || expires.since(self.expires) >= SERIES_GAP {
             (self.expires, self.first_expires) = (expires, expires);
         }
@@ -275,6 +279,9 @@
             .copied()
             .collect();
         let (first, latest) = if starts.is_empty() {
+            if !self.was_suspected {
+                return None;
+            }
             let left = self.immune_until?.since(now);
             let age = (CRASH_TTL + CLEARED_TTL).saturating_sub(left);
             (age < ANSWER_TTL).then_some((age, age))?
@@ -284,7 +291,8 @@
         };
         Some(KnownCrashes {
             signature,
-            // Rounded so that neither passes its true value, however often it is passed on.
+            // The latest age is rounded up and the first one down, so that repeated exchange
+            // prolongs neither.
             age_s: latest.as_secs() as u32 + 1,
             first_age_s: first.as_secs() as u32,
             starts,
--- a/crates/steer/tests/trials.rs
+++ b/crates/steer/tests/trials.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use crate::rig::suspects::plan;
 use crate::rig::suspects::End;
 use crate::rig::suspects::Trial;
 use crate::rig::suspects::ASK_INTERVAL;
@@ -194,3 +195,34 @@
     let took = trial.time_to_service(SUSPECT, vec![]);
     assert!(took.is_some_and(|took| took < RECOVERY_LIMIT), "{took:?}");
 }
+
+// Guards against answers to popular requests that leave no room in messages for crashes (BUDGET).
+#[test]
+fn a_quarantine_is_learnt_though_many_other_requests_are_answered() {
+    let mut trial = Trial::calm();
+    let popular = 200..216;
+    for signature in popular.clone() {
+        trial.lose(signature);
+    }
+    trial.pass(RECOVERY_LIMIT);
+    let serve = |trial: &mut Trial, span: Duration| {
+        let begun = trial.now;
+        while trial.now.since(begun) < span {
+            for signature in popular.clone() {
+                for number in [1, 3] {
+                    trial.serve(number, signature);
+                }
+            }
+            trial.pass(RUN_TIME);
+        }
+    };
+    serve(&mut trial, RECOVERY_LIMIT);
+    for number in [0, 2, 4] {
+        trial.crash(number, SUSPECT);
+        serve(&mut trial, SPREAD);
+    }
+    assert!(trial.is_quarantined(5), "before the restart");
+    trial.cluster.restart_one(5, trial.now, plan());
+    serve(&mut trial, SPREAD);
+    assert!(trial.is_quarantined(5), "after the restart");
+}
