steer: bound the crashes at once that answers excuse

Callers: a request that was popular and becomes fatal could crash any number of servers at once without being quarantined (BUDGET).

Cause: each four answers excuse one more crash that comes within 3 s, without a limit, and the count only ends after a minute without an answer: an hour at 20 a second excuses 18,000.

Evidence: 400 answers, then crashes at once: not quarantined after 50 before.

Now answers excuse 32 crashes at the most, so that the 35th quarantines the signature; after a loss of more servers than that it is tried after 10 s. The end of a trial that an answer had ended already leaves no second line.

--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -6,9 +6,9 @@
 //! server of its own. What follows from the crashes and the answers of a signature is
 //! decided by [`suspect`](crate::suspect).
 //!
-//! Instances tell each other of all crashes and answers that they know, with their age, so
-//! that an instance that starts learns of them, and so that they are forgotten
-//! everywhere at about the same time, however often they are passed on.
+//! Instances exchange all crashes and answers that they know, with their ages, so that an
+//! instance that starts learns of them, and so that they are forgotten everywhere at about
+//! the same time.
 
 use std::time::Duration;
 
@@ -46,8 +46,8 @@
 /// Maximum number of signatures with crashes in a message, and of those with answers.
 const MAX_REPORTED: usize = 8;
 
-/// Maximum number of starts that a message tells of one signature. Any of them
-/// may be known already, so it exceeds the number that leads to quarantine.
+/// Maximum number of starts of one signature in a message. It exceeds the number that
+/// quarantines a signature without answers, since some may be known already.
 const MAX_REPORTED_STARTS: usize = 6;
 
 /// The crashes of backend servers by request signature.
@@ -179,7 +179,7 @@
     }
 
     /// Records an answer to a request, which clears its signature. Returns whether crashes were
-    /// known.
+    /// cleared.
     pub(crate) fn answered(&mut self, now: Time, signature: u64) -> bool {
         self.answers.record(now, signature);
         self.broken.retain(|row| row.signature != signature);
@@ -214,8 +214,9 @@
     /// Ends a trial; `ran` says whether the request may have reached a server.
     pub(crate) fn end_trial(&mut self, now: Time, signature: u64, ran: bool) {
         if let Some(suspect) = self.suspects.get_mut(&signature) {
-            suspect.end_trial(&self.chart, now, ran);
-            self.note_change(signature, "trial-ended");
+            if suspect.end_trial(&self.chart, now, ran) {
+                self.note_change(signature, "trial-ended");
+            }
         }
     }
 
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -29,8 +29,8 @@
 /// those servers.
 pub type CrashSignatures = Vec<(u64, Vec<u32>)>;
 
-/// The crashes that are known of one request, whoever observed them. Without any it tells of an
-/// answer, which clears the request.
+/// The crashes that are known of one request, whoever observed them. Without any it is a record
+/// of an answer, which clears the request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownCrashes {
     /// The signature of the request.
@@ -39,7 +39,7 @@
     /// The time since the latest crash, or since the answer, in whole seconds, rounded up.
     #[serde(rename = "a")]
     pub age_s: u32,
-    /// The time since the first crash, in whole seconds, rounded down. Earlier builds don't tell
+    /// The time since the first crash, in whole seconds, rounded down. Earlier builds omit
     /// it; then the crashes count as far apart.
     #[serde(rename = "f", default = "unknown_age")]
     pub first_age_s: u32,
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -23,9 +23,12 @@
 /// Number of crashes from which on a signature without answers is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Number of answers that raise this number by one if the crashes come all at once.
+/// Number of answers that raise [`QUARANTINE_CRASHES`] by one if the crashes come all at once.
 const ANSWERS_PER_CRASH: u32 = 4;
 
+/// Maximum by which answers raise it, so that a request that becomes fatal is quarantined.
+const MAX_EXCUSED_CRASHES: u32 = 32;
+
 /// Time from the first to the latest crash up to which they may have one cause.
 const COMMON_CAUSE_SPAN: Duration = Duration::from_secs(3);
 
@@ -42,18 +45,17 @@
 /// Time for which an answer is passed on to the other instances.
 const ANSWER_TTL: Duration = Duration::from_secs(30);
 
-/// Number of trials of a quarantined signature, by all instances together as far as they hear
-/// of each other: as many such requests as the platform allows.
+/// Maximum number of trials of a quarantined signature, counted over all instances that exchange
+/// messages.
 const MAX_TRIALS: u8 = 3;
 
-/// Time from the latest crash to a trial; shorter than the platform's time to recover.
+/// Time from the latest crash to the first trial.
 const TRIAL_DELAY: Duration = Duration::from_secs(10);
 
 /// Time from a trial to the next one, if it showed nothing.
 const NEXT_TRIAL_DELAY: Duration = Duration::from_secs(2);
 
-/// Delay of a trial for each instance that should try first, and the maximum in all. A trial is
-/// known to the other instances sooner.
+/// Delay of a trial for each instance that ranks before this one, and its maximum.
 const RANK_DELAY: Duration = Duration::from_millis(500);
 const MAX_RANK_DELAY: Duration = Duration::from_secs(4);
 
@@ -203,10 +205,12 @@
         self.advance(chart, now, Signal::Asked, rank, false);
     }
 
-    /// Ends a trial without an answer, if one is running; `ran` says whether the request may
-    /// have reached a server.
-    pub(crate) fn end_trial(&mut self, chart: &SuspectChart, now: Time, ran: bool) {
+    /// Ends a trial without an answer; `ran` says whether the request may have reached a
+    /// server. Returns whether one was running.
+    pub(crate) fn end_trial(&mut self, chart: &SuspectChart, now: Time, ran: bool) -> bool {
+        let was_in_trial = self.state == State::InTrial;
         self.advance(chart, now, Signal::Ended, 0, ran);
+        was_in_trial
     }
 
     /// Adds a crash that is forgotten at `expires`, unless an answer excuses it.
@@ -257,8 +261,8 @@
         self.record_answers(known.answers);
     }
 
-    /// Records an answer of this age. Returns whether crashes were known; crashes that happened
-    /// well after the answer stay.
+    /// Records an answer of this age. Returns whether it cleared crashes; those that happened well
+    /// after it stay.
     pub(crate) fn record_answer(&mut self, chart: &SuspectChart, now: Time, age: Duration) -> bool {
         let immune_until = now + (CRASH_TTL + CLEARED_TTL).saturating_sub(age);
         self.immune_until = self.immune_until.max(Some(immune_until));
@@ -333,7 +337,7 @@
             Guard::EnoughCrashes => {
                 let excused = self
                     .came_at_once()
-                    .then_some(self.answers / ANSWERS_PER_CRASH);
+                    .then_some((self.answers / ANSWERS_PER_CRASH).min(MAX_EXCUSED_CRASHES));
                 self.crashes() >= QUARANTINE_CRASHES + excused.unwrap_or(0) as usize
             }
             Guard::TrialDue => self.trial_wait(now, rank) == Some(Duration::ZERO),
--- a/crates/steer/tests/trials.rs
+++ b/crates/steer/tests/trials.rs
@@ -20,6 +20,9 @@
 /// The time between two crashes after which they aren't of one series.
 const SERIES_GAP: Duration = Duration::from_mins(1);
 
+/// The number of crashes at once up to which a request has to be quarantined.
+const MAX_CRASHES_AT_ONCE: usize = 50;
+
 /// How long a request runs before it crashes its server, or is answered.
 const RUN_TIME: Duration = Duration::from_secs(1);
 
@@ -226,3 +229,21 @@
     serve(&mut trial, SPREAD);
     assert!(trial.is_quarantined(5), "after the restart");
 }
+
+// Guards against answers that excuse any number of crashes, so that a request that was popular
+// and becomes fatal crashes all servers (BUDGET).
+#[test]
+fn a_request_that_was_answered_for_long_is_quarantined_if_it_crashes_many_servers_at_once() {
+    let mut trial = Trial::calm();
+    for _ in 0..400 {
+        trial.serve(0, SUSPECT);
+        trial.pass(ASK_INTERVAL);
+    }
+    trial.pass(SPREAD * 2);
+    let mut crashes = 0;
+    while crashes < MAX_CRASHES_AT_ONCE && !trial.is_quarantined(0) {
+        trial.crash(0, SUSPECT);
+        crashes += 1;
+    }
+    assert!(crashes < MAX_CRASHES_AT_ONCE, "{crashes} crashes");
+}
