--- a/crates/steer/src/crashes.rs
+++ b/crates/steer/src/crashes.rs
@@ -6,9 +6,9 @@
 //! server of its own. What follows from the crashes and the answers of a signature is
 //! decided by [`suspect`](crate::suspect).
 //!
-//! Instances tell each other of all crashes and answers that they know, with their age, so
-//! that an instance that starts learns of them, and so that they are forgotten
-//! everywhere at about the same time, however often they are passed on.
+//! Instances exchange all crashes and answers that they know, with their ages, so that an
+//! instance that starts learns of them, and so that they are forgotten everywhere at about
+//! the same time.
 
 use std::time::Duration;
 
@@ -43,11 +43,11 @@
 /// Time after an answer in which the next one must come to be counted with it.
 const ANSWER_WINDOW: Duration = Duration::from_mins(1);
 
-/// Maximum number of signatures in a message.
+/// Maximum number of signatures with crashes in a message, and of those with answers.
 const MAX_REPORTED: usize = 8;
 
-/// Maximum number of starts that a message tells of one signature. Any of them
-/// may be known already, so it exceeds the number that leads to quarantine.
+/// Maximum number of starts of one signature in a message. It exceeds the number that
+/// quarantines a signature without answers, since some may be known already.
 const MAX_REPORTED_STARTS: usize = 6;
 
 /// The crashes of backend servers by request signature.
@@ -171,13 +171,15 @@
         self.broken = rest;
         for row in &crashed {
             let age = now.since(row.at);
-            self.record(now, row.signature, age, row.to.start, Witness::Here, why);
+            self.update(now, row.signature, age, why, |suspect, expires| {
+                suspect.add_crash(row.to.start, expires, Witness::Here);
+            });
         }
         !crashed.is_empty()
     }
 
     /// Records an answer to a request, which clears its signature. Returns whether crashes were
-    /// known.
+    /// cleared.
     pub(crate) fn answered(&mut self, now: Time, signature: u64) -> bool {
         self.answers.record(now, signature);
         self.broken.retain(|row| row.signature != signature);
@@ -212,8 +214,9 @@
     /// Ends a trial; `ran` says whether the request may have reached a server.
     pub(crate) fn end_trial(&mut self, now: Time, signature: u64, ran: bool) {
         if let Some(suspect) = self.suspects.get_mut(&signature) {
-            suspect.end_trial(&self.chart, now, ran);
-            self.note_change(signature, "trial-ended");
+            if suspect.end_trial(&self.chart, now, ran) {
+                self.note_change(signature, "trial-ended");
+            }
         }
     }
 
@@ -256,21 +259,23 @@
             let age = Duration::from_secs(u64::from(row.age_s));
             if row.starts.is_empty() {
                 self.learn_answer(now, row.signature, age);
-                continue;
-            }
-            for start in row.starts.iter().filter(|_| age < CRASH_TTL) {
-                self.record(now, row.signature, age, *start, Witness::Other, "reported");
-            }
-            if let Some(suspect) = self.suspects.get_mut(&row.signature) {
-                suspect.merge(now, row);
+            } else if age < CRASH_TTL {
+                self.learn_crashes(now, row, age);
             }
         }
         let is_aged = |signature: &u64| known.iter().any(|row| row.signature == *signature);
         for (signature, starts) in observed.iter().filter(|row| !is_aged(&row.0)) {
-            for start in starts {
-                let age = Duration::ZERO;
-                self.record(now, *signature, age, *start, Witness::Other, "reported");
-            }
+            self.update(
+                now,
+                *signature,
+                Duration::ZERO,
+                "reported",
+                |suspect, expires| {
+                    for start in starts {
+                        suspect.add_crash(*start, expires, Witness::Other);
+                    }
+                },
+            );
         }
     }
 
@@ -291,23 +296,40 @@
         self.limit();
     }
 
-    // Records a crash of this age, unless an answer followed it or came shortly before.
-    fn record(
+    fn learn_crashes(&mut self, now: Time, row: &KnownCrashes, age: Duration) {
+        self.update(now, row.signature, age, "reported", |suspect, expires| {
+            for start in &row.starts {
+                suspect.add_crash(*start, expires, Witness::Other);
+            }
+            // What preceded an answer that cleared all of them doesn't count any more.
+            if suspect.crashes() > 0 {
+                suspect.merge(now, row);
+            }
+        });
+    }
+
+    // Adds what is known of crashes of this age, then decides on the signature. `add` gets the
+    // time at which they are forgotten.
+    fn update(
         &mut self,
         now: Time,
         signature: u64,
         age: Duration,
-        start: u32,
-        witness: Witness,
         why: &'static str,
+        add: impl FnOnce(&mut Suspect, Time),
     ) {
         let expires = now + CRASH_TTL.saturating_sub(age);
         let (chart, answers) = (&self.chart, self.answers.of(now, signature));
         let suspect = self
             .suspects
             .get_or_insert_with(signature, || Suspect::new(chart, expires));
+        let before = (suspect.crashes(), suspect.is_quarantined());
         suspect.record_answers(answers);
-        if suspect.record_crash(chart, now, start, expires, witness) {
+        add(suspect, expires);
+        if suspect.crashes() > 0 {
+            suspect.judge(chart, now);
+        }
+        if (suspect.crashes(), suspect.is_quarantined()) != before {
             self.note_change(signature, why);
         }
         self.limit();
@@ -336,7 +358,7 @@
 }
 
 /// Merges what is known of crashes and answers, up to the size of a message; the latest ones
-/// are kept.
+/// of each are kept, so that neither displace the others.
 pub(crate) fn merge_known(rows: impl Iterator<Item = KnownCrashes>) -> Vec<KnownCrashes> {
     let mut answers: SortedMap<u64, KnownCrashes> = SortedMap::default();
     let mut crashes: SortedMap<u64, KnownCrashes> = SortedMap::default();
@@ -350,9 +372,17 @@
             starts: Vec::new(),
             ..row
         });
+        // The first crash of an earlier series isn't the first of a later one.
+        known.first_age_s = if suspect::is_earlier_series(row.age_s, known.age_s) {
+            known.first_age_s
+        } else if suspect::is_earlier_series(known.age_s, row.age_s) {
+            row.first_age_s
+        } else {
+            known.first_age_s.max(row.first_age_s)
+        };
         known.age_s = known.age_s.min(row.age_s);
-        known.first_age_s = known.first_age_s.max(row.first_age_s);
         known.trials = known.trials.max(row.trials);
+        known.returned = known.returned.max(row.returned);
         known.answers = known.answers.max(row.answers);
         known.starts.extend(row.starts);
         known.starts.sort_unstable();
@@ -364,12 +394,18 @@
         answer.is_some_and(|answer| suspect::clears(answer.age_s, row.age_s))
     };
     let crashes = crashes.iter().map(|row| row.1);
-    let mut merged: Vec<_> = crashes.filter(|row| !is_cleared(row)).cloned().collect();
+    let mut merged = latest(crashes.filter(|row| !is_cleared(row)));
     let is_crash = |row: &&KnownCrashes| merged.iter().any(|c| c.signature == row.signature);
     let answers = answers.iter().map(|row| row.1);
-    let answers: Vec<_> = answers.filter(|row| !is_crash(row)).cloned().collect();
+    let answers = latest(answers.filter(|row| !is_crash(row)));
     merged.extend(answers);
-    merged.sort_by_key(|row| row.age_s);
-    merged.truncate(MAX_REPORTED);
     merged
 }
+
+// Returns the latest rows, up to the number in a message.
+fn latest<'a>(rows: impl Iterator<Item = &'a KnownCrashes>) -> Vec<KnownCrashes> {
+    let mut rows: Vec<_> = rows.cloned().collect();
+    rows.sort_by_key(|row| row.age_s);
+    rows.truncate(MAX_REPORTED);
+    rows
+}
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -23,9 +23,12 @@
 /// Number of crashes from which on a signature without answers is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Number of answers that raise this number by one if the crashes come all at once.
+/// Number of answers that raise [`QUARANTINE_CRASHES`] by one if the crashes come all at once.
 const ANSWERS_PER_CRASH: u32 = 4;
 
+/// Maximum by which answers raise it, so that a request that becomes fatal is quarantined.
+const MAX_EXCUSED_CRASHES: u32 = 32;
+
 /// Time from the first to the latest crash up to which they may have one cause.
 const COMMON_CAUSE_SPAN: Duration = Duration::from_secs(3);
 
@@ -42,18 +45,17 @@
 /// Time for which an answer is passed on to the other instances.
 const ANSWER_TTL: Duration = Duration::from_secs(30);
 
-/// Number of trials of a quarantined signature, by all instances together as far as they hear
-/// of each other: as many such requests as the platform allows.
+/// Maximum number of trials of a quarantined signature, counted over all instances that exchange
+/// messages.
 const MAX_TRIALS: u8 = 3;
 
-/// Time from the latest crash to a trial; shorter than the platform's time to recover.
+/// Time from the latest crash to the first trial.
 const TRIAL_DELAY: Duration = Duration::from_secs(10);
 
 /// Time from a trial to the next one, if it showed nothing.
 const NEXT_TRIAL_DELAY: Duration = Duration::from_secs(2);
 
-/// Delay of a trial for each instance that should try first, and the maximum in all. A trial is
-/// known to the other instances sooner.
+/// Delay of a trial for each instance that ranks before this one, and its maximum.
 const RANK_DELAY: Duration = Duration::from_millis(500);
 const MAX_RANK_DELAY: Duration = Duration::from_secs(4);
 
@@ -103,7 +105,7 @@
 pub(crate) enum Effect {
     /// Counts a trial.
     CountTrial,
-    /// Takes the count of a trial back.
+    /// Counts a trial that doesn't count, since it reached no server.
     ReturnTrial,
     /// Delays the next trial.
     DelayTrial,
@@ -144,13 +146,18 @@
     /// Hashes of crashed starts, as observed by this instance and as reported by others.
     pub(crate) observed: Vec<u32>,
     reported: Vec<u32>,
+    // Whether a crash was known once. Only then others need to learn of answers from here.
+    was_suspected: bool,
     // The number of answers before the crashes.
     answers: u32,
     // The crashes that are forgotten by then don't count, since an answer followed them or
     // came shortly before.
     immune_until: Option<Time>,
+    // Trials that began, and those that reached no server. Both only grow, so that the largest
+    // of several instances counts.
     trials: u8,
-    // When the latest trial ended, or another instance told of it.
+    returned: u8,
+    // When the latest trial ended, or one of another instance became known.
     tried: Option<Time>,
 }
 
@@ -162,9 +169,11 @@
             first_expires: expires,
             observed: Vec::new(),
             reported: Vec::new(),
+            was_suspected: false,
             answers: 0,
             immune_until: None,
             trials: 0,
+            returned: 0,
             tried: None,
         }
     }
@@ -196,40 +205,39 @@
         self.advance(chart, now, Signal::Asked, rank, false);
     }
 
-    /// Ends a trial without an answer, if one is running; `ran` says whether the request may
-    /// have reached a server.
-    pub(crate) fn end_trial(&mut self, chart: &SuspectChart, now: Time, ran: bool) {
+    /// Ends a trial without an answer; `ran` says whether the request may have reached a
+    /// server. Returns whether one was running.
+    pub(crate) fn end_trial(&mut self, chart: &SuspectChart, now: Time, ran: bool) -> bool {
+        let was_in_trial = self.state == State::InTrial;
         self.advance(chart, now, Signal::Ended, 0, ran);
+        was_in_trial
     }
 
-    /// Records a crash that is forgotten at `expires`; returns whether it was not known and
-    /// counts.
-    pub(crate) fn record_crash(
-        &mut self,
-        chart: &SuspectChart,
-        now: Time,
-        start: u32,
-        expires: Time,
-        witness: Witness,
-    ) -> bool {
+    /// Adds a crash that is forgotten at `expires`, unless an answer excuses it.
+    pub(crate) fn add_crash(&mut self, start: u32, expires: Time, witness: Witness) {
         if self.immune_until.is_some_and(|until| expires <= until) {
-            return false;
+            return;
         }
-        let before = self.crashes();
+        let is_first = self.crashes() == 0;
         let list = match witness {
             Witness::Here => &mut self.observed,
             Witness::Other => &mut self.reported,
         };
-        if !list.contains(&start) {
-            list.push(start);
-            if before == 0 || expires.since(self.expires) >= SERIES_GAP {
-                (self.expires, self.first_expires) = (expires, expires);
-            }
-            self.expires = self.expires.max(expires);
-            self.first_expires = self.first_expires.min(expires);
+        if list.contains(&start) {
+            return;
         }
+        list.push(start);
+        self.was_suspected = true;
+        if is_first || expires.since(self.expires) >= SERIES_GAP {
+            (self.expires, self.first_expires) = (expires, expires);
+        }
+        self.expires = self.expires.max(expires);
+        self.first_expires = self.first_expires.min(expires);
+    }
+
+    /// Decides on the signature after crashes were added.
+    pub(crate) fn judge(&mut self, chart: &SuspectChart, now: Time) {
         self.advance(chart, now, Signal::Crashed, 0, false);
-        self.crashes() > before
     }
 
     /// Records the number of answers that preceded the crashes.
@@ -239,18 +247,22 @@
 
     /// Records what another instance knows beside the crashes and their latest time.
     pub(crate) fn merge(&mut self, now: Time, known: &KnownCrashes) {
-        let age = Duration::from_secs(u64::from(known.first_age_s));
-        let first_expires = now + CRASH_TTL.saturating_sub(age);
-        self.first_expires = self.first_expires.min(first_expires);
+        let age = |age_s: u32| Duration::from_secs(u64::from(age_s));
+        let latest = now + CRASH_TTL.saturating_sub(age(known.age_s));
+        if self.expires.since(latest) < SERIES_GAP {
+            let first = now + CRASH_TTL.saturating_sub(age(known.first_age_s));
+            self.first_expires = self.first_expires.min(first);
+        }
         if known.trials > self.trials {
             self.trials = known.trials;
             self.tried = Some(now);
         }
+        self.returned = self.returned.max(known.returned);
         self.record_answers(known.answers);
     }
 
-    /// Records an answer of this age. Returns whether crashes were known; crashes that happened
-    /// well after the answer stay.
+    /// Records an answer of this age. Returns whether it cleared crashes; those that happened well
+    /// after it stay.
     pub(crate) fn record_answer(&mut self, chart: &SuspectChart, now: Time, age: Duration) -> bool {
         let immune_until = now + (CRASH_TTL + CLEARED_TTL).saturating_sub(age);
         self.immune_until = self.immune_until.max(Some(immune_until));
@@ -271,6 +283,9 @@
             .copied()
             .collect();
         let (first, latest) = if starts.is_empty() {
+            if !self.was_suspected {
+                return None;
+            }
             let left = self.immune_until?.since(now);
             let age = (CRASH_TTL + CLEARED_TTL).saturating_sub(left);
             (age < ANSWER_TTL).then_some((age, age))?
@@ -280,11 +295,13 @@
         };
         Some(KnownCrashes {
             signature,
-            // Rounded so that neither passes its true value, however often it is passed on.
+            // The latest age is rounded up and the first one down, so that repeated exchange
+            // prolongs neither.
             age_s: latest.as_secs() as u32 + 1,
             first_age_s: first.as_secs() as u32,
             starts,
             trials: self.trials,
+            returned: self.returned,
             answers: self.answers,
         })
     }
@@ -304,7 +321,7 @@
 
     // Returns the time to the next trial; `None` if there is none.
     fn trial_wait(&self, now: Time, rank: u32) -> Option<Duration> {
-        if self.trials >= MAX_TRIALS || !self.is_doubtful() {
+        if self.trials.saturating_sub(self.returned) >= MAX_TRIALS || !self.is_doubtful() {
             return None;
         }
         let rank_delay = (RANK_DELAY * rank).min(MAX_RANK_DELAY);
@@ -320,7 +337,7 @@
             Guard::EnoughCrashes => {
                 let excused = self
                     .came_at_once()
-                    .then_some(self.answers / ANSWERS_PER_CRASH);
+                    .then_some((self.answers / ANSWERS_PER_CRASH).min(MAX_EXCUSED_CRASHES));
                 self.crashes() >= QUARANTINE_CRASHES + excused.unwrap_or(0) as usize
             }
             Guard::TrialDue => self.trial_wait(now, rank) == Some(Duration::ZERO),
@@ -329,19 +346,25 @@
         self.state = step.to;
         for effect in step.actions {
             match effect {
-                Effect::CountTrial => self.trials += 1,
-                Effect::ReturnTrial => self.trials = self.trials.saturating_sub(1),
+                Effect::CountTrial => self.trials = self.trials.saturating_add(1),
+                Effect::ReturnTrial => self.returned = self.returned.saturating_add(1),
                 Effect::DelayTrial => self.tried = Some(now),
                 Effect::ForgetCrashes => {
                     self.observed.clear();
                     self.reported.clear();
-                    (self.trials, self.answers) = (0, 0);
+                    (self.trials, self.returned, self.answers) = (0, 0, 0);
                 }
             }
         }
     }
 }
 
+/// Returns whether crashes of one age are of an earlier series than those of another, both in
+/// whole seconds.
+pub(crate) fn is_earlier_series(age_s: u32, other_age_s: u32) -> bool {
+    u64::from(age_s) >= u64::from(other_age_s) + SERIES_GAP.as_secs()
+}
+
 /// Returns whether an answer of one age clears a crash of another, both in whole seconds.
 pub(crate) fn clears(answer_age_s: u32, crash_age_s: u32) -> bool {
     u64::from(answer_age_s) <= u64::from(crash_age_s) + CLEARED_TTL.as_secs()
