steer: a power loss with quick restarts is no evidence against a version

What callers saw: a move to a sound version is taken back after all servers lost power with requests in flight and started again at once under the same names.

Cause: failures that wait to learn whether their server is alive were kept by its name, whatever its start. An answer of the later start released those of the earlier one as evidence against the version.

The move is finished now in all three, with the old version's servers listed 0.5 s after the target's. The counterpart, the same failures at servers that live on, rolls back before and now.

So a dead server's failures wait for 1 s after its later start was listed. They are discarded if, within 4.5 s, a server of the same failure domain that runs another service or version died as well, and count otherwise. `a_version_that_crashes_its_servers_is_rolled_back` guards this; it passes before, too. A request without an answer that was sent to an earlier start no longer counts as slow.

Not covered: if only servers of the target lose power and start again, or servers of one failure domain are listed more than 1 s apart, the failures count as before; so they do if a later start answers before its entry is known.

--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use corianderway_model::ServerId;
 use corianderway_model::Service;
 use corianderway_model::Time;
 use corianderway_model::Version;
@@ -211,6 +212,8 @@
             choice,
         } = attempt;
         let ended = self.fleet.end(now, &server, open.query.id);
+        // A request that isn't known there was sent to an earlier start, which has died.
+        let is_listed = ended.is_some();
         let (took, expected) = ended.unwrap_or((0.0, 1.0));
         let outcome = self.take_outcome(open);
         let object = open.query.object.filter(|_| open.route.sticky);
@@ -271,21 +274,20 @@
                 self.fleet.record_failure(now, &server, false);
                 self.crashes
                     .connection_broke(now, open.query.signature, start);
-                // A server that crashed gets no request soon that would show it.
-                if let Some(known) = self.fleet.server(&server) {
-                    let (server, addr) = (server.clone(), known.listed.backend.addr);
-                    out.push(Action::CheckServer { server, addr });
-                }
+                self.check_server(&server, out);
                 let failure = observation(RequestResult::Failed);
-                self.pending_failures.hold(now, server.clone(), failure);
+                self.pending_failures
+                    .hold(now, server.clone(), is_listed, failure);
             }
             Outcome::TimedOut => {
                 if now >= open.deadline {
                     let ratio = took / expected.max(1.0);
                     self.fleet.record_answer(now, &server, ratio, false);
-                    if choice.typical.is_some() {
+                    // A dead server answers nothing, whatever its version.
+                    if is_listed && choice.typical.is_some() {
                         let slow = observation(RequestResult::Slow);
-                        self.pending_failures.hold(now, server.clone(), slow);
+                        self.pending_failures
+                            .hold(now, server.clone(), is_listed, slow);
                     }
                 }
             }
@@ -303,6 +305,14 @@
         out.push(Action::Log(note));
     }
 
+    // Checks whether a server crashed, since it gets no request soon that would show it.
+    fn check_server(&self, server: &ServerId, out: &mut Vec<Action>) {
+        if let Some(known) = self.fleet.server(server) {
+            let (server, addr) = (server.clone(), known.listed.backend.addr);
+            out.push(Action::CheckServer { server, addr });
+        }
+    }
+
     /// Counts observations as evidence for the versions concerned.
     pub(crate) fn count_observations(&mut self, observations: Vec<Observation>) {
         for observation in observations {
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use corianderway_model::Backend;
 use corianderway_model::Era;
 use corianderway_model::FailureDomain;
 use corianderway_model::InstanceId;
@@ -98,6 +99,8 @@
     // The instances that receive callers' requests.
     neighbours: Vec<Neighbour>,
     changes: Vec<StateChange>,
+    // The servers of which a later start was listed, since they were last taken.
+    deaths: Vec<Backend>,
     pub(crate) service_times: ServiceTimes,
     pub(crate) machine_speeds: MachineSpeeds,
 }
@@ -116,6 +119,7 @@
             departures: Departures::default(),
             neighbours: vec![this_instance.clone()],
             changes: Vec::new(),
+            deaths: Vec::new(),
             service_times: ServiceTimes::default(),
             machine_speeds: MachineSpeeds::default(),
             this_instance,
@@ -509,6 +513,12 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns the servers that died since the last call: a later start of each was listed
+    /// while the earlier one was in use.
+    pub(crate) fn take_deaths(&mut self) -> Vec<Backend> {
+        std::mem::take(&mut self.deaths)
+    }
+
     // Returns the instances in the server's failure domain; if there are none,
     // those in its region, and otherwise all.
     fn nearest_instances(&self, server: &Server) -> Vec<&Neighbour> {
@@ -570,6 +580,9 @@
             known => {
                 if let Some(replaced) = known {
                     self.departures.record(now, &replaced.listed);
+                    if !matches!(replaced.state, State::Leaving | State::Resigned) {
+                        self.deaths.push(replaced.listed.backend.clone());
+                    }
                 }
                 let hash = hash::of(id.as_str().as_bytes());
                 let window = self.first_window(&listed);
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -253,6 +253,9 @@
                 for start in self.fleet.apply_changes(now, changes, unsettled) {
                     self.urgent |= self.crashes.started(now, start);
                 }
+                for server in self.fleet.take_deaths() {
+                    self.pending_failures.record_death(now, server);
+                }
                 for service in self.fleet.services() {
                     let versions = self.fleet.versions(&service);
                     self.moves.update_listed(now, &service, &versions);
--- a/crates/steer/tests/moves.rs
+++ b/crates/steer/tests/moves.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderway_model::Replay;
 use corianderway_model::Time;
 use corianderway_steer::Action;
 use corianderway_steer::Event;
@@ -24,6 +25,15 @@
 /// The time from the order to its deadline.
 const ORDER_SPAN: Duration = Duration::from_secs(14);
 
+/// The time between the entries of servers that start again together.
+const RESTART_SPREAD: Duration = Duration::from_millis(500);
+
+/// The number of crashes of its servers that suffice to find a version bad.
+const MAX_CRASHES: u32 = 10;
+
+/// The time after which a request without an answer ends.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The behavior of the target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Target {
@@ -34,6 +44,17 @@
     FailsUnderLoad,
 }
 
+/// What becomes of the requests that the servers were running at a power loss.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    /// Their connections break before the later starts are listed.
+    BrokenAtOnce,
+    /// Their connections break after the later starts are listed.
+    BrokenLate,
+    /// They end without an answer at their deadlines.
+    Silent,
+}
+
 struct MoveResult {
     completed: Option<Duration>,
     rolled_back: Option<Duration>,
@@ -206,6 +227,151 @@
     panic!("the target did not take over");
 }
 
+// Returns the event that lists these servers.
+fn put(listed: &[ServerEntry]) -> Event {
+    let put = listed.iter().cloned().map(ServerChange::Put);
+    Event::Servers(put.collect())
+}
+
+// Returns the entry of a later start of a server.
+fn later_start(listed: &ServerEntry) -> ServerEntry {
+    let mut later = listed.clone();
+    later.started_ms += 1;
+    later.revision = later.revision.next();
+    later
+}
+
+// Returns the change of phase that follows after all servers have failed the requests that they
+// were running during a takeover. If they have restarted, later starts are listed under the same
+// names, those of the target first.
+fn end_of_move_after(loss: Loss, have_restarted: bool) -> String {
+    let mut rig = Rig::new();
+    let mut route = rig::route("bids", "/bids/", "bids", Replay::Idempotent);
+    route.timeout = Some(REQUEST_TIMEOUT);
+    rig.step(Event::Plan(Arc::new(rig::plan(2, vec![route], None))));
+    rig.step(put(&targets()));
+    rig.step(Event::Orders(vec![rig::order("bids", "v2", ORDER_SPAN)]));
+    let later: Vec<_> = targets().iter().map(later_start).collect();
+    let later_old: Vec<_> = rig::servers().iter().map(later_start).collect();
+    let mut lost = None;
+    for index in 0..ORDER_SPAN.as_secs() * 40 {
+        let id = rig.request("/bids/1", Some(index % 11));
+        if rig.sent(id).is_some() {
+            rig.end(id, answered(200));
+        }
+        let done = rig.pass(Duration::from_millis(25));
+        apply_reports(&mut rig, &done);
+        let change = phase_in(&done);
+        match lost {
+            None if change.as_deref() == Some("full") => {
+                lost = Some(rig.now);
+                let running = (0..12).map(|object| rig.request("/bids/1", Some(object)));
+                let running: Vec<_> = running.collect();
+                if loss == Loss::BrokenLate && have_restarted {
+                    rig.step(put(&later));
+                }
+                for id in running.iter().filter(|_| loss != Loss::Silent) {
+                    rig.end(*id, Outcome::Broken);
+                    rig.step(Event::CallerGone(*id));
+                }
+                if loss != Loss::BrokenLate && have_restarted {
+                    rig.step(put(&later));
+                }
+            }
+            Some(_) if change.is_some() => return change.unwrap_or_default(),
+            Some(lost) if have_restarted && rig.now.since(lost) >= RESTART_SPREAD => {
+                rig.step(put(&later_old));
+            }
+            None | Some(_) => (),
+        }
+    }
+    panic!("the target did not take over");
+}
+
+// Returns the phase that a move has entered, if any.
+fn phase_in(done: &[Action]) -> Option<String> {
+    done.iter().find_map(|action| match action {
+        Action::Log(note) if note.event == "move" => {
+            let to = note.fields.iter().find(|row| row.0 == "to");
+            to.map(|row| row.1.clone())
+        }
+        _ => None,
+    })
+}
+
+// Guards against the rollback of a good version when its servers lose power with requests in
+// flight and start again at once under the same names: the answers of the later starts used to
+// count as signs that the earlier ones were alive (RECOVER).
+#[test]
+fn servers_that_start_again_at_once_do_not_roll_back_a_version() {
+    let losses = [Loss::BrokenAtOnce, Loss::BrokenLate, Loss::Silent];
+    let ends = losses.map(|loss| end_of_move_after(loss, true));
+    assert_eq!(ends, ["finished", "finished", "finished"]);
+}
+
+// Guards against a version that crashes its servers and is taken for one whose servers lost
+// power, since they start again at once.
+#[test]
+fn a_version_that_crashes_its_servers_is_rolled_back() {
+    for (every, restart_ms) in [(2, 50), (2, 200), (5, 50), (5, 200), (10, 50), (10, 200)] {
+        let (exposed, bad, phases) = crash_servers(every, Duration::from_millis(restart_ms));
+        let case = format!("{every}, {restart_ms} ms: {bad} of {exposed} broke, {phases:?}");
+        assert_eq!(
+            phases.last().map(String::as_str),
+            Some("rolled-back"),
+            "{case}"
+        );
+        assert!(bad <= MAX_CRASHES, "{case}");
+    }
+}
+
+// Moves to a version that crashes its server at one of `every` requests; a later start is listed
+// after `restart`. Returns the requests that the target got, those that broke, and the phases.
+fn crash_servers(every: u32, restart: Duration) -> (u32, u32, Vec<String>) {
+    let mut rig = Rig::new();
+    let mut targets = targets();
+    rig.step(put(&targets));
+    rig.step(Event::Orders(vec![rig::order("bids", "v2", ORDER_SPAN)]));
+    let (mut exposed, mut bad, mut phases) = (0, 0, Vec::new());
+    let mut down: Vec<(Time, usize)> = Vec::new();
+    for index in 0..ORDER_SPAN.as_secs() * 40 {
+        let now = rig.now;
+        let back = down.iter().filter(|row| row.0 <= now);
+        let back: Vec<usize> = back.map(|row| row.1).collect();
+        down.retain(|row| row.0 > now);
+        for at in back {
+            targets[at] = later_start(&targets[at]);
+            rig.step(put(&targets[at..=at]));
+        }
+        let id = rig.request("/bids/1", Some(index % 7));
+        if let Some(server) = rig.sent(id) {
+            let mut names = targets.iter().map(|listed| listed.backend.id.as_str());
+            let target = names.position(|name| name == server);
+            exposed += u32::from(target.is_some());
+            match target {
+                Some(at) if exposed.is_multiple_of(every) => {
+                    bad += 1;
+                    down.push((now + restart, at));
+                    rig.end(id, Outcome::Broken);
+                }
+                Some(_) | None => (),
+            }
+            rig.end(id, answered(200));
+        }
+        let done = rig.pass(Duration::from_millis(25));
+        phases.extend(phase_in(&done));
+    }
+    (exposed, bad, phases)
+}
+
+// The counterpart: a version fails requests, and the same starts of its servers answer others.
+#[test]
+fn servers_that_fail_requests_and_live_on_roll_back_a_version() {
+    let losses = [Loss::BrokenAtOnce, Loss::BrokenLate, Loss::Silent];
+    let ends = losses.map(|loss| end_of_move_after(loss, false));
+    assert_eq!(ends, ["rolled-back", "rolled-back", "rolled-back"]);
+}
+
 #[test]
 fn a_version_without_an_order_receives_no_requests_at_first() {
     let mut rig = Rig::new();
