--- a/crates/daemon/tests/garbled.rs
+++ b/crates/daemon/tests/garbled.rs
@@ -20,6 +20,9 @@
 use serde_json::json;
 use serde_json::Value;
 
+/// The window over which retries are limited.
+const RETRY_WINDOW: Duration = Duration::from_secs(1);
+
 /// The timeout for each awaited condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -80,7 +83,8 @@
             store.put("servers", "i-2", &entry(other.addr, "s1", "a", "ready", 1));
         }
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let site = Site::new("north", "a", store.addr);
+        let mut site = Site::new("north", "a", store.addr);
+        site.retry_window = RETRY_WINDOW.as_secs() as u32;
         let instance = Node::start(site, &[("a", "north")], dir).unwrap();
         let fleet = Self {
             endpoint,
@@ -88,6 +92,8 @@
             _store: store,
         };
         fleet.until("readiness", || fleet.instance.is_ready().then_some(()));
+        // Before, the instance has no retries beyond a fraction of its requests.
+        thread::sleep(RETRY_WINDOW);
         fleet
     }
 
--- a/crates/daemon/tests/scripted_fleet/mod.rs
+++ b/crates/daemon/tests/scripted_fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test program uses some of these items")]
 
 use std::path::Path;
+use std::thread;
 use std::time::Duration;
 
 use corianderway_standins::estate::entry;
@@ -20,6 +21,9 @@
 use serde_json::json;
 use serde_json::Value;
 
+/// The window over which retries are limited.
+const RETRY_WINDOW: Duration = Duration::from_secs(1);
+
 /// The timeout for each awaited condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -80,7 +84,8 @@
             store.put("servers", &format!("i-{number}"), &entry);
         }
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let site = Site::new("north", "a", store.addr);
+        let mut site = Site::new("north", "a", store.addr);
+        site.retry_window = RETRY_WINDOW.as_secs() as u32;
         let instance = Node::start(site, &[("a", "north")], dir).unwrap();
         let fleet = Self {
             endpoint,
@@ -88,6 +93,8 @@
             _store: store,
         };
         fleet.until("readiness", || fleet.instance.is_ready().then_some(()));
+        // Before, the instance has no retries beyond a fraction of its requests.
+        thread::sleep(RETRY_WINDOW);
         fleet
     }
 
--- a/crates/limits/src/retry.rs
+++ b/crates/limits/src/retry.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Changes the limits that [`RetryBudget::new`] set. What was counted stays.
+    pub fn set_limits(&mut self, ratio: f64, base_retries: u64) {
+        self.ratio = (ratio * 65536.0) as u64;
+        self.base_retries = base_retries;
+    }
+
     /// Counts a first attempt.
     pub fn record_attempt(&mut self, now: Time) {
         let index = self.advance(now);
--- a/crates/standins/src/estate/node.rs
+++ b/crates/standins/src/estate/node.rs
@@ -49,6 +49,8 @@
     pub store: SocketAddr,
     /// The time from SIGTERM to the forced end of a planned stop, in seconds.
     pub grace: u32,
+    /// The window over which retries are limited, in seconds.
+    pub retry_window: u32,
     /// The maximum number of open file descriptors, if it differs from this process's.
     pub descriptors: Option<u32>,
 }
@@ -81,6 +83,7 @@
             domain: domain.to_owned(),
             store,
             grace: 4,
+            retry_window: 10,
             descriptors: None,
         }
     }
@@ -94,10 +97,11 @@
             "node_name: {name}\nzone: {domain}\nregion: {region}\nzones: {{ {} }}\n\
              listen: {{ front: '{ip}:{CALLERS_PORT}', ready: '{ip}:{READY_PORT}', control: '{ip}:{REPLICA_PORT}', \
              directory: '{ip}:{DIRECTORY_PORT}' }}\n\
-             port_range: [7740, 7755]\nseeds: []\nbounds: {{ grace_s: {} }}\n\
+             port_range: [7740, 7755]\nseeds: []\nbounds: {{ grace_s: {}, budget_window_s: {} }}\n\
              platform: {{ address: '{}' }}\n",
             zones.join(", "),
             self.grace,
+            self.retry_window,
             self.store
         )
     }
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -107,7 +107,7 @@
     /// Counts an admitted request for the retry budget and the offered load of
     /// its service.
     pub(crate) fn count_admitted(&mut self, now: Time, open: &OpenRequest) {
-        self.budget(&open.service).record_attempt(now);
+        self.record_first_attempt(now, &open.service);
         // A caller that comes back offers the same work once.
         if open.returned {
             return;
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -153,7 +153,7 @@
         let has_time = open.time_left(now) > Duration::ZERO && outcome != Outcome::TimedOut;
         let permitted = safe && attempts_left && has_time && !quarantined;
         let service = open.service.clone();
-        if permitted && (unsent || self.budget(&service).try_take(now)) {
+        if permitted && (unsent || self.take_retry(now, &service)) {
             return true;
         }
         let not_run = !ran && open.possible_runs == 0;
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -138,6 +138,9 @@
     /// Whether the store recently did not answer one of the instance's own calls.
     #[serde(rename = "o", default)]
     pub doubts_store: bool,
+    /// Whether the instance has run for a window of the retry budget.
+    #[serde(rename = "b", default)]
+    pub settled: bool,
     /// Always 0: instances of earlier builds require the field, which held one
     /// revision for all kinds.
     #[serde(rename = "v")]
@@ -234,6 +237,9 @@
 /// The flag of an instance that the store recently did not answer.
 const FLAG_DOUBTS: u8 = 16;
 
+/// The flag of an instance that has run for a window of the retry budget.
+const FLAG_SETTLED: u8 = 32;
+
 /// The report on one version move, by one instance or merged over a failure
 /// domain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -311,7 +317,8 @@
             | flag(digest.reaches_store, FLAG_STORE)
             | flag(leaves, FLAG_LEAVING)
             | flag(digest.late, FLAG_LATE)
-            | flag(digest.doubts_store, FLAG_DOUBTS);
+            | flag(digest.doubts_store, FLAG_DOUBTS)
+            | flag(digest.settled, FLAG_SETTLED);
         Self(hash, digest.sequence, flags)
     }
 
@@ -345,6 +352,11 @@
         self.2 & FLAG_DOUBTS != 0
     }
 
+    /// Returns whether the instance is known to have run for a window of the retry budget.
+    pub fn has_settled(self) -> bool {
+        self.2 & FLAG_SETTLED != 0
+    }
+
     /// Returns whether the instance is stopping.
     pub fn is_leaving(self) -> bool {
         self.2 & FLAG_LEAVING != 0
--- a/crates/steer/src/gossip.rs
+++ b/crates/steer/src/gossip.rs
@@ -247,6 +247,7 @@
             reaches_store: self.follows_store(),
             late: self.pace.is_late(),
             doubts_store: self.doubts_store(now),
+            settled: self.has_settled(now),
             legacy_revision: 0,
             changed: self.changed,
             rate,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -80,6 +80,7 @@
 mod relay;
 mod request;
 mod restored;
+mod retries;
 mod revisions;
 mod room;
 mod server;
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -170,6 +170,12 @@
         self.others.len() + 1
     }
 
+    /// Returns the number of other instances that are known to have run for a window of
+    /// the retry budget.
+    pub(crate) fn settled(&self, now: Time) -> usize {
+        self.with_status(now, InstanceStatus::has_settled).count()
+    }
+
     /// Returns the summaries that are still valid.
     pub(crate) fn summaries(&self, now: Time) -> impl Iterator<Item = &Summary> {
         let valid = self.latest.iter().filter(move |row| is_valid(now, row.1));
--- a/crates/steer/src/startup.rs
+++ b/crates/steer/src/startup.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Startup {
     // The inputs that must still arrive before callers are served.
     missing: Vec<InputKind>,
+    // The time of the first event.
+    began: Option<Time>,
     // The time of the latest line on the missing inputs.
     logged: Time,
     is_ready: bool,
@@ -28,12 +30,23 @@
     pub(crate) fn new() -> Self {
         Self {
             missing: INPUTS.to_vec(),
+            began: None,
             logged: Time::ZERO,
             is_ready: false,
             has_served: false,
         }
     }
 
+    /// Records the time of an event.
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.began.get_or_insert(now);
+    }
+
+    /// Returns the time since the first event.
+    pub(crate) fn age(&self, now: Time) -> Duration {
+        self.began.map_or(Duration::ZERO, |began| now.since(began))
+    }
+
     /// Records that an input has arrived.
     pub(crate) fn arrived(&mut self, input: InputKind) {
         self.missing.retain(|missing| *missing != input);
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -72,9 +72,6 @@
 /// How long a caller may use the directory's answer, unless the bounds allow less.
 const ADVICE_TTL: Duration = Duration::from_secs(2);
 
-/// The fraction of the fleet's retry budget that its instances use.
-const RETRY_BUDGET_FRACTION: f64 = 0.8;
-
 /// A state chart that is faulty, so that no [`Steer`] can be made.
 #[derive(Debug, Snafu)]
 pub struct ChartError(ChartKind);
@@ -235,6 +232,7 @@
 
     /// Applies one event and appends the resulting actions to `out`.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.startup.begin(now);
         match event {
             Event::Request(query) => self.receive(now, query, out),
             Event::CallerGone(id) => self.caller_left(now, id, out),
@@ -357,17 +355,6 @@
         self.reach.0 == Reach::Nothing
     }
 
-    /// Returns the retry budget of a service, this instance's share of the fleet's.
-    pub(crate) fn budget(&mut self, service: &Service) -> &mut RetryBudget {
-        let bounds = &self.bounds;
-        let count = self.members.count() as f64;
-        self.budgets.get_or_insert_with(service.clone(), || {
-            let ratio = bounds.retry_ratio * RETRY_BUDGET_FRACTION;
-            let spare = (bounds.retry_extra * RETRY_BUDGET_FRACTION / count).floor() as u64;
-            RetryBudget::new(ratio, spare, bounds.retry_window)
-        })
-    }
-
     pub(crate) fn mark_arrived(&mut self, input: InputKind) {
         self.startup.arrived(input);
     }
--- a/crates/steer/tests/rig/mod.rs
+++ b/crates/steer/tests/rig/mod.rs
@@ -47,6 +47,9 @@
 pub const HOST: &str = "desk.example";
 pub const KEY: &str = "key-of-salta";
 
+/// How long after its start an instance has all that it needs to know of the fleet.
+const SETTLING_TIME: Duration = Duration::from_secs(11);
+
 /// One instance, its clock, and the actions of its latest step.
 pub struct Rig {
     pub steer: Steer,
@@ -128,6 +131,7 @@
         reaches_store: true,
         late: false,
         doubts_store: false,
+        settled: true,
         legacy_revision: 0,
         changed,
         rate: 0.0,
@@ -237,8 +241,9 @@
         self.step(Event::Servers(put));
         self.step(Event::Orders(Vec::new()));
         self.step(Event::Evacuated(Vec::new()));
-        // The store counts as unsettled for some time after the first contact.
-        self.pass(Duration::from_secs(5));
+        // The store counts as unsettled for some time after the first contact, and the
+        // instance has no retries beyond a fraction for a window after its start.
+        self.pass(SETTLING_TIME);
     }
 
     pub fn step(&mut self, event: Event) -> &[Action] {
