routing: servers that were all lost are used again within 15 s

What callers saw, at the product's own interface: after all backend servers were lost and returned under the same names, none was chosen for up to a minute, or none ever again although all were listed.

Causes: - Each refused connection and each failed probe doubles the time that a server stays out of use, up to 60 s, and only ten seconds in use reset it. - Lists that lack too many servers are implausible and remove none, but only usable servers were counted. Once all had refused a connection, two lists without them were plausible, and all were taken to leave, which a later list doesn't undo.

Evidence, in virtual time with lists and probes each second. Trial before, six servers, from the return until the first was chosen: listed all the while, 3.3 s after one loss of 1 s, 7.3 s after one of 2 s, 15.3 s after one of 3 s, 59.3 s after one of 12 s, and 31.3 s, 59.8 s and 59.3 s after three losses of 1 s, 1.5 s and 2 s. With lists that lacked all of them, none was chosen within 700 s after two losses of 1.5 s, and after each one of 2 s or longer.

Why it works: holds are 8 s at most, and the next probe ends them; servers that refuse connections or are ejected count in the check of a list, so that a list without all servers stays implausible. A server that leaves alone still leaves for good.

Not covered: with fewer than four servers each list is still plausible, and so is one that lacks at most half of them, twice in a row; such servers come back under the same name only after they were absent for ten minutes, as the guarantee on leaving asks.

--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -28,9 +28,10 @@
 const INITIAL_WEIGHT: f64 = 0.1;
 const SUSPECT_WEIGHT: f64 = 0.25;
 // Bounds of the time that a backend server stays out of use after an ejection or a
-// refused connection. It doubles with each hold until the server is warm again.
+// refused connection. It doubles with each hold until the server is warm again, and
+// leaves time for a probe within the 15 s in which servers that return are used again.
 const MIN_HOLD: Duration = Duration::from_secs(2);
-const MAX_HOLD: Duration = Duration::from_mins(1);
+const MAX_HOLD: Duration = Duration::from_secs(8);
 // While the last success is newer than this, failing health reports are ignored.
 const SUCCESS_TTL: Duration = Duration::from_secs(3);
 // Gain of the moving average of failures.
--- a/crates/routing/src/sync.rs
+++ b/crates/routing/src/sync.rs
@@ -23,9 +23,10 @@
 
 // A backend server is leaving once this many lists in a row lack it.
 const MISSED_LISTS_UNTIL_ABSENT: u32 = 2;
-// A list that lacks more than this share of the usable backend servers is implausible.
+// A list that lacks more than this share of the backend servers that don't leave is
+// implausible. It counts those that refuse connections, since all may be lost at once.
 const MAX_PLAUSIBLE_LOSS: f64 = 0.5;
-// With fewer usable backend servers, every list is plausible.
+// With fewer of them, every list is plausible.
 const MIN_CHECKED_SERVERS: usize = 4;
 // A backend server that is gone is removed once it was absent from the lists for
 // this long; then its identity can be used again.
@@ -98,7 +99,8 @@
     fn is_plausible(&self, present: &[bool]) -> bool {
         let (mut known, mut absent) = (0, 0);
         for (server, present) in self.servers.iter().zip(present) {
-            if server.as_ref().is_some_and(|s| s.state.is_usable()) {
+            let stays = |s: &Server| !matches!(s.state, State::Draining | State::Gone);
+            if server.as_ref().is_some_and(stays) {
                 known += 1;
                 absent += usize::from(!present);
             }
