daemon: an early answer without a length isn't cut while its upload goes on

Callers: a server answered an upload early and whole, without a length, closed its sending side and read on as it should. If the caller sent for more than 2 s longer, the answer was cut where bodies are passed on as they come.

Cause: the 2 s within which the end must prove to be orderly began at the answer's end and were for all of the rest, including the time in which the caller still sends.

Evidence: an upload of 12 MB in 5 s (50 parts), answered at its start by a whole answer of 200 kB.

The 2 s now bound the time without progress: they begin again whenever the number of bytes sent or of unacknowledged bytes changes. Both are finite for a request, so the wait ends. The sender counts its bytes as it writes them, since a server that reads at once leaves nothing unacknowledged between two looks. A caller that pauses for 2 s in its upload still gets a cut answer.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -41,6 +41,7 @@
 use crate::edge::rings::Input;
 use crate::edge::rings::Job;
 use crate::ending;
+use crate::ending::Sent;
 use crate::message_reader;
 use crate::message_reader::HeadFailure;
 use crate::pool::Pool;
@@ -160,6 +161,14 @@
 }
 
 impl Progress {
+    fn sent(&self) -> Sent {
+        let bytes = self.sent.get();
+        Sent {
+            bytes,
+            is_whole: bytes == self.length.get(),
+        }
+    }
+
     // Creates the log line of an attempt that ended in this way.
     fn note(&self, job: &Job, end: &'static str) -> Note {
         let connection = match self.is_new.get() {
@@ -509,8 +518,8 @@
             progress.fault.set(Some("success without a signature"));
             return None;
         }
-        let is_sent = || progress.sent.get() == progress.length.get();
-        if head.framing == Framing::Close && !ending::is_orderly(stream, is_sent).await {
+        let sent = || progress.sent();
+        if head.framing == Framing::Close && !ending::is_orderly(stream, sent).await {
             progress.fault.set(Some("no orderly end"));
             return None;
         }
--- a/crates/daemon/src/ending.rs
+++ b/crates/daemon/src/ending.rs
@@ -7,41 +7,54 @@
 
 use std::os::fd::AsRawFd as _;
 use std::time::Duration;
+use std::time::Instant;
 
-use async_std::future;
 use async_std::net::TcpStream;
 use async_std::task;
 use rustix::event::PollFd;
 use rustix::event::PollFlags;
 use rustix::event::Timespec;
 
-/// The timeout for the acknowledgement of a request whose answer has ended.
+/// The maximum time without progress of a request whose answer has ended.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The interval at which that acknowledgement is checked.
+/// The interval at which that progress is checked.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How much of a request has been sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// The number of bytes.
+    pub bytes: usize,
+    /// Whether this is the whole request.
+    pub is_whole: bool,
+}
+
 /// Waits until a connection that was read to its end has proven to be orderly: the whole request
 /// is sent and acknowledged, so that no byte of it can cause a reset any more, and there was none.
 ///
-/// Returns false if the connection is reset, or if the request isn't acknowledged in time, since
-/// a reset may still be on its way. The request must be sent meanwhile; `is_sent` tells whether
-/// it is. Must not be used once this side has closed its sending side.
-pub async fn is_orderly(stream: &TcpStream, is_sent: impl Fn() -> bool) -> bool {
-    let settled = async {
-        loop {
-            // Read first, since a reset may come with the acknowledgement.
-            let is_acknowledged = is_sent() && matches!(unacknowledged(stream), Some(0) | None);
-            match is_reset(stream) {
-                Some(true) => return false,
-                Some(false) if is_acknowledged => return true,
-                Some(false) | None => task::sleep(SETTLE_INTERVAL).await,
-            }
+/// Returns false if the connection is reset, or if the request is neither sent nor acknowledged
+/// any further for some time, since a reset may still be on its way. The request must be sent
+/// meanwhile; `sent` returns how much of it is. Must not be used once this side has closed its
+/// sending side.
+pub async fn is_orderly(stream: &TcpStream, sent: impl Fn() -> Sent) -> bool {
+    let mut progress = (sent(), unacknowledged(stream));
+    let mut progressed = Instant::now();
+    loop {
+        // Read first, since a reset may come with the acknowledgement.
+        let current = (sent(), unacknowledged(stream));
+        if current != progress {
+            progress = current;
+            progressed = Instant::now();
+        }
+        let is_acknowledged = current.0.is_whole && matches!(current.1, Some(0) | None);
+        match is_reset(stream) {
+            Some(true) => return false,
+            Some(false) if is_acknowledged => return true,
+            Some(false) | None if progressed.elapsed() >= SETTLE_TIMEOUT => return false,
+            Some(false) | None => task::sleep(SETTLE_INTERVAL).await,
         }
-    };
-    future::timeout(SETTLE_TIMEOUT, settled)
-        .await
-        .unwrap_or(false)
+    }
 }
 
 // Returns whether the kernel has given the connection up, unless a signal interrupts the check.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -19,7 +19,9 @@
 use futures_lite::future::poll_once;
 use futures_lite::future::FutureExt as _;
 use futures_lite::io;
+use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt as _;
+use futures_lite::AsyncWriteExt as _;
 use http_types::headers::HeaderValues;
 use http_types::Body;
 use http_types::Method;
@@ -31,6 +33,7 @@
 use crate::clock::Clock;
 use crate::descriptors;
 use crate::ending;
+use crate::ending::Sent;
 use crate::message_reader;
 use crate::message_reader::MessageReader;
 use crate::pool::Pool;
@@ -41,6 +44,9 @@
 /// The timeout for the body of a response.
 const BODY_TIMEOUT: Duration = Duration::from_mins(10);
 
+/// The size of the buffer for sending a request, in bytes.
+const SEND_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Response bodies up to this size are read completely before the response is passed on.
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
 
@@ -124,14 +130,14 @@
     match result.unwrap_or(Err(AttemptOutcome::TimedOut)) {
         Ok(answer) => {
             progress.has_head.set(true);
-            let is_orderly = ending::is_orderly(&stream, || progress.sent.get());
+            let is_orderly = ending::is_orderly(&stream, || progress.sent());
             let reusable = deliver(answer, reply, is_orderly)
                 .or(async {
                     (&mut sending).await;
                     false
                 })
                 .await;
-            if reusable && progress.sent.get() {
+            if reusable && progress.is_sent.get() {
                 pool.borrow_mut().put(addr, stream);
             }
         }
@@ -142,10 +148,22 @@
 // The progress of an exchange.
 #[derive(Debug, Default)]
 struct Progress {
-    sent: Cell<bool>,
+    // The number of bytes of the request that have been sent.
+    sent_bytes: Cell<usize>,
+    // Whether these are the whole request.
+    is_sent: Cell<bool>,
     has_head: Cell<bool>,
 }
 
+impl Progress {
+    fn sent(&self) -> Sent {
+        Sent {
+            bytes: self.sent_bytes.get(),
+            is_whole: self.is_sent.get(),
+        }
+    }
+}
+
 /// Whether a connection was used before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
@@ -228,15 +246,39 @@
 // Sends the request. If sending fails, the exchange ends only if the head of the
 // response has not been received, since a server may respond early.
 async fn send(stream: TcpStream, request: Request, progress: &Progress) -> AttemptOutcome {
-    let mut encoder = client::Encoder::new(request);
-    let sent = io::copy(&mut encoder, &mut stream.clone()).await;
-    progress.sent.set(sent.is_ok());
+    let encoder = client::Encoder::new(request);
+    let sent = write_all(stream, encoder, &progress.sent_bytes).await;
+    progress.is_sent.set(sent.is_ok());
     if sent.is_ok() || progress.has_head.get() {
         std::future::pending::<()>().await;
     }
     AttemptOutcome::Broken
 }
 
+// Writes what the request reads to its end, and counts the bytes as they are written.
+async fn write_all(
+    mut stream: TcpStream,
+    mut request: impl AsyncRead + Unpin,
+    sent_bytes: &Cell<usize>,
+) -> io::Result<()> {
+    let mut buffer = vec![0; SEND_BUFFER_BYTES];
+    loop {
+        let count = request.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        let mut unsent = &buffer[..count];
+        while !unsent.is_empty() {
+            let written = stream.write(unsent).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            sent_bytes.set(sent_bytes.get() + written);
+            unsent = &unsent[written..];
+        }
+    }
+}
+
 async fn read_response(
     stream: TcpStream,
     expected: &Expected,
--- a/crates/daemon/tests/streamed_resets.rs
+++ b/crates/daemon/tests/streamed_resets.rs
@@ -30,6 +30,10 @@
 /// How long after its end an answer is reset.
 const RESET_DELAY: Duration = Duration::from_millis(5);
 
+/// The number of parts of a slow upload, and the time between two of them.
+const SLOW_PARTS: usize = 50;
+const SLOW_INTERVAL: Duration = Duration::from_millis(100);
+
 struct Uploads {
     fleet: Fleet,
     endpoint: Scripted,
@@ -127,3 +131,26 @@
         assert_eq!(reply.body.len(), PART_BYTES);
     }
 }
+
+// Guards against a whole answer that is cut since its caller still sends.
+#[test]
+fn a_streamed_early_answer_is_complete_although_its_upload_takes_longer() {
+    let uploads = Uploads::start(|_| {
+        let rest = Step::Read(UPLOAD_BYTES - 1);
+        vec![answer(), Step::Close, rest]
+    });
+    let post = Request::post("/dates/slow").host(HOST).key(&uploads.key);
+    let bytes = post.body(vec![b'u'; UPLOAD_BYTES]).bytes();
+    let mut client = Client::connect(uploads.fleet.entries[0].callers).unwrap();
+    let mut writer = client.clone_stream().unwrap();
+    let writing = std::thread::spawn(move || {
+        for part in bytes.chunks(UPLOAD_BYTES / SLOW_PARTS) {
+            writer.write_all(part).unwrap();
+            std::thread::sleep(SLOW_INTERVAL);
+        }
+    });
+    let reply = client.read("POST").unwrap();
+    assert_eq!((reply.status, reply.body.len()), (200, PART_BYTES));
+    drop(client);
+    writing.join().unwrap();
+}
