edge: a check of a server waits for room

Callers: with all connections to backend servers in use, the check that follows a broken attempt ended without a result, and a server that had crashed went unnoticed unless a later start of it was listed, so the request that may have crashed it wasn't counted against its signature.

Cause: the check took a slot or gave up, on the ground that a failed attempt shows the same; a server that failed gets no request soon.

Found by reading; no test fails before. One needs all slots in use at the moment of a crash, whose broken attempts free some, and isn't written.

The check now waits for a slot up to the timeout for opening a connection, as attempts wait for theirs, and gives up only then.

--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -389,8 +389,8 @@
 }
 
 impl Connections {
-    /// Takes a slot for a new connection, if there is one; an idle connection makes room.
-    pub(super) fn take_slot(&self) -> Option<Slot> {
+    // Takes a slot for a new connection, if there is one; an idle connection makes room.
+    fn take_slot(&self) -> Option<Slot> {
         let free = self.slots.take();
         free.or_else(|| {
             let is_closed = self.idle.borrow_mut().close_oldest();
@@ -398,6 +398,22 @@
         })
     }
 
+    /// Waits this long for a slot for a new connection.
+    pub(super) async fn wait_slot(&self, timeout: Duration) -> Option<Slot> {
+        let freed = async {
+            loop {
+                if let Some(slot) = self.take_slot() {
+                    return slot;
+                }
+                self.slots.changed().await;
+            }
+        };
+        let slot = future::timeout(timeout, freed).await.ok()?;
+        // What was freed at the same time has woken one attempt only.
+        self.slots.notify();
+        Some(slot)
+    }
+
     // Finds an idle connection to the job's server, or a slot for a new one.
     async fn find(&self, job: &Job, max_idle: Duration) -> Option<Room> {
         while let Some(connection) = take(&self.idle, job, max_idle) {
--- a/crates/daemon/src/edge/servers.rs
+++ b/crates/daemon/src/edge/servers.rs
@@ -74,8 +74,8 @@
     decisions: Sender<Input>,
 ) {
     task::sleep(CHECK_DELAY).await;
-    // Without room, a failed attempt shows the same.
-    let Some(_slot) = connections.take_slot() else {
+    // Without room for that long, nothing is known of the server.
+    let Some(_slot) = connections.wait_slot(exchange::CONNECT_TIMEOUT).await else {
         return;
     };
     let reachable = match exchange::connect(addr, exchange::CONNECT_TIMEOUT).await {
