--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -53,6 +53,9 @@
 /// longer.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// The number of connections for readiness checks at that limit.
+const READINESS_ROOM: usize = 2;
+
 /// The requests of all callers.
 #[derive(Debug, Default)]
 struct Counts {
@@ -192,6 +195,27 @@
     drop(idle);
 }
 
+// Guards against rejected connections that no log line counts, since none follows them.
+#[test]
+fn all_rejected_connections_are_counted_in_the_log() {
+    let fleet = Fleet::start_limited(1, DESCRIPTORS);
+    let addr = fleet.instances[0].addr(node::READY_PORT);
+    let connections: Vec<_> = (0..CALLERS).map(|_| TcpStream::connect(addr)).collect();
+    let count = || -> usize {
+        let lines = fleet.instances[0].process.lines();
+        let rejected = lines.iter().filter(|l| l.contains("connection-rejected"));
+        let counts = rejected.filter_map(|line| {
+            let (_, rest) = line.split_once(" count=")?;
+            rest.split(' ').next()?.parse::<usize>().ok()
+        });
+        counts.sum()
+    };
+    fleet.until("the count of all", || {
+        (count() >= CALLERS - READINESS_ROOM).then_some(())
+    });
+    drop(connections);
+}
+
 // Guards against a refusal for lack of room that doesn't tell the caller that nothing ran.
 #[test]
 fn a_request_without_room_is_refused_with_a_time_to_come_back() {
