edge: a request that isn't finished doesn't keep readiness checks out

The platform's checks: at a low descriptor limit, the readiness port has room for two connections. Two that began a request and never ended it kept all others out for a minute, so that a ready instance counted as not ready.

Cause: the timeout of 10 s covered only the first byte of a request. async-h1 waits 60 s for the rest of its head, and without bound for the caller to take the answer.

--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -41,6 +41,9 @@
 /// The timeout for the next request on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The timeout from the first byte of a request to the end of its answer.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The interval at which the port for metrics is tried again while it is in use.
 const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -166,8 +169,9 @@
             };
             let mut server = Server::new(stream.clone(), answer);
             while connection::has_bytes(&stream, IDLE_TIMEOUT).await {
+                let served = future::timeout(EXCHANGE_TIMEOUT, server.accept_one()).await;
                 // A broken connection affects only its own caller.
-                let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await else {
+                let Ok(Ok(ConnectionStatus::KeepAlive)) = served else {
                     break;
                 };
             }
--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -2,6 +2,7 @@
 
 mod platform_fleet;
 
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::atomic::AtomicBool;
@@ -56,6 +57,9 @@
 /// The number of connections for readiness checks at that limit.
 const READINESS_ROOM: usize = 2;
 
+/// How long readiness checks may be kept out.
+const MAX_READINESS_WAIT: Duration = Duration::from_secs(15);
+
 /// The requests of all callers.
 #[derive(Debug, Default)]
 struct Counts {
@@ -195,6 +199,26 @@
     drop(idle);
 }
 
+// Guards against connections that begin a request and never end it, which keep readiness checks
+// out.
+#[test]
+fn readiness_is_answered_beside_requests_that_do_not_end() {
+    let fleet = Fleet::start_limited(1, DESCRIPTORS);
+    let addr = fleet.instances[0].addr(node::READY_PORT);
+    let begin = |_| {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.write_all(b"GET /ready").unwrap();
+        stream
+    };
+    let slow: Vec<_> = (0..READINESS_ROOM).map(begin).collect();
+    assert!(!fleet.instances[0].is_ready(), "room beside slow requests");
+    until("readiness", MAX_READINESS_WAIT, || {
+        fleet.instances[0].is_ready().then_some(())
+    })
+    .unwrap_or_else(|error| panic!("{error}\n{}", fleet.logs()));
+    drop(slow);
+}
+
 // Guards against rejected connections that no log line counts, since none follows them.
 #[test]
 fn all_rejected_connections_are_counted_in_the_log() {
