tests: one place for what tests of returns, limits and early answers share

`platform_fleet` has the limits of a recovery, `caller_addrs` and `list_started` (with the ids from its caller, since one test keeps the ids of started servers and one doesn't); `scripted_fleet` takes the terms of requests; the figures of long uploads are in `uploads`. Assertions and figures are unchanged.

`descriptors.rs` still has callers of its own: they keep connections and obey `Retry-After`, which those of `platform_callers` don't.

--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -22,6 +22,8 @@
 use corianderway_standins::harness::Request;
 
 use crate::platform_fleet::Fleet;
+use crate::platform_fleet::MIN_SERVED_SHARE;
+use crate::platform_fleet::RECOVERY_LIMIT;
 
 /// The number of file descriptors of an instance.
 const DESCRIPTORS: u32 = 128;
@@ -29,15 +31,9 @@
 /// The number of callers of each instance.
 const CALLERS: usize = 150;
 
-/// The platform's limit on the time from the return of the machines to service.
-const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-
 /// The span over which requests are counted.
 const SPAN: Duration = Duration::from_secs(3);
 
-/// The share of requests that the platform wants served after the limit.
-const MIN_SERVED_SHARE: f64 = 0.25;
-
 /// The pause of a caller after an answer.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -157,8 +153,7 @@
         let listed = entry(server.addr, "s1", "a", "ready", 1);
         fleet.store.put("servers", &format!("i-{number}"), &listed);
     }
-    let callers = |instance: &node::Node| instance.addr(node::CALLERS_PORT);
-    let instances: Vec<SocketAddr> = fleet.instances.iter().map(callers).collect();
+    let instances = fleet.caller_addrs();
     let [asked, served, unanswered] = beside_callers(&instances, |counts| {
         fleet.restart_all();
         thread::sleep(RECOVERY_LIMIT);
@@ -245,7 +240,7 @@
 fn a_request_without_room_is_refused_with_a_time_to_come_back() {
     let fleet = Fleet::start_limited(1, DESCRIPTORS);
     fleet.endpoint.set_mode(Mode::Slow(Duration::from_secs(1)));
-    let instances = [fleet.instances[0].addr(node::CALLERS_PORT)];
+    let instances = fleet.caller_addrs();
     let refused = beside_callers(&instances, |_| {
         fleet.until("a refusal", || {
             let request = Request::new("GET", "/slow/1").host(node::HOST);
--- a/crates/daemon/tests/early_resets.rs
+++ b/crates/daemon/tests/early_resets.rs
@@ -1,116 +1,68 @@
 //! Backend servers that answer a long upload before they have read it, without a length, and
 //! end the connection.
 
-use std::path::Path;
+mod scripted_fleet;
+mod uploads;
+
 use std::time::Duration;
 use std::time::Instant;
 
-use corianderway_standins::estate::entry;
 use corianderway_standins::estate::node;
-use corianderway_standins::estate::Node;
 use corianderway_standins::estate::ReceivedRequest;
-use corianderway_standins::estate::Scripted;
-use corianderway_standins::estate::Site;
 use corianderway_standins::estate::Step;
-use corianderway_standins::estate::Store;
 use corianderway_standins::harness::call;
-use corianderway_standins::harness::until;
 use corianderway_standins::harness::Reply;
 use corianderway_standins::harness::Request;
-use serde_json::json;
-use serde_json::Value;
-
-/// The timeout for each awaited condition.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// The number of uploads of a test.
-const UPLOAD_COUNT: usize = 30;
 
-/// The size of an upload, which exceeds the buffers on its way.
-const UPLOAD_BYTES: usize = 12_000_000;
+use crate::scripted_fleet::Fleet;
+use crate::scripted_fleet::Terms;
+use crate::scripted_fleet::DEADLINE_MS;
+use crate::scripted_fleet::WAIT_TIMEOUT;
+use crate::uploads::RESET_DELAY;
+use crate::uploads::UPLOAD_BYTES;
+use crate::uploads::UPLOAD_COUNT;
 
 /// The size of the answer's part, which takes more than one read.
 const PART_BYTES: usize = 20_000;
 
-/// How long after its end an answer is reset.
-const RESET_DELAY: Duration = Duration::from_millis(5);
+// Starts a fleet in which each upload has a server of its own, since one that fails gets no
+// requests for a while.
+fn start(script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static) -> Fleet {
+    let terms = Terms {
+        timeout: Duration::from_secs(4),
+        max_attempts: 1,
+        max_body_bytes: 16_000_000,
+    };
+    Fleet::with_terms(UPLOAD_COUNT, terms, script)
+}
 
-struct Fleet {
-    endpoint: Scripted,
-    instance: Node,
-    _store: Store,
+fn upload(fleet: &Fleet, number: usize) -> Reply {
+    post(fleet, number, UPLOAD_BYTES)
 }
 
-fn configuration() -> Value {
-    json!({
-        "version": 1,
-        "routes": {
-            "columns": ["name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
-                "priority", "max_attempts", "public", "sticky", "service"],
-            "rows": [
-                ["once", node::HOST, "/once/", "unsafe", 4_000, 600, 2, 1, true, false, "s1"],
-            ],
-        },
-        "services": { "columns": ["name"], "rows": [["s1"]] },
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 16_000_000,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
-        "tenants": { "columns": ["name", "api_keys", "rate_per_s", "burst"], "rows": [] },
-    })
+fn post(fleet: &Fleet, number: usize, length: usize) -> Reply {
+    let request = Request::post(&format!("/once/{number}"))
+        .header("Host", node::HOST)
+        .header("Request-Id", format!("r-{number}"))
+        .header("Deadline-Ms", DEADLINE_MS)
+        .body(vec![b'u'; length]);
+    call(fleet.instance.addr(node::CALLERS_PORT), &request).unwrap()
 }
 
-impl Fleet {
-    // Each upload has a server of its own, since one that fails gets no requests for a while.
-    fn start(script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static) -> Self {
-        let store = Store::start();
-        let endpoint = Scripted::start(script);
-        store.put("config", "main", &configuration());
-        for number in 0..UPLOAD_COUNT {
-            let entry = entry(endpoint.addr, "s1", "a", "ready", 1);
-            store.put("servers", &format!("i-{number}"), &entry);
-        }
-        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let site = Site::new("north", "a", store.addr);
-        let instance = Node::start(site, &[("a", "north")], dir).unwrap();
-        until("readiness", WAIT_TIMEOUT, || {
-            instance.is_ready().then_some(())
-        })
-        .unwrap();
-        Self {
-            endpoint,
-            instance,
-            _store: store,
+// Uploads until that many requests have reached the server; returns the answers to these.
+fn upload_all(fleet: &Fleet) -> Vec<Reply> {
+    let mut replies = Vec::new();
+    for number in 0..UPLOAD_COUNT * 2 {
+        let reply = upload(fleet, number);
+        if fleet.arrivals(&format!("r-{number}")) > 0 {
+            replies.push(reply);
         }
-    }
-
-    fn upload(&self, number: usize) -> Reply {
-        self.post(number, UPLOAD_BYTES)
-    }
-
-    fn post(&self, number: usize, length: usize) -> Reply {
-        let request = Request::post(&format!("/once/{number}"))
-            .header("Host", node::HOST)
-            .header("Request-Id", format!("r-{number}"))
-            .header("Deadline-Ms", "4000")
-            .body(vec![b'u'; length]);
-        call(self.instance.addr(node::CALLERS_PORT), &request).unwrap()
-    }
-
-    // Uploads until that many requests have reached the server; returns the answers to these.
-    fn upload_all(&self) -> Vec<Reply> {
-        let mut replies = Vec::new();
-        for number in 0..UPLOAD_COUNT * 2 {
-            let reply = self.upload(number);
-            let id = format!("r-{number}");
-            if self.endpoint.heard().iter().any(|heard| heard.id == id) {
-                replies.push(reply);
-            }
-            if replies.len() == UPLOAD_COUNT {
-                break;
-            }
+        if replies.len() == UPLOAD_COUNT {
+            break;
         }
-        assert_eq!(replies.len(), UPLOAD_COUNT, "uploads that were sent");
-        replies
     }
+    assert_eq!(replies.len(), UPLOAD_COUNT, "uploads that were sent");
+    replies
 }
 
 // Returns the start of an answer; `rest` is the rest of its head.
@@ -132,29 +84,29 @@
 // with the reset, and the read behind it finds a plain end.
 #[test]
 fn an_early_answer_that_is_reset_is_not_complete() {
-    let fleet = Fleet::start(|heard| vec![answer(heard, ""), Step::Reset]);
-    assert_may_have_run(&fleet.upload_all());
+    let fleet = start(|heard| vec![answer(heard, ""), Step::Reset]);
+    assert_may_have_run(&upload_all(&fleet));
 }
 
 // Guards against an end that is read right before the reset.
 #[test]
 fn an_early_answer_that_is_reset_after_its_end_is_not_complete() {
-    let fleet = Fleet::start(|heard| {
+    let fleet = start(|heard| {
         let delay = Step::Wait(RESET_DELAY);
         vec![answer(heard, ""), Step::Close, delay, Step::Reset]
     });
-    assert_may_have_run(&fleet.upload_all());
+    assert_may_have_run(&upload_all(&fleet));
 }
 
 // Guards against an answer that is thrown away since its request has not been read.
 #[test]
 fn an_early_answer_is_complete_if_its_server_reads_on_after_its_end() {
     // `Step::Close` reads one byte.
-    let fleet = Fleet::start(|heard| {
+    let fleet = start(|heard| {
         let rest = Step::Read(UPLOAD_BYTES - 1);
         vec![answer(heard, ""), Step::Close, rest]
     });
-    for reply in fleet.upload_all() {
+    for reply in upload_all(&fleet) {
         assert_eq!(reply.status, 200, "{}", reply.text());
         assert_eq!(reply.body.len(), PART_BYTES);
     }
@@ -163,18 +115,18 @@
 // The reset may still come, or be lost on its way.
 #[test]
 fn an_early_answer_is_not_complete_if_its_server_does_not_read_on() {
-    let fleet = Fleet::start(|heard| {
+    let fleet = start(|heard| {
         let silent = Step::Wait(WAIT_TIMEOUT);
         vec![answer(heard, ""), Step::Close, silent]
     });
-    assert_eq!(fleet.upload(0).status, 502);
+    assert_eq!(upload(&fleet, 0).status, 502);
 }
 
 #[test]
 fn an_early_answer_with_a_length_is_complete_although_it_is_reset() {
     let length = format!("Content-Length: {PART_BYTES}\r\n");
-    let fleet = Fleet::start(move |heard| vec![answer(heard, &length), Step::Reset]);
-    for reply in fleet.upload_all() {
+    let fleet = start(move |heard| vec![answer(heard, &length), Step::Reset]);
+    for reply in upload_all(&fleet) {
         assert_eq!(reply.status, 200, "{}", reply.text());
         assert_eq!(reply.body.len(), PART_BYTES);
     }
@@ -184,10 +136,10 @@
 #[test]
 fn an_answer_without_a_length_to_a_request_that_was_read_is_complete_at_once() {
     let length = 1_000;
-    let fleet = Fleet::start(move |heard| vec![Step::Read(length), answer(heard, ""), Step::Close]);
+    let fleet = start(move |heard| vec![Step::Read(length), answer(heard, ""), Step::Close]);
     let begun = Instant::now();
     for number in 0..UPLOAD_COUNT {
-        let reply = fleet.post(number, length);
+        let reply = post(&fleet, number, length);
         assert_eq!(reply.status, 200, "{}", reply.text());
         assert_eq!(reply.body.len(), PART_BYTES);
     }
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -2,10 +2,13 @@
 //! store and a backend server.
 #![allow(dead_code, reason = "each test program uses some of these items")]
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+use corianderway_standins::estate::entry;
 use corianderway_standins::estate::node;
+use corianderway_standins::estate::Crashing;
 use corianderway_standins::estate::Endpoint;
 use corianderway_standins::estate::Node;
 use corianderway_standins::estate::Site;
@@ -18,6 +21,18 @@
 /// The timeout for each awaited condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The platform's limit on the time from the return of the machines to service.
+pub const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+
+/// The share of requests that the platform wants served after the limit.
+pub const MIN_SERVED_SHARE: f64 = 0.25;
+
+/// How long backend servers are down.
+pub const DOWNTIME: Duration = Duration::from_millis(1_500);
+
+/// The number of requests that show that callers are served before the loss.
+pub const MIN_SERVED: usize = 100;
+
 /// A store, a backend server and instances of one failure domain.
 pub struct Fleet {
     pub store: Store,
@@ -116,6 +131,22 @@
         Node::start(site, &[("a", "north"), ("b", "north")], dir).unwrap()
     }
 
+    /// Returns the addresses at which the instances serve callers.
+    pub fn caller_addrs(&self) -> Vec<SocketAddr> {
+        let addr = |instance: &Node| instance.addr(node::CALLERS_PORT);
+        self.instances.iter().map(addr).collect()
+    }
+
+    /// Lists these backend servers under the ids of their numbers, as of a later start the
+    /// higher `start` is.
+    pub fn list_started(&self, servers: &[Crashing], start: u64, id: impl Fn(usize) -> String) {
+        for (number, server) in servers.iter().enumerate() {
+            let mut listed = entry(server.addr, "s1", "a", "ready", 1);
+            listed["born"] = json!(1_790_000_000_000 + start);
+            self.store.put("servers", &id(number), &listed);
+        }
+    }
+
     /// Waits until a condition holds; panics with all logs if it doesn't in time.
     pub fn until<T>(&self, what: &str, condition: impl FnMut() -> Option<T>) -> T {
         until(what, WAIT_TIMEOUT, condition)
--- a/crates/daemon/tests/returns.rs
+++ b/crates/daemon/tests/returns.rs
@@ -4,27 +4,20 @@
 mod platform_callers;
 mod platform_fleet;
 
-use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-use corianderway_standins::estate::entry;
-use corianderway_standins::estate::node;
 use corianderway_standins::estate::Crashing;
-use corianderway_standins::estate::Node;
 use corianderway_standins::harness::Link;
 use corianderway_standins::harness::Proxy;
-use serde_json::json;
 
 use crate::platform_callers::beside_each;
 use crate::platform_fleet::Fleet;
-
-/// The platform's limit on the time from the return of the machines to service.
-const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-
-/// How long backend servers are down.
-const DOWNTIME: Duration = Duration::from_millis(1_500);
+use crate::platform_fleet::DOWNTIME;
+use crate::platform_fleet::MIN_SERVED;
+use crate::platform_fleet::MIN_SERVED_SHARE;
+use crate::platform_fleet::RECOVERY_LIMIT;
 
 /// How long the store rejects calls once the instances are back.
 const LIMITED_TIME: Duration = Duration::from_secs(3);
@@ -38,12 +31,6 @@
 /// The span over which requests are counted.
 const SPAN: Duration = Duration::from_secs(1);
 
-/// The share of requests that the platform wants served after the limit.
-const MIN_SERVED_SHARE: f64 = 0.25;
-
-/// The number of requests that show that callers are served before the loss.
-const MIN_SERVED: usize = 100;
-
 const KINDS: [&str; 5] = ["config", "servers", "rollouts", "evacuations", "instances"];
 
 // Guards against instances that keep to what a cached list said at their start, or give up while
@@ -53,17 +40,9 @@
     let mut fleet = Fleet::start_in(&["a", "a", "b"]);
     fleet.store.remove("servers", "i-1");
     let servers: Vec<_> = (0..4).map(|_| Crashing::start("/none", DOWNTIME)).collect();
-    let id = |start: u64, number: usize| format!("start-{start}-{number}");
-    let list = |fleet: &Fleet, start: u64| {
-        for (number, server) in servers.iter().enumerate() {
-            let mut listed = entry(server.addr, "s1", "a", "ready", 1);
-            listed["born"] = json!(1_790_000_000_000 + start);
-            fleet.store.put("servers", &id(start, number), &listed);
-        }
-    };
-    list(&fleet, 0);
-    let callers = |instance: &Node| instance.addr(node::CALLERS_PORT);
-    let instances: Vec<SocketAddr> = fleet.instances.iter().map(callers).collect();
+    let id = |start: u64| move |number: usize| format!("start-{start}-{number}");
+    fleet.list_started(&servers, 0, id(0));
+    let instances = fleet.caller_addrs();
     beside_each(&instances, |counts| {
         let (calm, _) = counts.during(SPAN);
         assert!(calm > MIN_SERVED, "{calm} requests served before");
@@ -73,11 +52,11 @@
         fleet.store.freeze_cached(&KINDS);
         for (number, server) in servers.iter().enumerate() {
             server.crash();
-            fleet.store.remove("servers", &id(0, number));
+            fleet.store.remove("servers", &id(0)(number));
         }
         fleet.store.set_limited(true);
         thread::sleep(DOWNTIME);
-        list(&fleet, 1);
+        fleet.list_started(&servers, 1, id(1));
         for number in 0..instances.len() {
             fleet.restart(number);
         }
--- a/crates/daemon/tests/scripted_fleet/mod.rs
+++ b/crates/daemon/tests/scripted_fleet/mod.rs
@@ -42,8 +42,30 @@
     _store: Store,
 }
 
-fn configuration() -> Value {
-    let timeout = ROUTE_TIMEOUT.as_millis();
+/// What the configuration permits of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// The timeout of the routes.
+    pub timeout: Duration,
+    /// The maximum number of attempts of the route for requests that must not run twice.
+    pub max_attempts: u32,
+    /// The maximum size of a body.
+    pub max_body_bytes: usize,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            timeout: ROUTE_TIMEOUT,
+            max_attempts: 2,
+            max_body_bytes: 100_000,
+        }
+    }
+}
+
+fn configuration(terms: Terms) -> Value {
+    let timeout = terms.timeout.as_millis();
+    let (attempts, max_body_bytes) = (terms.max_attempts, terms.max_body_bytes);
     json!({
         "version": 1,
         "routes": {
@@ -51,11 +73,11 @@
                 "priority", "max_attempts", "public", "sticky", "service"],
             "rows": [
                 ["read", node::HOST, "/read/", "safe", timeout, 600, 2, 1, true, false, "s1"],
-                ["once", node::HOST, "/once/", "unsafe", timeout, 600, 2, 2, true, false, "s1"],
+                ["once", node::HOST, "/once/", "unsafe", timeout, 600, 2, attempts, true, false, "s1"],
             ],
         },
         "services": { "columns": ["name"], "rows": [["s1"]] },
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
         "tenants": { "columns": ["name", "api_keys", "rate_per_s", "burst"], "rows": [] },
     })
@@ -71,10 +93,19 @@
     pub fn with_servers(
         servers: usize,
         script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        Self::with_terms(servers, Terms::default(), script)
+    }
+
+    /// Starts an instance with these terms, and this many backend servers.
+    pub fn with_terms(
+        servers: usize,
+        terms: Terms,
+        script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let store = Store::start();
         let endpoint = Scripted::start(script);
-        store.put("config", "main", &configuration());
+        store.put("config", "main", &configuration(terms));
         for number in 1..=servers {
             let entry = entry(endpoint.addr, "s1", "a", "ready", 1);
             store.put("servers", &format!("i-{number}"), &entry);
--- a/crates/daemon/tests/streamed_resets.rs
+++ b/crates/daemon/tests/streamed_resets.rs
@@ -2,6 +2,7 @@
 //! they have read it, without a length, and end the connection.
 
 mod support;
+mod uploads;
 
 use std::io::Write as _;
 use std::time::Duration;
@@ -17,19 +18,13 @@
 use crate::support::Fleet;
 use crate::support::HOST;
 use crate::support::WAIT_TIMEOUT;
-
-/// The number of uploads of a test.
-const UPLOAD_COUNT: usize = 30;
-
-/// The size of an upload, which exceeds the buffers on its way.
-const UPLOAD_BYTES: usize = 12_000_000;
+use crate::uploads::RESET_DELAY;
+use crate::uploads::UPLOAD_BYTES;
+use crate::uploads::UPLOAD_COUNT;
 
 /// The size of the answer's part, which doesn't fit into the ring between the duties.
 const PART_BYTES: usize = 200_000;
 
-/// How long after its end an answer is reset.
-const RESET_DELAY: Duration = Duration::from_millis(5);
-
 /// The number of parts of a slow upload, and the time between two of them.
 const SLOW_PARTS: usize = 50;
 const SLOW_INTERVAL: Duration = Duration::from_millis(100);
