Names and comments of the review, in the field's words

`progressed` is when a source was chosen or a part of its contents last read, `logged_informed` that the `informed` line was logged, `CHECK_TIMEOUT` that of checks of the store as well; the share of the metrics' port is called as its port is in the log. No behaviour changes.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -82,8 +82,8 @@
 }
 
 /// Sends a body to a ring in chunks, and its end only if the body is complete. A body that ends
-/// with its connection is complete if `is_orderly`, which is polled only then, tells so of that
-/// end.
+/// with its connection is complete if `is_orderly` resolves to true; it is polled only in that
+/// case.
 ///
 /// # Errors
 ///
--- a/crates/daemon/src/descriptors.rs
+++ b/crates/daemon/src/descriptors.rs
@@ -1,17 +1,18 @@
 //! The file descriptors of the process, and the connections that they allow.
 //!
-//! Each use of connections has a share of its own, so that callers who come back all at once
-//! leave descriptors for backend servers, the store and other instances.
+//! Each use of connections by an instance on the platform has a share of its own, so that callers
+//! who come back all at once leave descriptors for backend servers, the store and other instances.
+//! In the other front end (`daemon.rs`), only callers' connections are bounded.
 
 use std::io;
 
 use corianderway_wire::log_line::LogLine;
 
-/// The descriptors that are neither callers' nor backend servers': listeners, files, event
-/// queues, and calls and watches of the store.
+/// The descriptors outside all shares: listeners, files, event queues, and calls and watches of
+/// the store.
 const RESERVED: u64 = 48;
 
-/// The whole of which [`Share::parts`] are parts.
+/// The sum of all [`Share::parts`].
 const PARTS: u64 = 32;
 
 /// The minimum of each share, for a limit that is too low for all of them.
@@ -32,7 +33,7 @@
     /// Readiness checks.
     Readiness,
     /// Metrics and explanations.
-    Admin,
+    Metrics,
     /// Other instances that follow the replica of the store.
     Replicas,
 }
@@ -49,7 +50,7 @@
             Self::Callers => 16,
             Self::Servers => 10,
             Self::Directory | Self::Replicas => 2,
-            Self::Readiness | Self::Admin => 1,
+            Self::Readiness | Self::Metrics => 1,
         }
     }
 }
--- a/crates/daemon/src/edge/callers.rs
+++ b/crates/daemon/src/edge/callers.rs
@@ -33,7 +33,7 @@
 use crate::logs::Log;
 use crate::slots::Slots;
 
-/// The slots are divided by this to get those for callers whose requests are refused.
+/// The share of the slots, as a divisor, that is kept for refusing requests.
 const REFUSAL_DIVISOR: usize = 8;
 
 /// The idle time after which a connection may be replaced by a new one.
--- a/crates/daemon/src/edge/heartbeat.rs
+++ b/crates/daemon/src/edge/heartbeat.rs
@@ -32,8 +32,8 @@
 use crate::edge::store::send_call;
 use crate::edge::store::send_event;
 use crate::edge::store::Context;
+use crate::edge::store::CHECK_TIMEOUT;
 use crate::edge::store::OK;
-use crate::edge::store::PROBE_TIMEOUT;
 
 /// Checks the store; returns the number of missed answers once it is lost.
 pub(super) async fn run(ctx: &Context) -> u32 {
@@ -80,7 +80,7 @@
     let kind = store_kind(input);
     let known = ctx.copy.borrow().of(kind).revision;
     let call = Call::check(kind, known.unwrap_or_default());
-    let Some(reply) = send_call(ctx, &call, PROBE_TIMEOUT).await else {
+    let Some(reply) = send_call(ctx, &call, CHECK_TIMEOUT).await else {
         return CheckAnswer::Missed;
     };
     // Any other status is an answer as well: what waits is not affected by it.
--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -59,7 +59,7 @@
     /// Which instances a caller should use.
     Directory,
     /// Metrics and explanations.
-    Admin,
+    Metrics,
 }
 
 /// The state that all connections share.
@@ -80,7 +80,7 @@
         match self {
             Self::Ready => Share::Readiness,
             Self::Directory => Share::Directory,
-            Self::Admin => Share::Admin,
+            Self::Metrics => Share::Metrics,
         }
     }
 
@@ -88,7 +88,7 @@
         match self {
             Self::Ready => "ready",
             Self::Directory => "directory",
-            Self::Admin => "metrics",
+            Self::Metrics => "metrics",
         }
     }
 }
@@ -149,7 +149,7 @@
     };
     let line = LogLine::new("metrics-open").with("addr", addr);
     ctx.log.put(Level::Info, line);
-    serve(HttpPort::Admin, listener, ctx).await;
+    serve(HttpPort::Metrics, listener, ctx).await;
 }
 
 async fn serve(port: HttpPort, listener: TcpListener, ctx: Rc<Context>) {
@@ -201,8 +201,8 @@
             let place = directory::parse_location(pairs.iter().map(|(n, v)| (&**n, &**v)));
             resolve(ctx, place).await
         }
-        (HttpPort::Admin, "/metrics") => text(StatusCode::Ok, "text/plain", ctx.scrape.text()),
-        (HttpPort::Admin, "/explain") => {
+        (HttpPort::Metrics, "/metrics") => text(StatusCode::Ok, "text/plain", ctx.scrape.text()),
+        (HttpPort::Metrics, "/explain") => {
             let mut pairs = url.query_pairs();
             let request = pairs.find(|(name, _)| name == "request");
             explain(
--- a/crates/daemon/src/edge/store.rs
+++ b/crates/daemon/src/edge/store.rs
@@ -54,7 +54,7 @@
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The timeout for the answer to a check, and to a probe by an instance that has read the store.
-pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const CHECK_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The delay before the first retry of a failed call; doubles with each retry.
 pub(super) const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -387,7 +387,7 @@
 // it waits as long as for a list.
 async fn probe(ctx: &Context) {
     let timeout = if ctx.is_read() {
-        PROBE_TIMEOUT
+        CHECK_TIMEOUT
     } else {
         ANSWER_TIMEOUT
     };
--- a/crates/daemon/src/ending.rs
+++ b/crates/daemon/src/ending.rs
@@ -1,4 +1,4 @@
-//! Tells whether a connection that was read to its end has ended in order.
+//! Checks whether the peer ended a connection on purpose.
 //!
 //! An answer without a length is whole only if its server ended the connection on purpose. The
 //! end that a read finds doesn't show that: the kernel reports a reset once, and if a write has
--- a/crates/daemon/tests/returns.rs
+++ b/crates/daemon/tests/returns.rs
@@ -33,7 +33,7 @@
 
 const KINDS: [&str; 5] = ["config", "servers", "rollouts", "evacuations", "instances"];
 
-// Guards against instances that keep to what a cached list said at their start, or give up while
+// Guards against instances that keep a cached list that they read at their start, or give up while
 // the store rejects their first calls (RECOVER).
 #[test]
 fn callers_are_served_though_first_lists_are_old_and_the_store_limits_calls() {
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -42,7 +42,7 @@
     account: Option<Arc<AccountTerms>>,
     // Whether the relay must still lend a token.
     needs_token: bool,
-    // Whether a quarantined request is tried again.
+    // Whether it is a trial of a quarantined signature.
     is_trial: bool,
 }
 
--- a/crates/steer/src/relay.rs
+++ b/crates/steer/src/relay.rs
@@ -215,7 +215,7 @@
             for (service, work) in &digest.workloads {
                 *workloads.get_or_insert_with(*service, || 0.0) += work;
             }
-            // Only earlier builds tell crashes without their age.
+            // Only earlier builds send crashes without their age.
             let is_aged = !digest.known_crashes.is_empty();
             for (signature, servers) in &digest.crashes {
                 if is_aged && !aged.iter().any(|row| row.signature == *signature) {
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -130,7 +130,7 @@
     pub(crate) full_cause: Option<FullCause>,
     /// Whether its caller comes back when a refusal told it to.
     pub(crate) returned: bool,
-    /// Whether it shows if requests with its signature, which are quarantined, crash servers.
+    /// Whether it is a trial of a quarantined signature.
     pub(crate) is_trial: bool,
     /// Number of times that a token was requested.
     pub(crate) token_requests: u32,
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -129,7 +129,8 @@
 pub(crate) enum Effect {
     /// Begins an ejection.
     BeginEjection,
-    /// Begins an ejection of the maximum length.
+    /// Begins an ejection of the maximum length. The server may be back at its address while its
+    /// entry stays as it is.
     BeginLongEjection,
     /// Begins a cold period. Until the server answers, one more failed connection attempt
     /// ejects it again.
--- a/crates/steer/src/service_time.rs
+++ b/crates/steer/src/service_time.rs
@@ -124,15 +124,15 @@
         estimates.sent[warmth as usize] = now;
     }
 
-    /// Records the measured time of a request that did not wait for a slot. `is_probe` says
-    /// whether the request was expected to end too late.
+    /// Records the measured time of a request that did not wait for a slot. `tests_estimate`
+    /// says whether the request was expected to end too late.
     pub(crate) fn record(
         &mut self,
         route: &RouteName,
         target_latency: f64,
         warmth: Warmth,
         took: f64,
-        is_probe: bool,
+        tests_estimate: bool,
     ) {
         let estimates = self
             .0
@@ -143,7 +143,7 @@
             Warmth::Likely => &mut estimates.likely,
             Warmth::Unknown => &mut estimates.unknown,
         };
-        let gain = if is_probe && took < *mean {
+        let gain = if tests_estimate && took < *mean {
             REFUTATION_GAIN
         } else {
             MEAN_GAIN
--- a/crates/steer/src/source.rs
+++ b/crates/steer/src/source.rs
@@ -54,8 +54,7 @@
 /// instances don't all turn to the store at once.
 const MAX_LAG_DELAY: Duration = Duration::from_millis(750);
 
-/// How long a source may take until the contents are up to date with it, or for the next page of
-/// a list, whose calls end sooner.
+/// Maximum time without progress until the contents are up to date with a source.
 const REACH_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The state of the chart.
@@ -105,7 +104,8 @@
     /// Other instances have observed a change for too long that is not known here.
     Lagging,
     /// The contents have not been up to date since the source was chosen, and nothing of them
-    /// was read, for too long.
+    /// was read, for too long. Only lists of the store count as they are read; the stream of a
+    /// replica doesn't.
     Overdue,
     /// The next probe of the store is due.
     ProbeDue,
@@ -183,8 +183,8 @@
     pub(crate) state: State,
     // The replica that is followed, and whether it is of this domain.
     replica: Option<(SocketAddr, bool)>,
-    // When the source that is followed was chosen, or last told a part of its contents.
-    chosen: Time,
+    // When the source was chosen, or a part of its contents was last read.
+    progressed: Time,
     // Replicas that failed or lagged, with the time of that.
     excluded: Vec<(SocketAddr, Time)>,
     // Since when nothing is followed.
@@ -200,7 +200,7 @@
             chart,
             state: State::Detached,
             replica: None,
-            chosen: Time::ZERO,
+            progressed: Time::ZERO,
             excluded: Vec::new(),
             detached: Time::ZERO,
             last_probe: None,
@@ -234,12 +234,12 @@
                 }
                 Effect::FollowStore => {
                     self.replica = None;
-                    self.chosen = now;
+                    self.progressed = now;
                     commands.push(Command::Follow(Source::Store));
                 }
                 Effect::FollowReplica => {
                     self.replica = self.best_replica(now, replicas);
-                    self.chosen = now;
+                    self.progressed = now;
                     let replica = self.replica.map_or(Source::Nothing, |c| Source::Copy(c.0));
                     commands.push(Command::Follow(replica));
                 }
@@ -257,9 +257,9 @@
         commands
     }
 
-    /// Records that the source that is followed has told a part of its contents.
+    /// Records that a part of the source's contents was read.
     pub(crate) fn record_progress(&mut self, now: Time) {
-        self.chosen = now;
+        self.progressed = now;
     }
 
     fn holds(&self, now: Time, guard: Guard, replicas: &Replicas) -> bool {
@@ -277,11 +277,11 @@
             }
             Guard::Lagging => {
                 let timeout = LAG_TIMEOUT + stagger(MAX_LAG_DELAY, replicas.preceding.len() as u32);
-                let since = replicas.lagging_since.map(|at| at.max(self.chosen));
+                let since = replicas.lagging_since.map(|at| at.max(self.progressed));
                 since.is_some_and(|at| now.since(at) >= timeout)
             }
             Guard::Overdue => {
-                let since = replicas.unreached_since.map(|at| at.max(self.chosen));
+                let since = replicas.unreached_since.map(|at| at.max(self.progressed));
                 since.is_some_and(|at| now.since(at) >= REACH_TIMEOUT)
             }
             Guard::ProbeDue => self.is_probe_due(now, replicas),
--- a/crates/steer/src/startup.rs
+++ b/crates/steer/src/startup.rs
@@ -1,4 +1,4 @@
-//! The start of an instance: which inputs it lacks, and the log lines that tell of it.
+//! The inputs that a starting instance lacks, and its log lines.
 
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
     missing: Vec<InputKind>,
     // The time of the latest line on the missing inputs.
     logged: Time,
-    is_ready: bool,
+    logged_informed: bool,
     has_served: bool,
 }
 
@@ -29,7 +29,7 @@
         Self {
             missing: INPUTS.to_vec(),
             logged: Time::ZERO,
-            is_ready: false,
+            logged_informed: false,
             has_served: false,
         }
     }
@@ -53,7 +53,7 @@
     /// the process.
     pub(crate) fn line(&mut self, now: Time) -> Option<Note> {
         if self.is_informed() {
-            if std::mem::replace(&mut self.is_ready, true) {
+            if std::mem::replace(&mut self.logged_informed, true) {
                 return None;
             }
             return Some(line("informed", now));
--- a/crates/steer/tests/returns.rs
+++ b/crates/steer/tests/returns.rs
@@ -44,7 +44,7 @@
 // Guards against a long list that is begun anew again and again, since a slow store takes long
 // for all of its pages.
 #[test]
-fn a_source_that_tells_page_after_page_is_not_left() {
+fn a_source_that_delivers_pages_is_not_left() {
     let mut rig = Rig::bare(rig::member("entry-1", "north", "north-a"));
     rig.step(Event::Members(Vec::new()));
     assert_eq!(follows(rig.step(Event::ProbeAnswered)), 1);
