--- a/crates/daemon/src/edge/exchange.rs
+++ b/crates/daemon/src/edge/exchange.rs
@@ -41,6 +41,7 @@
 use crate::edge::rings::Input;
 use crate::edge::rings::Job;
 use crate::ending;
+use crate::ending::Sent;
 use crate::message_reader;
 use crate::message_reader::HeadFailure;
 use crate::pool::Pool;
@@ -160,6 +161,14 @@
 }
 
 impl Progress {
+    fn sent(&self) -> Sent {
+        let bytes = self.sent.get();
+        Sent {
+            bytes,
+            is_whole: bytes == self.length.get(),
+        }
+    }
+
     // Creates the log line of an attempt that ended in this way.
     fn note(&self, job: &Job, end: &'static str) -> Note {
         let connection = match self.is_new.get() {
@@ -380,8 +389,8 @@
 }
 
 impl Connections {
-    /// Takes a slot for a new connection, if there is one; an idle connection makes room.
-    pub(super) fn take_slot(&self) -> Option<Slot> {
+    // Takes a slot for a new connection, if there is one; an idle connection makes room.
+    fn take_slot(&self) -> Option<Slot> {
         let free = self.slots.take();
         free.or_else(|| {
             let is_closed = self.idle.borrow_mut().close_oldest();
@@ -389,6 +398,22 @@
         })
     }
 
+    /// Waits this long for a slot for a new connection.
+    pub(super) async fn wait_slot(&self, timeout: Duration) -> Option<Slot> {
+        let freed = async {
+            loop {
+                if let Some(slot) = self.take_slot() {
+                    return slot;
+                }
+                self.slots.changed().await;
+            }
+        };
+        let slot = future::timeout(timeout, freed).await.ok()?;
+        // What was freed at the same time has woken one attempt only.
+        self.slots.notify();
+        Some(slot)
+    }
+
     // Finds an idle connection to the job's server, or a slot for a new one.
     async fn find(&self, job: &Job, max_idle: Duration) -> Option<Room> {
         while let Some(connection) = take(&self.idle, job, max_idle) {
@@ -509,8 +534,8 @@
             progress.fault.set(Some("success without a signature"));
             return None;
         }
-        let is_sent = || progress.sent.get() == progress.length.get();
-        if head.framing == Framing::Close && !ending::is_orderly(stream, is_sent).await {
+        let sent = || progress.sent();
+        if head.framing == Framing::Close && !ending::is_orderly(stream, sent).await {
             progress.fault.set(Some("no orderly end"));
             return None;
         }
--- a/crates/daemon/src/edge/http_ports.rs
+++ b/crates/daemon/src/edge/http_ports.rs
@@ -41,6 +41,9 @@
 /// The timeout for the next request on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The timeout from the first byte of a request to the end of its answer.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The interval at which the port for metrics is tried again while it is in use.
 const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -56,7 +59,7 @@
     /// Which instances a caller should use.
     Directory,
     /// Metrics and explanations.
-    Admin,
+    Metrics,
 }
 
 /// The state that all connections share.
@@ -77,7 +80,7 @@
         match self {
             Self::Ready => Share::Readiness,
             Self::Directory => Share::Directory,
-            Self::Admin => Share::Admin,
+            Self::Metrics => Share::Metrics,
         }
     }
 
@@ -85,7 +88,7 @@
         match self {
             Self::Ready => "ready",
             Self::Directory => "directory",
-            Self::Admin => "metrics",
+            Self::Metrics => "metrics",
         }
     }
 }
@@ -146,7 +149,7 @@
     };
     let line = LogLine::new("metrics-open").with("addr", addr);
     ctx.log.put(Level::Info, line);
-    serve(HttpPort::Admin, listener, ctx).await;
+    serve(HttpPort::Metrics, listener, ctx).await;
 }
 
 async fn serve(port: HttpPort, listener: TcpListener, ctx: Rc<Context>) {
@@ -166,8 +169,9 @@
             };
             let mut server = Server::new(stream.clone(), answer);
             while connection::has_bytes(&stream, IDLE_TIMEOUT).await {
+                let served = future::timeout(EXCHANGE_TIMEOUT, server.accept_one()).await;
                 // A broken connection affects only its own caller.
-                let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await else {
+                let Ok(Ok(ConnectionStatus::KeepAlive)) = served else {
                     break;
                 };
             }
@@ -197,8 +201,8 @@
             let place = directory::parse_location(pairs.iter().map(|(n, v)| (&**n, &**v)));
             resolve(ctx, place).await
         }
-        (HttpPort::Admin, "/metrics") => text(StatusCode::Ok, "text/plain", ctx.scrape.text()),
-        (HttpPort::Admin, "/explain") => {
+        (HttpPort::Metrics, "/metrics") => text(StatusCode::Ok, "text/plain", ctx.scrape.text()),
+        (HttpPort::Metrics, "/explain") => {
             let mut pairs = url.query_pairs();
             let request = pairs.find(|(name, _)| name == "request");
             explain(
--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -2,6 +2,7 @@
 
 mod platform_fleet;
 
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::atomic::AtomicBool;
@@ -21,6 +22,8 @@
 use corianderway_standins::harness::Request;
 
 use crate::platform_fleet::Fleet;
+use crate::platform_fleet::MIN_SERVED_SHARE;
+use crate::platform_fleet::RECOVERY_LIMIT;
 
 /// The number of file descriptors of an instance.
 const DESCRIPTORS: u32 = 128;
@@ -28,15 +31,9 @@
 /// The number of callers of each instance.
 const CALLERS: usize = 150;
 
-/// The platform's limit on the time from the return of the machines to service.
-const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-
 /// The span over which requests are counted.
 const SPAN: Duration = Duration::from_secs(3);
 
-/// The share of requests that the platform wants served after the limit.
-const MIN_SERVED_SHARE: f64 = 0.25;
-
 /// The pause of a caller after an answer.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -53,6 +50,12 @@
 /// longer.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// The number of connections for readiness checks at that limit.
+const READINESS_ROOM: usize = 2;
+
+/// How long readiness checks may be kept out.
+const MAX_READINESS_WAIT: Duration = Duration::from_secs(15);
+
 /// The requests of all callers.
 #[derive(Debug, Default)]
 struct Counts {
@@ -150,8 +153,7 @@
         let listed = entry(server.addr, "s1", "a", "ready", 1);
         fleet.store.put("servers", &format!("i-{number}"), &listed);
     }
-    let callers = |instance: &node::Node| instance.addr(node::CALLERS_PORT);
-    let instances: Vec<SocketAddr> = fleet.instances.iter().map(callers).collect();
+    let instances = fleet.caller_addrs();
     let [asked, served, unanswered] = beside_callers(&instances, |counts| {
         fleet.restart_all();
         thread::sleep(RECOVERY_LIMIT);
@@ -192,12 +194,53 @@
     drop(idle);
 }
 
+// Guards against connections that begin a request and never end it, which keep readiness checks
+// out.
+#[test]
+fn readiness_is_answered_beside_requests_that_do_not_end() {
+    let fleet = Fleet::start_limited(1, DESCRIPTORS);
+    let addr = fleet.instances[0].addr(node::READY_PORT);
+    let begin = |_| {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.write_all(b"GET /ready").unwrap();
+        stream
+    };
+    let slow: Vec<_> = (0..READINESS_ROOM).map(begin).collect();
+    assert!(!fleet.instances[0].is_ready(), "room beside slow requests");
+    until("readiness", MAX_READINESS_WAIT, || {
+        fleet.instances[0].is_ready().then_some(())
+    })
+    .unwrap_or_else(|error| panic!("{error}\n{}", fleet.logs()));
+    drop(slow);
+}
+
+// Guards against rejected connections that no log line counts, since none follows them.
+#[test]
+fn all_rejected_connections_are_counted_in_the_log() {
+    let fleet = Fleet::start_limited(1, DESCRIPTORS);
+    let addr = fleet.instances[0].addr(node::READY_PORT);
+    let connections: Vec<_> = (0..CALLERS).map(|_| TcpStream::connect(addr)).collect();
+    let count = || -> usize {
+        let lines = fleet.instances[0].process.lines();
+        let rejected = lines.iter().filter(|l| l.contains("connection-rejected"));
+        let counts = rejected.filter_map(|line| {
+            let (_, rest) = line.split_once(" count=")?;
+            rest.split(' ').next()?.parse::<usize>().ok()
+        });
+        counts.sum()
+    };
+    fleet.until("the count of all", || {
+        (count() >= CALLERS - READINESS_ROOM).then_some(())
+    });
+    drop(connections);
+}
+
 // Guards against a refusal for lack of room that doesn't tell the caller that nothing ran.
 #[test]
 fn a_request_without_room_is_refused_with_a_time_to_come_back() {
     let fleet = Fleet::start_limited(1, DESCRIPTORS);
     fleet.endpoint.set_mode(Mode::Slow(Duration::from_secs(1)));
-    let instances = [fleet.instances[0].addr(node::CALLERS_PORT)];
+    let instances = fleet.caller_addrs();
     let refused = beside_callers(&instances, |_| {
         fleet.until("a refusal", || {
             let request = Request::new("GET", "/slow/1").host(node::HOST);
