steer: count the silence of a backend server as its failure

Callers saw: two instances start with 16 listed servers, of which 12 take connections and never answer. 15 to 18 s after the start 4, 6 and 2 requests are served (three runs; 22 and 18 asked in the last two), after 4504, 4361 and 4474 in as long a span without the 12. The others get a 504 at their deadline. Requests name 40 objects.

Cause: an attempt that ended at its deadline was recorded as an answer in good order: it lowered the failure rate, and the chart got `succeeded`. All 16 servers stayed serving, the silent ones as owners of their objects. Only the ratio of the time to the estimate told against them. That is small while the estimate is the first one (2000 ms against 720 ms), and fades with a half-life of 4 s, until the benefit of an owner outweighs it.

Change: such an attempt counts as a failure if it is overdue by the ratio that is used for requests in flight (1.5), and if the server has answered no other request of this instance meanwhile. A server that answers anything is judged as before, and so is a probe of the estimate. As for other failures, a server is ejected only while more than half of the others serve; beyond that its failure rate makes it the last choice.

The tests of steer pass.

--- a/crates/daemon/tests/platform_callers/mod.rs
+++ b/crates/daemon/tests/platform_callers/mod.rs
@@ -39,27 +39,43 @@
 
 /// Runs `trial` while callers ask the instances at these addresses for `path`.
 pub fn beside<T>(instances: &[SocketAddr], path: &str, trial: impl FnOnce(&Counts) -> T) -> T {
-    call_beside(instances, |_| path.to_owned(), trial)
+    call_beside(instances, |_| Request::new("GET", path), trial)
 }
 
 /// Runs `trial` while callers ask the instances at these addresses, each time for another path.
 pub fn beside_each<T>(instances: &[SocketAddr], trial: impl FnOnce(&Counts) -> T) -> T {
-    call_beside(instances, |count| format!("/read/{count}"), trial)
+    let request = |count| Request::new("GET", &format!("/read/{count}"));
+    call_beside(instances, request, trial)
+}
+
+/// Runs `trial` while callers ask the instances at these addresses for this many objects in turn.
+pub fn beside_objects<T>(
+    instances: &[SocketAddr],
+    objects: usize,
+    trial: impl FnOnce(&Counts) -> T,
+) -> T {
+    let request = |count| {
+        let object = count % objects;
+        Request::new("GET", &format!("/read/{object}"))
+            .header("Cookie", format!("Affinity-Key={object}"))
+    };
+    call_beside(instances, request, trial)
 }
 
 fn call_beside<T>(
     instances: &[SocketAddr],
-    path: impl Fn(usize) -> String + Sync,
+    request: impl Fn(usize) -> Request + Sync,
     trial: impl FnOnce(&Counts) -> T,
 ) -> T {
     let counts = Counts::default();
     thread::scope(|scope| {
         for caller in 0..CALLERS {
-            let (counts, path, addr) = (&counts, &path, instances[caller % instances.len()]);
+            let (counts, request) = (&counts, &request);
+            let addr = instances[caller % instances.len()];
             scope.spawn(move || {
                 while !counts.ended.load(Ordering::Acquire) {
                     let count = counts.asked.fetch_add(1, Ordering::AcqRel);
-                    let request = Request::new("GET", &path(count))
+                    let request = request(count)
                         .host(node::HOST)
                         .header("Key", "k1")
                         .header("Request-Id", format!("r-{caller}-{count}"))
--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -281,8 +281,7 @@
             }
             Outcome::TimedOut => {
                 if now >= open.deadline {
-                    let ratio = took / expected.max(1.0);
-                    self.fleet.record_answer(now, &server, ratio, false);
+                    self.fleet.record_timeout(now, &server, took, expected);
                     if choice.typical.is_some() {
                         let slow = observation(RequestResult::Slow);
                         self.pending_failures.hold(now, server.clone(), slow);
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -438,6 +438,18 @@
         self.signal(now, id, signal, "answers");
     }
 
+    /// Records a request that a server didn't answer by its deadline.
+    pub(crate) fn record_timeout(&mut self, now: Time, id: &ServerId, took: f64, expected: f64) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if server.record_timeout(now, took, expected) {
+            self.signal(now, id, Signal::Failed, "silence");
+        } else {
+            self.signal(now, id, Signal::Succeeded, "answers");
+        }
+    }
+
     /// Records an attempt at a server that ended without an answer.
     pub(crate) fn record_failure(&mut self, now: Time, id: &ServerId, unreachable: bool) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/steer/src/server.rs
+++ b/crates/steer/src/server.rs
@@ -51,6 +51,9 @@
 /// long as expected.
 const MAX_NORMAL_SLOWDOWN: f64 = 1.8;
 
+/// Ratio of actual to expected time from which a request is overdue.
+const OVERDUE_RATIO: f64 = 1.5;
+
 /// Time for which a reported load is used.
 const LOAD_REPORT_TTL: Duration = Duration::from_secs(1);
 
@@ -172,6 +175,8 @@
     // The last reported load: its time, the requests of all instances that ran or waited,
     // and this instance's own in flight at that time.
     reported: Option<(Time, u32, u32)>,
+    // When the server last answered a request of this instance, if it has.
+    answered: Option<Time>,
     // How long work takes on the server's machine, as it last said.
     stretch: Option<Stretch>,
     // The objects whose state the server has cached, with the time of the last answer.
@@ -204,6 +209,7 @@
             window_shrunk: now,
             requests: Vec::new(),
             reported: None,
+            answered: None,
             stretch: None,
             objects: SortedMap::default(),
             slowdown: (now, 1.0),
@@ -366,7 +372,26 @@
     /// Records a complete answer and the ratio of its actual to its expected
     /// time.
     pub(crate) fn record_answer(&mut self, now: Time, ratio: f64, failed: bool) {
+        self.answered = Some(now);
         self.connect_failures = 0;
+        self.record_end(now, ratio, failed);
+    }
+
+    /// Records a request that got no answer by its deadline, after `took` milliseconds. Returns
+    /// whether it counts as a failure: it is long overdue, and the server has answered no other
+    /// request of this instance meanwhile.
+    pub(crate) fn record_timeout(&mut self, now: Time, took: f64, expected: f64) -> bool {
+        let ratio = took / expected.max(1.0);
+        let answered = self.answered.is_some_and(|at| millis(now.since(at)) < took);
+        let failed = !answered && ratio > OVERDUE_RATIO;
+        if !failed {
+            self.connect_failures = 0;
+        }
+        self.record_end(now, ratio, failed);
+        failed
+    }
+
+    fn record_end(&mut self, now: Time, ratio: f64, failed: bool) {
         self.failure_rate += (f64::from(u8::from(failed)) - self.failure_rate) * FAILURE_RATE_GAIN;
         let slowdown = self.mean_ratio(now);
         self.slowdown = (now, slowdown + (ratio - slowdown) * SLOWDOWN_GAIN);
@@ -381,6 +406,7 @@
     /// Excludes the server for a time because it had no room.
     pub(crate) fn mark_full(&mut self, now: Time, span: Duration) {
         self.full_until = now + span;
+        self.answered = Some(now);
     }
 
     /// Records that an answer says that the server leaves.
@@ -437,10 +463,12 @@
         self.failure_rate
     }
 
-    /// Returns how far the oldest request exceeds 1.5 times its expected time,
+    /// Returns how far the oldest request exceeds [`OVERDUE_RATIO`] times its expected time,
     /// in milliseconds.
     pub(crate) fn overdue(&self, now: Time) -> f64 {
-        let over = |request: &InFlight| millis(now.since(request.since)) - request.expected * 1.5;
+        let over = |request: &InFlight| {
+            millis(now.since(request.since)) - request.expected * OVERDUE_RATIO
+        };
         self.requests.iter().map(over).fold(0.0, f64::max)
     }
 
