--- a/crates/steer/src/attempts.rs
+++ b/crates/steer/src/attempts.rs
@@ -281,9 +281,10 @@
             }
             Outcome::TimedOut => {
                 if now >= open.deadline {
-                    let ratio = took / expected.max(1.0);
-                    self.fleet.record_answer(now, &server, ratio, false);
                     // A dead server answers nothing, whatever its version.
+                    if is_listed {
+                        self.fleet.record_timeout(now, &server, took, expected);
+                    }
                     if is_listed && choice.typical.is_some() {
                         let slow = observation(RequestResult::Slow);
                         self.pending_failures
