--- a/crates/daemon/tests/silent_servers.rs
+++ b/crates/daemon/tests/silent_servers.rs
@@ -3,17 +3,15 @@
 mod platform_callers;
 mod platform_fleet;
 
-use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
-use corianderway_standins::estate::node;
 use corianderway_standins::estate::Endpoint;
 use corianderway_standins::estate::Mode;
-use corianderway_standins::estate::Node;
 
 use crate::platform_callers::beside_objects;
 use crate::platform_fleet::Fleet;
+use crate::platform_fleet::RECOVERY_LIMIT;
 
 /// The number of backend servers that answer.
 const SOUND: usize = 4;
@@ -24,9 +22,6 @@
 /// The number of objects that callers ask for.
 const OBJECTS: usize = 40;
 
-/// The platform's limit on the time from the return of the machines to service.
-const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-
 /// The span over which requests are counted.
 const SPAN: Duration = Duration::from_secs(3);
 
@@ -53,8 +48,7 @@
     for server in &servers[..SOUND] {
         list(&fleet, server);
     }
-    let callers = |instance: &Node| instance.addr(node::CALLERS_PORT);
-    let instances: Vec<SocketAddr> = fleet.instances.iter().map(callers).collect();
+    let instances = fleet.caller_addrs();
     let (calm, (served, asked)) = beside_objects(&instances, OBJECTS, |counts| {
         let (calm, _) = counts.during(SPAN);
         for server in &servers[SOUND..] {
